--- /dev/null
+++ b/cmake/Packages.cmake
@@ -0,0 +1,55 @@
+# Libraries and the functions that declare the packages of the workspace.
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(absl REQUIRED)
+find_package(GTest REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+# cpp-httplib is a compiled library in Debian: its pkg-config flags decide the class layout.
+pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
+pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+find_library(DOCOPT_LIBRARY docopt REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+
+add_library(oriolepick_options INTERFACE)
+target_include_directories(oriolepick_options INTERFACE ${PROJECT_SOURCE_DIR})
+target_compile_options(oriolepick_options INTERFACE -Wall -Wextra -Wpedantic -Wnon-virtual-dtor -Woverloaded-virtual)
+if(ORIOLEPICK_SANITIZE)
+    target_compile_options(oriolepick_options INTERFACE -fsanitize=${ORIOLEPICK_SANITIZE} -fno-omit-frame-pointer -g1)
+    target_link_options(oriolepick_options INTERFACE -fsanitize=${ORIOLEPICK_SANITIZE})
+endif()
+
+# oriolepick_package(NAME LIBS...): a static library oriolepick_NAME of all .cpp files in the flat folder of the
+# package (main*.cpp files are programs and are left out), and one test program per file test/*.cpp.
+function(oriolepick_package name)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
+    list(FILTER sources EXCLUDE REGEX "/main[^/]*\\.cpp$")
+    if(sources)
+        add_library(oriolepick_${name} STATIC ${sources})
+        target_link_libraries(oriolepick_${name} PUBLIC oriolepick_options ${ARGN})
+    else()
+        add_library(oriolepick_${name} INTERFACE)
+        target_link_libraries(oriolepick_${name} INTERFACE oriolepick_options ${ARGN})
+    endif()
+    file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
+    foreach(test_source ${tests})
+        get_filename_component(test_name ${test_source} NAME_WE)
+        set(test_target ${name}_${test_name})
+        add_executable(${test_target} ${test_source})
+        target_link_libraries(${test_target} PRIVATE oriolepick_${name} ${ORIOLEPICK_TEST_LIBRARIES_${name}}
+            GTest::gtest GTest::gtest_main ${RAPIDCHECK_LIBRARY} Threads::Threads)
+        add_test(NAME ${test_target} COMMAND ${test_target})
+        # A fixed RapidCheck seed gives one verdict on every run; override RC_PARAMS to explore other seeds.
+        set_tests_properties(${test_target} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+    endforeach()
+endfunction()
+
+# oriolepick_program(NAME SOURCE LIBS...): one executable in build/bin.
+function(oriolepick_program name source)
+    add_executable(${name} ${source})
+    target_link_libraries(${name} PRIVATE oriolepick_options ${ARGN})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+endfunction()
