Add the ports to engines and plain services and their HTTP adapters

Streams are read on the calling thread and reported to a sink with a closed list of reasons; call_abort ends a blocked call from another thread through a duplicate of the socket. Each call has its own connection, so a failed connect proves that nothing was sent.

--- /dev/null
+++ b/targets/attempt_reader.cpp
@@ -0,0 +1,155 @@
+#include "targets/attempt_reader.h"
+
+#include "targets/engine_messages.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <array>
+
+namespace oriolepick {
+
+namespace {
+
+    // Rejections are small JSON objects; more is not read.
+    constexpr std::size_t MaxRejectionBytes = 4096;
+
+    struct rejection_row {
+        int status;
+        std::string_view code; ///< empty: any code
+        break_reason reason;
+    };
+
+    // Only rejections listed here are proven not to have run. Any other status may come from a fault after the start.
+    constexpr std::array<rejection_row, 5> Rejections { {
+        { 400, "", break_reason::Invalid },
+        { 404, "", break_reason::UnknownAttempt },
+        { 409, "not_loaded", break_reason::NotLoaded },
+        { 429, "", break_reason::QueueFull },
+        { 503, "draining", break_reason::Draining },
+    } };
+
+} // namespace
+
+attempt_reader::attempt_reader(attempt_sink& sink, std::uint32_t from, event_stream_limits limits)
+    : m_sink(sink)
+    , m_next(from)
+    , m_parser(limits)
+{
+}
+
+bool attempt_reader::takeHead(int status, const header_list& headers)
+{
+    m_status = status;
+    if (status != 200)
+        return true;
+    std::optional<engine_load> load;
+    bool isEventStream = false;
+    for (const auto& [name, value] : headers) {
+        if (absl::EqualsIgnoreCase(name, "Engine-Load"))
+            load = parseEngineLoad(value);
+        else if (absl::EqualsIgnoreCase(name, "Content-Type"))
+            isEventStream = absl::StartsWithIgnoreCase(value, "text/event-stream");
+    }
+    if (!isEventStream)
+        return breakOff(break_reason::Malformed, "response is not an event stream");
+    m_ended = m_sink.accepted(load) == read_decision::Stop;
+    return !m_ended;
+}
+
+bool attempt_reader::takeBody(std::string_view bytes)
+{
+    if (m_status != 200) {
+        m_rejection.append(bytes.substr(0, MaxRejectionBytes - m_rejection.size()));
+        return m_rejection.size() < MaxRejectionBytes;
+    }
+    const auto status = m_parser.feed(bytes, [this](const stream_event& event) { return takeEvent(event); });
+    if (status == event_stream_parser::status::Malformed)
+        return breakOff(break_reason::Malformed, m_parser.fault());
+    return status == event_stream_parser::status::Ok;
+}
+
+bool attempt_reader::takeEvent(const stream_event& event)
+{
+    if (event.name.empty())
+        return takeToken(event.data);
+    if (event.name == "done")
+        return takeSummary(event.data);
+    if (event.name == "superseded")
+        return breakOff(break_reason::Superseded, "a reader with a higher epoch attached");
+    return breakOff(break_reason::Malformed, "unknown event");
+}
+
+bool attempt_reader::takeToken(std::string_view data)
+{
+    const auto message = parseToken(data);
+    if (!message)
+        return breakOff(break_reason::Malformed, message.error().message);
+    if (message.value().position != m_next)
+        return breakOff(
+            break_reason::Malformed, absl::StrCat("position ", message.value().position, " instead of ", m_next));
+    ++m_next;
+    m_ended = m_sink.tokenArrived(message.value().position, message.value().next) == read_decision::Stop;
+    return !m_ended;
+}
+
+bool attempt_reader::takeSummary(std::string_view data)
+{
+    const auto summary = parseSummary(data);
+    if (!summary)
+        return breakOff(break_reason::Malformed, summary.error().message);
+    if (summary.value().length != m_next)
+        return breakOff(break_reason::Malformed,
+            absl::StrCat("end event says length ", summary.value().length, " after ", m_next, " positions"));
+    m_ended = true;
+    m_sink.done(summary.value());
+    return false;
+}
+
+void attempt_reader::finish(const exchange_result& exchanged)
+{
+    if (m_ended)
+        return;
+    switch (exchanged.end) {
+    case exchange_end::NotSent:
+        breakOff(break_reason::ConnectRefused, exchanged.detail);
+        return;
+    case exchange_end::Lost:
+        breakOff(break_reason::Reset, exchanged.detail);
+        return;
+    case exchange_end::TimedOut:
+        breakOff(break_reason::Timeout, exchanged.detail);
+        return;
+    case exchange_end::Aborted:
+        breakOff(break_reason::Aborted, exchanged.detail);
+        return;
+    case exchange_end::Complete:
+    case exchange_end::Stopped:
+        break;
+    }
+    if (m_status == 200)
+        breakOff(break_reason::Truncated, "response ended without an end event");
+    else
+        reportRejection();
+}
+
+void attempt_reader::reportRejection()
+{
+    const std::string code = parseCode(m_rejection);
+    for (const auto& row : Rejections) {
+        if (row.status == m_status && (row.code.empty() || row.code == code)) {
+            breakOff(row.reason, absl::StrCat("status ", m_status, " ", code));
+            return;
+        }
+    }
+    breakOff(break_reason::Malformed, absl::StrCat("status ", m_status, " ", code));
+}
+
+bool attempt_reader::breakOff(break_reason reason, const std::string& detail)
+{
+    if (!std::exchange(m_ended, true))
+        m_sink.broken(reason, detail);
+    return false;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/targets/call_abort.cpp
@@ -0,0 +1,45 @@
+#include "targets/call_abort.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace oriolepick {
+
+call_abort::~call_abort()
+{
+    releaseSocket();
+}
+
+void call_abort::abort()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_aborted = true;
+    if (m_socket >= 0)
+        ::shutdown(m_socket, SHUT_RDWR);
+}
+
+bool call_abort::aborted() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_aborted;
+}
+
+void call_abort::watchSocket(int socket)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_socket >= 0)
+        ::close(m_socket);
+    m_socket = ::dup(socket);
+    if (m_aborted && m_socket >= 0)
+        ::shutdown(m_socket, SHUT_RDWR);
+}
+
+void call_abort::releaseSocket()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_socket >= 0)
+        ::close(m_socket);
+    m_socket = -1;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/targets/http_engine_client.h
@@ -0,0 +1,37 @@
+/// \file
+/// Engines over HTTP and server-sent events.
+#pragma once
+
+#include "targets/engine_client.h"
+#include "targets/event_stream_parser.h"
+
+namespace oriolepick {
+
+/// Makes each call on a connection of its own.
+class http_engine_client : public engine_client {
+public:
+    explicit http_engine_client(event_stream_limits limits = {})
+        : m_limits(limits)
+    {
+    }
+
+    void start(const std::string& address, const attempt_request& request, const stream_timeouts& timeouts,
+        attempt_sink& sink, call_abort& abort) override;
+    void attach(const std::string& address, const attempt_id& attempt, std::uint32_t from, std::uint64_t readerEpoch,
+        const stream_timeouts& timeouts, attempt_sink& sink, call_abort& abort) override;
+    result<void> cancel(
+        const std::string& address, const attempt_id& attempt, std::chrono::milliseconds timeout) override;
+    probe_answer probe(const std::string& address, const std::optional<attempt_id>& attempt,
+        std::chrono::milliseconds timeout) const override;
+    result<engine_state> readState(const std::string& address, std::chrono::milliseconds timeout) const override;
+    result<engine_load> readLoad(const std::string& address, std::chrono::milliseconds timeout) const override;
+    result<cache_events> readCacheEvents(
+        const std::string& address, std::uint64_t after, std::chrono::milliseconds timeout) const override;
+    result<void> giveOrder(
+        const std::string& address, const engine_order& order, std::chrono::milliseconds timeout) override;
+
+private:
+    event_stream_limits m_limits;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/targets/http_exchange.h
@@ -0,0 +1,54 @@
+/// \file
+/// One HTTP request and its response on a connection of its own: the part that the HTTP adapters share.
+#pragma once
+
+#include "targets/service_client.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace oriolepick {
+
+/// How an exchange ended.
+enum class exchange_end {
+    Complete, ///< The whole response was read.
+    Stopped, ///< A handler stopped the read.
+    NotSent, ///< No connection was made, or the request cannot be sent: no byte left this process.
+    Lost, ///< The connection ended in the middle of the request or response.
+    TimedOut, ///< No byte of the response arrived in time.
+    Aborted, ///< call_abort ended the call after the connection was made.
+};
+
+/// Handlers of a response; each returns whether to read on.
+struct response_handlers {
+    std::function<bool(int status, const header_list& headers)> head;
+    std::function<bool(std::string_view bytes)> body;
+};
+
+/// Result of an exchange.
+struct exchange_result {
+    exchange_end end = exchange_end::NotSent;
+    std::string detail; ///< for logs, unless Complete
+};
+
+/// A response kept in memory.
+struct buffered_response {
+    exchange_result result;
+    int status = 0;
+    header_list headers;
+    std::string body;
+};
+
+/// Sends one request and reads its response piece by piece. Connections are not reused: on a reused connection a
+/// request can cross with the peer's close, and it would be unknown whether it ran.
+/// \param address "ip:port"
+exchange_result exchange(const std::string& address, const service_request& request, const service_timeouts& timeouts,
+    const response_handlers& handlers, call_abort& abort);
+
+/// Sends one request and keeps the response.
+/// \param maxBodyBytes a longer body ends the exchange as Lost
+buffered_response exchangeBuffered(const std::string& address, const service_request& request,
+    const service_timeouts& timeouts, std::size_t maxBodyBytes, call_abort& abort);
+
+} // namespace oriolepick
--- /dev/null
+++ b/targets/http_service_client.cpp
@@ -0,0 +1,30 @@
+#include "targets/http_service_client.h"
+
+#include "targets/http_exchange.h"
+
+namespace oriolepick {
+
+service_outcome http_service_client::call(
+    const std::string& address, const service_request& request, const service_timeouts& timeouts, call_abort& abort)
+{
+    auto response = exchangeBuffered(address, request, timeouts, m_maxBodyBytes, abort);
+    service_outcome outcome;
+    switch (response.result.end) {
+    case exchange_end::Complete:
+        outcome.kind = service_outcome_kind::Response;
+        outcome.status = response.status;
+        outcome.headers = std::move(response.headers);
+        outcome.body = std::move(response.body);
+        break;
+    case exchange_end::NotSent:
+        outcome.kind = service_outcome_kind::NotSent;
+        break;
+    default:
+        outcome.kind = service_outcome_kind::MayHaveRun;
+        break;
+    }
+    outcome.detail = std::move(response.result.detail);
+    return outcome;
+}
+
+} // namespace oriolepick
