--- a/config/settings_json.cpp
+++ b/config/settings_json.cpp
@@ -175,9 +175,9 @@
             m_errors.push_back({ std::move(path), std::move(message) });
         }
 
-        static std::vector<std::string_view> knownPaths()
+        static std::vector<std::string> knownPaths()
         {
-            std::vector<std::string_view> paths(OtherPaths.begin(), OtherPaths.end());
+            std::vector<std::string> paths(OtherPaths.begin(), OtherPaths.end());
             for (const auto& field : TextFields)
                 paths.emplace_back(field.path);
             for (const auto& field : NumberFields)
@@ -199,8 +199,7 @@
                     const auto path = section + "." + name;
                     if (std::find(known.begin(), known.end(), path) != known.end())
                         continue;
-                    const auto nearest = nearestName(path, known);
-                    fail(path, nearest.empty() ? "unknown field" : "unknown field; did you mean \"" + nearest + "\"?");
+                    fail(path, unknownFieldProblem(path, known));
                 }
             }
         }
--- a/node/completion_request.cpp
+++ b/node/completion_request.cpp
@@ -108,7 +108,7 @@
             return problems.add("oriolepick", "must be an object");
         for (const auto& [name, field] : value.items()) {
             if (name != "received_token_ids") {
-                problems.add("oriolepick." + name, "unknown field; did you mean \"received_token_ids\"?");
+                problems.add("oriolepick." + name, unknownFieldProblem(name, { "received_token_ids" }));
                 continue;
             }
             if (!field.is_array() || field.size() > MaximumCompletionTokens
@@ -141,9 +141,9 @@
         return error { error_kind::BadRequest, "body: not a JSON object", {} };
     completion_request request;
     problem_list problems;
-    std::vector<std::string_view> known;
+    std::vector<std::string> known;
     for (const auto& field : Fields)
-        known.push_back(field.name);
+        known.emplace_back(field.name);
     for (const auto& [name, value] : document.items()) {
         const auto field = std::find_if(
             Fields.begin(), Fields.end(), [&, &key = name](const field_row& row) { return row.name == key; });
@@ -151,9 +151,7 @@
             field->read(value, request, problems);
             continue;
         }
-        const auto nearest = nearestName(name, known);
-        problems.add(
-            name.substr(0, 64), nearest.empty() ? "unknown field" : "unknown field; did you mean \"" + nearest + "\"?");
+        problems.add(name.substr(0, 64), unknownFieldProblem(name, known));
     }
     for (const auto* required : { "model", "prompt" }) {
         if (!document.contains(required))
--- a/node/cursor.h
+++ b/node/cursor.h
@@ -22,7 +22,7 @@
     std::uint64_t answerDigest = 0; ///< rolling digest of all delivered tokens
     std::uint32_t nextPosition = 0; ///< first position the caller does not have
     std::uint32_t maximumTokens = 0;
-    std::uint32_t readerEpoch = 0; ///< epoch of the reader that issued it; a later reader uses a higher one
+    std::uint64_t readerEpoch = 0; ///< epoch of the reader that issued it; a later reader uses a higher one
     wall_time expiry;
 };
 
--- a/node/cursor_codec.cpp
+++ b/node/cursor_codec.cpp
@@ -142,7 +142,7 @@
     writer.number(value.answerDigest, 8);
     writer.number(value.nextPosition, 4);
     writer.number(value.maximumTokens, 4);
-    writer.number(value.readerEpoch, 4);
+    writer.number(value.readerEpoch, 8);
     const auto payload = writer.take();
     return absl::WebSafeBase64Escape(payload) + "." + absl::WebSafeBase64Escape(sign(m_keys.front().secret, payload));
 }
@@ -181,7 +181,7 @@
     value.answerDigest = reader.number(8);
     value.nextPosition = static_cast<std::uint32_t>(reader.number(4));
     value.maximumTokens = static_cast<std::uint32_t>(reader.number(4));
-    value.readerEpoch = static_cast<std::uint32_t>(reader.number(4));
+    value.readerEpoch = reader.number(8);
     if (!reader.complete())
         return invalid("the contents are incomplete");
     if (value.expiry < now)
--- /dev/null
+++ b/node/generation_session.cpp
@@ -0,0 +1,395 @@
+#include "node/generation_session.h"
+
+#include "core/stable_hash.h"
+#include "node/event_channel.h"
+#include "node/node_metrics.h"
+#include "node/target_directory.h"
+#include "node/task_pool.h"
+#include "node/trace_store.h"
+#include "targets/engine_client.h"
+
+#include <algorithm>
+
+// The state machine in core decides; this file only executes. All calls of the state machine happen on the thread that
+// serves the caller, so it needs no lock.
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr std::chrono::milliseconds ReconnectGrace { 3000 }; // callers reconnect within a few seconds or not at all
+    constexpr std::chrono::milliseconds ProbeTimeout { 250 };
+    constexpr std::chrono::milliseconds CancelTimeout { 1000 };
+    constexpr std::size_t BlockBytes = 256; // about 64 tokens
+
+    instant clockNow()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    std::vector<block_hash> blockHashes(const std::string& prompt)
+    {
+        std::vector<block_hash> blocks;
+        std::uint64_t chained = 0;
+        for (std::size_t start = 0; start + BlockBytes <= prompt.size(); start += BlockBytes) {
+            chained = stableHash(std::string_view(prompt).substr(start, BlockBytes), chained);
+            blocks.push_back(chained);
+        }
+        return blocks;
+    }
+
+    request_priority placementPriority(int priority)
+    {
+        constexpr int LowestNormal = 3;
+        constexpr int LowestUrgent = 7;
+        if (priority >= LowestUrgent)
+            return request_priority::Urgent;
+        return priority >= LowestNormal ? request_priority::Normal : request_priority::Bulk;
+    }
+
+    const char* purposeName(attempt_purpose purpose)
+    {
+        switch (purpose) {
+        case attempt_purpose::Start:
+            return "start";
+        case attempt_purpose::Continue:
+            return "continue";
+        case attempt_purpose::Replay:
+            return "replay";
+        case attempt_purpose::Hedge:
+            break;
+        }
+        return "hedge";
+    }
+
+    const char* counterName(generation_counter counter)
+    {
+        switch (counter) {
+        case generation_counter::OldAttemptToken:
+            return "old_attempt_token";
+        case generation_counter::RepeatedToken:
+            return "repeated_token";
+        case generation_counter::TokenGap:
+            return "token_gap";
+        case generation_counter::Suspicion:
+            return "suspicion";
+        case generation_counter::FalseSuspicion:
+            return "false_suspicion";
+        case generation_counter::Hedge:
+            return "hedge";
+        case generation_counter::HedgeWon:
+            return "hedge_won";
+        case generation_counter::Attach:
+            return "attach";
+        case generation_counter::AttachWorked:
+            return "attach_worked";
+        case generation_counter::Resumed:
+            return "resumed";
+        case generation_counter::DigestMismatch:
+            return "digest_mismatch";
+        case generation_counter::WrongVersion:
+            return "wrong_version";
+        case generation_counter::RetryDenied:
+            return "retry_denied";
+        case generation_counter::Superseded:
+            break;
+        }
+        return "superseded";
+    }
+
+} // namespace
+
+generation_session::generation_session(
+    session_request request, const resume_policy& policy, const session_services& services)
+    : m_request(std::move(request))
+    , m_services(services)
+    , m_events(std::make_shared<event_channel>())
+    , m_generation(m_request.generation, policy, services.admission, services.targets)
+    , m_readerEpoch(m_request.readerEpoch)
+{
+}
+
+generation_session::~generation_session()
+{
+    for (auto& [attempt, running] : m_attempts) {
+        if (running.reader)
+            running.reader->abort();
+    }
+}
+
+void generation_session::start()
+{
+    trace("admitted deployment=" + m_request.deployment.text()
+        + " version=" + m_request.generation.model.version.value());
+    execute(m_generation.start(clockNow()));
+}
+
+void generation_session::wait(instant limit)
+{
+    while (!ended() && m_tokens.empty()) {
+        auto until = limit;
+        if (m_timer)
+            until = std::min(until, *m_timer);
+        if (m_disconnected)
+            until = std::min(until, *m_disconnected + ReconnectGrace);
+        if (const auto event = m_events->pop(until))
+            handle(*event);
+        const auto now = clockNow();
+        if (!ended() && m_timer && now >= *m_timer) {
+            m_timer.reset();
+            execute(m_generation.handle(timer_fired {}, now));
+        }
+        if (!ended() && m_disconnected && now >= *m_disconnected + ReconnectGrace)
+            handle(caller_gone {});
+        if (now >= limit)
+            return;
+    }
+}
+
+void generation_session::callerDisconnected()
+{
+    if (m_disconnected)
+        return;
+    m_disconnected = clockNow();
+    trace("caller disconnected");
+}
+
+std::vector<session_token> generation_session::takeTokens()
+{
+    std::vector<session_token> tokens(
+        std::make_move_iterator(m_tokens.begin()), std::make_move_iterator(m_tokens.end()));
+    m_tokens.clear();
+    return tokens;
+}
+
+void generation_session::handle(const generation_event& event)
+{
+    const auto now = clockNow();
+    if (const auto* arrived = std::get_if<token_arrived>(&event)) {
+        auto& running = m_attempts[arrived->attempt];
+        if (!running.started && running.counted) {
+            running.started = true;
+            m_services.targets.recordFirstToken(running.target, running.uncachedTokens);
+        }
+    }
+    if (std::holds_alternative<attempt_broken>(event))
+        m_interrupted = true;
+    execute(m_generation.handle(event, now));
+    if (const auto* broken = std::get_if<attempt_broken>(&event))
+        stopReader(broken->attempt);
+    else if (const auto* rejected = std::get_if<attempt_rejected>(&event))
+        stopReader(rejected->attempt);
+    else if (const auto* done = std::get_if<attempt_done>(&event))
+        stopReader(done->attempt);
+}
+
+void generation_session::execute(const generation_actions& actions)
+{
+    for (const auto& action : actions)
+        std::visit([this](const auto& typed) { run(typed); }, action);
+}
+
+placement_query generation_session::placementQuery(const choose_target& action) const
+{
+    placement_query query;
+    query.work = m_request.generation.model;
+    query.prefixBlocks = blockHashes(m_request.prompt);
+    query.prefixTokens = m_request.generation.promptTokens + action.prefixLength;
+    query.priority = placementPriority(m_request.priority);
+    query.excluded = action.excluded;
+    query.latencyWeight = action.preferCached ? 0 : m_request.latencyWeight;
+    return query;
+}
+
+void generation_session::run(const choose_target& action)
+{
+    const auto now = clockNow();
+    const auto query = placementQuery(action);
+    const auto decision = m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
+    if (const auto* none = std::get_if<no_choice>(&decision)) {
+        const bool gone = !m_services.targets.anyLoaded(m_request.generation.model, m_request.allowedTargets);
+        const auto reason = gone && action.purpose != attempt_purpose::Start ? no_target_reason::VersionGone
+                                                                             : no_target_reason::NoneAvailable;
+        m_events->push(no_target { action.attempt, reason, none->retryAfter });
+        return;
+    }
+    const auto& placed = std::get<placed_target>(decision);
+    auto& running = m_attempts[action.attempt];
+    running.target = placed.target;
+    running.address = placed.address;
+    running.uncachedTokens = query.prefixTokens - std::min(placed.cachedTokens, query.prefixTokens);
+    running.counted = true;
+    trace("attempt=" + action.attempt.text() + " purpose=" + purposeName(action.purpose)
+        + " target=" + placed.target.text());
+    m_events->push(target_chosen { action.attempt, placed.target, placed.model, {} });
+}
+
+attempt_observer generation_session::observerFor(const target_id& target) const
+{
+    auto& targets = m_services.targets;
+    return { [&targets, target](const engine_load& load, instant requestSent) {
+        targets.recordLoad(target, { load.running, load.waiting, load.batch, load.kvFree }, requestSent);
+    } };
+}
+
+void generation_session::run(const start_attempt& action)
+{
+    auto& running = m_attempts[action.attempt];
+    attempt_request request;
+    request.id = action.attempt;
+    request.model = m_request.generation.model;
+    request.prompt = m_request.prompt;
+    request.prefix = action.prefix;
+    request.seed = m_request.seed;
+    request.maxTokens = m_request.generation.maxTokens;
+    request.priority = m_request.priority;
+    running.reader = std::make_unique<attempt_reader_thread>(m_services.engines, running.address, std::move(request),
+        stream_timeouts {}, m_events, observerFor(action.target));
+}
+
+void generation_session::run(const attach_attempt& action)
+{
+    const auto address = m_services.targets.addressOf(action.target);
+    if (!address) {
+        m_events->push(attempt_broken { action.attempt, break_reason::Refused });
+        return;
+    }
+    stopReader(action.attempt);
+    auto& running = m_attempts[action.attempt];
+    running.target = action.target;
+    running.address = *address;
+    trace("attach attempt=" + action.attempt.text() + " from=" + std::to_string(action.from));
+    running.reader = std::make_unique<attempt_reader_thread>(m_services.engines, *address, action.attempt, action.from,
+        ++m_readerEpoch, stream_timeouts {}, m_events, observerFor(action.target));
+}
+
+void generation_session::run(const cancel_attempt& action)
+{
+    const auto address = m_services.targets.addressOf(action.target);
+    stopReader(action.attempt);
+    if (!address)
+        return;
+    auto& engines = m_services.engines;
+    m_services.tasks.submit([&engines, address = *address, attempt = action.attempt] {
+        // An engine that cannot be reached cancels by itself when its reader is gone.
+        (void)engines.cancel(address, attempt, CancelTimeout);
+    });
+}
+
+void generation_session::run(const probe_target& action)
+{
+    const auto address = m_services.targets.addressOf(action.target);
+    if (!address) {
+        m_events->push(probe_answered { action.target, false, false });
+        return;
+    }
+    auto& engines = m_services.engines;
+    const bool queued = m_services.tasks.submit([&engines, events = m_events, address = *address, action] {
+        const auto answer = engines.probe(address, action.attempt, ProbeTimeout);
+        events->push(probe_answered { action.target, answer.alive, answer.hasAttempt.value_or(false) });
+    });
+    if (!queued)
+        m_events->push(probe_answered { action.target, false, false });
+}
+
+void generation_session::run(const deliver_token& action)
+{
+    observeToken(clockNow());
+    if (!m_disconnected)
+        m_tokens.push_back({ action, m_generation.currentAttempt(), m_generation.currentTarget() });
+}
+
+void generation_session::observeToken(instant now)
+{
+    const node_metrics::labels at { { "fleet", m_request.deployment.fleet().value() },
+        { "deployment", m_request.deployment.name() }, { "priority", std::to_string(m_request.priority) } };
+    if (!m_lastToken) {
+        if (!m_request.generation.resume)
+            m_services.metrics.observe(histogram_metric::FirstToken, at, now - m_request.arrived);
+    } else {
+        const auto gap = now - *m_lastToken;
+        m_services.metrics.observe(m_interrupted ? histogram_metric::Resume : histogram_metric::InterToken, at, gap);
+        if (!m_interrupted) {
+            m_services.targets.recordGap(
+                m_generation.currentTarget(), std::chrono::duration_cast<std::chrono::microseconds>(gap), now);
+        }
+    }
+    m_services.metrics.add(counter_metric::TokensDelivered, at);
+    m_lastToken = now;
+    m_interrupted = false;
+}
+
+void generation_session::run(const complete& action)
+{
+    session_end end;
+    end.finished = action.reason;
+    finish(end);
+}
+
+void generation_session::run(const fail& action)
+{
+    session_end end;
+    end.kind = action.kind;
+    end.retryAfter = action.retryAfter;
+    end.handedOver = m_generation.state() == generation_state::HandedOver;
+    finish(end);
+}
+
+void generation_session::run(const set_timer& action)
+{
+    m_timer = action.at;
+}
+
+void generation_session::run(const report_crash& action)
+{
+    trace("target lost target=" + action.target.text());
+    m_services.targets.setSuspected(action.target, true);
+}
+
+void generation_session::run(const count& action)
+{
+    if (action.counter == generation_counter::Suspicion)
+        m_interrupted = true;
+    m_services.metrics.add(counter_metric::GenerationEvents,
+        { { "fleet", m_request.deployment.fleet().value() }, { "event", counterName(action.counter) } });
+    if (action.counter == generation_counter::Suspicion || action.counter == generation_counter::Resumed)
+        trace(std::string(counterName(action.counter)) + " position=" + std::to_string(m_generation.position()));
+}
+
+void generation_session::stopReader(const attempt_id& attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    auto& running = found->second;
+    running.reader.reset();
+    if (!running.counted)
+        return;
+    running.counted = false;
+    m_services.targets.recordFinished(running.target, running.uncachedTokens, running.started, clockNow());
+}
+
+void generation_session::finish(session_end end)
+{
+    if (m_end)
+        return;
+    const node_metrics::labels at { { "fleet", m_request.deployment.fleet().value() },
+        { "deployment", m_request.deployment.name() } };
+    auto extra = at;
+    extra["kind"] = "output";
+    m_services.metrics.add(counter_metric::TokensExtra, extra, static_cast<double>(m_generation.usage().extraOutput));
+    extra["kind"] = "prefill";
+    m_services.metrics.add(counter_metric::TokensExtra, extra, static_cast<double>(m_generation.usage().extraPrefill));
+    trace(end.finished ? "complete tokens=" + std::to_string(m_generation.position())
+                       : "ended code=" + std::string(answerFor(end.kind).code));
+    m_end = end;
+    for (auto& [attempt, running] : m_attempts)
+        stopReader(attempt);
+}
+
+void generation_session::trace(const std::string& line)
+{
+    m_services.traces.record(m_request.generation.key, std::chrono::system_clock::now(), line);
+}
+
+} // namespace oriolepick
--- a/node/test/completion_request.cpp
+++ b/node/test/completion_request.cpp
@@ -29,9 +29,9 @@
     const auto request = parseCompletionRequest(
         R"({"modle":"m","prompt":"","max_tokens":0,"seed":-1,"stream":1,"priority":10,"oriolepick":{"received_token_ids":[-1]}})");
     ASSERT_FALSE(request.has_value());
-    for (const auto* part : { "modle: unknown field; did you mean \"model\"?", "prompt: must",
-             "max_tokens: 0 is outside", "seed: -1 is outside", "stream: must", "priority: 10 is outside",
-             "received_token_ids: must", "model: is required" })
+    for (const auto* part : { "modle: unknown field, did you mean 'model'?", "prompt: must", "max_tokens: 0 is outside",
+             "seed: -1 is outside", "stream: must", "priority: 10 is outside", "received_token_ids: must",
+             "model: is required" })
         EXPECT_NE(request.error().message.find(part), std::string::npos) << part << " in " << request.error().message;
 }
 
