--- a/node/generation_session.h
+++ b/node/generation_session.h
@@ -83,6 +83,7 @@
     /// Removes and returns the tokens that are ready.
     std::vector<session_token> takeTokens();
 
+    bool hasTokens() const { return !m_tokens.empty(); }
     bool ended() const { return m_end.has_value(); }
     const session_end& end() const { return *m_end; }
     const session_request& request() const { return m_request; }
