--- a/core/generation.h
+++ b/core/generation.h
@@ -2,22 +2,25 @@
 /// Life cycle of one streamed generation as a pure state machine.
 #pragma once
 
+#include "core/attempt_record.h"
 #include "core/generation_actions.h"
 #include "core/generation_events.h"
 #include "core/generation_request.h"
 #include "core/instant.h"
 #include "core/stall_detector.h"
+#include "core/token.h"
 
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace oriolepick {
 
 class resume_admission;
 class resume_policy;
-struct attempt_record;
+struct resume_rules;
 
 /// States of a generation. The last three are final.
 enum class generation_state {
@@ -50,7 +53,6 @@
     /// \param paces pace of targets over all streams, outlives this object
     generation(
         generation_request request, const resume_policy& policy, resume_admission& admission, const pace_source& paces);
-    ~generation();
     generation(const generation&) = delete;
     generation& operator=(const generation&) = delete;
 
@@ -70,22 +72,123 @@
     const token_list* deliveredTokens() const;
     token_usage usage() const { return m_usage; }
     std::uint64_t extraTokens() const { return m_usage.extraOutput + m_usage.extraPrefill; }
-    bool dispatched() const { return m_dispatched; } ///< whether any attempt may have run
+    bool dispatched() const { return m_mayHaveRun > 0; } ///< whether any attempt may have run
     attempt_id currentAttempt() const; ///< empty before the first dispatch
     target_id currentTarget() const; ///< empty before the first dispatch
     const generation_request& request() const { return m_request; }
 
 private:
+    /// What is known about the current stall.
+    struct stall_record {
+        std::uint32_t round = 0;
+        bool probed = false;
+        std::optional<bool> probeAlive;
+        std::optional<bool> probeHasAttempt;
+        instant lookAgainAt;
+    };
+
+    // Events, one function each.
+    void on(const target_chosen& event, instant now);
+    void on(const no_target& event, instant now);
+    void on(const attempt_accepted& event, instant now);
+    void on(const attempt_rejected& event, instant now);
+    void on(const token_arrived& event, instant now);
+    void on(const attempt_done& event, instant now);
+    void on(const attempt_broken& event, instant now);
+    void on(const probe_answered& event, instant now);
+    void on(const timer_fired& event, instant now);
+    void on(const target_lost& event, instant now);
+    void on(const caller_gone& event, instant now);
+    void on(const drain_requested& event, instant now);
+
+    // Placing attempts (generation_attempts.cpp).
+    void startFromResumePoint(const resume_point& resume, instant now);
+    attempt_record makeAttempt(attempt_purpose purpose);
+    attempt_purpose purposeOfNext() const;
+    void placeCurrent(instant now);
+    void placeSecond(attempt_purpose purpose, instant now);
+    bool admit(attempt_record& attempt, bool hedge, instant now);
+    void choose(attempt_record& attempt);
+    void startOn(attempt_record& attempt, const target_chosen& event, instant now);
+    void proveNotRun(const attempt_record& attempt);
+    void attach(instant now);
+    void retire(std::optional<attempt_record>& attempt, bool cancel);
+    void promoteSecond(instant now);
+    void leaveCurrent(bool cancel, instant now);
+    void loseCurrentTarget(bool crashed, instant now);
+    void currentRejected(const attempt_rejected& event, instant now);
+    void currentBroken(break_reason reason, instant now);
+    void secondBroken(break_reason reason);
+    void currentUnplaced(const no_target& event, instant now);
+
+    // Tokens (generation_tokens.cpp).
+    bool inOrder(attempt_record& attempt, const token_arrived& event);
+    void currentToken(const token_arrived& event, instant now);
+    void secondToken(const token_arrived& event, instant now);
+    void secondDone(finish_reason reason, instant now);
+    bool firstStalls() const;
+    void dropLateToken(const attempt_id& id);
+    bool matchesDelivered(const attempt_record& attempt) const;
+    void verifyCurrent(instant now);
+    void deliver(const token& value, instant now);
+    void streamContinues();
+
+    // Stalls and time (generation_stall.cpp).
+    void checkCurrent(instant now);
+    void checkSecond(instant now);
+    void consultPolicy(instant now);
+    std::optional<instant> nextDue() const;
+    instant suspectAt(const attempt_record& attempt) const;
+    void armTimer();
+
+    // Ends.
+    void expire();
+    void handOver(error_kind kind);
+    void finish(finish_reason reason, instant now);
+    void endWith(error_kind kind, std::chrono::milliseconds retryAfter);
+    void endUnplaced(std::chrono::milliseconds retryAfter);
+
+    attempt_record* find(const attempt_id& id);
+    template <typename Action> void emit(Action action)
+    {
+        m_out.emplace_back(std::in_place_type<Action>, std::move(action));
+    }
+    void countOne(generation_counter counter) { emit(count { counter }); }
+    generation_actions takeActions();
+    const resume_rules& rules() const;
+
     generation_request m_request;
     const resume_policy& m_policy;
     resume_admission& m_admission;
     const pace_source& m_paces;
     generation_state m_state = generation_state::Queued;
+    generation_actions m_out;
+
     std::uint32_t m_position = 0;
     std::uint64_t m_digest = 0;
+    token_list m_tokens; ///< delivered tokens from m_knownFrom on
+    std::uint32_t m_knownFrom = 0; ///< above 0 while tokens before a resume point are not known
     token_usage m_usage;
-    bool m_dispatched = false;
-    std::vector<attempt_record> m_attempts;
+
+    std::optional<attempt_record> m_current;
+    std::optional<attempt_record> m_second; ///< hedge or duplicate
+    std::vector<past_attempt> m_past;
+    std::uint32_t m_nextOrdinal = 1;
+    std::uint32_t m_mayHaveRun = 0; ///< dispatches without proof that they did not run
+
+    std::vector<target_id> m_excluded; ///< targets that failed this request
+    std::vector<target_id> m_busy; ///< targets that rejected it for lack of room
+    std::vector<target_id> m_crashChecks; ///< probed to learn whether they crashed
+    std::uint32_t m_crashes = 0;
+    std::uint32_t m_rejections = 0;
+    std::uint32_t m_attaches = 0; ///< attaches in a row without progress
+    bool m_interrupted = false; ///< a resumption is to be counted with the next delivered token
+    instant m_interruptedAt; ///< when the stream was last found broken
+
+    stall_record m_stall;
+    std::optional<instant> m_armed; ///< the timer asked for last
+    std::optional<instant> m_handOverAt;
+    bool m_draining = false;
 };
 
 } // namespace oriolepick
--- a/core/generation_actions.h
+++ b/core/generation_actions.h
@@ -57,7 +57,8 @@
     token_list prefix; ///< response tokens to continue from; the first new position is its size
 };
 
-/// Read an attempt that the target already runs; \c from is the first position wanted.
+/// Read an attempt that the target already runs; \c from is the first position wanted. The node closes its earlier
+/// reader of the attempt first and passes on no event of it any more, in particular not that it was superseded.
 struct attach_attempt {
     attempt_id attempt;
     target_id target;
--- /dev/null
+++ b/core/generation_attempts.cpp
@@ -0,0 +1,276 @@
+#include "core/generation.h"
+#include "core/resume_admission.h"
+#include "core/resume_policy.h"
+#include "core/stable_hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolepick {
+
+void generation::startFromResumePoint(const resume_point& resume, instant now)
+{
+    m_position = resume.position;
+    m_digest = resume.digest;
+    m_knownFrom = resume.position;
+    const auto& received = resume.receivedTokens;
+    if (received && received->size() == resume.position && digestOf(*received) == resume.digest) {
+        m_tokens = *received;
+        m_knownFrom = 0;
+    }
+    if (m_position >= m_request.maxTokens) {
+        finish(finish_reason::Length, now);
+        return;
+    }
+    m_state = generation_state::Resuming;
+    m_interrupted = true;
+    m_interruptedAt = now;
+    if (!rules().attachFirst || resume.target.empty()) {
+        placeCurrent(now);
+        return;
+    }
+    m_current.emplace(rules().stall);
+    m_current->id = resume.attempt;
+    m_current->target = resume.target;
+    m_current->purpose = attempt_purpose::Continue;
+    m_current->detector.attemptStarted(now, {});
+    attach(now);
+}
+
+attempt_record generation::makeAttempt(attempt_purpose purpose)
+{
+    attempt_record attempt(rules().stall);
+    attempt.id = attempt_id { m_request.attemptOrigin, m_nextOrdinal++ };
+    attempt.purpose = purpose;
+    const bool duplicate = rules().duplicate && purpose == attempt_purpose::Start;
+    const bool fromPrompt = duplicate || m_knownFrom > 0 || !rules().keepPrefix;
+    attempt.next = fromPrompt ? 0 : m_position;
+    attempt.unverified = fromPrompt && (m_position > 0 || (duplicate && m_current));
+    return attempt;
+}
+
+attempt_purpose generation::purposeOfNext() const
+{
+    if (!dispatched())
+        return attempt_purpose::Start;
+    return m_knownFrom > 0 || !rules().keepPrefix ? attempt_purpose::Replay : attempt_purpose::Continue;
+}
+
+void generation::placeCurrent(instant now)
+{
+    if (dispatched())
+        m_state = generation_state::Resuming;
+    m_stall = {};
+    auto attempt = makeAttempt(purposeOfNext());
+    if (!admit(attempt, false, now)) {
+        endUnplaced({});
+        return;
+    }
+    m_current = std::move(attempt);
+    if (m_current->phase == attempt_phase::Choosing)
+        choose(*m_current);
+}
+
+void generation::placeSecond(attempt_purpose purpose, instant now)
+{
+    auto attempt = makeAttempt(purpose);
+    // The duplicate of a benchmark baseline is part of its plan, not a retry.
+    if (purpose != attempt_purpose::Start && !admit(attempt, true, now))
+        return;
+    m_second = std::move(attempt);
+    if (m_second->phase == attempt_phase::Choosing)
+        choose(*m_second);
+}
+
+bool generation::admit(attempt_record& attempt, bool hedge, instant now)
+{
+    const resume_request request { m_request.key.team, m_request.targetGroup, m_request.maxTokens - m_position, hedge,
+        m_request.callerRetry };
+    const auto startAt = m_admission.admit(request, now);
+    if (!startAt) {
+        countOne(generation_counter::RetryDenied);
+        return false;
+    }
+    attempt.phase = *startAt > now ? attempt_phase::Waiting : attempt_phase::Choosing;
+    attempt.due = *startAt;
+    return true;
+}
+
+void generation::choose(attempt_record& attempt)
+{
+    attempt.phase = attempt_phase::Choosing;
+    choose_target request { attempt.id, attempt.purpose, m_excluded, attempt.next, rules().preferCached };
+    request.excluded.insert(request.excluded.end(), m_busy.begin(), m_busy.end());
+    for (const auto* other : { &m_current, &m_second }) {
+        if (*other && (*other)->id != attempt.id && !(*other)->target.empty())
+            request.excluded.push_back((*other)->target);
+    }
+    emit(std::move(request));
+}
+
+void generation::startOn(attempt_record& attempt, const target_chosen& event, instant now)
+{
+    attempt.target = event.target;
+    attempt.phase = attempt_phase::Starting;
+    attempt.detector.attemptStarted(now, event.expectedFirstToken);
+    if (m_mayHaveRun++ > 0) {
+        attempt.extraPrefill = m_request.promptTokens + attempt.next;
+        m_usage.extraPrefill += attempt.extraPrefill;
+    }
+    start_attempt action { attempt.id, attempt.target, {} };
+    if (attempt.next > 0)
+        action.prefix = m_tokens;
+    emit(std::move(action));
+}
+
+void generation::proveNotRun(const attempt_record& attempt)
+{
+    --m_mayHaveRun;
+    m_usage.extraPrefill -= attempt.extraPrefill;
+}
+
+void generation::attach(instant now)
+{
+    ++m_attaches;
+    m_state = generation_state::Resuming;
+    m_stall = {};
+    if (!m_current->unverified)
+        m_current->next = m_position;
+    m_current->phase = attempt_phase::Attaching;
+    m_current->due = now + rules().attachTimeout;
+    countOne(generation_counter::Attach);
+    emit(attach_attempt { m_current->id, m_current->target, m_current->next });
+}
+
+void generation::retire(std::optional<attempt_record>& attempt, bool cancel)
+{
+    if (!attempt)
+        return;
+    if (attempt->onTarget()) {
+        m_past.push_back({ attempt->id, attempt->target });
+        if (cancel)
+            emit(cancel_attempt { attempt->id, attempt->target });
+    }
+    attempt.reset();
+}
+
+void generation::promoteSecond(instant now)
+{
+    m_current = std::move(m_second);
+    m_second.reset();
+    m_state = generation_state::Resuming;
+    m_stall = {};
+    if (m_current->unverified && m_current->next >= m_position)
+        verifyCurrent(now);
+}
+
+void generation::leaveCurrent(bool cancel, instant now)
+{
+    if (!std::exchange(m_interrupted, true))
+        m_interruptedAt = now;
+    retire(m_current, cancel);
+    if (m_second)
+        promoteSecond(now);
+    else
+        placeCurrent(now);
+}
+
+void generation::loseCurrentTarget(bool crashed, instant now)
+{
+    m_excluded.push_back(m_current->target);
+    if (crashed) {
+        emit(report_crash { m_current->target });
+        if (++m_crashes >= rules().maxLostTargets) {
+            retire(m_current, false);
+            endWith(error_kind::TargetFailed, {});
+            return;
+        }
+    }
+    leaveCurrent(!crashed, now);
+}
+
+void generation::currentRejected(const attempt_rejected& event, instant now)
+{
+    const bool wasStarting = m_current->phase == attempt_phase::Starting;
+    const bool wasOnTarget = m_current->onTarget();
+    if (wasOnTarget && !wasStarting) {
+        // Only a start can be rejected with proof; any other rejection leaves the attempt's fate open.
+        loseCurrentTarget(false, now);
+        return;
+    }
+    if (wasStarting) {
+        proveNotRun(*m_current);
+        auto& list = event.reason == reject_reason::QueueFull ? m_busy : m_excluded;
+        list.push_back(m_current->target);
+    }
+    m_current.reset();
+    if (m_second) {
+        promoteSecond(now);
+    } else if (++m_rejections >= rules().maxRejections) {
+        endUnplaced(event.retryAfter);
+    } else {
+        placeCurrent(now);
+    }
+}
+
+void generation::currentBroken(break_reason reason, instant now)
+{
+    const auto phase = m_current->phase;
+    if (reason == break_reason::Superseded) {
+        handOver(error_kind::Cancelled);
+        return;
+    }
+    if (reason == break_reason::Refused && phase == attempt_phase::Starting) {
+        currentRejected({ m_current->id, reject_reason::NotSent, {} }, now);
+        return;
+    }
+    if (!std::exchange(m_interrupted, true))
+        m_interruptedAt = now;
+    if (reason == break_reason::Refused || reason == break_reason::UnknownAttempt) {
+        // An engine that forgets an accepted attempt within its attach time was restarted. An attempt that it never
+        // confirmed to this node (a lost start, or a cursor's attempt) may as well have been lost or have expired.
+        loseCurrentTarget(reason == break_reason::Refused || m_current->accepted, now);
+        return;
+    }
+    if (rules().attachFirst && m_attaches < rules().maxAttaches)
+        attach(now);
+    else
+        loseCurrentTarget(false, now);
+}
+
+void generation::secondBroken(break_reason reason)
+{
+    const auto target = m_second->target;
+    const bool refused = reason == break_reason::Refused;
+    m_excluded.push_back(target);
+    if (refused && m_second->phase == attempt_phase::Starting) {
+        proveNotRun(*m_second);
+    } else {
+        m_crashChecks.push_back(target);
+        emit(probe_target { m_second->id, target });
+    }
+    retire(m_second, !refused);
+}
+
+void generation::currentUnplaced(const no_target& event, instant now)
+{
+    if (event.reason == no_target_reason::Quarantined) {
+        endWith(error_kind::RequestCrashesTargets, {});
+    } else if (!dispatched()) {
+        endWith(error_kind::NoTarget, event.retryAfter);
+    } else if (event.reason == no_target_reason::VersionGone) {
+        endWith(error_kind::GenerationLost, {});
+    } else if (m_second) {
+        m_current.reset();
+        promoteSecond(now);
+    } else if (now - m_interruptedAt >= rules().resumePatience) {
+        endWith(error_kind::TargetFailed, event.retryAfter);
+    } else {
+        // Targets that were full may have room again by the next try.
+        m_busy.clear();
+        m_current->phase = attempt_phase::Waiting;
+        m_current->due = now + rules().retryPause;
+    }
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/core/generation_stall.cpp
@@ -0,0 +1,174 @@
+#include "core/generation.h"
+#include "core/resume_policy.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+void generation::on(const probe_answered& event, instant now)
+{
+    const auto check = std::find(m_crashChecks.begin(), m_crashChecks.end(), event.target);
+    if (check != m_crashChecks.end()) {
+        m_crashChecks.erase(check);
+        if (!event.alive || !event.hasAttempt)
+            emit(report_crash { event.target });
+        return;
+    }
+    if (m_state != generation_state::Suspect || !m_current || m_current->target != event.target || !m_stall.probed)
+        return;
+    if (event.alive && !event.hasAttempt) {
+        // The process is there but does not know the attempt: it was restarted.
+        loseCurrentTarget(true, now);
+        return;
+    }
+    m_stall.probeAlive = event.alive;
+    m_stall.probeHasAttempt = event.hasAttempt;
+    consultPolicy(now);
+    // Each answer serves one decision; the policy asks again when it needs a fresh one.
+    m_stall.probed = false;
+    m_stall.probeAlive.reset();
+    m_stall.probeHasAttempt.reset();
+}
+
+void generation::on(const timer_fired& /*event*/, instant now)
+{
+    if (ended() || m_state == generation_state::Queued)
+        return;
+    m_armed.reset();
+    if (m_handOverAt && *m_handOverAt <= now) {
+        handOver(dispatched() ? error_kind::OutcomeUnknown : error_kind::NodeDraining);
+        return;
+    }
+    checkSecond(now);
+    checkCurrent(now);
+}
+
+void generation::on(const target_lost& event, instant now)
+{
+    if (ended())
+        return;
+    for (auto* attempt : { m_current ? &*m_current : nullptr, m_second ? &*m_second : nullptr }) {
+        if (attempt && attempt->target == event.target)
+            attempt->reportedLost = true;
+    }
+    if (m_state == generation_state::Suspect)
+        m_stall.lookAgainAt = now;
+    checkCurrent(now);
+}
+
+void generation::checkCurrent(instant now)
+{
+    if (!m_current)
+        return;
+    switch (m_current->phase) {
+    case attempt_phase::Waiting:
+        if (m_current->due <= now)
+            choose(*m_current);
+        break;
+    case attempt_phase::Choosing:
+        break;
+    case attempt_phase::Attaching:
+        if (m_current->due <= now)
+            loseCurrentTarget(false, now);
+        break;
+    case attempt_phase::Starting:
+    case attempt_phase::Running:
+        if (m_state == generation_state::Suspect) {
+            if (m_stall.lookAgainAt <= now)
+                consultPolicy(now);
+        } else if (suspectAt(*m_current) <= now) {
+            countOne(generation_counter::Suspicion);
+            m_state = generation_state::Suspect;
+            m_stall = {};
+            consultPolicy(now);
+        }
+        break;
+    }
+}
+
+void generation::checkSecond(instant now)
+{
+    if (!m_second)
+        return;
+    if (m_second->phase == attempt_phase::Waiting) {
+        if (m_second->due <= now)
+            choose(*m_second);
+        return;
+    }
+    if (!m_second->onTarget() || rules().duplicate || suspectAt(*m_second) > now)
+        return;
+    m_excluded.push_back(m_second->target);
+    retire(m_second, true);
+}
+
+void generation::consultPolicy(instant now)
+{
+    const auto pace = m_paces.paceOf(m_current->target);
+    suspicion stall;
+    stall.silence = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_current->detector.lastProgress());
+    stall.round = m_stall.round++;
+    stall.othersProgress = m_current->detector.othersProgress(pace, now);
+    stall.reportedLost = m_current->reportedLost;
+    stall.probed = m_stall.probed;
+    stall.probeAlive = m_stall.probeAlive;
+    stall.probeHasAttempt = m_stall.probeHasAttempt;
+    stall.hedged = m_second.has_value();
+    const auto decision = m_policy.decide(stall);
+    m_stall.lookAgainAt = now + decision.lookAgainAfter;
+    switch (decision.step) {
+    case stall_step::Wait:
+        break;
+    case stall_step::Probe:
+        m_stall.probed = true;
+        emit(probe_target { m_current->id, m_current->target });
+        break;
+    case stall_step::Hedge:
+        if (!m_second)
+            placeSecond(attempt_purpose::Hedge, now);
+        break;
+    case stall_step::Abandon:
+        loseCurrentTarget(false, now);
+        break;
+    }
+}
+
+instant generation::suspectAt(const attempt_record& attempt) const
+{
+    const auto pace = m_paces.paceOf(attempt.target);
+    const auto usual = attempt.detector.suspectAt(pace);
+    return attempt.reportedLost ? std::min(usual, attempt.detector.expectedBy(pace)) : usual;
+}
+
+std::optional<instant> generation::nextDue() const
+{
+    if (ended() || m_state == generation_state::Queued)
+        return std::nullopt;
+    std::optional<instant> due = m_request.deadline;
+    const auto include = [&due](instant at) { due = due ? std::min(*due, at) : at; };
+    if (m_handOverAt)
+        include(*m_handOverAt);
+    for (const auto* attempt : { &m_current, &m_second }) {
+        if (!*attempt)
+            continue;
+        const auto& record = **attempt;
+        if (record.phase == attempt_phase::Waiting || record.phase == attempt_phase::Attaching)
+            include(record.due);
+        else if (attempt == &m_second && record.onTarget() && !rules().duplicate)
+            include(suspectAt(record));
+        else if (attempt == &m_current && record.onTarget())
+            include(m_state == generation_state::Suspect ? m_stall.lookAgainAt : suspectAt(record));
+    }
+    return due;
+}
+
+void generation::armTimer()
+{
+    // A timer that fires too early is armed again then, so tokens that only move the due time back cost no action.
+    const auto due = nextDue();
+    if (!due || (m_armed && *m_armed <= *due))
+        return;
+    m_armed = due;
+    emit(set_timer { *due });
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/core/generation_tokens.cpp
@@ -0,0 +1,188 @@
+#include "core/generation.h"
+#include "core/resume_policy.h"
+#include "core/stable_hash.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+bool generation::inOrder(attempt_record& attempt, const token_arrived& event)
+{
+    if (event.position < attempt.next) {
+        countOne(generation_counter::RepeatedToken);
+        return false;
+    }
+    if (event.position > attempt.next) {
+        countOne(generation_counter::TokenGap);
+        ++m_usage.extraOutput;
+        return false;
+    }
+    return true;
+}
+
+void generation::currentToken(const token_arrived& event, instant now)
+{
+    auto& attempt = *m_current;
+    if (!inOrder(attempt, event)) {
+        if (event.position > attempt.next)
+            currentBroken(break_reason::Truncated, now);
+        return;
+    }
+    attempt.phase = attempt_phase::Running;
+    attempt.accepted = true;
+    ++attempt.next;
+    attempt.detector.tokenArrived(now);
+    if (m_state == generation_state::Suspect)
+        streamContinues();
+    if (!attempt.unverified) {
+        deliver(event.value, now);
+        return;
+    }
+    attempt.buffered.push_back(event.value);
+    ++m_usage.extraOutput;
+    if (attempt.next >= m_position)
+        verifyCurrent(now);
+}
+
+void generation::streamContinues()
+{
+    countOne(generation_counter::FalseSuspicion);
+    m_state = m_interrupted ? generation_state::Resuming : generation_state::Streaming;
+    m_stall = {};
+    if (m_second && !rules().duplicate)
+        retire(m_second, true);
+}
+
+void generation::secondToken(const token_arrived& event, instant now)
+{
+    auto& attempt = *m_second;
+    if (!inOrder(attempt, event)) {
+        if (event.position > attempt.next)
+            secondBroken(break_reason::Truncated);
+        return;
+    }
+    attempt.phase = attempt_phase::Running;
+    attempt.accepted = true;
+    ++attempt.next;
+    attempt.detector.tokenArrived(now);
+    if (attempt.unverified) {
+        attempt.buffered.push_back(event.value);
+        ++m_usage.extraOutput;
+        if (!firstStalls() || attempt.next <= m_position)
+            return;
+        if (!matchesDelivered(attempt)) {
+            countOne(generation_counter::DigestMismatch);
+            retire(m_second, true);
+            return;
+        }
+    }
+    const bool wasUnverified = attempt.unverified;
+    countOne(generation_counter::HedgeWon);
+    m_interrupted = true;
+    retire(m_current, true);
+    promoteSecond(now);
+    if (!wasUnverified && !ended())
+        deliver(event.value, now);
+}
+
+bool generation::firstStalls() const
+{
+    return m_state == generation_state::Suspect || m_state == generation_state::Resuming;
+}
+
+void generation::secondDone(finish_reason reason, instant now)
+{
+    auto& attempt = *m_second;
+    if (attempt.unverified) {
+        // A duplicate keeps its end until the first attempt breaks.
+        attempt.done = reason;
+        if (!firstStalls())
+            return;
+        if (!matchesDelivered(attempt)) {
+            countOne(generation_counter::DigestMismatch);
+            retire(m_second, false);
+            return;
+        }
+    }
+    const bool wasUnverified = attempt.unverified;
+    countOne(generation_counter::HedgeWon);
+    retire(m_current, true);
+    promoteSecond(now);
+    if (!wasUnverified)
+        finish(reason, now);
+}
+
+void generation::dropLateToken(const attempt_id& id)
+{
+    countOne(generation_counter::OldAttemptToken);
+    const auto past
+        = std::find_if(m_past.begin(), m_past.end(), [&id](const past_attempt& entry) { return entry.id == id; });
+    if (past == m_past.end())
+        return;
+    ++m_usage.extraOutput;
+    // The first cancel may have been lost, for example while the engine was paused.
+    if (!std::exchange(past->cancelledAgain, true))
+        emit(cancel_attempt { past->id, past->target });
+}
+
+bool generation::matchesDelivered(const attempt_record& attempt) const
+{
+    if (attempt.buffered.size() < m_position)
+        return false;
+    std::uint64_t digest = 0;
+    for (std::uint32_t index = 0; index < m_position; ++index)
+        digest = extendDigest(digest, attempt.buffered[index].id);
+    return digest == m_digest;
+}
+
+void generation::verifyCurrent(instant now)
+{
+    auto& attempt = *m_current;
+    if (!matchesDelivered(attempt)) {
+        countOne(generation_counter::DigestMismatch);
+        retire(m_current, true);
+        if (m_second)
+            promoteSecond(now);
+        else
+            endWith(error_kind::GenerationLost, {});
+        return;
+    }
+    attempt.unverified = false;
+    const auto buffered = std::move(attempt.buffered);
+    attempt.buffered.clear();
+    if (m_knownFrom > 0) {
+        m_tokens.clear();
+        for (std::uint32_t index = 0; index < m_position; ++index)
+            m_tokens.push_back(buffered[index].id);
+        m_knownFrom = 0;
+    }
+    for (std::size_t index = m_position; index < buffered.size() && !ended(); ++index) {
+        --m_usage.extraOutput;
+        deliver(buffered[index], now);
+    }
+    if (!ended() && attempt.done)
+        finish(*attempt.done, now);
+}
+
+void generation::deliver(const token& value, instant now)
+{
+    m_digest = extendDigest(m_digest, value.id);
+    m_tokens.push_back(value.id);
+    emit(deliver_token { m_position, value, m_digest });
+    ++m_position;
+    ++m_usage.delivered;
+    if (m_attaches > 0 && m_state == generation_state::Resuming)
+        countOne(generation_counter::AttachWorked);
+    m_attaches = 0;
+    if (m_interrupted)
+        countOne(generation_counter::Resumed);
+    m_interrupted = false;
+    m_stall = {};
+    m_state = generation_state::Streaming;
+    if (m_second && !rules().duplicate)
+        retire(m_second, true);
+    if (m_position >= m_request.maxTokens)
+        finish(finish_reason::Length, now);
+}
+
+} // namespace oriolepick
--- a/core/resume_admission.h
+++ b/core/resume_admission.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace oriolepick {
 
@@ -29,7 +30,7 @@
     virtual std::optional<instant> admit(const resume_request& request, instant now) = 0;
 
     /// Records a generation that completed, which earns budget.
-    virtual void recordSuccess(const team_id& team, const std::string& targetGroup) = 0;
+    virtual void recordSuccess(const team_id& team, const std::string& targetGroup, instant now) = 0;
 };
 
 } // namespace oriolepick
--- /dev/null
+++ b/core/resume_policy.cpp
@@ -0,0 +1,105 @@
+#include "core/resume_policy.h"
+
+namespace oriolepick {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // A stream that its target still runs is left alone this long under the waiting policy before the target counts as
+    // hung: a prefill of the longest prompts blocks a batch for seconds, but not for ten.
+    constexpr milliseconds HungAfter { 10'000 };
+    constexpr milliseconds ProbeWait { 300 }; // ten times a round trip between zones under load
+
+} // namespace
+
+latency_first_policy::latency_first_policy()
+{
+    m_rules.stall.deviations = 6;
+    m_rules.stall.prefillFactor = 1.5;
+    m_rules.stall.prefillSlack = milliseconds(300);
+    m_rules.attachTimeout = milliseconds(150);
+    m_rules.retryPause = milliseconds(50);
+}
+
+stall_decision latency_first_policy::decide(const suspicion& stall) const
+{
+    if (stall.othersProgress && !stall.reportedLost && stall.silence < m_rules.stall.longestGap)
+        return { stall_step::Wait, milliseconds(100) };
+    if (!stall.hedged)
+        return { stall_step::Hedge, milliseconds(250) };
+    if (stall.probeAlive == false)
+        return { stall_step::Abandon, milliseconds(250) };
+    return { stall.probeAlive || stall.probed ? stall_step::Wait : stall_step::Probe, milliseconds(250) };
+}
+
+waiting_policy::waiting_policy()
+{
+    m_rules.stall.shortestGap = milliseconds(500);
+    m_rules.stall.deviations = 10;
+    m_rules.preferCached = true;
+    m_rules.attachTimeout = milliseconds(500);
+    m_rules.retryPause = milliseconds(200);
+}
+
+stall_decision waiting_policy::decide(const suspicion& stall) const
+{
+    if (stall.hedged)
+        return { stall_step::Wait, ProbeWait };
+    if (stall.probeAlive == false)
+        return { stall_step::Abandon, ProbeWait };
+    if (stall.probeAlive == true)
+        return { stall.silence < HungAfter ? stall_step::Wait : stall_step::Hedge, 2 * ProbeWait };
+    if (stall.othersProgress && !stall.reportedLost && stall.silence < HungAfter)
+        return { stall_step::Wait, ProbeWait };
+    // A probe without any answer by the next look counts as answered with "not alive".
+    return { stall.probed ? stall_step::Abandon : stall_step::Probe, ProbeWait };
+}
+
+restart_policy::restart_policy()
+{
+    m_rules.attachFirst = false;
+    m_rules.keepPrefix = false;
+}
+
+stall_decision restart_policy::decide(const suspicion& stall) const
+{
+    const bool keepWaiting = stall.othersProgress;
+    return { keepWaiting ? stall_step::Wait : stall_step::Abandon, milliseconds(250) };
+}
+
+fixed_timeout_policy::fixed_timeout_policy()
+{
+    constexpr std::chrono::seconds Timeout { 5 };
+    m_rules.stall.shortestGap = Timeout;
+    m_rules.stall.longestGap = Timeout;
+    m_rules.stall.prefillSlack = Timeout;
+    m_rules.attachFirst = false;
+}
+
+stall_decision fixed_timeout_policy::decide(const suspicion& /*stall*/) const
+{
+    return { stall_step::Abandon, milliseconds(250) };
+}
+
+duplicate_policy::duplicate_policy()
+{
+    m_rules.attachFirst = false;
+    m_rules.duplicate = true;
+}
+
+stall_decision duplicate_policy::decide(const suspicion& stall) const
+{
+    return { stall.othersProgress ? stall_step::Wait : stall_step::Abandon, milliseconds(250) };
+}
+
+std::unique_ptr<resume_policy> makeResumePolicy(std::string_view name)
+{
+    if (name == "latency_first")
+        return std::make_unique<latency_first_policy>();
+    if (name == "waiting")
+        return std::make_unique<waiting_policy>();
+    return nullptr;
+}
+
+} // namespace oriolepick
--- a/core/resume_policy.h
+++ b/core/resume_policy.h
@@ -19,6 +19,7 @@
     std::uint32_t round = 0; ///< how often the policy was asked about this stall, from 0
     bool othersProgress = false; ///< other streams of the target progress
     bool reportedLost = false; ///< a peer reported the target as lost
+    bool probed = false; ///< a probe was sent during this stall
     std::optional<bool> probeAlive; ///< the probe's answer, if any
     std::optional<bool> probeHasAttempt; ///< the target still runs the attempt, if probed
     bool hedged = false; ///< a second attempt is under way
--- a/core/stall_detector.h
+++ b/core/stall_detector.h
@@ -60,6 +60,9 @@
     /// \param expectedFirstToken estimated queueing and prefill time, 0 when not known
     void attemptStarted(instant now, std::chrono::microseconds expectedFirstToken);
 
+    /// Waits again after an attach to the same attempt, with the pace measured so far.
+    void reattached(instant now);
+
     /// Records a token.
     void tokenArrived(instant now);
 
@@ -67,6 +70,9 @@
     /// \return when the stream is suspected if no token arrives
     instant suspectAt(const std::optional<target_pace>& pace) const;
 
+    /// \return when the next token is due at the usual pace, earlier than suspectAt
+    instant expectedBy(const std::optional<target_pace>& pace) const;
+
     /// \return whether other streams of the target progressed after this one stopped, so that the target is slow or
     /// busy rather than dead
     bool othersProgress(const std::optional<target_pace>& pace, instant now) const;
