--- /dev/null
+++ b/targets/stream_end.cpp
@@ -0,0 +1,26 @@
+#include "targets/stream_end.h"
+
+#include <array>
+#include <cstddef>
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr std::array<std::string_view, 12> Words { "connect_refused", "not_loaded", "queue_full", "draining",
+        "invalid", "reset", "truncated", "superseded", "malformed", "unknown_attempt", "timeout", "aborted" };
+    static_assert(static_cast<std::size_t>(stream_end::Aborted) + 1 == Words.size());
+
+} // namespace
+
+bool provenNotRun(stream_end reason)
+{
+    return reason <= stream_end::Invalid;
+}
+
+std::string_view toString(stream_end reason)
+{
+    return Words[static_cast<std::size_t>(reason)];
+}
+
+} // namespace oriolepick
