--- /dev/null
+++ b/node/http_edge.cpp
@@ -0,0 +1,267 @@
+#include "node/http_edge.h"
+
+#include "config/settings.h"
+#include "core/fleet_state.h"
+#include "node/authenticator.h"
+#include "node/bounded_task_queue.h"
+#include "node/completion_stream.h"
+#include "node/completions_endpoint.h"
+#include "node/error_body.h"
+#include "node/node_metrics.h"
+#include "node/node_status.h"
+#include "node/operator_endpoint.h"
+
+#include <httplib.h>
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr const char* JsonType = "application/json";
+    constexpr std::chrono::milliseconds ConnectionCheckPeriod { 250 };
+    constexpr time_t KeepAliveSeconds = 2; // an idle connection holds a thread
+    constexpr time_t ReadTimeoutSeconds = 10;
+    constexpr time_t WriteTimeoutSeconds = 10;
+
+    /// Counts a request as open for the planned stop.
+    class open_request {
+    public:
+        explicit open_request(node_status& status)
+            : m_status(status)
+        {
+            ++m_status.openRequests;
+        }
+        ~open_request() { --m_status.openRequests; }
+        open_request(const open_request&) = delete;
+        open_request& operator=(const open_request&) = delete;
+
+    private:
+        node_status& m_status;
+    };
+
+    bool hasJsonBody(const httplib::Request& request)
+    {
+        return request.get_header_value("Content-Type").rfind(JsonType, 0) == 0;
+    }
+
+    /// The kind of an answer that the library gave by itself.
+    error_kind kindOf(int status)
+    {
+        if (status == 413)
+            return error_kind::BodyTooLarge;
+        return status == 404 ? error_kind::UnknownService : error_kind::BadRequest;
+    }
+
+} // namespace
+
+http_edge::http_edge(const settings& configuration, const edge_services& services)
+    : m_settings(configuration)
+    , m_services(services)
+{
+    if (configuration.tlsCertificate.empty())
+        m_server = std::make_unique<httplib::Server>();
+    else
+        m_server
+            = std::make_unique<httplib::SSLServer>(configuration.tlsCertificate.c_str(), configuration.tlsKey.c_str());
+    const auto threads = static_cast<std::size_t>(configuration.callersThreads);
+    m_server->new_task_queue = [threads] { return new bounded_task_queue(threads); };
+    m_server->set_payload_max_length(static_cast<std::size_t>(configuration.maximumBodyBytes));
+    m_server->set_tcp_nodelay(true);
+    m_server->set_keep_alive_timeout(KeepAliveSeconds);
+    m_server->set_read_timeout(ReadTimeoutSeconds);
+    m_server->set_write_timeout(WriteTimeoutSeconds);
+    addRoutes();
+    addOperatorRoutes();
+}
+
+http_edge::~http_edge() = default;
+
+result<void> http_edge::bind()
+{
+    const auto& address = m_settings.callersListen;
+    const auto colon = address.rfind(':');
+    if (!m_server->is_valid())
+        return error { error_kind::Internal, "callers.tls_certificate: cannot be loaded with callers.tls_key", {} };
+    if (m_server->bind_to_port(address.substr(0, colon), std::stoi(address.substr(colon + 1))))
+        return success();
+    return error { error_kind::Internal, "callers.listen: cannot bind " + address, {} };
+}
+
+void http_edge::serve()
+{
+    m_server->listen_after_bind();
+}
+
+void http_edge::stop()
+{
+    m_server->stop();
+}
+
+void http_edge::addRoutes()
+{
+    m_server->set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
+        return refuses(request, response) ? httplib::Server::HandlerResponse::Handled
+                                          : httplib::Server::HandlerResponse::Unhandled;
+    });
+    m_server->set_error_handler([this](const httplib::Request&, httplib::Response& response) {
+        if (!response.body.empty())
+            return;
+        const int status = response.status;
+        m_services.metrics.add(counter_metric::BadInput, { { "entrance", "http" } });
+        response.set_content(errorBody({ kindOf(status), "the request cannot be served", {} }), JsonType);
+    });
+    m_server->set_exception_handler([this](const httplib::Request&, httplib::Response& response, std::exception_ptr) {
+        answerError({ error_kind::Internal, "unexpected failure", {} }, response, "unknown");
+    });
+    m_server->Post("/v1/completions",
+        [this](const httplib::Request& request, httplib::Response& response) { handleCompletion(request, response); });
+    m_server->Get("/healthz",
+        [](const httplib::Request&, httplib::Response& response) { response.set_content("ok\n", "text/plain"); });
+    m_server->Get("/readyz", [this](const httplib::Request&, httplib::Response& response) {
+        const bool ready = m_services.status.ready && !m_services.status.draining;
+        response.status = ready ? 200 : 503;
+        response.set_content(
+            ready ? "ready\n" : (m_services.status.draining ? "draining\n" : "not ready\n"), "text/plain");
+    });
+    m_server->Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
+        response.set_content(m_services.metrics.serialize(), "text/plain; version=0.0.4");
+    });
+}
+
+void http_edge::addOperatorRoutes()
+{
+    const auto guarded = [this](auto produce) {
+        return [this, produce](const httplib::Request& request, httplib::Response& response) {
+            const auto allowed = m_services.callers.operators(request.get_header_value("Authorization"));
+            if (!allowed)
+                return answerError(allowed.error(), response, "operators");
+            response.set_content(produce(request), JsonType);
+        };
+    };
+    m_server->Get(
+        "/v1/admin/in-force", guarded([this](const httplib::Request&) { return m_services.operators.inForce(); }));
+    m_server->Get(
+        "/v1/admin/status", guarded([this](const httplib::Request&) { return m_services.operators.status(); }));
+    m_server->Get(R"(/v1/admin/trace/(.{1,300}))",
+        guarded([this](const httplib::Request& request) { return m_services.operators.trace(request.matches[1]); }));
+    m_server->Post("/v1/admin/drain", guarded([this](const httplib::Request&) {
+        m_services.operators.drain();
+        return std::string("{\"draining\":true}");
+    }));
+}
+
+bool http_edge::refuses(const httplib::Request& request, httplib::Response& response)
+{
+    const bool work = request.path == "/v1/completions" || request.path.rfind("/v1/services/", 0) == 0;
+    if (!work)
+        return false;
+    const auto refuse = [&](error_kind kind, const char* message) {
+        answerError({ kind, message, std::chrono::seconds(1) }, response, "unknown");
+        // The body was not read, so the connection cannot be used again.
+        response.set_header("Connection", "close");
+        return true;
+    };
+    if (bounded_task_queue::onReserveThread())
+        return refuse(error_kind::Overloaded, "all connections of this node are in use");
+    if (m_services.status.draining)
+        return refuse(error_kind::NodeDraining, "this node is leaving");
+    if (!m_services.status.ready)
+        return refuse(error_kind::NodeNotReady, "this node does not know the state in force yet");
+    return false;
+}
+
+void http_edge::answerError(const error& problem, httplib::Response& response, const std::string& fleet)
+{
+    const auto& answer = answerFor(problem.kind);
+    response.status = answer.status;
+    if (problem.retryAfter.count() > 0) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(problem.retryAfter).count();
+        response.set_header("Retry-After", std::to_string(seconds));
+    }
+    response.set_content(errorBody(problem), JsonType);
+    const std::string code(answer.code);
+    m_services.metrics.add(counter_metric::Refusals,
+        { { "fleet", fleet }, { "code", code }, { "run", std::string(toString(answer.run)) } });
+    if (answer.status == 400 || answer.status == 413 || answer.status == 415)
+        m_services.metrics.add(counter_metric::BadInput, { { "entrance", "callers" } });
+}
+
+void http_edge::handleCompletion(const httplib::Request& request, httplib::Response& response)
+{
+    const open_request open(m_services.status);
+    if (!hasJsonBody(request))
+        return answerError(
+            { error_kind::UnsupportedMediaType, "Content-Type: must be application/json", {} }, response, "unknown");
+    completion_call call;
+    call.authorization = request.get_header_value("Authorization");
+    call.requestKey = request.get_header_value("Idempotency-Key");
+    call.lastEventId = request.get_header_value("Last-Event-ID");
+    call.body = request.body;
+    call.arrived = std::chrono::steady_clock::now();
+    auto opened = m_services.completions.open(call);
+    if (!opened)
+        return answerError(opened.error(), response, "unknown");
+    std::shared_ptr<completion_stream> stream = std::move(opened.value().stream);
+    const auto fleet = stream->session().request().deployment.fleet().value();
+    response.set_header("Oriolepick-Request-Key", stream->session().request().generation.key.key);
+    const auto begun = stream->begin();
+    if (!begun) {
+        recordEnd(*stream);
+        return answerError(begun.error(), response, fleet);
+    }
+    if (opened.value().streamed)
+        return sendEvents(std::move(stream), response);
+    const auto body = stream->collect();
+    recordEnd(*stream);
+    if (!body)
+        return answerError(body.error(), response, fleet);
+    response.set_content(body.value(), JsonType);
+}
+
+void http_edge::sendEvents(std::shared_ptr<completion_stream> stream, httplib::Response& response)
+{
+    response.set_header("Cache-Control", "no-store");
+    const auto open = std::make_shared<open_request>(m_services.status);
+    response.set_chunked_content_provider(
+        "text/event-stream", [this, stream, open](std::size_t, httplib::DataSink& sink) {
+            const auto events = stream->nextEvents(std::chrono::steady_clock::now() + ConnectionCheckPeriod);
+            const bool connected = sink.is_writable() && (events.empty() || sink.write(events.data(), events.size()));
+            if (connected) {
+                if (stream->finished()) {
+                    recordEnd(*stream);
+                    sink.done();
+                }
+                return true;
+            }
+            stream->callerDisconnected();
+            while (!stream->finished())
+                stream->nextEvents(std::chrono::steady_clock::now() + ConnectionCheckPeriod);
+            recordEnd(*stream);
+            return false;
+        });
+}
+
+void http_edge::recordEnd(const completion_stream& stream)
+{
+    const auto* end = stream.end();
+    if (!end)
+        return;
+    const auto& request = stream.session().request();
+    std::string outcome = "failed";
+    if (end->finished)
+        outcome = "whole";
+    else if (end->handedOver)
+        outcome = "handed_over";
+    else if (end->kind == error_kind::Cancelled)
+        outcome = "caller_gone";
+    else if (answerFor(end->kind).run == run_state::NotRun)
+        outcome = "refused";
+    m_services.metrics.add(counter_metric::Responses,
+        { { "fleet", request.deployment.fleet().value() }, { "deployment", request.deployment.name() },
+            { "priority", std::to_string(request.priority) }, { "result", outcome } });
+    m_services.metrics.add(counter_metric::TeamRequests,
+        { { "team", request.generation.key.team.text() },
+            { "code", end->finished ? "ok" : std::string(answerFor(end->kind).code) } });
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/node/http_edge.h
@@ -0,0 +1,65 @@
+/// \file
+/// The HTTP edge of the node: routes of callers and operators, limits of the transport, and the form of all answers.
+#pragma once
+
+#include "core/error.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace httplib {
+class Server;
+struct Request;
+struct Response;
+}
+
+namespace oriolepick {
+
+class authenticator;
+class completion_stream;
+class completions_endpoint;
+class node_metrics;
+class operator_endpoint;
+struct node_status;
+struct settings;
+
+/// What the edge serves; all of it outlives the edge.
+struct edge_services {
+    completions_endpoint& completions;
+    operator_endpoint& operators;
+    const authenticator& callers;
+    node_metrics& metrics;
+    node_status& status;
+};
+
+class http_edge {
+public:
+    http_edge(const settings& configuration, const edge_services& services);
+    ~http_edge();
+
+    /// Binds the configured address.
+    /// \return Internal when the address cannot be bound
+    result<void> bind();
+
+    /// Serves until stop(); blocks.
+    void serve();
+
+    /// Ends serve(); connections that are being served are closed.
+    void stop();
+
+private:
+    void addRoutes();
+    void addOperatorRoutes();
+    void handleCompletion(const httplib::Request& request, httplib::Response& response);
+    void sendEvents(std::shared_ptr<completion_stream> stream, httplib::Response& response);
+    bool refuses(const httplib::Request& request, httplib::Response& response);
+    void answerError(const error& problem, httplib::Response& response, const std::string& fleet);
+    void recordEnd(const completion_stream& stream);
+
+    const settings& m_settings;
+    edge_services m_services;
+    std::unique_ptr<httplib::Server> m_server;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/node/node_status.h
@@ -0,0 +1,17 @@
+/// \file
+/// Whether this node is ready or draining, and how many streams it holds.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace oriolepick {
+
+/// Shared flags of the node's life. Thread-safe.
+struct node_status {
+    std::atomic<bool> ready { false }; ///< the state in force is known
+    std::atomic<bool> draining { false }; ///< a planned stop has begun
+    std::atomic<std::int64_t> openRequests { 0 }; ///< generations and calls that are being served
+};
+
+} // namespace oriolepick
