Add ticket validation, the ticket log, distribution, leases and order planning

Operators race, answers get lost and holders pause, so acceptance, spreading and orders are decided by pure state machines: conditional acceptance of the next number, forward-only distribution, leases with fencing numbers and a planner that reconciles observed with desired state. platform/ticket_store runs the table and object operations.

--- /dev/null
+++ b/core/lease_keeper.cpp
@@ -0,0 +1,121 @@
+#include "core/lease_keeper.h"
+
+#include <absl/strings/numbers.h>
+
+namespace oriolepick {
+
+lease_keeper::lease_keeper(const std::string& group, std::string holder, lease_settings settings)
+    : m_key("lease/" + group)
+    , m_holder(std::move(holder))
+    , m_settings(settings)
+{
+}
+
+std::optional<lease_keeper::lease_value> lease_keeper::parseValue(const std::string& text)
+{
+    const auto space = text.find(' ');
+    lease_value value;
+    if (space == std::string::npos || !absl::SimpleAtoi(text.substr(space + 1), &value.fencing))
+        return std::nullopt;
+    value.holder = text.substr(0, space);
+    return value;
+}
+
+std::optional<std::uint64_t> lease_keeper::fencing(instant now) const
+{
+    if (now >= m_heldUntil)
+        return std::nullopt;
+    return m_value.fencing;
+}
+
+std::optional<lease_keeper::action> lease_keeper::wake(instant now)
+{
+    if (m_waiting && now < m_waitUntil)
+        return std::nullopt;
+    m_waiting = true;
+    m_waitUntil = now + m_settings.renewEvery;
+    // After a lost answer the row tells whether the commit took effect.
+    if (!m_rowKnown || m_mustRead)
+        return read_row { m_key };
+    if (!m_row)
+        return commitAs(now, 1);
+    if (m_value.holder == m_holder) {
+        if (now < m_lastConfirmed + m_settings.renewEvery) {
+            m_waiting = false;
+            return std::nullopt;
+        }
+        return commitAs(now, m_value.fencing);
+    }
+    if (now >= m_unchangedSince + m_settings.duration)
+        return commitAs(now, m_value.fencing + 1);
+    return read_row { m_key };
+}
+
+lease_keeper::action lease_keeper::commitAs(instant now, std::uint64_t fencing)
+{
+    if (!m_commitSentAt)
+        m_commitSentAt = now;
+    m_lastSentAt = now;
+    m_commitFencing = fencing;
+    table_transaction transaction;
+    transaction.conditions.push_back({ m_key, m_row ? std::optional(m_row->version) : std::nullopt });
+    transaction.writes.push_back({ m_key, m_holder + " " + std::to_string(fencing) });
+    return commit_rows { std::move(transaction) };
+}
+
+void lease_keeper::rowRead(instant now, const result<std::optional<table_row>>& answer)
+{
+    m_waiting = false;
+    if (!answer)
+        return;
+    const auto& row = answer.value();
+    const bool changed = !m_rowKnown || row.has_value() != m_row.has_value() || (row && row->version != m_row->version);
+    const auto value = row ? parseValue(row->value) : std::nullopt;
+    if (row && !value)
+        return; // not a lease: never take over what cannot be read
+    const bool mine = value && value->holder == m_holder;
+    if (changed) {
+        m_unchangedSince = now;
+        if (!mine)
+            m_heldUntil = {};
+        else if (m_commitSentAt) {
+            // One of the commits without an answer took effect; the earliest is the safe assumption.
+            m_lastConfirmed = *m_commitSentAt;
+            m_heldUntil = m_lastConfirmed + m_settings.duration - m_settings.safetyMargin;
+        }
+        m_commitSentAt.reset();
+    }
+    m_mustRead = false;
+    m_rowKnown = true;
+    m_row = row;
+    m_value = value.value_or(lease_value {});
+}
+
+void lease_keeper::committed(instant now, const result<table_outcome>& answer)
+{
+    m_waiting = false;
+    const bool earlierLost = m_commitSentAt != m_lastSentAt;
+    if (!answer) {
+        m_mustRead = true; // the row tells whether it took effect; an answer that surely had no effect costs one read
+        return;
+    }
+    if (!answer.value().committed) {
+        // Another node wrote the row, or an earlier commit of this node whose answer was lost. Only the latter may
+        // count as this node's write.
+        if (!earlierLost)
+            m_commitSentAt.reset();
+        m_mustRead = true;
+        return;
+    }
+    const bool inserted = !m_row;
+    m_row = table_row { m_key, m_holder + " " + std::to_string(m_commitFencing),
+        m_row ? m_row->version + 1 : std::uint64_t { 1 } };
+    m_value = { m_holder, m_commitFencing };
+    m_unchangedSince = now;
+    m_lastConfirmed = *m_commitSentAt;
+    m_heldUntil = m_lastConfirmed + m_settings.duration - m_settings.safetyMargin;
+    m_commitSentAt.reset();
+    m_mustRead = inserted; // the table chooses the first version of a row
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/core/order_planner.h
@@ -0,0 +1,94 @@
+/// \file
+/// Reconciles what targets run with what they should run, by idempotent orders. A late or repeated order is harmless
+/// or is corrected by a later round, because every round starts from what the targets report.
+#pragma once
+
+#include "core/instant.h"
+#include "core/names.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oriolepick {
+
+/// One target as it should be and as it was last observed.
+struct planned_target {
+    target_id target;
+    availability_zone zone;
+    int capacity = 1;
+    std::optional<model_ref> wanted; ///< nothing: no deployment lists it, its models are to be unloaded
+    std::string wantedRole;
+    bool leaving = false; ///< by any source
+    bool reachable = false; ///< whether it has reported recently; the rest is its report
+    bool draining = false;
+    int running = 0; ///< requests in progress
+    bool loading = false;
+    std::vector<model_ref> loaded;
+    std::string role;
+};
+
+/// What an order asks for.
+enum class order_kind { Load, Unload, Role, Drain, Undrain };
+
+/// An order to one target.
+struct target_order {
+    target_id target;
+    order_kind kind = order_kind::Drain;
+    model_ref model; ///< for Load and Unload
+    std::string role; ///< for Role
+    std::uint64_t fencing = 0;
+    std::uint64_t ticket = 0; ///< number in force that the order follows
+};
+
+/// The holder's right to order: check at the time of sending that the lease still holds.
+struct order_authority {
+    std::uint64_t fencing = 0;
+    std::uint64_t ticket = 0;
+};
+
+/// Settings of the planner.
+struct order_planner_settings {
+    std::chrono::milliseconds repeatAfter { 2'000 }; ///< the reconciliation period
+    std::chrono::milliseconds repeatLoadAfter { 30'000 }; ///< a load whose start the target has not reported
+};
+
+/// Plans the orders of all target groups that this node holds.
+class order_planner {
+public:
+    explicit order_planner(order_planner_settings settings);
+
+    /// Sets this node's part of the weight store's rate.
+    void setLoadsPerMinute(double rate) { m_loadsPerMinute = rate; }
+
+    /// Plans one round for the targets of one deployment in one zone.
+    /// \param targets all targets of the deployment in all zones: the share in change is counted over all of them
+    /// \param zone the zone of the lease; only its targets get orders
+    /// \param changeShare largest share of the total capacity to have out of service at a time; one target may always
+    ///     change when all others serve
+    std::vector<target_order> plan(instant now, const std::vector<planned_target>& targets,
+        const availability_zone& zone, double changeShare, const order_authority& authority);
+
+private:
+    struct given_order {
+        order_kind kind;
+        model_ref model;
+        std::uint64_t ticket;
+        instant at;
+    };
+
+    bool mayRepeat(instant now, const target_order& order) const;
+    bool takeLoadToken(instant now);
+
+    order_planner_settings m_settings;
+    double m_loadsPerMinute = 6;
+    double m_loadTokens = 1;
+    instant m_tokensAt {};
+    absl::flat_hash_map<target_id, given_order> m_given;
+};
+
+} // namespace oriolepick
