--- /dev/null
+++ b/core/concurrency_limit.h
@@ -0,0 +1,76 @@
+/// \file
+/// Adaptive limit on the requests in flight to one target group.
+#pragma once
+
+#include "core/instant.h"
+#include "core/request_priority.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace oriolepick {
+
+/// Settings of concurrency_limit.
+struct concurrency_settings {
+    double minimumPerTarget = 2; ///< keeps samples coming from cold or slow engines
+    double initialShare = 0.75; ///< of the batch places
+    double waitingShare = 0.25; ///< requests beyond the batch places that may wait at the targets
+    double tolerance = 1.5; ///< latency above the baseline by this factor lowers the limit
+    std::chrono::milliseconds latencyFloor { 250 }; ///< below it latency is not a sign of overload
+    std::chrono::milliseconds window { 500 }; ///< one adjustment per window
+    std::chrono::milliseconds baselineWindow { 30'000 }; ///< the baseline is the least window mean of this time
+    /// Share of the limit that each priority (Bulk, Normal, Urgent) may fill; the rest is kept for higher ones.
+    std::array<double, PriorityCount> priorityShare { 0.9, 0.97, 1.0 };
+};
+
+/// Gradient limit: grows while requests use it and their latency stays near the baseline, and shrinks in proportion
+/// when latency rises. It never falls below a minimum per target and grows again without samples, so that no overload,
+/// zone loss or cold start can hold it down.
+class concurrency_limit {
+public:
+    explicit concurrency_limit(concurrency_settings settings = {});
+
+    /// Sets the usable capacity; a lost zone lowers the limit at once.
+    void setCapacity(std::uint32_t targets, std::uint32_t batchPlaces);
+
+    /// \return whether one more request of \p priority may be dispatched
+    bool admits(request_priority priority) const;
+
+    void recordDispatch();
+
+    /// \param latency time to first token less the expected prefill of the request
+    void recordLatency(std::chrono::milliseconds latency, instant now);
+
+    void recordFinished();
+
+    /// Adjusts the limit when a window has passed, also without samples.
+    void update(instant now);
+
+    double limit() const { return m_limit; }
+    std::uint32_t inFlight() const { return m_inFlight; }
+
+private:
+    double minimum() const;
+    double maximum() const;
+    std::chrono::duration<double> baseline(std::chrono::duration<double> mean, instant now);
+
+    concurrency_settings m_settings;
+    std::uint32_t m_targets = 0;
+    std::uint32_t m_batchPlaces = 0;
+    double m_limit = 1;
+    std::uint32_t m_inFlight = 0;
+    std::uint32_t m_peakInFlight = 0;
+    bool m_started = false;
+    instant m_windowStart;
+    std::chrono::duration<double> m_latencySum { 0 };
+    std::uint32_t m_samples = 0;
+    struct window_mean {
+        instant at;
+        std::chrono::duration<double> mean { 0 };
+    };
+    std::vector<window_mean> m_means; // increasing in time and mean, so that the front is the least
+};
+
+} // namespace oriolepick
--- a/core/placement.h
+++ b/core/placement.h
@@ -6,6 +6,7 @@
 #include "core/error_kind.h"
 #include "core/load_view.h"
 #include "core/names.h"
+#include "core/request_priority.h"
 #include "core/seeded_random.h"
 
 #include <chrono>
@@ -17,9 +18,6 @@
 
 namespace oriolepick {
 
-/// Importance of a request; a higher value is served first.
-enum class request_priority : std::uint8_t { Bulk, Normal, Urgent };
-
 /// What a request asks of the placement.
 struct placement_query {
     work_ref work;
--- /dev/null
+++ b/core/request_queue.cpp
@@ -0,0 +1,207 @@
+#include "core/request_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr double IntervalWeight
+        = 0.1; ///< Of the newest interval in the mean: follows a zone loss in ~20 dispatches.
+
+} // namespace
+
+request_queue::request_queue(request_queue_settings settings, seeded_random random)
+    : m_settings(settings)
+    , m_random(random)
+{
+}
+
+offer_outcome request_queue::offer(queued_request request, instant now)
+{
+    offer_outcome outcome;
+    request.deadline = std::min(request.deadline, now + m_settings.longestWait);
+    const auto wait = expectedWait(request.key.team, request.priority, now);
+    if (request.deadline <= now || now + wait > request.deadline) {
+        outcome.refused.push_back(refusal(0, request, error_kind::Overloaded, now));
+        return outcome;
+    }
+    if (m_requests.size() >= m_settings.capacity && !displace(request, outcome.refused, now)) {
+        outcome.refused.push_back(refusal(0, request, error_kind::Overloaded, now));
+        return outcome;
+    }
+    if (m_requests.empty())
+        m_busySince = now;
+    outcome.number = ++m_lastNumber;
+    enqueue(outcome.number, std::move(request));
+    return outcome;
+}
+
+bool request_queue::cancel(queue_number number)
+{
+    if (!m_requests.count(number))
+        return false;
+    remove(number);
+    return true;
+}
+
+take_outcome request_queue::take(instant now)
+{
+    take_outcome outcome;
+    outcome.refused = expire(now);
+    if (m_requests.empty())
+        return outcome;
+    ++m_dispatches;
+    const bool oldest = m_dispatches % m_settings.oldestEvery == 0;
+    outcome.number = oldest ? m_requests.begin()->first : nextFair();
+    outcome.request = remove(outcome.number).request;
+    if (m_busySince) {
+        const std::chrono::duration<double> interval = now - *m_busySince;
+        m_interval += IntervalWeight * (interval - m_interval);
+    }
+    m_busySince = m_requests.empty() ? std::nullopt : std::optional(now);
+    return outcome;
+}
+
+std::vector<queue_refusal> request_queue::expire(instant now)
+{
+    std::vector<queue_refusal> refused;
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const auto number = m_deadlines.begin()->second;
+        const auto removed = remove(number);
+        refused.push_back(refusal(number, removed.request, error_kind::QueueTimeout, now));
+    }
+    return refused;
+}
+
+std::optional<instant> request_queue::nextDeadline() const
+{
+    if (m_deadlines.empty())
+        return std::nullopt;
+    return m_deadlines.begin()->first;
+}
+
+std::chrono::milliseconds request_queue::expectedWait(const team_id& team, request_priority priority, instant now) const
+{
+    std::size_t ahead = 0;
+    for (auto index = indexOf(priority) + 1; index < PriorityCount; ++index)
+        ahead += m_classes[index].count;
+    const auto& own = m_classes[indexOf(priority)];
+    const auto line = own.teams.find(team);
+    const std::size_t mine = line == own.teams.end() ? 0 : line->second.count;
+    // Fair queueing: one request of each other team is served per request of this one. The whole class would
+    // overstate the wait of a small team behind a large one.
+    ahead += std::min(own.count, (mine + 1) * own.teams.size());
+    const double every = m_settings.oldestEvery;
+    const double dispatches = static_cast<double>(ahead) * every / std::max(1.0, every - 1);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(dispatchInterval(now) * dispatches);
+}
+
+void request_queue::enqueue(queue_number number, queued_request request)
+{
+    auto& line_class = classOf(request.priority);
+    auto& line = line_class.teams[request.key.team];
+    const double start = std::max(line_class.virtualTime, line.finishTag);
+    line.finishTag = start + std::max<std::uint32_t>(request.cost, 1);
+    line.numbers.push_back(number);
+    ++line.count;
+    ++line_class.count;
+    m_deadlines.emplace(request.deadline, number);
+    m_requests.emplace(number, entry { std::move(request), start });
+}
+
+request_queue::entry request_queue::remove(queue_number number)
+{
+    const auto position = m_requests.find(number);
+    entry removed = std::move(position->second);
+    m_requests.erase(position);
+    m_deadlines.erase({ removed.request.deadline, number });
+    auto& line_class = classOf(removed.request.priority);
+    --line_class.count;
+    const auto team = line_class.teams.find(removed.request.key.team);
+    auto& line = team->second;
+    --line.count;
+    while (!line.numbers.empty() && !m_requests.count(line.numbers.front()))
+        line.numbers.pop_front();
+    // A team whose tag is ahead of the virtual time is kept, or it could restart its share by going idle; teams that
+    // were caught up are dropped, so that the map holds active teams only.
+    if (!line.count && line.finishTag <= line_class.virtualTime)
+        line_class.teams.erase(team);
+    return removed;
+}
+
+queue_number request_queue::nextFair()
+{
+    for (auto index = PriorityCount; index-- > 0;) {
+        auto& line_class = m_classes[index];
+        if (!line_class.count)
+            continue;
+        queue_number best = 0;
+        double bestTag = 0;
+        for (auto position = line_class.teams.begin(); position != line_class.teams.end();) {
+            const auto& line = position->second;
+            if (!line.count) {
+                position
+                    = line.finishTag <= line_class.virtualTime ? line_class.teams.erase(position) : std::next(position);
+                continue;
+            }
+            const auto number = line.numbers.front();
+            const double tag = m_requests.at(number).startTag;
+            if (!best || tag < bestTag || (tag == bestTag && number < best)) {
+                best = number;
+                bestTag = tag;
+            }
+            ++position;
+        }
+        line_class.virtualTime = std::max(line_class.virtualTime, bestTag);
+        return best;
+    }
+    return 0;
+}
+
+bool request_queue::displace(const queued_request& incoming, std::vector<queue_refusal>& refused, instant now)
+{
+    for (std::size_t index = 0; index <= indexOf(incoming.priority); ++index) {
+        auto& line_class = m_classes[index];
+        if (!line_class.count)
+            continue;
+        const auto longest = std::max_element(line_class.teams.begin(), line_class.teams.end(),
+            [](const auto& left, const auto& right) { return left.second.count < right.second.count; });
+        if (index == indexOf(incoming.priority)) {
+            const auto own = line_class.teams.find(incoming.key.team);
+            const std::size_t mine = own == line_class.teams.end() ? 0 : own->second.count;
+            // Equal priority: only a team with more waiting than the newcomer's gives way, so that a large team
+            // cannot displace a small one.
+            if (longest->second.count <= mine + 1)
+                return false;
+        }
+        // The newest request has waited least.
+        auto& numbers = longest->second.numbers;
+        while (!m_requests.count(numbers.back()))
+            numbers.pop_back();
+        const auto number = numbers.back();
+        const auto removed = remove(number);
+        refused.push_back(refusal(number, removed.request, error_kind::Overloaded, now));
+        return true;
+    }
+    return false;
+}
+
+queue_refusal request_queue::refusal(queue_number number, const queued_request& request, error_kind kind, instant now)
+{
+    const auto wait = expectedWait(request.key.team, request.priority, now);
+    const auto base = std::clamp(wait, m_settings.shortestRetry, m_settings.longestRetry / 2);
+    const auto jitter = m_random.below(static_cast<std::uint64_t>(base.count()) + 1);
+    return { number, request.key, kind, base + std::chrono::milliseconds(jitter) };
+}
+
+std::chrono::duration<double> request_queue::dispatchInterval(instant now) const
+{
+    // When dispatches have stopped the mean says nothing yet; the time since the last one does.
+    if (!m_busySince || m_requests.empty())
+        return m_interval;
+    return std::max<std::chrono::duration<double>>(m_interval, now - *m_busySince);
+}
+
+} // namespace oriolepick
