--- a/core/request_queue.cpp
+++ b/core/request_queue.cpp
@@ -100,13 +100,13 @@
 
 void request_queue::enqueue(queue_number number, queued_request request)
 {
-    auto& line_class = classOf(request.priority);
-    auto& line = line_class.teams[request.key.team];
-    const double start = std::max(line_class.virtualTime, line.finishTag);
+    auto& lineClass = classOf(request.priority);
+    auto& line = lineClass.teams[request.key.team];
+    const double start = std::max(lineClass.virtualTime, line.finishTag);
     line.finishTag = start + std::max<std::uint32_t>(request.cost, 1);
     line.numbers.push_back(number);
     ++line.count;
-    ++line_class.count;
+    ++lineClass.count;
     m_deadlines.emplace(request.deadline, number);
     m_requests.emplace(number, entry { std::move(request), start });
 }
@@ -117,33 +117,33 @@
     entry removed = std::move(position->second);
     m_requests.erase(position);
     m_deadlines.erase({ removed.request.deadline, number });
-    auto& line_class = classOf(removed.request.priority);
-    --line_class.count;
-    const auto team = line_class.teams.find(removed.request.key.team);
+    auto& lineClass = classOf(removed.request.priority);
+    --lineClass.count;
+    const auto team = lineClass.teams.find(removed.request.key.team);
     auto& line = team->second;
     --line.count;
     while (!line.numbers.empty() && !m_requests.count(line.numbers.front()))
         line.numbers.pop_front();
     // A team whose tag is ahead of the virtual time is kept, or it could restart its share by going idle; teams that
     // were caught up are dropped, so that the map holds active teams only.
-    if (!line.count && line.finishTag <= line_class.virtualTime)
-        line_class.teams.erase(team);
+    if (!line.count && line.finishTag <= lineClass.virtualTime)
+        lineClass.teams.erase(team);
     return removed;
 }
 
 queue_number request_queue::nextFair()
 {
     for (auto index = PriorityCount; index-- > 0;) {
-        auto& line_class = m_classes[index];
-        if (!line_class.count)
+        auto& lineClass = m_classes[index];
+        if (!lineClass.count)
             continue;
         queue_number best = 0;
         double bestTag = 0;
-        for (auto position = line_class.teams.begin(); position != line_class.teams.end();) {
+        for (auto position = lineClass.teams.begin(); position != lineClass.teams.end();) {
             const auto& line = position->second;
             if (!line.count) {
                 position
-                    = line.finishTag <= line_class.virtualTime ? line_class.teams.erase(position) : std::next(position);
+                    = line.finishTag <= lineClass.virtualTime ? lineClass.teams.erase(position) : std::next(position);
                 continue;
             }
             const auto number = line.numbers.front();
@@ -154,7 +154,7 @@
             }
             ++position;
         }
-        line_class.virtualTime = std::max(line_class.virtualTime, bestTag);
+        lineClass.virtualTime = std::max(lineClass.virtualTime, bestTag);
         return best;
     }
     return 0;
@@ -163,14 +163,14 @@
 bool request_queue::displace(const queued_request& incoming, std::vector<queue_refusal>& refused, instant now)
 {
     for (std::size_t index = 0; index <= indexOf(incoming.priority); ++index) {
-        auto& line_class = m_classes[index];
-        if (!line_class.count)
+        auto& lineClass = m_classes[index];
+        if (!lineClass.count)
             continue;
-        const auto longest = std::max_element(line_class.teams.begin(), line_class.teams.end(),
+        const auto longest = std::max_element(lineClass.teams.begin(), lineClass.teams.end(),
             [](const auto& left, const auto& right) { return left.second.count < right.second.count; });
         if (index == indexOf(incoming.priority)) {
-            const auto own = line_class.teams.find(incoming.key.team);
-            const std::size_t mine = own == line_class.teams.end() ? 0 : own->second.count;
+            const auto own = lineClass.teams.find(incoming.key.team);
+            const std::size_t mine = own == lineClass.teams.end() ? 0 : own->second.count;
             // Equal priority: only a team with more waiting than the newcomer's gives way, so that a large team
             // cannot displace a small one.
             if (longest->second.count <= mine + 1)
