--- /dev/null
+++ b/node/control_loop.cpp
@@ -0,0 +1,73 @@
+#include "node/control_loop.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+control_loop::~control_loop()
+{
+    stop();
+}
+
+void control_loop::every(std::chrono::milliseconds period, task work)
+{
+    m_periodic.push_back({ period, std::move(work), {} });
+}
+
+void control_loop::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void control_loop::stop()
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void control_loop::post(task work)
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_stopping)
+            return;
+        m_posted.push_back(std::move(work));
+    }
+    m_changed.notify_one();
+}
+
+instant control_loop::runPeriodic(instant now)
+{
+    auto next = now + std::chrono::hours(1);
+    for (auto& entry : m_periodic) {
+        if (entry.next <= now) {
+            entry.work(now);
+            // A late run is not caught up: the work is idempotent, and bursts after a pause would only add load.
+            entry.next = now + entry.period;
+        }
+        next = std::min(next, entry.next);
+    }
+    return next;
+}
+
+void control_loop::run()
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_stopping) {
+        auto posted = std::move(m_posted);
+        m_posted.clear();
+        lock.unlock();
+        for (const auto& work : posted)
+            work(std::chrono::steady_clock::now());
+        const auto next = runPeriodic(std::chrono::steady_clock::now());
+        lock.lock();
+        m_changed.wait_until(lock, next, [this] { return m_stopping || !m_posted.empty(); });
+    }
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/node/control_loop.h
@@ -0,0 +1,52 @@
+/// \file
+/// The one thread on which the node's control parts run (membership, tickets, limits, orders), so that their state
+/// machines need no lock. Blocking work goes to a task pool and posts its result back.
+#pragma once
+
+#include "core/instant.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace oriolepick {
+
+class control_loop {
+public:
+    using task = std::function<void(instant now)>;
+
+    ~control_loop();
+
+    /// Registers periodic work; called before start().
+    void every(std::chrono::milliseconds period, task work);
+
+    void start();
+
+    /// Ends the thread; later posts are dropped.
+    void stop();
+
+    /// Runs \p work on the loop's thread. Thread-safe.
+    void post(task work);
+
+private:
+    struct periodic {
+        std::chrono::milliseconds period;
+        task work;
+        instant next;
+    };
+
+    void run();
+    instant runPeriodic(instant now);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<task> m_posted;
+    bool m_stopping = false;
+    std::vector<periodic> m_periodic;
+    std::thread m_thread;
+};
+
+} // namespace oriolepick
