--- a/targets/attempt_reader.cpp
+++ b/targets/attempt_reader.cpp
@@ -17,16 +17,16 @@
     struct rejection_row {
         int status;
         std::string_view code; ///< empty: any code
-        break_reason reason;
+        stream_break reason;
     };
 
     // Only rejections listed here are proven not to have run. Any other status may come from a fault after the start.
     constexpr std::array<rejection_row, 5> Rejections { {
-        { 400, "", break_reason::Invalid },
-        { 404, "", break_reason::UnknownAttempt },
-        { 409, "not_loaded", break_reason::NotLoaded },
-        { 429, "", break_reason::QueueFull },
-        { 503, "draining", break_reason::Draining },
+        { 400, "", stream_break::Invalid },
+        { 404, "", stream_break::UnknownAttempt },
+        { 409, "not_loaded", stream_break::NotLoaded },
+        { 429, "", stream_break::QueueFull },
+        { 503, "draining", stream_break::Draining },
     } };
 
 } // namespace
@@ -52,7 +52,7 @@
             isEventStream = absl::StartsWithIgnoreCase(value, "text/event-stream");
     }
     if (!isEventStream)
-        return breakOff(break_reason::Malformed, "response is not an event stream");
+        return breakOff(stream_break::Malformed, "response is not an event stream");
     m_ended = m_sink.accepted(load) == read_decision::Stop;
     return !m_ended;
 }
@@ -65,7 +65,7 @@
     }
     const auto status = m_parser.feed(bytes, [this](const stream_event& event) { return takeEvent(event); });
     if (status == event_stream_parser::status::Malformed)
-        return breakOff(break_reason::Malformed, m_parser.fault());
+        return breakOff(stream_break::Malformed, m_parser.fault());
     return status == event_stream_parser::status::Ok;
 }
 
@@ -76,18 +76,18 @@
     if (event.name == "done")
         return takeSummary(event.data);
     if (event.name == "superseded")
-        return breakOff(break_reason::Superseded, "a reader with a higher epoch attached");
-    return breakOff(break_reason::Malformed, "unknown event");
+        return breakOff(stream_break::Superseded, "a reader with a higher epoch attached");
+    return breakOff(stream_break::Malformed, "unknown event");
 }
 
 bool attempt_reader::takeToken(std::string_view data)
 {
     const auto message = parseToken(data);
     if (!message)
-        return breakOff(break_reason::Malformed, message.error().message);
+        return breakOff(stream_break::Malformed, message.error().message);
     if (message.value().position != m_next)
         return breakOff(
-            break_reason::Malformed, absl::StrCat("position ", message.value().position, " instead of ", m_next));
+            stream_break::Malformed, absl::StrCat("position ", message.value().position, " instead of ", m_next));
     ++m_next;
     m_ended = m_sink.tokenArrived(message.value().position, message.value().next) == read_decision::Stop;
     return !m_ended;
@@ -97,9 +97,9 @@
 {
     const auto summary = parseSummary(data);
     if (!summary)
-        return breakOff(break_reason::Malformed, summary.error().message);
+        return breakOff(stream_break::Malformed, summary.error().message);
     if (summary.value().length != m_next)
-        return breakOff(break_reason::Malformed,
+        return breakOff(stream_break::Malformed,
             absl::StrCat("end event says length ", summary.value().length, " after ", m_next, " positions"));
     m_ended = true;
     m_sink.done(summary.value());
@@ -112,23 +112,23 @@
         return;
     switch (exchanged.end) {
     case exchange_end::NotSent:
-        breakOff(break_reason::ConnectRefused, exchanged.detail);
+        breakOff(stream_break::ConnectRefused, exchanged.detail);
         return;
     case exchange_end::Lost:
-        breakOff(break_reason::Reset, exchanged.detail);
+        breakOff(stream_break::Reset, exchanged.detail);
         return;
     case exchange_end::TimedOut:
-        breakOff(break_reason::Timeout, exchanged.detail);
+        breakOff(stream_break::Timeout, exchanged.detail);
         return;
     case exchange_end::Aborted:
-        breakOff(break_reason::Aborted, exchanged.detail);
+        breakOff(stream_break::Aborted, exchanged.detail);
         return;
     case exchange_end::Complete:
     case exchange_end::Stopped:
         break;
     }
     if (m_status == 200)
-        breakOff(break_reason::Truncated, "response ended without an end event");
+        breakOff(stream_break::Truncated, "response ended without an end event");
     else
         reportRejection();
 }
@@ -142,10 +142,10 @@
             return;
         }
     }
-    breakOff(break_reason::Malformed, absl::StrCat("status ", m_status, " ", code));
+    breakOff(stream_break::Malformed, absl::StrCat("status ", m_status, " ", code));
 }
 
-bool attempt_reader::breakOff(break_reason reason, const std::string& detail)
+bool attempt_reader::breakOff(stream_break reason, const std::string& detail)
 {
     if (!std::exchange(m_ended, true))
         m_sink.broken(reason, detail);
--- a/targets/attempt_reader.h
+++ b/targets/attempt_reader.h
@@ -33,7 +33,7 @@
     bool takeToken(std::string_view data);
     bool takeSummary(std::string_view data);
     void reportRejection();
-    bool breakOff(break_reason reason, const std::string& detail);
+    bool breakOff(stream_break reason, const std::string& detail);
 
     attempt_sink& m_sink;
     std::uint32_t m_next;
--- a/targets/engine_client.h
+++ b/targets/engine_client.h
@@ -5,9 +5,9 @@
 #include "core/error.h"
 #include "core/names.h"
 #include "core/token.h"
-#include "targets/break_reason.h"
 #include "targets/engine_load.h"
 #include "targets/engine_state.h"
+#include "targets/stream_break.h"
 
 #include <chrono>
 #include <cstdint>
@@ -63,7 +63,7 @@
     virtual void done(const attempt_summary& summary) = 0;
 
     /// \param detail for logs
-    virtual void broken(break_reason reason, const std::string& detail) = 0;
+    virtual void broken(stream_break reason, const std::string& detail) = 0;
 };
 
 /// Answer to a health probe.
--- a/targets/event_stream_parser.h
+++ b/targets/event_stream_parser.h
@@ -18,8 +18,8 @@
 
 /// Size limits of a stream; beyond them it is malformed.
 struct event_stream_limits {
-    std::size_t lineBytes = 64 * 1024;
-    std::size_t eventBytes = 256 * 1024;
+    std::size_t lineBytes = 65536;
+    std::size_t eventBytes = 262144;
 };
 
 /// Takes bytes in pieces of any size and gives out events. Stricter than the standard, so that garbage is noticed:
--- a/targets/http_engine_client.cpp
+++ b/targets/http_engine_client.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     // State and cache reports of an engine are far below this.
-    constexpr std::size_t MaxReportBytes = 4 * 1024 * 1024;
+    constexpr std::size_t MaxReportBytes = std::size_t { 4 } << 20;
 
     void stream(const std::string& address, const service_request& request, const stream_timeouts& timeouts,
         attempt_reader& reader, call_abort& abort)
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -8,6 +8,7 @@
 #include <httplib.h>
 
 #include <array>
+#include <csignal>
 #include <optional>
 
 namespace oriolepick {
@@ -115,6 +116,13 @@
         return made;
     }
 
+    /// The HTTP library writes without MSG_NOSIGNAL; a peer that closes its connection must not end this process.
+    void ignoreBrokenPipeSignal()
+    {
+        static const auto previous = std::signal(SIGPIPE, SIG_IGN);
+        (void)previous;
+    }
+
     exchange_end classify(httplib::Error error, const call_abort& abort, bool timedOut)
     {
         switch (error) {
@@ -147,6 +155,7 @@
     if (abort.aborted())
         return { exchange_end::NotSent, "aborted before the connect" };
 
+    ignoreBrokenPipeSignal();
     httplib::Client client(target->host, target->port);
     client.set_connection_timeout(timeouts.connect);
     client.set_read_timeout(timeouts.idle);
--- a/targets/http_service_client.h
+++ b/targets/http_service_client.h
@@ -11,7 +11,7 @@
 /// Makes each call on a connection of its own.
 class http_service_client : public service_client {
 public:
-    static constexpr std::size_t DefaultMaxBodyBytes = 8 * 1024 * 1024;
+    static constexpr std::size_t DefaultMaxBodyBytes = std::size_t { 8 } << 20;
 
     /// \param maxBodyBytes a longer response body is dropped and the outcome is MayHaveRun
     explicit http_service_client(std::size_t maxBodyBytes = DefaultMaxBodyBytes)
--- a/targets/break_reason.cpp
+++ b/targets/stream_break.cpp
@@ -1,4 +1,4 @@
-#include "targets/break_reason.h"
+#include "targets/stream_break.h"
 
 #include <array>
 #include <cstddef>
@@ -9,16 +9,16 @@
 
     constexpr std::array<std::string_view, 12> Words { "connect_refused", "not_loaded", "queue_full", "draining",
         "invalid", "reset", "truncated", "superseded", "malformed", "unknown_attempt", "timeout", "aborted" };
-    static_assert(static_cast<std::size_t>(break_reason::Aborted) + 1 == Words.size());
+    static_assert(static_cast<std::size_t>(stream_break::Aborted) + 1 == Words.size());
 
 } // namespace
 
-bool provenNotRun(break_reason reason)
+bool provenNotRun(stream_break reason)
 {
-    return reason <= break_reason::Invalid;
+    return reason <= stream_break::Invalid;
 }
 
-std::string_view toString(break_reason reason)
+std::string_view toString(stream_break reason)
 {
     return Words[static_cast<std::size_t>(reason)];
 }
--- a/targets/break_reason.h
+++ b/targets/stream_break.h
@@ -7,7 +7,7 @@
 namespace oriolepick {
 
 /// Closed list of reasons.
-enum class break_reason {
+enum class stream_break {
     ConnectRefused, ///< No connection was made, so no byte was sent: proven not run.
     NotLoaded, ///< Rejected: other model, version or adapter: proven not run.
     QueueFull, ///< Rejected: the engine's queue is full: proven not run.
@@ -22,10 +22,10 @@
     Aborted, ///< This process ended the call through its call_abort.
 };
 
-/// \return whether the attempt is proven not to have run and not to run later
-bool provenNotRun(break_reason reason);
+/// \return whether an attempt whose start() ended so is proven not to have run and not to run later
+bool provenNotRun(stream_break reason);
 
 /// \return a word for logs and metric labels, for example "connect_refused"
-std::string_view toString(break_reason reason);
+std::string_view toString(stream_break reason);
 
 } // namespace oriolepick
