--- a/core/order_planner.h
+++ b/core/order_planner.h
@@ -5,6 +5,7 @@
 
 #include "core/instant.h"
 #include "core/names.h"
+#include "core/order_kind.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -32,9 +33,6 @@
     std::string role;
 };
 
-/// What an order asks for.
-enum class order_kind { Load, Unload, Role, Drain, Undrain };
-
 /// An order to one target.
 struct target_order {
     target_id target;
--- a/node/attempt_reader_thread.cpp
+++ b/node/attempt_reader_thread.cpp
@@ -40,29 +40,29 @@
             m_events.push(attempt_done { m_attempt, reason, summary.length });
         }
 
-        void broken(stream_end reason, const std::string&) override
+        void broken(stream_break reason, const std::string&) override
         {
             switch (reason) {
-            case stream_end::ConnectRefused:
+            case stream_break::ConnectRefused:
                 return m_attach ? breakWith(break_reason::Refused) : reject(reject_reason::NotSent);
-            case stream_end::NotLoaded:
-            case stream_end::Invalid:
+            case stream_break::NotLoaded:
+            case stream_break::Invalid:
                 return reject(reject_reason::NotLoaded);
-            case stream_end::QueueFull:
+            case stream_break::QueueFull:
                 return reject(reject_reason::QueueFull);
-            case stream_end::Draining:
+            case stream_break::Draining:
                 return reject(reject_reason::Draining);
-            case stream_end::Reset:
-            case stream_end::Timeout:
+            case stream_break::Reset:
+            case stream_break::Timeout:
                 return breakWith(break_reason::Reset);
-            case stream_end::Truncated:
-            case stream_end::Malformed:
+            case stream_break::Truncated:
+            case stream_break::Malformed:
                 return breakWith(break_reason::Truncated);
-            case stream_end::Superseded:
+            case stream_break::Superseded:
                 return breakWith(break_reason::Superseded);
-            case stream_end::UnknownAttempt:
+            case stream_break::UnknownAttempt:
                 return breakWith(break_reason::UnknownAttempt);
-            case stream_end::Aborted:
+            case stream_break::Aborted:
                 return;
             }
         }
--- a/node/completions_endpoint.cpp
+++ b/node/completions_endpoint.cpp
@@ -7,6 +7,7 @@
 #include "node/completion_request.h"
 #include "node/cursor_codec.h"
 #include "node/state_keeper.h"
+#include "targets/prompt_blocks.h"
 
 #include <algorithm>
 #include <random>
@@ -16,7 +17,6 @@
 namespace {
 
     constexpr std::size_t MaximumKeyBytes = 128;
-    constexpr std::uint32_t BytesPerToken = 4; // the usual mean of text tokenizers
 
     std::uint64_t wallMilliseconds()
     {
@@ -151,7 +151,7 @@
     session.generation.attemptOrigin = nextOrigin();
     session.generation.model = resolved.base.model;
     session.generation.targetGroup = resolved.deployment.text();
-    session.generation.promptTokens = static_cast<std::uint32_t>(request.prompt.size()) / BytesPerToken + 1;
+    session.generation.promptTokens = promptTokens(request.prompt);
     session.generation.maxTokens = resolved.base.maximumTokens;
     if (request.deadline)
         session.generation.deadline = call.arrived + *request.deadline;
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -1,12 +1,12 @@
 #include "node/generation_session.h"
 
-#include "core/stable_hash.h"
 #include "node/event_channel.h"
 #include "node/node_metrics.h"
 #include "node/target_directory.h"
 #include "node/task_pool.h"
 #include "node/trace_store.h"
 #include "targets/engine_client.h"
+#include "targets/prompt_blocks.h"
 
 #include <algorithm>
 
@@ -20,24 +20,12 @@
     constexpr std::chrono::milliseconds ReconnectGrace { 3000 }; // callers reconnect within a few seconds or not at all
     constexpr std::chrono::milliseconds ProbeTimeout { 250 };
     constexpr std::chrono::milliseconds CancelTimeout { 1000 };
-    constexpr std::size_t BlockBytes = 256; // about 64 tokens
 
     instant clockNow()
     {
         return std::chrono::steady_clock::now();
     }
 
-    std::vector<block_hash> blockHashes(const std::string& prompt)
-    {
-        std::vector<block_hash> blocks;
-        std::uint64_t chained = 0;
-        for (std::size_t start = 0; start + BlockBytes <= prompt.size(); start += BlockBytes) {
-            chained = stableHash(std::string_view(prompt).substr(start, BlockBytes), chained);
-            blocks.push_back(chained);
-        }
-        return blocks;
-    }
-
     request_priority placementPriority(int priority)
     {
         constexpr int LowestNormal = 3;
@@ -193,7 +181,7 @@
 {
     placement_query query;
     query.work = m_request.generation.model;
-    query.prefixBlocks = blockHashes(m_request.prompt);
+    query.prefixBlocks = promptBlocks(m_request.generation.model, m_request.prompt);
     query.prefixTokens = m_request.generation.promptTokens + action.prefixLength;
     query.priority = placementPriority(m_request.priority);
     query.excluded = action.excluded;
--- a/targets/engine_client.h
+++ b/targets/engine_client.h
@@ -7,7 +7,7 @@
 #include "core/token.h"
 #include "targets/engine_load.h"
 #include "targets/engine_state.h"
-#include "targets/stream_end.h"
+#include "targets/stream_break.h"
 
 #include <chrono>
 #include <cstdint>
@@ -63,7 +63,7 @@
     virtual void done(const attempt_summary& summary) = 0;
 
     /// \param detail for logs
-    virtual void broken(stream_end reason, const std::string& detail) = 0;
+    virtual void broken(stream_break reason, const std::string& detail) = 0;
 };
 
 /// Answer to a health probe.
