Add gossip membership as a state machine

Cause: nodes need each other's state at 370 nodes within 3 KB/s. Change: membership with indirect probes, suspicion, incarnation numbers, at most 8 updates a message, leaving apart from dead, zones and regions as units, and contact of one absent node per sync interval. Faults found by the property test and repaired: two groups that never learned each other stayed apart (seeds are kept and contacted), random choice of the dead node gave no bound (now round-robin), and 15% loss made live nodes dead (a suspect is told at once and probed again). Conclusion: views agree within n + 20 + 5 (n + 2) s of the last fault for up to 12 nodes.

--- /dev/null
+++ b/core/test/membership.cpp
@@ -0,0 +1,219 @@
+// Guards that the nodes' views agree with the facts in bounded time after joins, deaths, pauses and partitions, that no
+// live reachable node stays dead, that leaving differs from dying, and that a healed partition causes no message storm.
+#include "core/test/membership_network.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+using namespace oriolepick;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+void addNodes(membership_network& network, int count, int zones)
+{
+    for (int number = 0; number < count; ++number)
+        network.add("zone-" + std::to_string(number % zones));
+}
+
+void disturb(membership_network& network, seeded_random& random)
+{
+    auto& nodes = network.nodes();
+    const auto index = random.below(nodes.size());
+    switch (random.below(6)) {
+    case 0:
+        if (nodes.size() < 12)
+            network.add("zone-" + std::to_string(random.below(3)));
+        break;
+    case 1:
+        network.stop(index);
+        break;
+    case 2:
+        if (!nodes[index].running)
+            network.start(index);
+        break;
+    case 3:
+        nodes[index].paused = !nodes[index].paused;
+        break;
+    case 4:
+        for (auto& node : nodes)
+            node.group = static_cast<int>(random.below(2));
+        break;
+    default:
+        network.setLoss(0.3 * random.unit());
+    }
+}
+
+template <typename Change> int countOf(const std::vector<membership_action>& actions)
+{
+    return static_cast<int>(std::count_if(
+        actions.begin(), actions.end(), [](const auto& action) { return std::holds_alternative<Change>(action); }));
+}
+
+} // namespace
+
+// The bound: one probe round (n s), suspicion (below 10 s), spreading (below 10 s), and one sync interval (5 s) for
+// each absent node and each of the 3 seeds.
+RC_GTEST_PROP(membership, views_converge_in_bounded_time_after_the_last_fault, (std::uint64_t seed))
+{
+    seeded_random random(seed);
+    membership_network network(random.next());
+    addNodes(network, 4, 3);
+    for (int event = 0; event < 12; ++event) {
+        network.run(milliseconds(random.below(12'000)));
+        disturb(network, random);
+    }
+    network.setLoss(0);
+    for (auto& node : network.nodes()) {
+        node.group = 0;
+        node.paused = false;
+    }
+    if (!network.nodes()[0].running)
+        network.start(0); // at least one seed, or nobody can be found
+    const auto count = static_cast<int>(network.nodes().size());
+    network.run(seconds(count + 20 + 5 * (count + 2)));
+    RC_ASSERT(network.disagreement() == "");
+    network.run(seconds(30));
+    RC_ASSERT(network.disagreement() == "");
+}
+
+TEST(membership, new_node_knows_all_within_three_seconds)
+{
+    membership_network network(1);
+    addNodes(network, 20, 4);
+    network.run(seconds(30));
+    ASSERT_EQ(network.disagreement(), "");
+    const auto joined = network.add("zone-1");
+    network.run(seconds(3));
+    EXPECT_EQ(network.nodes()[joined].state->members().size(), 21u);
+}
+
+TEST(membership, dead_node_is_found_and_its_death_is_not_a_leave)
+{
+    membership_network network(2);
+    addNodes(network, 8, 4);
+    network.run(seconds(20));
+    network.stop(3);
+    network.run(seconds(20));
+    for (std::size_t observer = 0; observer < 8; ++observer) {
+        if (observer != 3) {
+            EXPECT_EQ(network.stateAt(observer, 3), member_state::Dead) << observer;
+        }
+    }
+}
+
+TEST(membership, leaving_node_is_told_apart_from_a_dead_one)
+{
+    membership_network network(3);
+    addNodes(network, 8, 4);
+    network.run(seconds(20));
+    network.leave(5);
+    network.run(seconds(5));
+    for (std::size_t observer = 0; observer < 8; ++observer)
+        EXPECT_EQ(network.stateAt(observer, 5), member_state::Leaving) << observer;
+    const auto usable = network.nodes()[0].state->usableNodes();
+    EXPECT_EQ(std::count(usable.begin(), usable.end(), network.nodes()[5].id), 0);
+    network.stop(5);
+    network.run(seconds(20));
+    for (std::size_t observer = 0; observer < 8; ++observer) {
+        if (observer != 5) {
+            EXPECT_EQ(network.stateAt(observer, 5), member_state::Left) << observer;
+        }
+    }
+}
+
+TEST(membership, lossy_network_does_not_make_a_node_dead)
+{
+    membership_network network(4);
+    addNodes(network, 8, 4);
+    network.run(seconds(20));
+    network.setLoss(0.15);
+    network.run(seconds(120));
+    int deaths = 0;
+    for (std::size_t observer = 0; observer < 8; ++observer) {
+        for (const auto& action : network.changesOf(observer)) {
+            const auto* change = std::get_if<member_changed>(&action);
+            deaths += change && change->state == member_state::Dead ? 1 : 0;
+        }
+    }
+    EXPECT_EQ(deaths, 0);
+}
+
+TEST(membership, paused_node_does_not_suspect_the_others_when_it_wakes)
+{
+    membership_network network(5);
+    addNodes(network, 6, 3);
+    network.run(seconds(20));
+    const auto before = countOf<member_changed>(network.changesOf(2));
+    network.nodes()[2].paused = true;
+    network.run(seconds(40));
+    EXPECT_EQ(network.stateAt(0, 2), member_state::Dead);
+    network.nodes()[2].paused = false;
+    network.run(seconds(20));
+    EXPECT_EQ(network.disagreement(), "");
+    EXPECT_EQ(countOf<member_changed>(network.changesOf(2)), before);
+}
+
+TEST(membership, lost_zone_is_reported_as_a_unit)
+{
+    membership_network network(6);
+    addNodes(network, 8, 4);
+    network.run(seconds(20));
+    network.nodes()[1].group = network.nodes()[5].group = 1;
+    network.run(seconds(20));
+    EXPECT_EQ(countOf<zone_changed>(network.changesOf(0)), 1);
+    EXPECT_EQ(countOf<region_changed>(network.changesOf(0)), 0);
+    EXPECT_FALSE(network.nodes()[0].state->isolated());
+    EXPECT_EQ(countOf<zone_changed>(network.changesOf(1)), 3);
+    network.nodes()[1].group = network.nodes()[5].group = 0;
+    network.run(seconds(40));
+    EXPECT_EQ(countOf<zone_changed>(network.changesOf(0)), 2);
+    EXPECT_EQ(network.disagreement(), "");
+}
+
+TEST(membership, isolated_node_knows_it)
+{
+    membership_network network(7);
+    addNodes(network, 6, 3);
+    network.run(seconds(20));
+    network.nodes()[4].group = 1;
+    network.run(seconds(30));
+    EXPECT_TRUE(network.nodes()[4].state->isolated());
+    EXPECT_FALSE(network.nodes()[0].state->isolated());
+}
+
+// Failure: every node answers the return of the other half at once.
+TEST(membership, healed_partition_converges_without_a_message_storm)
+{
+    membership_network network(8);
+    addNodes(network, 40, 4);
+    network.run(seconds(60));
+    ASSERT_EQ(network.disagreement(), "");
+    for (std::size_t index = 0; index < 40; ++index)
+        network.nodes()[index].group = static_cast<int>(index % 2);
+    network.run(seconds(120));
+    for (auto& node : network.nodes()) {
+        node.group = 0;
+        node.sent = 0;
+    }
+    std::uint64_t most = 0;
+    for (int second = 0; second < 60; ++second) {
+        network.run(seconds(1));
+        for (auto& node : network.nodes())
+            most = std::max(most, std::exchange(node.sent, 0));
+    }
+    EXPECT_EQ(network.disagreement(), "");
+    EXPECT_LE(most, 30u); // messages of one node in one second
+}
+
+TEST(membership, message_with_too_many_updates_is_ignored)
+{
+    membership state({ node_id("a"), {}, {}, member_state::Alive, 1 }, {}, seeded_random(1), instant());
+    membership_message message { { node_id("b"), {}, {}, member_state::Alive, 1 }, ping_message { 1 }, {} };
+    message.updates.resize(MaxUpdatesPerMessage + 1);
+    EXPECT_TRUE(state.receive(message, instant()).empty());
+    EXPECT_EQ(state.members().size(), 1u);
+}
