Run membership, tickets, limits and orders in the daemon

Cause: nodes polled the table alone and knew nothing of each other. Change: control loop with drivers for the failure detector, ticket distribution through peers and table, team grants, and leases with orders; the table-only poller is gone. Before: tickets by polling only. Conclusion: the control plane runs; requests are not yet limited or queued.

--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -4,22 +4,30 @@
 #include "core/fleet_state.h"
 #include "node/authenticator.h"
 #include "node/completions_endpoint.h"
+#include "node/control_loop.h"
 #include "node/cursor_codec.h"
 #include "node/http_edge.h"
+#include "node/limits_driver.h"
 #include "node/locked_admission.h"
+#include "node/membership_driver.h"
 #include "node/node_log.h"
 #include "node/node_metrics.h"
 #include "node/node_status.h"
 #include "node/operator_endpoint.h"
+#include "node/order_driver.h"
+#include "node/peer_hub.h"
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
 #include "node/target_poller.h"
 #include "node/task_pool.h"
-#include "node/ticket_poller.h"
+#include "node/ticket_driver.h"
 #include "node/trace_store.h"
 #include "platform/http_instance_list.h"
+#include "platform/http_object_store.h"
 #include "platform/http_table_service.h"
+#include "platform/ticket_store.h"
 #include "targets/http_engine_client.h"
+#include "wire/zmq_peer_transport.h"
 
 #include <csignal>
 #include <optional>
@@ -38,12 +46,30 @@
     constexpr std::chrono::milliseconds TargetPollTimeout { 500 };
     constexpr std::chrono::milliseconds DrainCheckPeriod { 50 };
 
-    /// Unique to this process start: attempts and claims of an earlier process with the same name stay apart.
-    std::string incarnationName(const std::string& nodeName)
+    /// Higher at each start of a process with the same name, so that attempts, claims and membership of an earlier
+    /// process
+    /// stay apart.
+    std::uint64_t processIncarnation()
     {
         const auto now = std::chrono::system_clock::now().time_since_epoch();
-        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-        return nodeName + "-" + std::to_string(milliseconds);
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    }
+
+    std::vector<node_id> seedNodes(const settings& configuration)
+    {
+        std::vector<node_id> seeds;
+        for (const auto& address : configuration.peersSeeds) {
+            if (address != configuration.peersListen)
+                seeds.emplace_back(address);
+        }
+        return seeds;
+    }
+
+    ticket_distributor_settings distributionSettings(const settings& configuration)
+    {
+        ticket_distributor_settings distribution;
+        distribution.shortestPoll = configuration.ticketPollInterval;
+        return distribution;
     }
 
     std::uint64_t processSeed()
@@ -56,8 +82,10 @@
 
 struct daemon::parts {
     explicit parts(const settings& configuration)
-        : origin(incarnationName(configuration.nodeName))
+        : incarnation(processIncarnation())
+        , origin(configuration.nodeName + "-" + std::to_string(incarnation))
         , table("http://" + configuration.platformAddress)
+        , objects("http://" + configuration.platformAddress)
         , instances("http://" + configuration.platformAddress)
         , traces(TracedRequests)
         , targets(node_id(configuration.peersListen), configuration.zone, configuration.region,
@@ -69,16 +97,34 @@
         , completions(origin, states, callers, cursors, configuration.cursorLifetime,
               session_services { engines, targets, tasks, metrics, traces, admission })
         , operators(configuration, states, targets, traces, status, [] { kill(getpid(), SIGTERM); })
+        , transport(configuration.peersListen)
+        , peers(node_id(configuration.peersListen), incarnation, transport, loop, states, metrics)
+        , tickets(table, objects, configuration.platformTimeout)
+        , members(
+              configuration.zone, configuration.region, seedNodes(configuration), processSeed(), peers, loop, metrics)
+        , ticketDriver(
+              tickets, states, status, peers, loop, tasks, metrics, distributionSettings(configuration), processSeed())
+        , limitsDriver(limits, peers, loop)
+        , orders(origin, table, engines, targets, states, loop, tasks, metrics, configuration.platformTimeout)
         , edge(configuration, edge_services { completions, operators, callers, metrics, status })
     {
-        states.addListener([this](const auto& state) { targets.applyState(state); });
+        states.addListener([this](const auto& state) {
+            targets.applyState(state);
+            limitsDriver.applyState(state, std::chrono::steady_clock::now());
+        });
+        members.addListener([this](const auto& usable, instant now) {
+            ticketDriver.setPeers(usable);
+            limitsDriver.setNodes(usable, now);
+        });
     }
 
+    std::uint64_t incarnation;
     std::string origin;
     node_metrics metrics;
     node_status status;
     state_keeper states;
     http_table_service table;
+    http_object_store objects;
     http_instance_list instances;
     http_engine_client engines;
     trace_store traces;
@@ -89,8 +135,16 @@
     cursor_codec cursors;
     completions_endpoint completions;
     operator_endpoint operators;
+    zmq_peer_transport transport;
+    control_loop loop;
+    peer_hub peers;
+    ticket_store tickets;
+    team_limits limits;
+    membership_driver members;
+    ticket_driver ticketDriver;
+    limits_driver limitsDriver;
+    order_driver orders;
     http_edge edge;
-    std::optional<ticket_poller> ticketPoller;
     std::optional<target_poller> targetPoller;
     std::thread server;
 };
@@ -108,8 +162,8 @@
     const auto bound = m_parts->edge.bind();
     if (!bound)
         return bound.error();
-    m_parts->ticketPoller.emplace(m_parts->table, m_parts->states, m_parts->status, m_parts->metrics,
-        m_settings.ticketPollInterval, m_settings.platformTimeout);
+    m_parts->loop.start();
+    m_parts->peers.start();
     m_parts->targetPoller.emplace(m_parts->engines, m_parts->instances, m_parts->targets, m_parts->tasks,
         m_parts->metrics, TargetPollPeriod, TargetPollTimeout);
     m_parts->server = std::thread([this] { m_parts->edge.serve(); });
@@ -122,6 +176,10 @@
     auto& status = m_parts->status;
     status.draining = true;
     logInfo("node", { { "to", "draining" }, { "open", std::to_string(status.openRequests.load()) } });
+    m_parts->loop.post([this](instant now) {
+        m_parts->orders.stop();
+        m_parts->members.leave(now);
+    });
     const auto limit = std::chrono::steady_clock::now() + m_settings.drainTimeout;
     while (status.openRequests > 0 && std::chrono::steady_clock::now() < limit)
         std::this_thread::sleep_for(DrainCheckPeriod);
@@ -129,7 +187,10 @@
     m_parts->edge.stop();
     m_parts->server.join();
     m_parts->targetPoller.reset();
-    m_parts->ticketPoller.reset();
+    // Tasks refer to parts that are destroyed before the pool.
+    m_parts->tasks.stop();
+    m_parts->transport.stop();
+    m_parts->loop.stop();
     logInfo("node", { { "to", "stopped" }, { "finished", finished ? "all" : "not all" } });
     return finished;
 }
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -331,7 +331,7 @@
 void generation_session::run(const report_crash& action)
 {
     trace("target lost target=" + action.target.text());
-    m_services.targets.setSuspected(action.target, true);
+    m_services.targets.recordUnreachable(action.target);
 }
 
 void generation_session::run(const count& action)
--- /dev/null
+++ b/node/peer_hub.cpp
@@ -0,0 +1,67 @@
+#include "node/peer_hub.h"
+
+#include "core/fleet_state.h"
+#include "node/control_loop.h"
+#include "node/node_metrics.h"
+#include "node/state_keeper.h"
+#include "wire/messages.pb.h"
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr std::size_t MaximumSenderBytes = 64;
+
+} // namespace
+
+peer_hub::peer_hub(node_id self, std::uint64_t incarnation, peer_transport& transport, control_loop& loop,
+    const state_keeper& states, node_metrics& metrics)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_transport(transport)
+    , m_loop(loop)
+    , m_states(states)
+    , m_metrics(metrics)
+{
+}
+
+void peer_hub::handle(int bodyCase, handler onMessage)
+{
+    m_handlers[bodyCase] = std::move(onMessage);
+}
+
+void peer_hub::watchNumbers(std::function<void(const node_id&, std::uint64_t, instant)> watcher)
+{
+    m_numberWatcher = std::move(watcher);
+}
+
+void peer_hub::start()
+{
+    m_transport.start([this](const wire::envelope& message) {
+        m_loop.post([this, message](instant now) { dispatch(message, now); });
+    });
+}
+
+void peer_hub::send(const node_id& peer, wire::envelope&& message)
+{
+    message.set_sender(m_self.value());
+    message.set_incarnation(m_incarnation);
+    message.set_ticket_number(m_states.current()->number());
+    m_transport.send(peer, message);
+}
+
+void peer_hub::dispatch(const wire::envelope& message, instant now)
+{
+    if (message.sender().size() > MaximumSenderBytes || message.sender() == m_self.value())
+        return;
+    const node_id sender(message.sender());
+    const auto found = m_handlers.find(message.body_case());
+    if (found == m_handlers.end() || !found->second(sender, message, now)) {
+        m_metrics.add(counter_metric::BadInput, { { "entrance", "peers" } });
+        return;
+    }
+    if (m_numberWatcher)
+        m_numberWatcher(sender, message.ticket_number(), now);
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/node/peer_hub.h
@@ -0,0 +1,58 @@
+/// \file
+/// Messages to and from other nodes: stamps outgoing envelopes and hands incoming ones to the control parts on the
+/// control loop.
+#pragma once
+
+#include "core/instant.h"
+#include "core/names.h"
+#include "wire/peer_transport.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace oriolepick {
+
+class control_loop;
+class node_metrics;
+class state_keeper;
+
+class peer_hub {
+public:
+    /// Handles one kind of message on the control loop.
+    /// \return false when the message is malformed
+    using handler = std::function<bool(const node_id& sender, const wire::envelope& message, instant now)>;
+
+    peer_hub(node_id self, std::uint64_t incarnation, peer_transport& transport, control_loop& loop,
+        const state_keeper& states, node_metrics& metrics);
+
+    /// Registers the handler of one body case; called before start().
+    /// \param bodyCase value of wire::envelope::BodyCase
+    void handle(int bodyCase, handler onMessage);
+
+    /// Registers a function that sees the ticket number which every message carries.
+    void watchNumbers(std::function<void(const node_id& sender, std::uint64_t number, instant now)> watcher);
+
+    void start();
+
+    /// Sends a message; sender, incarnation and ticket number are filled in here.
+    void send(const node_id& peer, wire::envelope&& message);
+
+    const node_id& self() const { return m_self; }
+    std::uint64_t incarnation() const { return m_incarnation; }
+
+private:
+    void dispatch(const wire::envelope& message, instant now);
+
+    node_id m_self;
+    std::uint64_t m_incarnation;
+    peer_transport& m_transport;
+    control_loop& m_loop;
+    const state_keeper& m_states;
+    node_metrics& m_metrics;
+    std::map<int, handler> m_handlers;
+    std::function<void(const node_id&, std::uint64_t, instant)> m_numberWatcher;
+};
+
+} // namespace oriolepick
--- a/node/target_directory.cpp
+++ b/node/target_directory.cpp
@@ -53,12 +53,14 @@
     }
 }
 
-void target_directory::recordEngineState(const target_id& target, const std::vector<model_ref>& loaded, bool draining)
+void target_directory::recordEngineState(const target_id& target, const engine_state& state)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     const auto record = m_records.find(target);
     if (record == m_records.end())
         return;
+    const auto& loaded = state.loaded;
+    record->second.observed = state;
     record->second.loaded = loaded;
     auto& profile = record->second.profile;
     profile.model.reset();
@@ -72,16 +74,26 @@
     }
     m_view.setTarget(profile);
     m_view.setSuspected(target, false);
-    if (draining)
+    if (state.draining)
         m_view.markLeaving(target, leaving_source::Target);
     else
         m_view.clearLeaving(target, leaving_source::Target);
 }
 
-void target_directory::setSuspected(const target_id& target, bool suspected)
+void target_directory::recordUnreachable(const target_id& target)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    m_view.setSuspected(target, suspected);
+    const auto record = m_records.find(target);
+    if (record != m_records.end())
+        record->second.observed.reset();
+    m_view.setSuspected(target, true);
+}
+
+std::optional<engine_state> target_directory::observed(const target_id& target) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto record = m_records.find(target);
+    return record == m_records.end() ? std::nullopt : record->second.observed;
 }
 
 void target_directory::setLeavingAddresses(const std::vector<std::string>& addresses)
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -6,6 +6,7 @@
 #include "core/load_view.h"
 #include "core/placement.h"
 #include "core/stall_detector.h"
+#include "targets/engine_state.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -42,11 +43,14 @@
     /// Takes over targets, membership of deployments and leaving marks of the state in force.
     void applyState(const std::shared_ptr<const fleet_state>& state);
 
-    /// Records what an engine reports as loaded, and whether it drains.
-    void recordEngineState(const target_id& target, const std::vector<model_ref>& loaded, bool draining);
+    /// Records what an engine reports about itself.
+    void recordEngineState(const target_id& target, const engine_state& state);
 
-    /// Marks or unmarks a target as unreachable.
-    void setSuspected(const target_id& target, bool suspected);
+    /// \return the last report of an engine, nothing when its last poll failed
+    std::optional<engine_state> observed(const target_id& target) const;
+
+    /// Marks a target as unreachable until its next report.
+    void recordUnreachable(const target_id& target);
 
     /// Takes over the platform's list of leaving addresses.
     void setLeavingAddresses(const std::vector<std::string>& addresses);
@@ -80,7 +84,8 @@
         std::string address;
         target_profile profile;
         bool engine = true;
-        std::vector<model_ref> loaded;
+        std::optional<engine_state> observed;
+        std::vector<model_ref> loaded; ///< of the last report, kept while the target cannot be reached
     };
 
     bool hasLoaded(const target_id& target, const model_ref& model) const;
--- a/node/target_poller.cpp
+++ b/node/target_poller.cpp
@@ -74,9 +74,9 @@
 {
     const auto state = m_engines.readState(address, m_timeout);
     if (state)
-        m_targets.recordEngineState(target, state.value().loaded, state.value().draining);
+        m_targets.recordEngineState(target, state.value());
     else
-        m_targets.setSuspected(target, true);
+        m_targets.recordUnreachable(target);
     recordReachable(target, state.has_value());
 }
 
--- a/node/task_pool.cpp
+++ b/node/task_pool.cpp
@@ -10,6 +10,11 @@
 }
 
 task_pool::~task_pool()
+{
+    stop();
+}
+
+void task_pool::stop()
 {
     {
         std::lock_guard<std::mutex> lock(m_mutex);
@@ -18,6 +23,7 @@
     m_changed.notify_all();
     for (auto& thread : m_threads)
         thread.join();
+    m_threads.clear();
 }
 
 bool task_pool::submit(std::function<void()> task)
--- a/node/task_pool.h
+++ b/node/task_pool.h
@@ -19,7 +19,6 @@
     /// \param capacity tasks that may wait; more are dropped
     task_pool(std::size_t threads, std::size_t capacity);
 
-    /// Runs the waiting tasks and ends the threads.
     ~task_pool();
     task_pool(const task_pool&) = delete;
     task_pool& operator=(const task_pool&) = delete;
@@ -27,6 +26,9 @@
     /// \return false when the queue is full and the task was dropped
     bool submit(std::function<void()> task);
 
+    /// Runs the waiting tasks and ends the threads; later tasks are dropped.
+    void stop();
+
 private:
     void work();
 
--- /dev/null
+++ b/node/ticket_driver.cpp
@@ -0,0 +1,207 @@
+#include "node/ticket_driver.h"
+
+#include "config/snapshot_json.h"
+#include "config/ticket_json.h"
+#include "core/fleet_state.h"
+#include "core/grant_owner.h"
+#include "core/ticket_compaction.h"
+#include "node/control_loop.h"
+#include "node/node_log.h"
+#include "node/node_metrics.h"
+#include "node/node_status.h"
+#include "node/peer_hub.h"
+#include "node/state_keeper.h"
+#include "node/task_pool.h"
+#include "platform/ticket_store.h"
+#include "wire/messages.pb.h"
+#include "wire/ticket_codec.h"
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr std::chrono::milliseconds TickPeriod { 50 };
+
+} // namespace
+
+ticket_driver::ticket_driver(ticket_store& store, state_keeper& states, node_status& status, peer_hub& peers,
+    control_loop& loop, task_pool& tasks, node_metrics& metrics, const ticket_distributor_settings& settings,
+    std::uint64_t seed)
+    : m_store(store)
+    , m_states(states)
+    , m_status(status)
+    , m_peers(peers)
+    , m_loop(loop)
+    , m_tasks(tasks)
+    , m_metrics(metrics)
+    , m_distributor(settings, seeded_random(seed))
+{
+    peers.handle(
+        wire::envelope::kTicketAnnounce, [this](const node_id& sender, const wire::envelope& message, instant now) {
+            execute(m_distributor.numberSeen(now, sender, message.ticket_announce().number()), now);
+            return true;
+        });
+    peers.handle(
+        wire::envelope::kTicketFetch, [this](const node_id& sender, const wire::envelope& message, instant now) {
+            execute(m_distributor.fetchRequested(sender, message.ticket_fetch().after()), now);
+            return true;
+        });
+    peers.handle(
+        wire::envelope::kTicketBatch, [this](const node_id& sender, const wire::envelope& message, instant now) {
+            auto batch = decode(message.ticket_batch());
+            if (batch)
+                execute(m_distributor.batchArrived(now, sender, *std::move(batch)), now);
+            return batch.has_value();
+        });
+    peers.watchNumbers([this](const node_id& sender, std::uint64_t number, instant now) {
+        execute(m_distributor.numberSeen(now, sender, number), now);
+    });
+    loop.every(TickPeriod, [this](instant now) {
+        if (now >= m_distributor.nextWake())
+            execute(m_distributor.wake(now), now);
+    });
+}
+
+void ticket_driver::setPeers(const std::vector<node_id>& usable)
+{
+    m_usable = usable;
+    std::vector<node_id> others;
+    for (const auto& node : usable) {
+        if (node != m_peers.self())
+            others.push_back(node);
+    }
+    m_distributor.setPeers(std::move(others));
+}
+
+void ticket_driver::execute(const ticket_distributor::actions& actions, instant now)
+{
+    m_now = now;
+    for (const auto& action : actions)
+        std::visit([this](const auto& typed) { run(typed); }, action);
+    if (m_distributor.ready() && !m_status.ready.exchange(true)) {
+        logInfo("node", { { "to", "ready" }, { "ticket", std::to_string(m_distributor.number()) } });
+        m_metrics.set(gauge_metric::Ready, {}, 1);
+    }
+}
+
+void ticket_driver::run(const ticket_distributor::announce& action)
+{
+    wire::envelope message;
+    message.mutable_ticket_announce()->set_number(action.number);
+    m_peers.send(action.peer, std::move(message));
+}
+
+void ticket_driver::run(const ticket_distributor::fetch& action)
+{
+    wire::envelope message;
+    message.mutable_ticket_fetch()->set_after(action.after);
+    m_peers.send(action.peer, std::move(message));
+}
+
+void ticket_driver::run(const ticket_distributor::send_batch& action)
+{
+    wire::envelope message;
+    encode(action.batch, *message.mutable_ticket_batch());
+    m_peers.send(action.peer, std::move(message));
+}
+
+void ticket_driver::run(const ticket_distributor::send_snapshot& action)
+{
+    const auto state = m_states.current();
+    ticket_batch batch;
+    batch.snapshotNumber = state->number();
+    batch.snapshot = encodeSnapshot(*state);
+    batch.first = state->number() + 1;
+    batch.headNumber = state->number();
+    run(ticket_distributor::send_batch { action.peer, std::move(batch) });
+}
+
+void ticket_driver::run(const ticket_distributor::read_head&)
+{
+    m_tasks.submit([this] {
+        const auto head = m_store.readHead();
+        m_loop.post([this, head](instant now) {
+            countOperation("ticket_head", head.has_value());
+            execute(m_distributor.headRead(now, head ? std::optional<std::uint64_t>(head.value()) : std::nullopt), now);
+        });
+    });
+}
+
+void ticket_driver::run(const ticket_distributor::read_tail& action)
+{
+    m_tasks.submit([this, after = action.after] {
+        auto batch = m_store.readTail(after);
+        m_loop.post([this, batch = std::move(batch)](instant now) {
+            countOperation("ticket_tail", batch.has_value());
+            execute(
+                m_distributor.platformBatchRead(now, batch ? std::optional<ticket_batch>(batch.value()) : std::nullopt),
+                now);
+        });
+    });
+}
+
+std::shared_ptr<const fleet_state> ticket_driver::fold(const ticket_batch& batch) const
+{
+    auto state = m_states.current();
+    if (batch.snapshotNumber > state->number()) {
+        auto restored = parseSnapshot(batch.snapshot);
+        if (!restored || restored.value()->number() != batch.snapshotNumber)
+            return nullptr;
+        state = restored.value();
+    }
+    std::vector<ticket> tickets;
+    for (const auto& text : batch.tickets) {
+        auto parsed = parseTicket(text);
+        if (!parsed.value)
+            return nullptr;
+        if (parsed.value->number <= state->number())
+            continue;
+        if (parsed.value->number != state->number() + tickets.size() + 1)
+            return nullptr;
+        tickets.push_back(std::move(*parsed.value));
+    }
+    return tickets.empty() ? state : state->after(tickets);
+}
+
+void ticket_driver::run(const ticket_distributor::apply_batch& action)
+{
+    const auto next = fold(action.batch);
+    if (!next) {
+        // An unreadable ticket is not skipped, because later tickets build on it; it is asked for again.
+        m_metrics.add(counter_metric::BadInput, { { "entrance", "tickets" } });
+        return;
+    }
+    publish(next);
+    execute(m_distributor.applied(next->number()), m_now);
+}
+
+void ticket_driver::publish(const std::shared_ptr<const fleet_state>& next)
+{
+    if (!m_states.publish(next))
+        return;
+    m_metrics.set(gauge_metric::TicketInForce, {}, static_cast<double>(next->number()));
+    logInfo("ticket in force", { { "ticket", std::to_string(next->number()) } });
+    maybeCompact(next);
+}
+
+void ticket_driver::maybeCompact(const std::shared_ptr<const fleet_state>& state)
+{
+    if (state->number() < m_compactedAt + TicketsPerSnapshot)
+        return;
+    m_compactedAt = state->number();
+    // One node writes, chosen like the owner of a grant. When it dies first, the next snapshot is due soon anyway.
+    if (grantOwnerOf(team_id(fleet_name("system"), "snapshots"), m_usable) != m_peers.self())
+        return;
+    m_tasks.submit([this, state] {
+        const auto written = m_store.compact(state->number(), encodeSnapshot(*state));
+        m_loop.post([this, written](instant) { countOperation("ticket_snapshot", written.has_value()); });
+    });
+}
+
+void ticket_driver::countOperation(const char* operation, bool succeeded)
+{
+    m_metrics.add(
+        counter_metric::PlatformOperations, { { "operation", operation }, { "outcome", succeeded ? "ok" : "failed" } });
+}
+
+} // namespace oriolepick
