--- a/core/generation.cpp
+++ b/core/generation.cpp
@@ -45,8 +45,9 @@
     , m_admission(admission)
     , m_paces(paces)
 {
-    // A cursor proves that an attempt ran before, so no answer to its holder may say "not run".
-    if (m_request.resume)
+    // A cursor proves that an attempt ran before, and an earlier send of a retried request may have been dispatched, so
+    // no answer to either may say "not run".
+    if (m_request.resume || m_request.callerRetry)
         m_mayHaveRun = 1;
 }
 
--- a/core/test/fake_world.h
+++ b/core/test/fake_world.h
@@ -103,6 +103,11 @@
             faults.begin(), faults.end(), [kind](auto& plan) { return plan.fired && plan.kind == kind; });
     }
     void apply(fault kind);
+    /// Plans a fault at a time after the start instead of at a step.
+    void applyAt(milliseconds offset, fault kind)
+    {
+        at(m_now + offset, [this, kind] { apply(kind); });
+    }
     int runningAttempts() const;
 
 private:
--- a/core/test/fake_world_impl.h
+++ b/core/test/fake_world_impl.h
@@ -180,6 +180,7 @@
         return; // the caller has its answer and does not reconnect
     ++m_node;
     request.attemptOrigin = "node" + std::to_string(m_node);
+    request.callerRetry = received.empty();
     if (!received.empty()) {
         resume_point resume { m_cursorAttempt, m_cursorTarget, static_cast<std::uint32_t>(received.size()),
             digestOf(received), std::nullopt };
