--- /dev/null
+++ b/tool/http_node_reader.cpp
@@ -0,0 +1,36 @@
+#include "tool/http_node_reader.h"
+
+#include <httplib.h>
+
+namespace oriolepick {
+
+http_node_reader::http_node_reader(std::chrono::milliseconds timeout)
+    : m_timeout(timeout)
+{
+}
+
+result<std::string> http_node_reader::inForce(const std::string& address, const std::string& token, bool numberOnly)
+{
+    const bool hasScheme = address.find("://") != std::string::npos;
+    httplib::Client client(hasScheme ? address : "http://" + address);
+    client.set_connection_timeout(m_timeout);
+    client.set_read_timeout(m_timeout);
+    client.set_write_timeout(m_timeout);
+    httplib::Headers headers;
+    if (!token.empty())
+        headers.emplace("Authorization", "Bearer " + token);
+    const auto response = client.Get(numberOnly ? "/v1/admin/in-force?number_only=1" : "/v1/admin/in-force", headers);
+    if (!response)
+        return error { error_kind::TargetFailed,
+            "node " + address + " does not answer: " + httplib::to_string(response.error()) };
+    if (response->status == 200)
+        return response->body;
+    if (response->status == answerFor(error_kind::Unauthorized).status)
+        return error { error_kind::Unauthorized, "node " + address + " rejects the operators' token" };
+    if (response->status == answerFor(error_kind::NodeNotReady).status)
+        return error { error_kind::NodeNotReady, "node " + address + " does not know the state in force yet" };
+    return error { error_kind::TargetFailed,
+        "node " + address + " answered status " + std::to_string(response->status) };
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/tool/state_reader.h
@@ -0,0 +1,19 @@
+/// \file
+/// The fold of accepted tickets, read from the platform.
+#pragma once
+
+#include "core/error.h"
+#include "core/fleet_state.h"
+#include "platform/ticket_store.h"
+
+#include <memory>
+#include <optional>
+
+namespace oriolepick {
+
+/// Folds the tickets in the platform.
+/// \param at the number to fold up to; nothing for the last accepted
+/// \return the state, or PlatformUnavailable, or BadRequest when the number is not accepted or compacted
+result<std::shared_ptr<const fleet_state>> readStateAt(const ticket_store& store, std::optional<ticket_number> at);
+
+} // namespace oriolepick
