--- a/config/snapshot_json.h
+++ b/config/snapshot_json.h
@@ -11,7 +11,7 @@
 
 namespace oriolepick {
 
-constexpr std::size_t MaxSnapshotBytes = 64 * 1'048'576; ///< 12,000 targets take about 3 MB
+constexpr std::size_t MaxSnapshotBytes = 67'108'864; ///< 12,000 targets take about 3 MB
 
 /// \return the canonical JSON of \p state: equal states give equal texts
 std::string encodeSnapshot(const fleet_state& state);
--- a/config/ticket_json.cpp
+++ b/config/ticket_json.cpp
@@ -91,6 +91,7 @@
         if (kind || word.empty())
             return kind;
         std::vector<std::string> known;
+        known.reserve(KindCount);
         for (int index = 0; index < KindCount; ++index)
             known.emplace_back(toString(static_cast<object_kind>(index)));
         const auto nearest = nearestName(word, known);
--- /dev/null
+++ b/core/test/lease_keeper.cpp
@@ -0,0 +1,166 @@
+// Guards that two nodes never believe at the same time to hold one lease and that no fencing number serves two
+// holders, whatever the pauses, lost answers and delayed commits.
+#include "core/lease_keeper.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <map>
+#include <vector>
+
+using namespace oriolepick;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// One row with the table's conditional commit.
+struct lease_table {
+    std::optional<table_row> row;
+
+    bool commit(const table_transaction& transaction)
+    {
+        const auto& expected = transaction.conditions.at(0).version;
+        if (expected.has_value() != row.has_value() || (row && row->version != *expected))
+            return false;
+        row = table_row { transaction.writes.at(0).key, *transaction.writes.at(0).value,
+            row ? row->version + 1 : std::uint64_t { 7 } };
+        return true;
+    }
+};
+
+class lease_world {
+public:
+    static constexpr unsigned NodeCount = 3;
+
+    lease_world()
+    {
+        for (unsigned index = 0; index < NodeCount; ++index)
+            m_keepers.emplace_back("one/d/z", "node" + std::to_string(index), lease_settings {});
+    }
+
+    /// \param kind 0: node works; 1: its answer is lost; 2: its commit is delayed; 3: time; 4: a delayed commit lands
+    void run(unsigned kind, unsigned node, unsigned amount)
+    {
+        m_now += milliseconds(kind == 3 ? 200 + amount * 20 : 50);
+        if (kind == 4 && !m_delayed.empty()) {
+            m_table.commit(m_delayed.front());
+            m_delayed.erase(m_delayed.begin());
+        } else if (kind < 3)
+            work(m_keepers[node % NodeCount], kind, amount);
+        check();
+    }
+
+    void settle()
+    {
+        m_delayed.clear();
+        for (int round = 0; round < 200; ++round) {
+            m_now += milliseconds(500);
+            for (auto& keeper : m_keepers)
+                work(keeper, 0, 0);
+            check();
+        }
+    }
+
+    unsigned holders() const
+    {
+        unsigned count = 0;
+        for (const auto& keeper : m_keepers)
+            count += keeper.fencing(m_now) ? 1 : 0;
+        return count;
+    }
+
+private:
+    void work(lease_keeper& keeper, unsigned fault, unsigned amount)
+    {
+        const auto action = keeper.wake(m_now);
+        if (!action)
+            return;
+        const error lost { error_kind::PlatformUnknown, "lost" };
+        if (std::holds_alternative<lease_keeper::read_row>(*action)) {
+            const auto row = m_table.row;
+            m_now += milliseconds(amount); // the node may be paused before it sees the answer
+            if (fault)
+                keeper.rowRead(m_now, error { error_kind::PlatformUnavailable, "down" });
+            else
+                keeper.rowRead(m_now, row);
+            return;
+        }
+        const auto& transaction = std::get<lease_keeper::commit_rows>(*action).transaction;
+        if (fault == 2) {
+            m_delayed.push_back(transaction);
+            return keeper.committed(m_now, lost);
+        }
+        const table_outcome outcome { m_table.commit(transaction), {} };
+        m_now += milliseconds(amount);
+        if (fault == 1)
+            keeper.committed(m_now, lost);
+        else
+            keeper.committed(m_now, outcome);
+    }
+
+    void check()
+    {
+        RC_ASSERT(holders() <= 1);
+        for (unsigned index = 0; index < NodeCount; ++index) {
+            if (const auto fencing = m_keepers[index].fencing(m_now)) {
+                const auto [entry, added] = m_holderOf.emplace(*fencing, index);
+                RC_ASSERT(entry->second == index);
+                RC_ASSERT(*fencing >= m_highest);
+                m_highest = *fencing;
+            }
+        }
+    }
+
+    instant m_now { std::chrono::hours(1) };
+    lease_table m_table;
+    std::vector<table_transaction> m_delayed;
+    std::vector<lease_keeper> m_keepers;
+    std::map<std::uint64_t, unsigned> m_holderOf;
+    std::uint64_t m_highest = 0;
+};
+
+} // namespace
+
+TEST(lease_keeper, at_most_one_holder_and_every_fencing_number_has_one_holder)
+{
+    EXPECT_TRUE(rc::check("random pauses and lost answers", [] {
+        using step = std::tuple<unsigned, unsigned, unsigned>;
+        const auto steps = *rc::gen::scale(4.0,
+            rc::gen::container<std::vector<step>>(rc::gen::tuple(rc::gen::resize(100, rc::gen::inRange(0u, 5u)),
+                rc::gen::resize(100, rc::gen::inRange(0u, 3u)), rc::gen::resize(100, rc::gen::inRange(0u, 700u)))));
+        lease_world world;
+        for (const auto& [kind, node, amount] : steps)
+            world.run(kind, node, amount);
+        world.settle();
+        RC_ASSERT(world.holders() == 1u);
+    }));
+}
+
+TEST(lease_keeper, a_paused_holder_stops_before_another_takes_over_with_a_higher_number)
+{
+    lease_table table;
+    lease_keeper first("g", "a", {});
+    lease_keeper second("g", "b", {});
+    instant now { std::chrono::hours(1) };
+    const auto work = [&](lease_keeper& keeper) {
+        const auto action = keeper.wake(now);
+        if (!action)
+            return;
+        if (std::holds_alternative<lease_keeper::read_row>(*action))
+            keeper.rowRead(now, table.row);
+        else
+            keeper.committed(
+                now, table_outcome { table.commit(std::get<lease_keeper::commit_rows>(*action).transaction), {} });
+    };
+    work(first);
+    work(first);
+    ASSERT_EQ(first.fencing(now), 1u);
+    for (int round = 0; round < 30; ++round) { // the first is paused and does nothing
+        work(second);
+        now += milliseconds(500);
+        EXPECT_FALSE(first.fencing(now) && second.fencing(now));
+    }
+    EXPECT_EQ(second.fencing(now), 2u);
+    EXPECT_FALSE(first.fencing(now));
+}
--- a/core/ticket_compaction.cpp
+++ b/core/ticket_compaction.cpp
@@ -23,9 +23,10 @@
     return absl::StrCat("snapshot/", absl::Dec(number, absl::kZeroPad12));
 }
 
-ticket_compaction::ticket_compaction(ticket_number number, std::string bytes)
+ticket_compaction::ticket_compaction(ticket_number number, std::string bytes, ticket_number ticketsPerSnapshot)
     : m_number(number)
     , m_bytes(std::move(bytes))
+    , m_ticketsPerSnapshot(ticketsPerSnapshot)
     , m_action(read_pointer {})
 {
 }
@@ -41,7 +42,7 @@
             return finish(error { error_kind::Internal, "row snapshot-head holds '" + m_pointerRow->value + "'" });
         m_before = *parsed;
     }
-    if (m_number < m_before.last + TicketsPerSnapshot)
+    if (m_number < m_before.last + m_ticketsPerSnapshot)
         return finish(std::nullopt);
     m_action = put_snapshot { snapshotObjectName(m_number), std::move(m_bytes) };
 }
--- a/core/ticket_compaction.h
+++ b/core/ticket_compaction.h
@@ -61,7 +61,8 @@
 
     /// \param number the snapshot's number
     /// \param bytes the encoded state after ticket \p number
-    ticket_compaction(ticket_number number, std::string bytes);
+    /// \param ticketsPerSnapshot least distance from the snapshot before
+    ticket_compaction(ticket_number number, std::string bytes, ticket_number ticketsPerSnapshot = TicketsPerSnapshot);
 
     const action& next() const { return m_action; }
 
@@ -76,6 +77,7 @@
 
     ticket_number m_number;
     std::string m_bytes;
+    ticket_number m_ticketsPerSnapshot;
     action m_action;
     std::optional<table_row> m_pointerRow;
     snapshot_pointer m_before;
--- a/tool/ticket_filing.cpp
+++ b/tool/ticket_filing.cpp
@@ -15,6 +15,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds PollEvery { 200 };
+    constexpr std::chrono::milliseconds PauseAfterFailure { 250 }; // nine failures in a row take about 2 s
     // The pointer row is read at every 50th ticket only: a snapshot that is up to 50 tickets late costs nothing.
     constexpr ticket_number SnapshotCheckEvery = 50;
 
@@ -80,15 +81,17 @@
                             << "\n";
     }
 
-    result<submission_report> submit(const ticket& change, ticket_store& store)
+    result<submission_report> submit(const ticket& change, ticket_store& store, tool_environment& environment)
     {
         return store.submit(
-            change.number, encodeTicket(change), [&](ticket_number before) -> result<std::vector<field_error>> {
+            change.number, encodeTicket(change),
+            [&](ticket_number before) -> result<std::vector<field_error>> {
                 const auto state = readStateAt(store, before);
                 if (!state)
                     return state.error();
                 return validate(change, *state.value());
-            });
+            },
+            [&] { environment.sleep(PauseAfterFailure); });
     }
 
 } // namespace
@@ -96,7 +99,7 @@
 exit_code fileTicket(const filing_request& request, ticket_store& store, bool json, tool_environment& environment)
 {
     const auto number = request.change.number;
-    const auto submitted = submit(request.change, store);
+    const auto submitted = submit(request.change, store, environment);
     if (!submitted)
         return reportFailure(submitted.error(), json, environment);
     if (!json)
