--- a/core/order_planner.cpp
+++ b/core/order_planner.cpp
@@ -98,7 +98,7 @@
     double out = 0;
     for (const auto& target : targets) {
         total += target.capacity;
-        out += inService(target) ? 0 : target.capacity;
+        out += inService(target) && !drainGiven(target.target) ? 0 : target.capacity;
     }
     const bool waitsForZone = earlierZoneChanges(targets, zone);
     std::vector<target_order> orders;
@@ -113,10 +113,9 @@
         }
         order->fencing = authority.fencing;
         order->ticket = authority.ticket;
-        const bool takesOut = order->kind == order_kind::Drain && inService(target);
+        const bool takesOut = order->kind == order_kind::Drain && inService(target) && !drainGiven(target.target);
         if (takesOut && (waitsForZone || (out > 0 && out + target.capacity > changeShare * total)))
             continue;
-        // A drain counts from its decision, whether or not it is repeated: the report that shows it comes later.
         if (takesOut)
             out += target.capacity;
         if (!mayRepeat(now, *order) || (order->kind == order_kind::Load && !takeLoadToken(now)))
@@ -127,6 +126,13 @@
     return orders;
 }
 
+/// A drain counts from its order on: the report that shows it comes later.
+bool order_planner::drainGiven(const target_id& target) const
+{
+    const auto found = m_given.find(target);
+    return found != m_given.end() && found->second.kind == order_kind::Drain;
+}
+
 bool order_planner::mayRepeat(instant now, const target_order& order) const
 {
     const auto found = m_given.find(order.target);
--- a/core/order_planner.h
+++ b/core/order_planner.h
@@ -81,6 +81,7 @@
         instant at;
     };
 
+    bool drainGiven(const target_id& target) const;
     bool mayRepeat(instant now, const target_order& order) const;
     bool takeLoadToken(instant now);
 
--- a/tool/command.cpp
+++ b/tool/command.cpp
@@ -21,7 +21,7 @@
     constexpr const char* Usage = R"(Operates Oriolepick: files change tickets and reads back the state in force.
 
 Usage:
-  oriolepick ticket (check|file|status|show|diff|log) [<arguments>...]
+  oriolepick ticket (check|file|status|show|diff|log|schema) [<arguments>...]
   oriolepick in-force [<arguments>...]
   oriolepick --help
   oriolepick --version
--- a/tool/ticket_command.cpp
+++ b/tool/ticket_command.cpp
@@ -1,6 +1,7 @@
 #include "tool/ticket_command.h"
 
 #include "config/ticket_json.h"
+#include "config/ticket_schema.h"
 #include "core/fleet_state.h"
 #include "core/ticket_log.h"
 #include "core/ticket_validation.h"
@@ -32,11 +33,12 @@
   oriolepick ticket show [--platform=ADDRESS] [--json] <number>
   oriolepick ticket diff [--platform=ADDRESS] [--json] <number>
   oriolepick ticket log [--platform=ADDRESS] [--last=COUNT] [--json]
+  oriolepick ticket schema [--json]
   oriolepick ticket (-h | --help)
   oriolepick ticket --version
 
 check validates files in the given order, each on top of those before it; without --platform the first starts from
-the empty state. file submits a ticket; submitting the same ticket again is safe. diff shows what a ticket changed.
+the empty state. schema prints the JSON schema of tickets. file submits a ticket; submitting the same ticket again is safe. diff shows what a ticket changed.
 
 Options:
   --platform=ADDRESS  The platform (ip:port); default, but not for check: the variable ORIOLEPICK_PLATFORM.
@@ -66,6 +68,7 @@
         exit_code show();
         exit_code diff();
         exit_code log();
+        exit_code schema();
 
     private:
         exit_code fail(const error& failure) { return reportFailure(failure, m_json, m_environment); }
@@ -274,18 +277,25 @@
         return exit_code::Success;
     }
 
+    exit_code ticket_run::schema()
+    {
+        m_environment.out << ticketSchema();
+        return exit_code::Success;
+    }
+
     struct subcommand {
         const char* name;
         exit_code (ticket_run::*run)();
     };
 
-    constexpr std::array<subcommand, 6> Subcommands { {
+    constexpr std::array<subcommand, 7> Subcommands { {
         { "check", &ticket_run::check },
         { "file", &ticket_run::file },
         { "status", &ticket_run::status },
         { "show", &ticket_run::show },
         { "diff", &ticket_run::diff },
         { "log", &ticket_run::log },
+        { "schema", &ticket_run::schema },
     } };
 
 } // namespace
