--- a/core/ticket_log.cpp
+++ b/core/ticket_log.cpp
@@ -111,8 +111,9 @@
                 ": the platform's answer was lost and the ticket may be accepted; submit ", "the same ticket again (",
                 failure.message, ")"));
     fail(error_kind::PlatformUnavailable,
-        absl::StrCat(
-            "ticket ", m_number, ": the platform did not take it; submit it again later (", failure.message, ")"));
+        absl::StrCat("ticket ", m_number,
+            ": the platform cannot be reached and this submission had no effect; submit the same ticket again later (",
+            failure.message, ")"));
 }
 
 void ticket_submission::askForTicketRow()
