--- a/tool/command.h
+++ b/tool/command.h
@@ -35,12 +35,12 @@
 public:
     virtual ~node_reader() = default;
 
-    /// Reads GET /v1/admin/in-force.
+    /// Reads one page of the operators.
     /// \param address "ip:port"
+    /// \param page "in-force" for the complete state, "status" for the number in force without the objects
     /// \param token the operators' bearer token; empty for none
-    /// \param numberOnly asks for {"number": N} instead of the complete state
     /// \return the JSON text
-    virtual result<std::string> inForce(const std::string& address, const std::string& token, bool numberOnly) = 0;
+    virtual result<std::string> read(const std::string& address, const std::string& page, const std::string& token) = 0;
 };
 
 /// Everything outside of the process that a command uses.
--- a/tool/http_node_reader.cpp
+++ b/tool/http_node_reader.cpp
@@ -9,7 +9,8 @@
 {
 }
 
-result<std::string> http_node_reader::inForce(const std::string& address, const std::string& token, bool numberOnly)
+result<std::string> http_node_reader::read(
+    const std::string& address, const std::string& page, const std::string& token)
 {
     const bool hasScheme = address.find("://") != std::string::npos;
     httplib::Client client(hasScheme ? address : "http://" + address);
@@ -19,7 +20,7 @@
     httplib::Headers headers;
     if (!token.empty())
         headers.emplace("Authorization", "Bearer " + token);
-    const auto response = client.Get(numberOnly ? "/v1/admin/in-force?number_only=1" : "/v1/admin/in-force", headers);
+    const auto response = client.Get("/v1/admin/" + page, headers);
     if (!response)
         return error { error_kind::TargetFailed,
             "node " + address + " does not answer: " + httplib::to_string(response.error()) };
--- a/tool/http_node_reader.h
+++ b/tool/http_node_reader.h
@@ -12,7 +12,7 @@
     /// \param timeout for connecting and for the answer
     explicit http_node_reader(std::chrono::milliseconds timeout);
 
-    result<std::string> inForce(const std::string& address, const std::string& token, bool numberOnly) override;
+    result<std::string> read(const std::string& address, const std::string& page, const std::string& token) override;
 
 private:
     std::chrono::milliseconds m_timeout;
--- a/tool/test/ticket_command.cpp
+++ b/tool/test/ticket_command.cpp
@@ -27,11 +27,14 @@
 /// Nodes that are one ticket further at each reading.
 class advancing_nodes : public node_reader {
 public:
-    result<std::string> inForce(const std::string& address, const std::string&, bool) override
+    result<std::string> read(const std::string& address, const std::string& page, const std::string&) override
     {
         if (address == "down")
             return error { error_kind::TargetFailed, "node down does not answer" };
-        return "{\"number\":" + std::to_string(numbers[address]++) + "}";
+        if (page == "in-force")
+            return std::string(R"({"ticket":4,"node":"n","objects":[{"kind":"fleet","fleet":"one","name":"one",)"
+                               R"("state":{"zones":["a"]}}]})");
+        return "{\"ticket\":" + std::to_string(numbers[address]++) + "}";
     }
     std::map<std::string, ticket_number> numbers;
 };
@@ -167,6 +170,9 @@
     EXPECT_EQ(state.value()->number(), 2u);
     EXPECT_EQ(state.value()->deployment(deployment_id(fleet_name("atelier"), "manuals"))->version, model_version("4"));
     EXPECT_EQ(run({ "in-force", "--at=9" }), 1);
+    EXPECT_EQ(run({ "in-force", "--node=any" }), 0);
+    EXPECT_EQ(out.str(), "number in force: 4\nfleet one/one\n");
+    EXPECT_EQ(run({ "in-force", "--node=down" }), 1);
     EXPECT_EQ(run({ "ticket", "log", "--last=2", "--json" }), 0);
     EXPECT_EQ(nlohmann::json::parse(out.str())["tickets"].size(), 2u);
 }
--- a/tool/ticket_filing.cpp
+++ b/tool/ticket_filing.cpp
@@ -27,18 +27,18 @@
 
     void readProgress(node_progress& node, const std::string& token, tool_environment& environment)
     {
-        const auto text = environment.nodes.inForce(node.address, token, true);
+        const auto text = environment.nodes.read(node.address, "status", token);
         if (!text) {
             node.problem = text.error().message;
             return;
         }
         const auto value = nlohmann::json::parse(text.value(), nullptr, false);
-        if (!value.is_object() || !value.contains("number") || !value["number"].is_number_unsigned()) {
-            node.problem = "the node's answer holds no number";
+        if (!value.is_object() || !value.contains("ticket") || !value["ticket"].is_number_unsigned()) {
+            node.problem = "the node's status holds no ticket number";
             return;
         }
         node.problem.clear();
-        node.number = value["number"].get<ticket_number>();
+        node.number = value["ticket"].get<ticket_number>();
     }
 
     /// \return whether all nodes reached the number in time
