--- a/core/order_planner.cpp
+++ b/core/order_planner.cpp
@@ -25,6 +25,13 @@
         return target.reachable && !target.draining && !target.leaving && !target.loaded.empty();
     }
 
+    /// Leaving targets and those without a deployment are no capacity: counting them as out of service would block
+    /// every change while they exist.
+    bool isCapacity(const planned_target& target)
+    {
+        return target.wanted && !target.leaving;
+    }
+
     bool roleDiffers(const planned_target& target)
     {
         return target.wanted && target.role != target.wantedRole;
@@ -97,6 +104,8 @@
     double total = 0;
     double out = 0;
     for (const auto& target : targets) {
+        if (!isCapacity(target))
+            continue;
         total += target.capacity;
         out += inService(target) && !drainGiven(target.target) ? 0 : target.capacity;
     }
@@ -113,7 +122,8 @@
         }
         order->fencing = authority.fencing;
         order->ticket = authority.ticket;
-        const bool takesOut = order->kind == order_kind::Drain && inService(target) && !drainGiven(target.target);
+        const bool takesOut
+            = order->kind == order_kind::Drain && isCapacity(target) && inService(target) && !drainGiven(target.target);
         if (takesOut && (waitsForZone || (out > 0 && out + target.capacity > changeShare * total)))
             continue;
         if (takesOut)
