--- a/standins/test/engine_faults.cpp
+++ b/standins/test/engine_faults.cpp
@@ -1,6 +1,7 @@
 // Guards what the HTTP adapter reports when an engine rejects, crashes or breaks the protocol: a wrong reason would
 // make a node say "not run" of work that ran, or lose a stream that could go on.
 #include "standins/test/recording_sink.h"
+#include "standins/test/silent_listener.h"
 
 #include <gtest/gtest.h>
 
@@ -122,6 +123,17 @@
     running.abort().abort();
 }
 
+TEST(engine_faults, silent_engine_times_out)
+{
+    silent_listener engine;
+    recording_sink sink;
+    call_abort abort;
+    http_engine_client().start(
+        engine.address(), testRequest("x"), { std::chrono::seconds(20), std::chrono::milliseconds(50) }, sink, abort);
+    EXPECT_EQ(sink.reason(), stream_break::Timeout) << sink.detail();
+    EXPECT_FALSE(sink.accepted());
+}
+
 TEST(engine_faults, malformed_addresses_are_not_sent)
 {
     for (const auto* address : { "", "127.0.0.1", ":80", "127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:x" }) {
