--- a/standins/emulated_batch.cpp
+++ b/standins/emulated_batch.cpp
@@ -181,6 +181,8 @@
                 continue;
         }
         if (!running->attempt->cancelled() && !running->attempt->complete()) {
+            if (m_settings.tokenObserver)
+                m_settings.tokenObserver(running->attempt->request(), running->attempt->computed());
             running->attempt->computeToken();
             ++m_computed;
         }
--- a/standins/engine_settings.h
+++ b/standins/engine_settings.h
@@ -7,11 +7,14 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
 namespace oriolepick {
 
+struct attempt_request;
+
 /// Settings of an emulated engine; durations are real time.
 struct engine_settings {
     std::vector<model_ref> models; ///< loaded at the start
@@ -38,6 +41,9 @@
     bool checksFencing = true;
     std::string crashOn; ///< text of prompts that crash the engine; empty for none
     std::size_t maxConnections = 4096;
+
+    /// Called on the batch's thread right before a token is given to its reader, for benchmarks; empty for none.
+    std::function<void(const attempt_request& request, std::uint32_t position)> tokenObserver;
 };
 
 } // namespace oriolepick
