Add non-idempotent calls that run at most once

Cause: a repair order or pick confirmation must run at most once although nodes pause and die, callers retry at other nodes, and the table loses responses.

--- /dev/null
+++ b/core/call_claim.cpp
@@ -0,0 +1,237 @@
+#include "core/call_claim.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolepick {
+
+call_claim::call_claim(const call_settings& settings, call_request request, node_id node, std::string claimId)
+    : m_settings(settings)
+    , m_request(std::move(request))
+    , m_node(std::move(node))
+    , m_claimId(std::move(claimId))
+{
+}
+
+claim_actions call_claim::start(claim_time time)
+{
+    claim_actions actions;
+    if (m_step != step::Idle)
+        return actions;
+    m_replyBy = std::min(m_request.deadline, time.now + m_settings.claimTimeout);
+    writeRow(time, actions);
+    return actions;
+}
+
+claim_actions call_claim::refuse(claim_time time, error reason)
+{
+    claim_actions actions;
+    const bool undispatched = m_goal == goal::Claim && m_step != step::Dispatched && m_step != step::Finished;
+    if (undispatched && m_followed.empty())
+        beginRefusal(time, std::move(reason), actions);
+    return actions;
+}
+
+claim_actions call_claim::recover(claim_time, bool mayHaveDispatched)
+{
+    claim_actions actions;
+    m_responded = true;
+    m_goal = mayHaveDispatched ? goal::Record : goal::Refuse;
+    readRow(actions);
+    return actions;
+}
+
+claim_actions call_claim::rowWritten(claim_time time, std::uint64_t version)
+{
+    claim_actions actions;
+    if (m_step != step::Writing)
+        return actions;
+    if (m_writing == goal::Record) {
+        endClaim(rowFor(goal::Record, time.wall), actions);
+        respond(outcomeReply(), actions);
+        finish();
+        return actions;
+    }
+    if (!version) {
+        readRow(actions);
+        return actions;
+    }
+    m_version = version;
+    if (m_writing == goal::Refuse)
+        tellRefused(time, actions);
+    else if (m_goal == goal::Refuse)
+        writeRow(time, actions);
+    else
+        placeCall(actions);
+    return actions;
+}
+
+claim_actions call_claim::rowConflicted(claim_time)
+{
+    claim_actions actions;
+    if (m_step == step::Writing)
+        readRow(actions);
+    return actions;
+}
+
+claim_actions call_claim::rowDropped(claim_time time)
+{
+    claim_actions actions;
+    if (m_step != step::Writing)
+        return actions;
+    if (m_writing == goal::Record) {
+        // A dispatched call must not stay claimed, so the write is tried until it succeeds.
+        retryLater(time);
+        return actions;
+    }
+    if (m_goal == goal::Refuse && m_writing == goal::Claim && !m_responded) {
+        writeRow(time, actions);
+        return actions;
+    }
+    respond(unavailable(), actions);
+    finish();
+    return actions;
+}
+
+claim_actions call_claim::rowRead(claim_time time, const std::optional<versioned_call_row>& found)
+{
+    claim_actions actions;
+    if (m_step != step::Reading)
+        return actions;
+    m_readWait = std::chrono::milliseconds(0);
+    if (found) {
+        if (found->row.claimId == m_claimId)
+            settleOwn(time, *found, actions);
+        else
+            settleOther(time, *found, actions);
+        return actions;
+    }
+    // Without a digest there is no request behind this object but a recovery, which has nothing left to settle. A
+    // recorded call without a row was collected as garbage.
+    if (m_goal == goal::Record || (m_responded && !m_request.bodyDigest)) {
+        respond(outcomeReply(), actions);
+        finish();
+        return actions;
+    }
+    m_followed.clear();
+    m_version.reset();
+    writeRow(time, actions);
+    return actions;
+}
+
+claim_actions call_claim::readFailed(claim_time time)
+{
+    if (m_step == step::Reading)
+        retryLater(time);
+    return {};
+}
+
+claim_actions call_claim::targetChosen(claim_time time, const target_id& target)
+{
+    claim_actions actions;
+    if (m_step != step::Placing)
+        return actions;
+    if (time.now >= m_request.deadline) {
+        beginRefusal(time, { error_kind::QueueTimeout, "the deadline passed before the dispatch", {} }, actions);
+        return actions;
+    }
+    m_target = target;
+    m_step = step::Dispatched;
+    actions.emplace_back(dispatch_call { target });
+    return actions;
+}
+
+claim_actions call_claim::noTarget(claim_time time, std::chrono::milliseconds retryAfter)
+{
+    claim_actions actions;
+    if (m_step == step::Placing)
+        beginRefusal(time, { error_kind::NoTarget, "no target can take the call", retryAfter }, actions);
+    return actions;
+}
+
+claim_actions call_claim::dispatchUnsent(claim_time time)
+{
+    claim_actions actions;
+    if (m_step != step::Dispatched)
+        return actions;
+    m_unsent.push_back(m_target);
+    m_step = step::Placing;
+    if (m_responded || m_unsent.size() >= m_settings.maxPlacements)
+        beginRefusal(time, { error_kind::NoTarget, "no target accepts a connection", m_settings.retryAfter }, actions);
+    else
+        placeCall(actions);
+    return actions;
+}
+
+claim_actions call_claim::dispatchAnswered(claim_time time, call_answer answer)
+{
+    claim_actions actions;
+    if (m_step != step::Dispatched)
+        return actions;
+    m_answer = std::move(answer);
+    beginRecord(time, actions);
+    return actions;
+}
+
+claim_actions call_claim::dispatchBroken(claim_time time)
+{
+    claim_actions actions;
+    if (m_step != step::Dispatched)
+        return actions;
+    beginRecord(time, actions);
+    endClaim(rowFor(goal::Record, time.wall), actions);
+    respond(outcomeReply(), actions);
+    return actions;
+}
+
+claim_actions call_claim::claimerNotice(claim_time, const call_row& row)
+{
+    claim_actions actions;
+    if (m_step != step::Following || row.claimId != m_followed || row.state == call_row_state::Claimed)
+        return actions;
+    if (row.state == call_row_state::Refused) {
+        readRow(actions); // the version decides whether this call may claim the key now
+        return actions;
+    }
+    respond(row.state == call_row_state::Answered ? call_reply(row.answer) : outcomeReply(), actions);
+    finish();
+    return actions;
+}
+
+claim_actions call_claim::claimerGone(claim_time)
+{
+    claim_actions actions;
+    if (m_step != step::Following)
+        return actions;
+    m_followedGone = true;
+    readRow(actions); // it may have recorded the outcome before it went
+    return actions;
+}
+
+claim_actions call_claim::timerFired(claim_time time)
+{
+    claim_actions actions;
+    if (m_step == step::Idle || m_step == step::Finished)
+        return actions;
+    if (!m_responded && time.now >= m_replyBy)
+        replyLate(time, actions);
+    if (m_step == step::Finished || !m_retryAt || time.now < *m_retryAt)
+        return actions;
+    m_retryAt.reset();
+    if (m_step == step::Following || (m_step == step::Waiting && m_goal != goal::Record))
+        readRow(actions);
+    else if (m_step == step::Waiting)
+        writeRow(time, actions);
+    return actions;
+}
+
+std::optional<instant> call_claim::timerAt() const
+{
+    if (m_step == step::Idle || m_step == step::Finished)
+        return std::nullopt;
+    if (m_responded)
+        return m_retryAt;
+    return m_retryAt ? std::min(*m_retryAt, m_replyBy) : m_replyBy;
+}
+
+} // namespace oriolepick
--- a/core/table_transaction.h
+++ b/core/table_transaction.h
@@ -38,6 +38,8 @@
 struct table_outcome {
     bool committed = false;
     std::vector<std::string> failedKeys; ///< keys whose condition failed, when not committed
+    std::vector<std::uint64_t>
+        versions {}; ///< new version of each write in its order, 0 for a deletion or when unknown
 };
 
 } // namespace oriolepick
--- a/standins/memory_table.cpp
+++ b/standins/memory_table.cpp
@@ -25,11 +25,12 @@
     for (const auto& write : transaction.writes) {
         if (!write.value) {
             m_rows.erase(write.key);
+            outcome.versions.push_back(0);
             continue;
         }
         auto& row = m_rows[write.key];
         row.value = *write.value;
-        ++row.version;
+        outcome.versions.push_back(++row.version);
     }
     outcome.committed = true;
     return outcome;
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -148,11 +148,8 @@
         if (!outcome.committed)
             return answer(response, 412, nlohmann::json { { "failed", outcome.failedKeys } }.dump());
         auto versions = nlohmann::json::object();
-        for (const auto& write : transaction.value().writes) {
-            const auto row = write.value ? table.read(write.key) : std::nullopt;
-            if (row)
-                versions[write.key] = row->version;
-        }
+        for (std::size_t index = 0; index < outcome.versions.size(); ++index)
+            versions[transaction.value().writes[index].key] = outcome.versions[index];
         answer(response, 200, nlohmann::json { { "versions", std::move(versions) } }.dump());
     }
 
--- a/standins/test/platform_adapters.cpp
+++ b/standins/test/platform_adapters.cpp
@@ -57,7 +57,9 @@
     const auto row = table.read("call/a/team x/k?&%", 5s).value();
     ASSERT_TRUE(row);
     EXPECT_EQ(row->version, 1u);
-    EXPECT_TRUE(table.commit({ { { row->key, 1 } }, { { row->key, "next" } } }, 5s).value().committed);
+    const auto second = table.commit({ { { row->key, 1 } }, { { row->key, "next" } } }, 5s).value();
+    EXPECT_TRUE(second.committed);
+    EXPECT_EQ(second.versions, std::vector<std::uint64_t> { 2 });
     EXPECT_FALSE(table.commit({ { { row->key, 1 } }, { { row->key, std::nullopt } } }, 5s).value().committed);
     EXPECT_TRUE(table.commit(insert("call/b"), 5s).value().committed);
     EXPECT_EQ(table.scan("call/", "call/a/team x/k?&%", 10, 5s).value().size(), 1u);
