--- /dev/null
+++ b/node/target_directory.h
@@ -0,0 +1,102 @@
+/// \file
+/// The node's shared, thread-safe knowledge of targets: addresses from the state in force, load view, pace of streams,
+/// and the placement strategy. All choices among targets of this node are made here.
+#pragma once
+
+#include "core/load_view.h"
+#include "core/placement.h"
+#include "core/stall_detector.h"
+#include "targets/engine_state.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oriolepick {
+
+class fleet_state;
+
+/// A chosen target with what a dispatch needs.
+struct placed_target {
+    target_id target;
+    std::string address;
+    model_ref model; ///< what the target reports as loaded; empty for a plain service
+    std::uint32_t cachedTokens = 0;
+};
+
+/// A target that is polled for its state.
+struct polled_target {
+    target_id target;
+    std::string address;
+};
+
+class target_directory final : public pace_source {
+public:
+    target_directory(node_id self, availability_zone zone, region_name region,
+        std::unique_ptr<placement_strategy> strategy, std::uint64_t seed);
+
+    /// Takes over targets, membership of deployments and leaving marks of the state in force.
+    void applyState(const std::shared_ptr<const fleet_state>& state);
+
+    /// Records what an engine reports about itself.
+    void recordEngineState(const target_id& target, const engine_state& state);
+
+    /// \return the last report of an engine, nothing when its last poll failed
+    std::optional<engine_state> observed(const target_id& target) const;
+
+    /// Marks a target as unreachable until its next report.
+    void recordUnreachable(const target_id& target);
+
+    /// Takes over the platform's list of leaving addresses.
+    void setLeavingAddresses(const std::vector<std::string>& addresses);
+
+    void recordLoad(const target_id& target, const load_report& report, instant reflectsUntil);
+
+    /// Chooses a target among \p allowed and counts the dispatch.
+    /// \param allowed targets of the deployment or service
+    std::variant<placed_target, no_choice> choose(
+        const placement_query& query, const std::vector<target_id>& allowed, std::uint32_t promptTokens, instant now);
+
+    void recordFirstToken(const target_id& target, std::uint32_t uncachedTokens);
+    void recordFinished(const target_id& target, std::uint32_t uncachedTokens, bool started, instant now);
+
+    void recordGap(const target_id& target, std::chrono::microseconds gap, instant now);
+    std::optional<target_pace> paceOf(const target_id& target) const override;
+
+    /// \return the address, or nothing for an unknown target
+    std::optional<std::string> addressOf(const target_id& target) const;
+
+    /// \return whether any of \p allowed reports the model with version and adapter
+    bool anyLoaded(const model_ref& model, const std::vector<target_id>& allowed) const;
+
+    std::vector<polled_target> engines() const;
+
+    /// \return number of targets by state: "live", "suspected", "ejected", "leaving"
+    std::map<std::string, std::size_t> stateCounts() const;
+
+private:
+    struct target_record {
+        std::string address;
+        target_profile profile;
+        bool engine = true;
+        std::optional<engine_state> observed;
+        std::vector<model_ref> loaded; ///< of the last report, kept while the target cannot be reached
+    };
+
+    bool hasLoaded(const target_id& target, const model_ref& model) const;
+
+    mutable std::mutex m_mutex;
+    std::unique_ptr<placement_strategy> m_strategy;
+    seeded_random m_random;
+    region_name m_region;
+    load_view m_view;
+    target_paces m_paces;
+    absl::flat_hash_map<target_id, target_record> m_records;
+};
+
+} // namespace oriolepick
