--- a/core/request_queue.cpp
+++ b/core/request_queue.cpp
@@ -34,7 +34,7 @@
     if (m_requests.empty())
         m_busySince = now;
     outcome.number = ++m_lastNumber;
-    enqueue(outcome.number, std::move(request));
+    enqueue(outcome.number, std::move(request), false);
     return outcome;
 }
 
@@ -46,15 +46,17 @@
     return true;
 }
 
-take_outcome request_queue::take(instant now)
+take_outcome request_queue::take(instant now, request_priority lowest)
 {
     take_outcome outcome;
     outcome.refused = expire(now);
     if (m_requests.empty())
         return outcome;
+    const bool oldest = (m_dispatches + 1) % m_settings.oldestEvery == 0;
+    outcome.number = oldest ? m_requests.begin()->first : nextFair(lowest);
+    if (!outcome.number)
+        return outcome;
     ++m_dispatches;
-    const bool oldest = m_dispatches % m_settings.oldestEvery == 0;
-    outcome.number = oldest ? m_requests.begin()->first : nextFair();
     outcome.request = remove(outcome.number).request;
     if (m_busySince) {
         const std::chrono::duration<double> interval = now - *m_busySince;
@@ -64,6 +66,12 @@
     return outcome;
 }
 
+void request_queue::putBack(queue_number number, queued_request request)
+{
+    --m_dispatches;
+    enqueue(number, std::move(request), true);
+}
+
 std::vector<queue_refusal> request_queue::expire(instant now)
 {
     std::vector<queue_refusal> refused;
@@ -98,13 +106,20 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(dispatchInterval(now) * dispatches);
 }
 
-void request_queue::enqueue(queue_number number, queued_request request)
+void request_queue::enqueue(queue_number number, queued_request request, bool first)
 {
     auto& lineClass = classOf(request.priority);
     auto& line = lineClass.teams[request.key.team];
-    const double start = std::max(lineClass.virtualTime, line.finishTag);
-    line.finishTag = start + std::max<std::uint32_t>(request.cost, 1);
-    line.numbers.push_back(number);
+    double start = lineClass.virtualTime;
+    if (first) {
+        // Its cost is in the finish tag already.
+        line.finishTag = std::max(start, line.finishTag);
+        line.numbers.push_front(number);
+    } else {
+        start = std::max(start, line.finishTag);
+        line.finishTag = start + std::max<std::uint32_t>(request.cost, 1);
+        line.numbers.push_back(number);
+    }
     ++line.count;
     ++lineClass.count;
     m_deadlines.emplace(request.deadline, number);
@@ -131,9 +146,9 @@
     return removed;
 }
 
-queue_number request_queue::nextFair()
+queue_number request_queue::nextFair(request_priority lowest)
 {
-    for (auto index = PriorityCount; index-- > 0;) {
+    for (auto index = PriorityCount; index-- > indexOf(lowest);) {
         auto& lineClass = m_classes[index];
         if (!lineClass.count)
             continue;
--- a/core/request_queue.h
+++ b/core/request_queue.h
@@ -79,7 +79,11 @@
     bool cancel(queue_number number);
 
     /// Removes and returns the next request to dispatch.
-    take_outcome take(instant now);
+    /// \param lowest requests of lower priority are served by every n-th dispatch only
+    take_outcome take(instant now, request_priority lowest = request_priority::Bulk);
+
+    /// Returns a taken request that could not be placed, in its old order; it is not counted as dispatched.
+    void putBack(queue_number number, queued_request request);
 
     /// Removes the requests whose deadline has passed.
     std::vector<queue_refusal> expire(instant now);
@@ -109,9 +113,9 @@
     };
 
     priority_class& classOf(request_priority priority) { return m_classes[indexOf(priority)]; }
-    void enqueue(queue_number number, queued_request request);
+    void enqueue(queue_number number, queued_request request, bool first);
     entry remove(queue_number number);
-    queue_number nextFair();
+    queue_number nextFair(request_priority lowest);
     bool displace(const queued_request& incoming, std::vector<queue_refusal>& refused, instant now);
     queue_refusal refusal(queue_number number, const queued_request& request, error_kind kind, instant now);
     std::chrono::duration<double> dispatchInterval(instant now) const;
--- a/core/test/request_queue.cpp
+++ b/core/test/request_queue.cpp
@@ -151,6 +151,33 @@
     EXPECT_NE(queue.offer(request(1, request_priority::Normal, at(3'500)), at(3'000)).number, 0u);
 }
 
+// Failure: a permanently high load of the upper priorities shuts bulk requests out.
+TEST(request_queue, low_priority_is_served_now_and_then_although_the_limit_excludes_it)
+{
+    auto queue = queueOf(100);
+    const auto bulk = queue.offer(request(0, request_priority::Bulk, at(100'000)), at(0));
+    EXPECT_FALSE(queue.take(at(0), request_priority::Urgent).request);
+    for (int count = 0; count < 10; ++count)
+        queue.offer(request(1, request_priority::Urgent, at(100'000)), at(0));
+    for (int count = 0; count < 3; ++count)
+        EXPECT_NE(queue.take(at(0), request_priority::Urgent).number, bulk.number);
+    EXPECT_EQ(queue.take(at(0), request_priority::Urgent).number, bulk.number);
+}
+
+// Failure: a request that finds no target loses its turn to later ones.
+TEST(request_queue, request_put_back_keeps_its_order)
+{
+    auto queue = queueOf(10);
+    const auto first = queue.offer(request(0, request_priority::Normal, at(100'000)), at(0));
+    queue.offer(request(0, request_priority::Normal, at(100'000)), at(0));
+    for (int count = 0; count < 6; ++count) {
+        auto taken = queue.take(at(count));
+        ASSERT_EQ(taken.number, first.number);
+        queue.putBack(taken.number, *taken.request);
+    }
+    EXPECT_EQ(queue.size(), 2u);
+}
+
 TEST(request_queue, recovers_after_dispatches_stopped)
 {
     auto queue = queueOf(10);
