Keep an overloaded queue short and fair

Cause: at 2x overload the queue filled up to the deadlines (first token p95 8 s, no return to normal within 60 s). Change: a priority whose requests waited long for 1 s is kept to a short line; the request that would be served last gives way. Retry-after times end at 5 s.

--- a/bench/placement_figures.h
+++ b/bench/placement_figures.h
@@ -14,6 +14,7 @@
 struct request_record {
     double arrival = 0; ///< seconds from the start of the trace
     double firstToken = -1; ///< seconds, negative when never
+    double queued = 0; ///< seconds from that offer to the dispatch
     double waited = 0; ///< seconds from the offer that was admitted to the first token
     int team = 0;
     request_priority priority = request_priority::Normal;
--- a/bench/placement_simulation.cpp
+++ b/bench/placement_simulation.cpp
@@ -15,9 +15,11 @@
 
 } // namespace
 
-placement_simulation::sim_node::sim_node(const node_id& id, const availability_zone& zone, seeded_random source)
+placement_simulation::sim_node::sim_node(
+    const node_id& id, const availability_zone& zone, const simulation_settings& settings, seeded_random source)
     : view(id, zone, region_name("region"))
-    , queue({}, seeded_random(source.next()))
+    , queue(settings.queue, seeded_random(source.next()))
+    , limit(settings.concurrency)
     , random(source.next())
 {
 }
@@ -52,7 +54,7 @@
     for (int number = 0; number < m_profile.nodes; ++number) {
         const availability_zone zone("zone-" + std::to_string(number % m_profile.zones));
         auto node = std::make_unique<sim_node>(
-            node_id("node-" + std::to_string(number)), zone, seeded_random(m_random.next()));
+            node_id("node-" + std::to_string(number)), zone, m_settings, seeded_random(m_random.next()));
         node->strategy = makePlacementStrategy(m_settings.strategy, m_settings.limits, m_settings.costs);
         for (std::size_t index = 0; index < m_engines.size(); ++index) {
             target_profile profile;
@@ -162,7 +164,7 @@
         if (!taken.request)
             break;
         if (!place(nodeIndex, node.queued.at(taken.number))) {
-            node.queue.putBack(taken.number, *taken.request);
+            node.queue.putBack(taken);
             break;
         }
         node.queued.erase(taken.number);
@@ -251,6 +253,7 @@
     auto& node = *m_nodes[flight.node];
     flight.started = true;
     m_log.requests[index].firstToken = seconds(m_now);
+    m_log.requests[index].queued = std::chrono::duration<double>(flight.dispatched - flight.offered).count();
     m_log.requests[index].waited = std::chrono::duration<double>(m_now + Transit - flight.offered).count();
     node.view.recordFirstToken(m_engines[flight.engine].target, flight.uncached);
     if ((*m_trace)[index].service)
--- a/bench/placement_simulation.h
+++ b/bench/placement_simulation.h
@@ -29,6 +29,8 @@
     engine_speed speed;
     placement_costs costs;
     placement_limits limits;
+    concurrency_settings concurrency;
+    request_queue_settings queue;
 };
 
 /// One run over one trace.
@@ -41,7 +43,8 @@
 
 private:
     struct sim_node {
-        sim_node(const node_id& id, const availability_zone& zone, seeded_random source);
+        sim_node(const node_id& id, const availability_zone& zone, const simulation_settings& settings,
+            seeded_random source);
         load_view view;
         request_queue queue;
         concurrency_limit limit;
--- a/core/concurrency_limit.h
+++ b/core/concurrency_limit.h
@@ -16,7 +16,9 @@
 struct concurrency_settings {
     double minimumPerTarget = 2; ///< keeps samples coming from cold or slow engines
     double initialShare = 0.75; ///< of the batch places
-    double waitingShare = 0.25; ///< requests beyond the batch places that may wait at the targets
+    /// Requests beyond the batch places that may wait at the targets. They wait for a place that is freed every few
+    /// hundred ms, without the queue's priorities and fairness, so only enough to keep the batches full.
+    double waitingShare = 0.05;
     double tolerance = 1.5; ///< latency above the baseline by this factor lowers the limit
     std::chrono::milliseconds latencyFloor { 250 }; ///< below it latency is not a sign of overload
     std::chrono::milliseconds window { 500 }; ///< one adjustment per window
--- a/core/request_queue.cpp
+++ b/core/request_queue.cpp
@@ -23,18 +23,16 @@
     offer_outcome outcome;
     request.deadline = std::min(request.deadline, now + m_settings.longestWait);
     const auto wait = expectedWait(request.key.team, request.priority, now);
-    if (request.deadline <= now || now + wait > request.deadline) {
-        outcome.refused.push_back(refusal(0, request, error_kind::Overloaded, now));
-        return outcome;
-    }
-    if (m_requests.size() >= m_settings.capacity && !displace(request, outcome.refused, now)) {
+    const bool hopeless = request.deadline <= now || now + wait > request.deadline;
+    const bool full = m_requests.size() >= m_settings.capacity;
+    if (hopeless || ((full || lineTooLong(request.priority, now)) && !displace(request, full, outcome.refused, now))) {
         outcome.refused.push_back(refusal(0, request, error_kind::Overloaded, now));
         return outcome;
     }
     if (m_requests.empty())
         m_busySince = now;
     outcome.number = ++m_lastNumber;
-    enqueue(outcome.number, std::move(request), false);
+    enqueue(outcome.number, std::move(request), now, false);
     return outcome;
 }
 
@@ -57,7 +55,10 @@
     if (!outcome.number)
         return outcome;
     ++m_dispatches;
-    outcome.request = remove(outcome.number).request;
+    entry removed = remove(outcome.number);
+    noteWait(removed, now);
+    outcome.arrived = removed.arrived;
+    outcome.request = std::move(removed.request);
     if (m_busySince) {
         const std::chrono::duration<double> interval = now - *m_busySince;
         m_interval += IntervalWeight * (interval - m_interval);
@@ -66,10 +67,10 @@
     return outcome;
 }
 
-void request_queue::putBack(queue_number number, queued_request request)
+void request_queue::putBack(const take_outcome& outcome)
 {
     --m_dispatches;
-    enqueue(number, std::move(request), true);
+    enqueue(outcome.number, *outcome.request, outcome.arrived, true);
 }
 
 std::vector<queue_refusal> request_queue::expire(instant now)
@@ -78,6 +79,7 @@
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const auto number = m_deadlines.begin()->second;
         const auto removed = remove(number);
+        noteWait(removed, now);
         refused.push_back(refusal(number, removed.request, error_kind::QueueTimeout, now));
     }
     return refused;
@@ -101,12 +103,10 @@
     // Fair queueing: one request of each other team is served per request of this one. The whole class would
     // overstate the wait of a small team behind a large one.
     ahead += std::min(own.count, (mine + 1) * own.teams.size());
-    const double every = m_settings.oldestEvery;
-    const double dispatches = static_cast<double>(ahead) * every / std::max(1.0, every - 1);
-    return std::chrono::duration_cast<std::chrono::milliseconds>(dispatchInterval(now) * dispatches);
+    return waitFor(ahead, now);
 }
 
-void request_queue::enqueue(queue_number number, queued_request request, bool first)
+void request_queue::enqueue(queue_number number, queued_request request, instant arrived, bool first)
 {
     auto& lineClass = classOf(request.priority);
     auto& line = lineClass.teams[request.key.team];
@@ -123,7 +123,7 @@
     ++line.count;
     ++lineClass.count;
     m_deadlines.emplace(request.deadline, number);
-    m_requests.emplace(number, entry { std::move(request), start });
+    m_requests.emplace(number, entry { std::move(request), start, arrived });
 }
 
 request_queue::entry request_queue::remove(queue_number number)
@@ -146,6 +146,45 @@
     return removed;
 }
 
+void request_queue::noteWait(const entry& removed, instant now)
+{
+    auto& lineClass = classOf(removed.request.priority);
+    if (now - removed.arrived > m_settings.standingWait[indexOf(removed.request.priority)] / 4) {
+        if (!lineClass.longSince)
+            lineClass.longSince = now;
+    } else if (!lineClass.count) {
+        // A quick dispatch alone proves little: fair queueing serves a small team at once under any overload.
+        lineClass.longSince.reset();
+    }
+}
+
+bool request_queue::lineTooLong(request_priority priority, instant now) const
+{
+    constexpr std::size_t ShortestLine = 2; // keeps the targets busy when dispatches are rare
+    const auto& lineClass = m_classes[indexOf(priority)];
+    if (!lineClass.longSince || now - *lineClass.longSince < m_settings.standingAfter || lineClass.count < ShortestLine)
+        return false;
+    std::size_t ahead = 0;
+    for (auto index = indexOf(priority); index < PriorityCount; ++index)
+        ahead += m_classes[index].count;
+    return waitFor(ahead + 1, now) > m_settings.standingWait[indexOf(priority)];
+}
+
+std::chrono::milliseconds request_queue::waitFor(std::size_t ahead, instant now) const
+{
+    const double every = m_settings.oldestEvery;
+    const double dispatches = static_cast<double>(ahead) * every / std::max(1.0, every - 1);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(dispatchInterval(now) * dispatches);
+}
+
+double request_queue::nextTag(const queued_request& request) const
+{
+    const auto& lineClass = m_classes[indexOf(request.priority)];
+    const auto line = lineClass.teams.find(request.key.team);
+    return line == lineClass.teams.end() ? lineClass.virtualTime
+                                         : std::max(lineClass.virtualTime, line->second.finishTag);
+}
+
 queue_number request_queue::nextFair(request_priority lowest)
 {
     for (auto index = PriorityCount; index-- > indexOf(lowest);) {
@@ -175,29 +214,36 @@
     return 0;
 }
 
-bool request_queue::displace(const queued_request& incoming, std::vector<queue_refusal>& refused, instant now)
+bool request_queue::displace(
+    const queued_request& incoming, bool lowerToo, std::vector<queue_refusal>& refused, instant now)
 {
-    for (std::size_t index = 0; index <= indexOf(incoming.priority); ++index) {
+    const auto own = indexOf(incoming.priority);
+    for (std::size_t index = lowerToo ? 0 : own; index <= own; ++index) {
         auto& lineClass = m_classes[index];
         if (!lineClass.count)
             continue;
-        const auto longest = std::max_element(lineClass.teams.begin(), lineClass.teams.end(),
-            [](const auto& left, const auto& right) { return left.second.count < right.second.count; });
-        if (index == indexOf(incoming.priority)) {
-            const auto own = lineClass.teams.find(incoming.key.team);
-            const std::size_t mine = own == lineClass.teams.end() ? 0 : own->second.count;
-            // Equal priority: only a team with more waiting than the newcomer's gives way, so that a large team
-            // cannot displace a small one.
-            if (longest->second.count <= mine + 1)
-                return false;
+        queue_number last = 0;
+        double lastTag = 0;
+        for (auto& [team, line] : lineClass.teams) {
+            while (!line.numbers.empty() && !m_requests.count(line.numbers.back()))
+                line.numbers.pop_back();
+            if (!line.count)
+                continue;
+            const double tag = m_requests.at(line.numbers.back()).startTag;
+            if (!last || tag > lastTag) {
+                last = line.numbers.back();
+                lastTag = tag;
+            }
         }
-        // The newest request has waited least.
-        auto& numbers = longest->second.numbers;
-        while (!m_requests.count(numbers.back()))
-            numbers.pop_back();
-        const auto number = numbers.back();
-        const auto removed = remove(number);
-        refused.push_back(refusal(number, removed.request, error_kind::Overloaded, now));
+        // Equal priority: a team that has had more than its share has later tags, so that it cannot displace others.
+        if (index == own && lastTag <= nextTag(incoming))
+            return false;
+        const auto removed = remove(last);
+        // The displaced request costs its team nothing.
+        const auto team = lineClass.teams.find(removed.request.key.team);
+        if (team != lineClass.teams.end())
+            team->second.finishTag = removed.startTag;
+        refused.push_back(refusal(last, removed.request, error_kind::Overloaded, now));
         return true;
     }
     return false;
--- a/core/request_queue.h
+++ b/core/request_queue.h
@@ -49,6 +49,7 @@
 struct take_outcome {
     queue_number number = 0;
     std::optional<queued_request> request;
+    instant arrived; ///< when the request was offered
     std::vector<queue_refusal> refused;
 };
 
@@ -57,8 +58,15 @@
     std::size_t capacity = 512;
     std::uint32_t oldestEvery = 4; ///< every n-th dispatch serves the oldest request of any priority
     std::chrono::milliseconds longestWait { 30'000 }; ///< caps every deadline
-    std::chrono::milliseconds shortestRetry { 250 };
-    std::chrono::milliseconds longestRetry { 30'000 };
+    /// A priority whose requests have waited long for this time is overloaded: a burst passes sooner.
+    std::chrono::milliseconds standingAfter { 1'000 };
+    /// Longest line of an overloaded priority as expected wait (Bulk, Normal, Urgent); a quarter of it is a long wait.
+    /// Queueing up to the deadlines would serve everyone late and keep a backlog after the overload; a short line
+    /// serves as many per second in time.
+    std::array<std::chrono::milliseconds, PriorityCount> standingWait { std::chrono::milliseconds(2'000),
+        std::chrono::milliseconds(400), std::chrono::milliseconds(300) };
+    std::chrono::milliseconds shortestRetry { 500 };
+    std::chrono::milliseconds longestRetry { 5'000 }; ///< callers wait a few seconds at most
 };
 
 /// Serves the highest priority first and within a priority the team that has had the least (start-time fair queueing
@@ -71,7 +79,8 @@
     request_queue(request_queue_settings settings, seeded_random random);
 
     /// Queues a request, or refuses it when its deadline cannot be met or the queue is full of requests that are at
-    /// least as important. A full queue displaces a request of lower priority or of a team with more waiting.
+    /// least as important. A full queue displaces a request of lower priority, or of equal priority that would be
+    /// served later than the new one; an overloaded line does the latter.
     offer_outcome offer(queued_request request, instant now);
 
     /// Removes a request whose caller has gone.
@@ -83,7 +92,8 @@
     take_outcome take(instant now, request_priority lowest = request_priority::Bulk);
 
     /// Returns a taken request that could not be placed, in its old order; it is not counted as dispatched.
-    void putBack(queue_number number, queued_request request);
+    /// \param outcome from take, with its request
+    void putBack(const take_outcome& outcome);
 
     /// Removes the requests whose deadline has passed.
     std::vector<queue_refusal> expire(instant now);
@@ -100,6 +110,7 @@
     struct entry {
         queued_request request;
         double startTag = 0;
+        instant arrived;
     };
     struct team_line {
         std::deque<queue_number> numbers; // may contain removed requests
@@ -110,13 +121,18 @@
         std::map<team_id, team_line> teams;
         std::size_t count = 0;
         double virtualTime = 0;
+        std::optional<instant> longSince; // first long wait since the line was last emptied by a quick dispatch
     };
 
     priority_class& classOf(request_priority priority) { return m_classes[indexOf(priority)]; }
-    void enqueue(queue_number number, queued_request request, bool first);
+    void enqueue(queue_number number, queued_request request, instant arrived, bool first);
     entry remove(queue_number number);
+    void noteWait(const entry& removed, instant now);
+    bool lineTooLong(request_priority priority, instant now) const;
+    std::chrono::milliseconds waitFor(std::size_t ahead, instant now) const;
+    double nextTag(const queued_request& request) const;
     queue_number nextFair(request_priority lowest);
-    bool displace(const queued_request& incoming, std::vector<queue_refusal>& refused, instant now);
+    bool displace(const queued_request& incoming, bool lowerToo, std::vector<queue_refusal>& refused, instant now);
     queue_refusal refusal(queue_number number, const queued_request& request, error_kind kind, instant now);
     std::chrono::duration<double> dispatchInterval(instant now) const;
 
