--- a/core/test/request_queue.cpp
+++ b/core/test/request_queue.cpp
@@ -35,6 +35,7 @@
     request_queue_settings settings;
     settings.capacity = capacity;
     settings.longestWait = seconds(3600);
+    settings.standingAfter = seconds(3600); // its own test below
     return request_queue(settings, seeded_random(1));
 }
 
@@ -151,6 +152,57 @@
     EXPECT_NE(queue.offer(request(1, request_priority::Normal, at(3'500)), at(3'000)).number, 0u);
 }
 
+// Failure: a permanently high load of the upper priorities shuts bulk requests out.
+TEST(request_queue, low_priority_is_served_now_and_then_although_the_limit_excludes_it)
+{
+    auto queue = queueOf(100);
+    const auto bulk = queue.offer(request(0, request_priority::Bulk, at(100'000)), at(0));
+    EXPECT_FALSE(queue.take(at(0), request_priority::Urgent).request);
+    for (int count = 0; count < 10; ++count)
+        queue.offer(request(1, request_priority::Urgent, at(100'000)), at(0));
+    for (int count = 0; count < 3; ++count)
+        EXPECT_NE(queue.take(at(0), request_priority::Urgent).number, bulk.number);
+    EXPECT_EQ(queue.take(at(0), request_priority::Urgent).number, bulk.number);
+}
+
+// Failure: a request that finds no target loses its turn to later ones.
+TEST(request_queue, request_put_back_keeps_its_order)
+{
+    auto queue = queueOf(10);
+    const auto first = queue.offer(request(0, request_priority::Normal, at(100'000)), at(0));
+    queue.offer(request(0, request_priority::Normal, at(100'000)), at(0));
+    for (int count = 0; count < 6; ++count) {
+        auto taken = queue.take(at(count));
+        ASSERT_EQ(taken.number, first.number);
+        queue.putBack(taken);
+    }
+    EXPECT_EQ(queue.size(), 2u);
+}
+
+// Failure: an overload fills the queue up to the deadlines, so that all are served late and the backlog outlasts it.
+TEST(request_queue, overloaded_line_is_kept_short_and_fair)
+{
+    request_queue queue({}, seeded_random(1));
+    for (int count = 0; count < 60; ++count)
+        queue.offer(request(0, request_priority::Normal, at(20'000)), at(0));
+    int time = 0;
+    for (int count = 1; count <= 30; ++count)
+        queue.take(at(time = count * 50));
+    const auto large = queue.offer(request(0, request_priority::Normal, at(20'000)), at(time));
+    EXPECT_EQ(large.number, 0u);
+    const auto small = queue.offer(request(1, request_priority::Normal, at(20'000)), at(time));
+    ASSERT_NE(small.number, 0u);
+    ASSERT_EQ(small.refused.size(), 1u);
+    EXPECT_EQ(small.refused[0].key.team, team(0));
+    EXPECT_NE(queue.offer(request(0, request_priority::Urgent, at(20'000)), at(time)).number, 0u);
+    while (queue.size())
+        queue.take(at(time += 50));
+    queue.offer(request(0, request_priority::Normal, at(20'000)), at(time));
+    queue.take(at(time)); // served at once: no longer overloaded
+    for (int count = 0; count < 40; ++count)
+        EXPECT_NE(queue.offer(request(0, request_priority::Normal, at(20'000)), at(time)).number, 0u);
+}
+
 TEST(request_queue, recovers_after_dispatches_stopped)
 {
     auto queue = queueOf(10);
