--- a/bench/bench_resume.cpp
+++ b/bench/bench_resume.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <string>
 
 using namespace oriolepick;
 
@@ -30,12 +31,16 @@
         / (shape.stepMilliseconds + shape.perStreamMilliseconds * shape.batch);
     auto& resumes = figures.resumeSeconds;
     const double perThousand = 1000.0 / std::max<double>(1, figures.generations);
+    std::string failures;
+    for (const auto& [kind, number] : figures.failures)
+        failures += (failures.empty() ? "" : " ") + std::string(answerFor(kind).code) + ":" + std::to_string(number);
     std::printf("{\"name\":\"resume\",\"policy\":\"%s\",\"seed\":%llu,\"deaths_per_minute\":%g,\"zone_loss\":%s,"
                 "\"load\":%g,\"minutes\":%g,\"workers\":%u,\"generations\":%llu,\"completed\":%llu,\"failed\":%llu,"
                 "\"broken_streams\":%zu,\"resume_p50_s\":%.3f,\"resume_p95_s\":%.3f,\"resume_p99_s\":%.3f,"
                 "\"resume_max_s\":%.3f,\"extra_per_delivered\":%.4f,\"extra_output_per_delivered\":%.4f,"
                 "\"extra_prefill_per_delivered\":%.4f,\"extra_compute_time_share\":%.4f,"
-                "\"false_suspicions_per_1000\":%.2f,\"suspicions\":%llu,\"repeated_attempts\":%llu,"
+                "\"false_suspicions_per_1000\":%.2f,\"suspicions\":%llu,\"repeated_attempts\":%llu,\"needless_attempts_"
+                "per_1000\":%.2f,\"failures\":\"%s\","
                 "\"inter_token_p95_ms\":%.1f}\n",
         policy.name().data(), static_cast<unsigned long long>(trace.seed), trace.deathsPerMinute,
         trace.zoneLoss ? "true" : "false", trace.load, static_cast<double>(trace.length.count()) / 6e7, shape.workers,
@@ -45,7 +50,7 @@
         (extraOutput + extraPrefill) / delivered, extraOutput / delivered, extraPrefill / delivered,
         (extraOutput + extraPrefill * prefillWeight) / delivered, figures.falseSuspicions * perThousand,
         static_cast<unsigned long long>(figures.suspicions), static_cast<unsigned long long>(figures.secondAttempts),
-        quantile(figures.gapSeconds, 0.95) * 1000);
+        figures.needlessAttempts * perThousand, failures.c_str(), quantile(figures.gapSeconds, 0.95) * 1000);
     std::fflush(stdout);
 }
 
--- a/bench/resume_fleet.cpp
+++ b/bench/resume_fleet.cpp
@@ -14,6 +14,7 @@
     constexpr bench_time PeerNews { 300'000 }; // gossip delay of a loss report
     constexpr bench_time ProbeTimeout { 250'000 };
     constexpr bench_time HealthPoll { 1'000'000 }; // until a returned worker is used again
+    constexpr double OtherZoneBonus = 200; // milliseconds of expected first-token time
     constexpr std::uint64_t GapSample = 64; // every 64th inter-token time is kept
 
 } // namespace
@@ -122,8 +123,14 @@
         if (node.lost[index] || std::find(excluded.begin(), excluded.end(), worker.id) != excluded.end())
             continue;
         double score = firstTokenMilliseconds(worker, request, action.prefixLength) + 4.0 * worker.running.size();
+        if (worker.dead)
+            score = worker.loadAtDeath;
         if (action.preferCached && !worker.caches(request.manual))
             score += m_shape.prefillMilliseconds * request.manualTokens;
+        const bool zoneExcluded = std::any_of(excluded.begin(), excluded.end(),
+            [&](const target_id& id) { return workerOf(id) % m_shape.zones == index % m_shape.zones; });
+        if (action.preferOtherZone && zoneExcluded)
+            score += OtherZoneBonus;
         score += 5 * m_random.unit(); // nodes see slightly old loads
         if (!best || score < bestScore) {
             best = &worker;
@@ -145,6 +152,8 @@
     const auto worker = workerOf(action.target);
     auto& state = *m_streams[stream];
     m_figures.secondAttempts += state.started;
+    if (state.started && !state.targetBefore.empty())
+        m_figures.needlessAttempts += !m_workers[workerOf(state.targetBefore)]->dead && !state.reset;
     state.disturbed = state.started;
     at(m_now + Hop, [this, stream, worker, action] {
         if (m_workers[worker]->dead && !m_workers[worker]->silent) {
@@ -235,10 +244,11 @@
     ++m_figures.completed;
 }
 
-void resume_fleet::act(std::uint32_t stream, const fail& /*action*/)
+void resume_fleet::act(std::uint32_t stream, const fail& action)
 {
     m_streams[stream]->ended = true;
     ++m_figures.failed;
+    ++m_figures.failures[action.kind];
 }
 
 void resume_fleet::act(std::uint32_t stream, const set_timer& action)
@@ -282,6 +292,7 @@
             && !stream.brokenAt)
             stream.brokenAt = m_now;
         stream.disturbed = true;
+        stream.reset = true;
         if (fault.kind != trace_fault_kind::SilentDeath)
             post(run->stream, attempt_broken { id, break_reason::Reset }, Hop);
         if (fault.kind == trace_fault_kind::LostConnection)
@@ -290,6 +301,8 @@
     if (fault.kind == trace_fault_kind::LostConnection)
         return;
     worker.dead = true;
+    worker.loadAtDeath = 4.0 * static_cast<double>(worker.running.size())
+        + firstTokenMilliseconds(worker, m_trace.requests.front(), 0);
     worker.silent = fault.kind == trace_fault_kind::SilentDeath;
     ++worker.incarnation;
     worker.stepping = false;
--- a/bench/resume_fleet.h
+++ b/bench/resume_fleet.h
@@ -29,6 +29,8 @@
     std::uint64_t repeatedPrefill = 0; ///< prompt and prefix tokens computed for attempts beyond the first
     std::uint64_t suspicions = 0;
     std::uint64_t falseSuspicions = 0; ///< suspicions of a worker that was alive, or only paused
+    std::uint64_t needlessAttempts = 0; ///< attempts beyond the first while the earlier one's worker was alive
+    std::map<error_kind, std::uint64_t> failures;
     std::uint64_t secondAttempts = 0; ///< attempts beyond the first of a generation
     std::vector<double> gapSeconds; ///< a sample of inter-token times of undisturbed streams
 };
--- a/bench/resume_fleet_parts.h
+++ b/bench/resume_fleet_parts.h
@@ -18,6 +18,7 @@
     bool read = true;
     bool cancelled = false;
     bool finished = false;
+    bool urgent = false; ///< before others in the queue and in prefill
     bool repeated = false; ///< an attempt beyond the first of its generation
 };
 
@@ -25,6 +26,7 @@
     target_id id;
     bool dead = false;
     bool silent = false; ///< dead without closing connections
+    double loadAtDeath = 0; ///< what nodes still believe until they learn of the loss
     std::uint64_t incarnation = 0;
     bench_time pausedUntil { 0 };
     bool stepping = false;
@@ -55,6 +57,7 @@
     std::optional<bench_time> brokenAt; ///< when the engine of its stream died
     bench_time lastToken { -1 };
     bool started = false;
+    bool reset = false; ///< its connection was lost at some time
     bool disturbed = false;
     bool ended = false;
 };
--- a/bench/resume_worker.cpp
+++ b/bench/resume_worker.cpp
@@ -61,7 +61,11 @@
     run->prefillLeft = request.ownTokens + run->first + (worker.caches(request.manual) ? 0 : request.manualTokens);
     run->repeated = std::exchange(m_streams[stream]->started, true);
     worker.runs[action.attempt] = run;
-    worker.waiting.push_back(run);
+    run->urgent = action.interrupted;
+    if (run->urgent)
+        worker.waiting.push_front(run);
+    else
+        worker.waiting.push_back(run);
     post(stream, attempt_accepted { action.attempt }, Hop);
     beginStep(index);
 }
@@ -76,6 +80,7 @@
     else if (hiccup < LongHiccup + ShortHiccup)
         duration += 300 * m_random.unit();
     std::uint32_t chunk = m_shape.prefillChunk;
+    std::stable_partition(worker.running.begin(), worker.running.end(), [](const auto& run) { return run->urgent; });
     for (auto& run : worker.running) {
         const auto tokens = std::min(chunk, run->prefillLeft);
         chunk -= tokens;
--- a/core/attempt_record.h
+++ b/core/attempt_record.h
@@ -39,6 +39,7 @@
     attempt_phase phase = attempt_phase::Choosing;
     std::uint32_t next = 0; ///< position that its stream must produce next
     bool unverified = false; ///< its tokens before the delivered position are not compared yet
+    bool chosenAgain = false; ///< a second choice was asked for, because the first fell on the other attempt's target
     bool accepted = false; ///< its target confirmed it
     std::optional<finish_reason> done; ///< its engine's end, while unverified
     std::uint32_t extraPrefill = 0; ///< prompt and prefix tokens counted as repeated work for it
--- a/core/generation.cpp
+++ b/core/generation.cpp
@@ -94,7 +94,10 @@
     const bool isSecond = m_second && attempt == &*m_second;
     if (isSecond && m_current && m_current->target == event.target) {
         // A second attempt on the suspected target would stall with the first.
-        m_second.reset();
+        if (std::exchange(attempt->chosenAgain, true))
+            m_second.reset();
+        else
+            choose(*attempt);
         return;
     }
     startOn(*attempt, event, now);
--- a/core/generation.h
+++ b/core/generation.h
@@ -82,6 +82,7 @@
     struct stall_record {
         std::uint32_t round = 0;
         bool probed = false;
+        std::uint32_t failedProbes = 0;
         std::optional<bool> probeAlive;
         std::optional<bool> probeHasAttempt;
         instant lookAgainAt;
--- a/core/generation_actions.h
+++ b/core/generation_actions.h
@@ -48,6 +48,7 @@
     std::vector<target_id> excluded; ///< targets that failed or rejected this request, or run its other attempt
     std::uint32_t prefixLength = 0; ///< delivered tokens that the attempt starts with
     bool preferCached = false; ///< prefer a target that has the prefix cached over the least loaded one
+    bool preferOtherZone = false; ///< the excluded targets may have failed with their zone
 };
 
 /// Start a new attempt on a target.
@@ -55,6 +56,7 @@
     attempt_id attempt;
     target_id target;
     token_list prefix; ///< response tokens to continue from; the first new position is its size
+    bool interrupted = false; ///< a caller's stream stands still: ask the engine for a higher priority
 };
 
 /// Read an attempt that the target already runs; \c from is the first position wanted. The node closes its earlier
--- a/core/generation_attempts.cpp
+++ b/core/generation_attempts.cpp
@@ -99,7 +99,8 @@
 void generation::choose(attempt_record& attempt)
 {
     attempt.phase = attempt_phase::Choosing;
-    choose_target request { attempt.id, attempt.purpose, m_excluded, attempt.next, rules().preferCached };
+    choose_target request { attempt.id, attempt.purpose, m_excluded, attempt.next, rules().preferCached,
+        m_interrupted || attempt.purpose == attempt_purpose::Hedge };
     request.excluded.insert(request.excluded.end(), m_busy.begin(), m_busy.end());
     for (const auto* other : { &m_current, &m_second }) {
         if (*other && (*other)->id != attempt.id && !(*other)->target.empty())
@@ -117,7 +118,7 @@
         attempt.extraPrefill = m_request.promptTokens + attempt.next;
         m_usage.extraPrefill += attempt.extraPrefill;
     }
-    start_attempt action { attempt.id, attempt.target, {} };
+    start_attempt action { attempt.id, attempt.target, {}, m_interrupted || attempt.purpose == attempt_purpose::Hedge };
     if (attempt.next > 0)
         action.prefix = m_tokens;
     emit(std::move(action));
--- a/core/generation_stall.cpp
+++ b/core/generation_stall.cpp
@@ -22,10 +22,12 @@
         return;
     }
     m_stall.probeAlive = event.alive;
+    if (event.alive)
+        m_stall.failedProbes = 0;
     m_stall.probeHasAttempt = event.hasAttempt;
     consultPolicy(now);
     // Each answer serves one decision; the policy asks again when it needs a fresh one.
-    m_stall.probed = false;
+    m_stall.probed = event.alive ? false : m_stall.probed;
     m_stall.probeAlive.reset();
     m_stall.probeHasAttempt.reset();
 }
@@ -110,6 +112,7 @@
     stall.othersProgress = m_current->detector.othersProgress(pace, now);
     stall.reportedLost = m_current->reportedLost;
     stall.probed = m_stall.probed;
+    stall.failedProbes = m_stall.failedProbes;
     stall.probeAlive = m_stall.probeAlive;
     stall.probeHasAttempt = m_stall.probeHasAttempt;
     stall.hedged = m_second.has_value();
@@ -120,6 +123,7 @@
         break;
     case stall_step::Probe:
         m_stall.probed = true;
+        ++m_stall.failedProbes;
         emit(probe_target { m_current->id, m_current->target });
         break;
     case stall_step::Hedge:
--- a/core/resume_policy.cpp
+++ b/core/resume_policy.cpp
@@ -9,7 +9,9 @@
     // A stream that its target still runs is left alone this long under the waiting policy before the target counts as
     // hung: a prefill of the longest prompts blocks a batch for seconds, but not for ten.
     constexpr milliseconds HungAfter { 10'000 };
-    constexpr milliseconds ProbeWait { 300 }; // ten times a round trip between zones under load
+    constexpr milliseconds ProbeWait { 300 }; // longer than the node's own timeout of a probe
+    constexpr milliseconds QuickProbeWait { 40 }; // ten round trips between zones
+    constexpr std::uint32_t ProbesBeforeAbandon = 2; // a pause of half a second passes without repeated work
 
 } // namespace
 
@@ -24,13 +26,17 @@
 
 stall_decision latency_first_policy::decide(const suspicion& stall) const
 {
-    if (stall.othersProgress && !stall.reportedLost && stall.silence < m_rules.stall.longestGap)
+    const auto longest = m_rules.stall.longestGap;
+    if (stall.hedged)
+        return { stall_step::Wait, milliseconds(250) };
+    if (stall.othersProgress && !stall.reportedLost && stall.silence < longest)
+        return { stall_step::Wait, milliseconds(100) };
+    // An engine that answers at once is busy, not dead: most gaps above 250 ms are long steps of a batch.
+    if (stall.probeAlive == true && stall.silence < longest)
         return { stall_step::Wait, milliseconds(100) };
-    if (!stall.hedged)
-        return { stall_step::Hedge, milliseconds(250) };
-    if (stall.probeAlive == false)
-        return { stall_step::Abandon, milliseconds(250) };
-    return { stall.probeAlive || stall.probed ? stall_step::Wait : stall_step::Probe, milliseconds(250) };
+    if (!stall.probed && !stall.reportedLost)
+        return { stall_step::Probe, QuickProbeWait };
+    return { stall_step::Hedge, milliseconds(250) };
 }
 
 waiting_policy::waiting_policy()
@@ -46,14 +52,15 @@
 {
     if (stall.hedged)
         return { stall_step::Wait, ProbeWait };
-    if (stall.probeAlive == false)
-        return { stall_step::Abandon, ProbeWait };
     if (stall.probeAlive == true)
         return { stall.silence < HungAfter ? stall_step::Wait : stall_step::Hedge, 2 * ProbeWait };
     if (stall.othersProgress && !stall.reportedLost && stall.silence < HungAfter)
         return { stall_step::Wait, ProbeWait };
     // A probe without any answer by the next look counts as answered with "not alive".
-    return { stall.probed ? stall_step::Abandon : stall_step::Probe, ProbeWait };
+    const bool unanswered = stall.probed || stall.probeAlive == false;
+    if (unanswered && (stall.reportedLost || stall.failedProbes >= ProbesBeforeAbandon))
+        return { stall_step::Abandon, ProbeWait };
+    return { stall_step::Probe, ProbeWait };
 }
 
 restart_policy::restart_policy()
--- a/core/resume_policy.h
+++ b/core/resume_policy.h
@@ -20,6 +20,7 @@
     bool othersProgress = false; ///< other streams of the target progress
     bool reportedLost = false; ///< a peer reported the target as lost
     bool probed = false; ///< a probe was sent during this stall
+    std::uint32_t failedProbes = 0; ///< probes of this stall without a positive answer, including one under way
     std::optional<bool> probeAlive; ///< the probe's answer, if any
     std::optional<bool> probeHasAttempt; ///< the target still runs the attempt, if probed
     bool hedged = false; ///< a second attempt is under way
