--- a/bench/resume_fleet.cpp
+++ b/bench/resume_fleet.cpp
@@ -13,6 +13,7 @@
     constexpr bench_time Hop { 1000 }; // client and zone hops of the design's regions are 0.5 to 3 ms
     constexpr bench_time PeerNews { 300'000 }; // gossip delay of a loss report
     constexpr bench_time ProbeTimeout { 250'000 };
+    constexpr double ViewNoise = 30; // milliseconds; nodes see loads of different age
     constexpr bench_time HealthPoll { 1'000'000 }; // until a returned worker is used again
     constexpr double OtherZoneBonus = 200; // milliseconds of expected first-token time
     constexpr std::uint64_t GapSample = 64; // every 64th inter-token time is kept
@@ -114,7 +115,7 @@
 void resume_fleet::act(std::uint32_t stream, const choose_target& action)
 {
     const auto& request = m_trace.requests[stream];
-    const auto& node = *m_nodes[request.node];
+    auto& node = *m_nodes[request.node];
     const bench_worker* best = nullptr;
     double bestScore = 0;
     for (std::uint32_t index = 0; index < m_workers.size(); ++index) {
@@ -123,6 +124,7 @@
         if (node.lost[index] || std::find(excluded.begin(), excluded.end(), worker.id) != excluded.end())
             continue;
         double score = firstTokenMilliseconds(worker, request, action.prefixLength) + 4.0 * worker.running.size();
+        score += node.sent[index] * m_shape.prefillMilliseconds;
         if (worker.dead)
             score = worker.loadAtDeath;
         if (action.preferCached && !worker.caches(request.manual))
@@ -131,7 +133,7 @@
             [&](const target_id& id) { return workerOf(id) % m_shape.zones == index % m_shape.zones; });
         if (action.preferOtherZone && zoneExcluded)
             score += OtherZoneBonus;
-        score += 5 * m_random.unit(); // nodes see slightly old loads
+        score += ViewNoise * m_random.unit();
         if (!best || score < bestScore) {
             best = &worker;
             bestScore = score;
@@ -143,6 +145,12 @@
         return;
     }
     const auto expected = firstTokenMilliseconds(*best, request, action.prefixLength);
+    // The node adds its own starts to a target's reported load until the target reports again.
+    const auto tokens
+        = request.ownTokens + action.prefixLength + (best->caches(request.manual) ? 0 : request.manualTokens);
+    auto& sent = node.sent[workerOf(best->id)];
+    sent += tokens;
+    at(m_now + 3 * Hop, [&sent, tokens] { sent -= tokens; });
     post(stream, target_chosen { action.attempt, best->id, {}, std::chrono::milliseconds(static_cast<long>(expected)) },
         Hop / 5);
 }
--- a/bench/resume_fleet_parts.h
+++ b/bench/resume_fleet_parts.h
@@ -41,12 +41,14 @@
 struct resume_fleet::bench_node {
     bench_node(seeded_random& random, std::size_t workers)
         : budget({}, &pacer, random, instant {})
+        , sent(workers, 0)
         , lost(workers, false)
     {
     }
     resume_pacer pacer { {}, instant {} };
     retry_budget budget;
     target_paces paces;
+    std::vector<std::uint32_t> sent; ///< prompt tokens of own starts under way, by worker
     std::vector<bool> lost; ///< workers that this node knows to be down
 };
 
--- a/core/attempt_record.h
+++ b/core/attempt_record.h
@@ -45,7 +45,7 @@
     std::uint32_t extraPrefill = 0; ///< prompt and prefix tokens counted as repeated work for it
     bool reportedLost = false; ///< a peer reported its target as lost
     std::vector<token> buffered; ///< tokens from position 0 while unverified
-    instant due; ///< when waiting ends, or when the attach times out
+    instant due; ///< when waiting ends, when the attach times out, or before which a second attempt is not checked
     stall_detector detector;
 };
 
--- a/core/generation_attempts.cpp
+++ b/core/generation_attempts.cpp
@@ -113,6 +113,7 @@
 {
     attempt.target = event.target;
     attempt.phase = attempt_phase::Starting;
+    attempt.due = now;
     attempt.detector.attemptStarted(now, event.expectedFirstToken);
     if (m_mayHaveRun++ > 0) {
         attempt.extraPrefill = m_request.promptTokens + attempt.next;
--- a/core/generation_events.h
+++ b/core/generation_events.h
@@ -56,7 +56,7 @@
     std::chrono::milliseconds retryAfter { 0 };
 };
 
-/// The target took the attempt, or the attach.
+/// The target took the attempt, or the attach: its response headers arrived, long before the first token.
 struct attempt_accepted {
     attempt_id attempt;
 };
--- a/core/generation_stall.cpp
+++ b/core/generation_stall.cpp
@@ -97,8 +97,14 @@
             choose(*m_second);
         return;
     }
-    if (!m_second->onTarget() || rules().duplicate || suspectAt(*m_second) > now)
+    if (!m_second->onTarget() || rules().duplicate || std::max(suspectAt(*m_second), m_second->due) > now)
         return;
+    const auto pace = m_paces.paceOf(m_second->target);
+    if (m_second->accepted && m_second->detector.othersProgress(pace, now)) {
+        // The target is busy, not dead: a third attempt would only add to the load.
+        m_second->due = now + rules().stall.prefillSlack / 2;
+        return;
+    }
     m_excluded.push_back(m_second->target);
     retire(m_second, true);
 }
@@ -139,7 +145,9 @@
 instant generation::suspectAt(const attempt_record& attempt) const
 {
     const auto pace = m_paces.paceOf(attempt.target);
-    const auto usual = attempt.detector.suspectAt(pace);
+    auto usual = attempt.detector.suspectAt(pace);
+    if (attempt.phase == attempt_phase::Starting)
+        usual = std::min(usual, attempt.detector.lastProgress() + rules().acceptTimeout);
     return attempt.reportedLost ? std::min(usual, attempt.detector.expectedBy(pace)) : usual;
 }
 
@@ -158,7 +166,7 @@
         if (record.phase == attempt_phase::Waiting || record.phase == attempt_phase::Attaching)
             include(record.due);
         else if (attempt == &m_second && record.onTarget() && !rules().duplicate)
-            include(suspectAt(record));
+            include(std::max(suspectAt(record), record.due));
         else if (attempt == &m_current && record.onTarget())
             include(m_state == generation_state::Suspect ? m_stall.lookAgainAt : suspectAt(record));
     }
--- a/core/resume_policy.cpp
+++ b/core/resume_policy.cpp
@@ -21,6 +21,7 @@
     m_rules.stall.prefillFactor = 1.5;
     m_rules.stall.prefillSlack = milliseconds(300);
     m_rules.attachTimeout = milliseconds(150);
+    m_rules.acceptTimeout = milliseconds(150);
     m_rules.retryPause = milliseconds(50);
 }
 
@@ -81,6 +82,7 @@
     m_rules.stall.shortestGap = Timeout;
     m_rules.stall.longestGap = Timeout;
     m_rules.stall.prefillSlack = Timeout;
+    m_rules.acceptTimeout = Timeout;
     m_rules.attachFirst = false;
 }
 
