--- a/core/generation_stall.cpp
+++ b/core/generation_stall.cpp
@@ -100,13 +100,15 @@
     if (!m_second->onTarget() || rules().duplicate || std::max(suspectAt(*m_second), m_second->due) > now)
         return;
     const auto pace = m_paces.paceOf(m_second->target);
-    if (m_second->accepted && m_second->detector.othersProgress(pace, now)) {
+    const bool patient = now - m_second->detector.lastProgress() < rules().stall.longestGap;
+    if (patient && m_second->accepted && m_second->detector.othersProgress(pace, now)) {
         // The target is busy, not dead: a third attempt would only add to the load.
         m_second->due = now + rules().stall.prefillSlack / 2;
         return;
     }
     m_excluded.push_back(m_second->target);
     retire(m_second, true);
+    m_stall.lookAgainAt = now;
 }
 
 void generation::consultPolicy(instant now)
