--- a/standins/test/call_fault_matrix.cpp
+++ b/standins/test/call_fault_matrix.cpp
@@ -199,3 +199,17 @@
     std::cout << "repeatable: " << run << " cells, " << violations << " violations\n";
     EXPECT_EQ(violations, 0u);
 }
+
+TEST(call_fault_matrix, a_repeatable_call_stays_within_its_attempts_and_the_retry_budget)
+{
+    for (const bool retryAllowed : { false, true }) {
+        repeatable_call call(instant(milliseconds(1000)), 3, milliseconds(100));
+        std::size_t sent = 0;
+        for (auto actions = call.start(); !call.finished() && sent < 10;) {
+            actions = call.targetChosen(instant {}, target_id(fleet_name("refill"), std::to_string(sent)));
+            actions = call.attemptBroken(std::get<send_repeat>(actions.at(0)).ordinal, retryAllowed);
+            ++sent;
+        }
+        EXPECT_EQ(sent, retryAllowed ? 3u : 1u);
+    }
+}
--- a/standins/test/call_rules.cpp
+++ b/standins/test/call_rules.cpp
@@ -79,6 +79,20 @@
     EXPECT_EQ(call_row_json().decode(row->value).value().state, call_row_state::MayHaveRun);
 }
 
+TEST(call_rules, an_orphaned_claim_of_a_live_process_is_recovered_as_refused)
+{
+    call_world world(2, 1, noFaults());
+    call_row row;
+    row.claimId = "n0/1/99"; // a call that this process closed without a dispatch
+    row.bodyDigest = 1;
+    row.node = node_id("n0");
+    const auto value = call_row_json().encode(row);
+    ASSERT_TRUE(world.table.commit({ {}, { { "call/atelier/desk/k", value } } }, {}).value().committed);
+    const auto follower = world.send(milliseconds(0), "k", 1);
+    world.runUntil(milliseconds(9000));
+    EXPECT_EQ(kindOf(world, follower), error_kind::Overloaded);
+}
+
 TEST(call_rules, an_abandoned_claim_becomes_refused_and_runs_for_a_later_request)
 {
     // The claim takes effect after its caller was told that it may have run.
@@ -140,3 +154,20 @@
     EXPECT_EQ(left[0].key, "call/a/2");
     EXPECT_GE(collector.malformedRows(), 1u);
 }
+
+TEST(call_rules, collection_leaves_a_row_that_was_claimed_again_meanwhile)
+{
+    const call_row_json codec;
+    call_garbage_collector collector({}, codec);
+    fake_table table;
+    call_row row;
+    row.state = call_row_state::Refused;
+    (void)table.commit({ {}, { { "call/a/1", codec.encode(row) } } }, {});
+    collector.setPrefixes({ "call/" });
+    ASSERT_TRUE(collector.takeScan({}));
+    const wall_time now(std::chrono::hours(100));
+    const auto deletions = collector.finishScan({ {}, now }, table.scan("call/", "", 10, {}));
+    ASSERT_TRUE(deletions);
+    (void)table.commit({ {}, { { "call/a/1", codec.encode(row) } } }, {});
+    EXPECT_FALSE(table.commit(*deletions, {}).value().committed);
+}
