--- /dev/null
+++ b/node/call_driver.cpp
@@ -0,0 +1,296 @@
+#include "node/call_driver.h"
+
+#include "core/fleet_state.h"
+#include "core/grant_owner.h"
+#include "node/control_loop.h"
+#include "node/node_log.h"
+#include "node/node_metrics.h"
+#include "node/peer_hub.h"
+#include "node/target_directory.h"
+#include "platform/table_service.h"
+#include "targets/call_abort.h"
+#include "wire/messages.pb.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr std::size_t TableThreads = 4;
+    constexpr std::size_t SendThreads = 64;
+    constexpr std::size_t TaskCapacity = 8192;
+    constexpr std::chrono::milliseconds CollectPeriod { 500 };
+
+    claim_time timeNow()
+    {
+        return { std::chrono::steady_clock::now(), std::chrono::system_clock::now() };
+    }
+
+    std::string contentTypeOf(const header_list& headers)
+    {
+        for (const auto& [name, value] : headers) {
+            std::string lower = name;
+            std::transform(lower.begin(), lower.end(), lower.begin(),
+                [](unsigned char character) { return std::tolower(character); });
+            if (lower == "content-type")
+                return value;
+        }
+        return "application/octet-stream";
+    }
+
+} // namespace
+
+call_driver::call_driver(table_service& table, service_client& services, target_directory& targets, peer_hub& peers,
+    control_loop& loop, node_metrics& metrics, std::chrono::milliseconds tableTimeout, std::uint64_t seed)
+    : m_table(table)
+    , m_services(services)
+    , m_targets(targets)
+    , m_peers(peers)
+    , m_loop(loop)
+    , m_metrics(metrics)
+    , m_tableTimeout(tableTimeout)
+    , m_desk(peers.self(), peers.incarnation(), {}, {}, m_codec, seed)
+    , m_collector({}, m_codec)
+    , m_tableTasks(TableThreads, TaskCapacity)
+    , m_sendTasks(SendThreads, TaskCapacity)
+{
+    registerMessages();
+    loop.whenDue([this] { return m_desk.wakeAt(); }, [this](instant) { execute(m_desk.tick(timeNow())); });
+    loop.every(CollectPeriod, [this](instant now) { collectGarbage(now); });
+}
+
+void call_driver::registerMessages()
+{
+    m_peers.handle(
+        wire::envelope::kClaimInquiry, [this](const node_id& sender, const wire::envelope& message, instant) {
+            const auto& inquiry = message.claim_inquiry();
+            const auto team = team_id::parse(inquiry.team());
+            if (!team || inquiry.key().empty())
+                return false;
+            execute(m_desk.inquiry(timeNow(), sender, { *team, inquiry.key() }, inquiry.claim_id()));
+            return true;
+        });
+    m_peers.handle(wire::envelope::kClaimNotice, [this](const node_id&, const wire::envelope& message, instant) {
+        const auto row = m_codec.decode(message.claim_notice().row());
+        if (row)
+            execute(m_desk.notice(timeNow(), row.value()));
+        return row.has_value();
+    });
+}
+
+void call_driver::open(call_request request, call_dispatch dispatch, reply_handler onReply)
+{
+    m_loop.post(
+        [this, request = std::move(request), dispatch = std::move(dispatch), onReply = std::move(onReply)](instant) {
+            auto [number, actions] = m_desk.open(timeNow(), request);
+            m_calls[number] = { dispatch, onReply, false };
+            execute(std::move(actions));
+        });
+}
+
+void call_driver::refuse(call_request request, error reason, reply_handler onReply)
+{
+    m_loop.post(
+        [this, request = std::move(request), reason = std::move(reason), onReply = std::move(onReply)](instant) {
+            auto [number, actions] = m_desk.openRefused(timeNow(), request, reason);
+            m_calls[number] = { {}, onReply, false };
+            execute(std::move(actions));
+        });
+}
+
+call_reply call_driver::lookUp(const request_key& key) const
+{
+    const auto row = m_table.read(callRowKey(key), m_tableTimeout);
+    if (!row)
+        return row.error();
+    std::optional<call_row> known;
+    if (row.value()) {
+        auto decoded = m_codec.decode(row.value()->value);
+        if (!decoded)
+            return decoded.error();
+        known = decoded.value();
+    }
+    return describeCall(known, std::chrono::system_clock::now());
+}
+
+void call_driver::execute(desk_actions actions)
+{
+    for (const auto& action : actions)
+        std::visit([this](const auto& typed) { run(typed); }, action);
+}
+
+void call_driver::run(const commit_call_rows& action)
+{
+    const bool queued = m_tableTasks.submit([this, transaction = action.transaction] {
+        const auto outcome = m_table.commit(transaction, m_tableTimeout);
+        m_loop.post([this, outcome](instant) {
+            m_metrics.add(counter_metric::PlatformOperations,
+                { { "operation", "call_commit" },
+                    { "outcome", outcome ? "ok" : std::string(answerFor(outcome.error().kind).code) } });
+            execute(m_desk.commitFinished(timeNow(), outcome));
+        });
+    });
+    if (!queued)
+        m_loop.post([this](instant) {
+            execute(m_desk.commitFinished(
+                timeNow(), error { error_kind::PlatformUnavailable, "the node's queue is full", {} }));
+        });
+}
+
+void call_driver::run(const read_desk_row& action)
+{
+    const bool queued = m_tableTasks.submit([this, action] {
+        const auto row = m_table.read(action.key, m_tableTimeout);
+        m_loop.post([this, action, row](instant) { execute(m_desk.rowRead(timeNow(), action.number, row)); });
+    });
+    if (!queued)
+        m_loop.post([this, action](instant) {
+            execute(m_desk.rowRead(
+                timeNow(), action.number, error { error_kind::PlatformUnavailable, "the node's queue is full", {} }));
+        });
+}
+
+void call_driver::run(const place_desk_call& action)
+{
+    const auto call = m_calls.find(action.number);
+    if (call == m_calls.end())
+        return;
+    placement_query query;
+    query.work = call->second.dispatch.service;
+    query.priority = request_priority::Urgent;
+    query.excluded = action.excluded;
+    const auto chosen = m_targets.choose(query, call->second.dispatch.targets, 0, std::chrono::steady_clock::now());
+    if (const auto* none = std::get_if<no_choice>(&chosen))
+        execute(m_desk.noTarget(timeNow(), action.number, none->retryAfter));
+    else
+        execute(m_desk.targetChosen(timeNow(), action.number, std::get<placed_target>(chosen).target));
+}
+
+void call_driver::run(const send_desk_call& action)
+{
+    const auto call = m_calls.find(action.number);
+    const auto address = m_targets.addressOf(action.target);
+    if (call == m_calls.end() || !address) {
+        execute(m_desk.dispatchUnsent(timeNow(), action.number));
+        return;
+    }
+    const auto& dispatch = call->second.dispatch;
+    const bool queued = m_sendTasks.submit(
+        [this, action, address = *address, request = dispatch.request, timeouts = dispatch.timeouts] {
+            call_abort abort;
+            const auto outcome = m_services.call(address, request, timeouts, abort);
+            m_loop.post([this, action, outcome](instant) { finishSend(action.number, action.target, outcome); });
+        });
+    if (!queued)
+        finishSend(action.number, action.target, {});
+}
+
+void call_driver::finishSend(call_number number, const target_id& target, const service_outcome& outcome)
+{
+    m_targets.recordFinished(target, 0, true, std::chrono::steady_clock::now());
+    switch (outcome.kind) {
+    case service_outcome_kind::Response:
+        execute(m_desk.dispatchAnswered(
+            timeNow(), number, { outcome.status, contentTypeOf(outcome.headers), outcome.body }));
+        break;
+    case service_outcome_kind::NotSent:
+        m_targets.recordUnreachable(target);
+        execute(m_desk.dispatchUnsent(timeNow(), number));
+        break;
+    case service_outcome_kind::MayHaveRun:
+        execute(m_desk.dispatchBroken(timeNow(), number));
+        break;
+    }
+}
+
+void call_driver::run(const answer_desk_call& action)
+{
+    const auto call = m_calls.find(action.number);
+    if (call == m_calls.end())
+        return;
+    call->second.onReply(action.reply);
+    // The dispatch is kept no longer: the desk never sends after it has answered.
+    m_calls.erase(call);
+}
+
+void call_driver::run(const ask_claimer& action)
+{
+    if (action.node == m_peers.self()) {
+        execute(m_desk.inquiry(timeNow(), action.node, action.key, action.claimId));
+        return;
+    }
+    wire::envelope message;
+    auto& inquiry = *message.mutable_claim_inquiry();
+    inquiry.set_team(action.key.team.text());
+    inquiry.set_key(action.key.key);
+    inquiry.set_claim_id(action.claimId);
+    m_peers.send(action.node, std::move(message));
+}
+
+void call_driver::run(const tell_follower& action)
+{
+    if (action.node == m_peers.self()) {
+        execute(m_desk.notice(timeNow(), action.row));
+        return;
+    }
+    wire::envelope message;
+    message.mutable_claim_notice()->set_row(m_codec.encode(action.row));
+    m_peers.send(action.node, std::move(message));
+}
+
+void call_driver::setNodes(const std::vector<node_id>& usable, instant)
+{
+    for (const auto& node : m_nodes) {
+        if (std::find(usable.begin(), usable.end(), node) == usable.end())
+            execute(m_desk.nodeGone(timeNow(), node));
+    }
+    m_nodes = usable;
+    m_desk.setFleetSize(std::max<std::size_t>(1, usable.size()));
+    updatePrefixes();
+}
+
+void call_driver::applyState(const std::shared_ptr<const fleet_state>& state)
+{
+    m_teams.clear();
+    for (const auto& [team, settings] : state->teams())
+        m_teams.push_back(team);
+    std::sort(m_teams.begin(), m_teams.end());
+    updatePrefixes();
+}
+
+void call_driver::updatePrefixes()
+{
+    std::vector<std::string> prefixes;
+    for (const auto& team : m_teams) {
+        if (grantOwnerOf(team, m_nodes) == m_peers.self())
+            prefixes.push_back(callRowPrefix(team));
+    }
+    m_collector.setPrefixes(std::move(prefixes));
+}
+
+void call_driver::collectGarbage(instant now)
+{
+    const auto scan = m_collector.takeScan(now);
+    if (!scan)
+        return;
+    const auto finish = [this](const result<std::vector<table_row>>& page) {
+        const auto deletions = m_collector.finishScan(timeNow(), page);
+        if (deletions)
+            m_tableTasks.submit([this, deletions = *deletions] { (void)m_table.commit(deletions, m_tableTimeout); });
+    };
+    const bool queued = m_tableTasks.submit([this, scan = *scan, finish] {
+        const auto page = m_table.scan(scan.prefix, scan.after, scan.limit, m_tableTimeout);
+        m_loop.post([finish, page](instant) { finish(page); });
+    });
+    if (!queued)
+        finish(error { error_kind::PlatformUnavailable, "the node's queue is full", {} });
+}
+
+void call_driver::stop()
+{
+    m_sendTasks.stop();
+    m_tableTasks.stop();
+}
+
+} // namespace oriolepick
--- a/node/control_loop.cpp
+++ b/node/control_loop.cpp
@@ -4,6 +4,12 @@
 
 namespace oriolepick {
 
+namespace {
+
+    constexpr std::chrono::milliseconds ShortestWait { 1 }; // work that is due again at once must not spin
+
+} // namespace
+
 control_loop::~control_loop()
 {
     stop();
@@ -14,6 +20,11 @@
     m_periodic.push_back({ period, std::move(work), {} });
 }
 
+void control_loop::whenDue(std::function<std::optional<instant>()> dueAt, task work)
+{
+    m_timed.push_back({ std::move(dueAt), std::move(work) });
+}
+
 void control_loop::start()
 {
     m_thread = std::thread([this] { run(); });
@@ -55,6 +66,21 @@
     return next;
 }
 
+instant control_loop::runTimed(instant now)
+{
+    auto next = now + std::chrono::hours(1);
+    for (const auto& entry : m_timed) {
+        auto due = entry.dueAt();
+        if (due && *due <= now) {
+            entry.work(now);
+            due = entry.dueAt();
+        }
+        if (due)
+            next = std::min(next, std::max(*due, now + ShortestWait));
+    }
+    return next;
+}
+
 void control_loop::run()
 {
     std::unique_lock<std::mutex> lock(m_mutex);
@@ -64,7 +90,8 @@
         lock.unlock();
         for (const auto& work : posted)
             work(std::chrono::steady_clock::now());
-        const auto next = runPeriodic(std::chrono::steady_clock::now());
+        const auto now = std::chrono::steady_clock::now();
+        const auto next = std::min(runPeriodic(now), runTimed(now));
         lock.lock();
         m_changed.wait_until(lock, next, [this] { return m_stopping || !m_posted.empty(); });
     }
--- a/node/control_loop.h
+++ b/node/control_loop.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -23,6 +24,10 @@
     /// Registers periodic work; called before start().
     void every(std::chrono::milliseconds period, task work);
 
+    /// Registers work that is due at changing times; called before start().
+    /// \param dueAt when the work is due next, nothing for not at all; read on the loop's thread
+    void whenDue(std::function<std::optional<instant>()> dueAt, task work);
+
     void start();
 
     /// Ends the thread; later posts are dropped.
@@ -37,15 +42,21 @@
         task work;
         instant next;
     };
+    struct timed {
+        std::function<std::optional<instant>()> dueAt;
+        task work;
+    };
 
     void run();
     instant runPeriodic(instant now);
+    instant runTimed(instant now);
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::deque<task> m_posted;
     bool m_stopping = false;
     std::vector<periodic> m_periodic;
+    std::vector<timed> m_timed;
     std::thread m_thread;
 };
 
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -3,6 +3,7 @@
 #include "config/settings.h"
 #include "core/fleet_state.h"
 #include "node/authenticator.h"
+#include "node/call_driver.h"
 #include "node/completions_endpoint.h"
 #include "node/control_loop.h"
 #include "node/cursor_codec.h"
@@ -16,6 +17,7 @@
 #include "node/operator_endpoint.h"
 #include "node/order_driver.h"
 #include "node/peer_hub.h"
+#include "node/service_endpoint.h"
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
 #include "node/target_poller.h"
@@ -27,6 +29,7 @@
 #include "platform/http_table_service.h"
 #include "platform/ticket_store.h"
 #include "targets/http_engine_client.h"
+#include "targets/http_service_client.h"
 #include "wire/zmq_peer_transport.h"
 
 #include <csignal>
@@ -34,6 +37,7 @@
 #include <random>
 #include <thread>
 #include <unistd.h>
+#include <zmq.hpp>
 
 namespace oriolepick {
 
@@ -106,15 +110,19 @@
               tickets, states, status, peers, loop, tasks, metrics, distributionSettings(configuration), processSeed())
         , limitsDriver(limits, peers, loop)
         , orders(origin, table, engines, targets, states, loop, tasks, metrics, configuration.platformTimeout)
-        , edge(configuration, edge_services { completions, operators, callers, metrics, status })
+        , calls(table, serviceClient, targets, peers, loop, metrics, configuration.platformTimeout, processSeed())
+        , services(origin, states, callers, calls, serviceClient, targets, limits, admission, metrics, traces)
+        , edge(configuration, edge_services { completions, services, operators, callers, metrics, status })
     {
         states.addListener([this](const auto& state) {
             targets.applyState(state);
             limitsDriver.applyState(state, std::chrono::steady_clock::now());
+            calls.applyState(state);
         });
         members.addListener([this](const auto& usable, instant now) {
             ticketDriver.setPeers(usable);
             limitsDriver.setNodes(usable, now);
+            calls.setNodes(usable, now);
         });
     }
 
@@ -127,6 +135,7 @@
     http_object_store objects;
     http_instance_list instances;
     http_engine_client engines;
+    http_service_client serviceClient;
     trace_store traces;
     target_directory targets;
     locked_admission admission;
@@ -144,6 +153,8 @@
     ticket_driver ticketDriver;
     limits_driver limitsDriver;
     order_driver orders;
+    call_driver calls;
+    service_endpoint services;
     http_edge edge;
     std::optional<target_poller> targetPoller;
     std::thread server;
@@ -157,6 +168,16 @@
 
 daemon::~daemon() = default;
 
+result<std::unique_ptr<daemon>> daemon::create(const settings& configuration)
+{
+    try {
+        return std::unique_ptr<daemon>(new daemon(configuration));
+    } catch (const zmq::error_t& problem) {
+        return error { error_kind::Internal,
+            "peers.listen: cannot bind " + configuration.peersListen + ": " + problem.what(), {} };
+    }
+}
+
 result<void> daemon::start()
 {
     const auto bound = m_parts->edge.bind();
@@ -189,6 +210,7 @@
     m_parts->targetPoller.reset();
     // Tasks refer to parts that are destroyed before the pool.
     m_parts->tasks.stop();
+    m_parts->calls.stop();
     m_parts->transport.stop();
     m_parts->loop.stop();
     logInfo("node", { { "to", "stopped" }, { "finished", finished ? "all" : "not all" } });
--- a/node/daemon.h
+++ b/node/daemon.h
@@ -12,11 +12,13 @@
 
 class daemon {
 public:
-    explicit daemon(const settings& configuration);
     ~daemon();
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
 
+    /// \return the parts built from the settings, or Internal when the peers' address cannot be bound
+    static result<std::unique_ptr<daemon>> create(const settings& configuration);
+
     /// Starts all parts and serves callers on threads of its own.
     /// \return Internal when an address cannot be bound
     result<void> start();
@@ -28,6 +30,8 @@
 private:
     struct parts;
 
+    explicit daemon(const settings& configuration);
+
     const settings& m_settings;
     std::unique_ptr<parts> m_parts;
 };
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -173,6 +173,7 @@
 
 void generation_session::execute(const generation_actions& actions)
 {
+    countUsage();
     for (const auto& action : actions)
         std::visit([this](const auto& typed) { run(typed); }, action);
 }
@@ -357,17 +358,26 @@
     m_services.targets.recordFinished(running.target, running.uncachedTokens, running.started, clockNow());
 }
 
+void generation_session::countUsage()
+{
+    const auto usage = m_generation.usage();
+    const auto add = [this](const char* kind, std::uint64_t now, std::uint64_t before) {
+        if (now == before)
+            return;
+        m_services.metrics.add(counter_metric::TokensExtra,
+            { { "fleet", m_request.deployment.fleet().value() }, { "deployment", m_request.deployment.name() },
+                { "kind", kind } },
+            static_cast<double>(now - before));
+    };
+    add("output", usage.extraOutput, m_countedUsage.extraOutput);
+    add("prefill", usage.extraPrefill, m_countedUsage.extraPrefill);
+    m_countedUsage = usage;
+}
+
 void generation_session::finish(session_end end)
 {
     if (m_end)
         return;
-    const node_metrics::labels at { { "fleet", m_request.deployment.fleet().value() },
-        { "deployment", m_request.deployment.name() } };
-    auto extra = at;
-    extra["kind"] = "output";
-    m_services.metrics.add(counter_metric::TokensExtra, extra, static_cast<double>(m_generation.usage().extraOutput));
-    extra["kind"] = "prefill";
-    m_services.metrics.add(counter_metric::TokensExtra, extra, static_cast<double>(m_generation.usage().extraPrefill));
     trace(end.finished ? "complete tokens=" + std::to_string(m_generation.position())
                        : "ended code=" + std::string(answerFor(end.kind).code));
     m_end = end;
--- a/node/generation_session.h
+++ b/node/generation_session.h
@@ -117,6 +117,7 @@
     attempt_observer observerFor(const target_id& target) const;
     void observeToken(instant now);
     void stopReader(const attempt_id& attempt);
+    void countUsage();
     void finish(session_end end);
     void trace(const std::string& line);
 
@@ -131,6 +132,7 @@
     std::optional<instant> m_lastToken;
     bool m_interrupted = false; ///< the stream broke or stalled since the last token
     std::deque<session_token> m_tokens;
+    token_usage m_countedUsage; ///< part of the generation's usage that the metrics include
     std::optional<session_end> m_end;
 };
 
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -10,6 +10,7 @@
 #include "node/node_metrics.h"
 #include "node/node_status.h"
 #include "node/operator_endpoint.h"
+#include "node/service_endpoint.h"
 
 #include <httplib.h>
 
@@ -116,6 +117,16 @@
         });
     m_server->Post("/v1/completions",
         [this](const httplib::Request& request, httplib::Response& response) { handleCompletion(request, response); });
+    const auto service
+        = [this](const httplib::Request& request, httplib::Response& response) { handleService(request, response); };
+    constexpr const char* ServicePattern = R"(/v1/services/([^/]{1,128})(/.*)?)";
+    m_server->Get(ServicePattern, service);
+    m_server->Post(ServicePattern, service);
+    m_server->Put(ServicePattern, service);
+    m_server->Patch(ServicePattern, service);
+    m_server->Delete(ServicePattern, service);
+    m_server->Get(R"(/v1/calls/([^/]{1,128}))",
+        [this](const httplib::Request& request, httplib::Response& response) { handleLookUp(request, response); });
     m_server->Get("/healthz",
         [](const httplib::Request&, httplib::Response& response) { response.set_content("ok\n", "text/plain"); });
     m_server->Get("/readyz", [this](const httplib::Request&, httplib::Response& response) {
@@ -157,7 +168,10 @@
     if (!work)
         return false;
     const auto refuse = [&](error_kind kind, const char* message) {
-        answerError({ kind, message, std::chrono::seconds(1) }, response, "unknown");
+        // Another node may have run a call with the same key.
+        const bool keyedCall = request.path != "/v1/completions" && request.has_header("Idempotency-Key");
+        answerError({ kind, message, std::chrono::seconds(1) }, response, "unknown",
+            keyedCall ? std::optional<run_state>(run_state::MayHaveRun) : std::nullopt);
         // The body was not read, so the connection cannot be used again.
         response.set_header("Connection", "close");
         return true;
@@ -171,7 +185,8 @@
     return false;
 }
 
-void http_edge::answerError(const error& problem, httplib::Response& response, const std::string& fleet)
+void http_edge::answerError(
+    const error& problem, httplib::Response& response, const std::string& fleet, std::optional<run_state> run)
 {
     const auto& answer = answerFor(problem.kind);
     response.status = answer.status;
@@ -179,10 +194,10 @@
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(problem.retryAfter).count();
         response.set_header("Retry-After", std::to_string(seconds));
     }
-    response.set_content(errorBody(problem), JsonType);
+    response.set_content(errorBody(problem, run), JsonType);
     const std::string code(answer.code);
     m_services.metrics.add(counter_metric::Refusals,
-        { { "fleet", fleet }, { "code", code }, { "run", std::string(toString(answer.run)) } });
+        { { "fleet", fleet }, { "code", code }, { "run", std::string(toString(run.value_or(answer.run))) } });
     if (answer.status == 400 || answer.status == 413 || answer.status == 415)
         m_services.metrics.add(counter_metric::BadInput, { { "entrance", "callers" } });
 }
@@ -219,6 +234,37 @@
     response.set_content(body.value(), JsonType);
 }
 
+void http_edge::handleService(const httplib::Request& request, httplib::Response& response)
+{
+    const open_request open(m_services.status);
+    service_call call;
+    call.authorization = request.get_header_value("Authorization");
+    call.requestKey = request.get_header_value("Idempotency-Key");
+    call.service = request.matches[1];
+    call.method = request.method;
+    call.path = request.matches[2].length() ? std::string(request.matches[2]) : "/";
+    const auto query = request.target.find('?');
+    if (query != std::string::npos)
+        call.path += request.target.substr(query);
+    call.contentType = request.get_header_value("Content-Type");
+    call.body = request.body;
+    call.arrived = std::chrono::steady_clock::now();
+    const auto served = m_services.services.call(call);
+    if (!served.reply)
+        return answerError(served.reply.error(), response, served.fleet);
+    response.status = served.reply.value().status;
+    response.set_content(served.reply.value().body, served.reply.value().contentType);
+}
+
+void http_edge::handleLookUp(const httplib::Request& request, httplib::Response& response)
+{
+    const auto reply = m_services.services.lookUp(request.get_header_value("Authorization"), request.matches[1]);
+    if (!reply)
+        return answerError(reply.error(), response, "unknown");
+    response.status = reply.value().status;
+    response.set_content(reply.value().body, reply.value().contentType);
+}
+
 void http_edge::sendEvents(const std::shared_ptr<completion_stream>& stream, httplib::Response& response)
 {
     response.set_header("Cache-Control", "no-store");
--- a/node/http_edge.h
+++ b/node/http_edge.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace httplib {
@@ -21,12 +22,14 @@
 class completions_endpoint;
 class node_metrics;
 class operator_endpoint;
+class service_endpoint;
 struct node_status;
 struct settings;
 
 /// What the edge serves; all of it outlives the edge.
 struct edge_services {
     completions_endpoint& completions;
+    service_endpoint& services;
     operator_endpoint& operators;
     const authenticator& callers;
     node_metrics& metrics;
@@ -52,9 +55,12 @@
     void addRoutes();
     void addOperatorRoutes();
     void handleCompletion(const httplib::Request& request, httplib::Response& response);
+    void handleService(const httplib::Request& request, httplib::Response& response);
+    void handleLookUp(const httplib::Request& request, httplib::Response& response);
     void sendEvents(const std::shared_ptr<completion_stream>& stream, httplib::Response& response);
     bool refuses(const httplib::Request& request, httplib::Response& response);
-    void answerError(const error& problem, httplib::Response& response, const std::string& fleet);
+    void answerError(const error& problem, httplib::Response& response, const std::string& fleet,
+        std::optional<run_state> run = std::nullopt);
     void recordEnd(const completion_stream& stream);
 
     const settings& m_settings;
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -59,15 +59,19 @@
     // Blocked before any thread starts, so that only sigwait() below receives them.
     pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
     oriolepick::configureLog(configuration.logFormat, configuration.logLevel);
-    oriolepick::daemon node(configuration);
-    const auto started = node.start();
+    const auto node = oriolepick::daemon::create(configuration);
+    if (!node) {
+        oriolepick::logError("start failed", { { "reason", node.error().message } });
+        return Failure;
+    }
+    const auto started = node.value()->start();
     if (!started) {
         oriolepick::logError("start failed", { { "reason", started.error().message } });
         return Failure;
     }
     int received = 0;
     sigwait(&stopSignals, &received);
-    return node.drainAndStop() ? Success : Failure;
+    return node.value()->drainAndStop() ? Success : Failure;
 }
 
 } // namespace
--- a/node/operator_endpoint.cpp
+++ b/node/operator_endpoint.cpp
@@ -55,6 +55,7 @@
     body["ticket"] = m_states.current()->number();
     body["open_requests"] = m_status.openRequests.load();
     body["targets"] = m_targets.stateCounts();
+    body["engines_reporting"] = m_targets.reportingEngines();
     return dumped(body);
 }
 
--- a/node/target_directory.cpp
+++ b/node/target_directory.cpp
@@ -193,6 +193,13 @@
     return list;
 }
 
+std::size_t target_directory::reportingEngines() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(
+        m_records.begin(), m_records.end(), [](const auto& entry) { return entry.second.observed.has_value(); }));
+}
+
 std::map<std::string, std::size_t> target_directory::stateCounts() const
 {
     static const std::map<target_state, std::string> names { { target_state::Live, "live" },
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -76,6 +76,9 @@
 
     std::vector<polled_target> engines() const;
 
+    /// \return number of engines whose last poll succeeded
+    std::size_t reportingEngines() const;
+
     /// \return number of targets by state: "live", "suspected", "ejected", "leaving"
     std::map<std::string, std::size_t> stateCounts() const;
 
--- a/node/ticket_driver.cpp
+++ b/node/ticket_driver.cpp
@@ -18,12 +18,6 @@
 
 namespace oriolepick {
 
-namespace {
-
-    constexpr std::chrono::milliseconds TickPeriod { 50 };
-
-} // namespace
-
 ticket_driver::ticket_driver(ticket_store& store, state_keeper& states, node_status& status, peer_hub& peers,
     control_loop& loop, task_pool& tasks, node_metrics& metrics, const ticket_distributor_settings& settings,
     std::uint64_t seed)
@@ -56,10 +50,8 @@
     peers.watchNumbers([this](const node_id& sender, std::uint64_t number, instant now) {
         execute(m_distributor.numberSeen(now, sender, number), now);
     });
-    loop.every(TickPeriod, [this](instant now) {
-        if (now >= m_distributor.nextWake())
-            execute(m_distributor.wake(now), now);
-    });
+    loop.whenDue([this] { return std::optional<instant>(m_distributor.nextWake()); },
+        [this](instant now) { execute(m_distributor.wake(now), now); });
 }
 
 void ticket_driver::setPeers(const std::vector<node_id>& usable)
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -171,8 +171,8 @@
                 const std::chrono::nanoseconds gap = now - m_lastToken;
                 m_report.betweenTokens.add(gap);
                 m_report.longestGap = std::max(m_report.longestGap, gap);
-                if (m_broken)
-                    m_report.longestBreakGap = std::max(m_report.longestBreakGap, gap);
+                auto& longest = m_broken ? m_report.longestBreakGap : m_report.longestConnectedGap;
+                longest = std::max(longest, gap);
             }
             m_broken = false;
             m_lastToken = now;
--- a/standins/caller.h
+++ b/standins/caller.h
@@ -32,6 +32,7 @@
     std::optional<std::chrono::nanoseconds> firstToken; ///< from the first send
     value_summary betweenTokens;
     std::chrono::nanoseconds longestGap { 0 }; ///< between two tokens
+    std::chrono::nanoseconds longestConnectedGap { 0 }; ///< between two tokens of one connection
     std::chrono::nanoseconds longestBreakGap { 0 }; ///< between two tokens with a break between them
 };
 
