Guard responses before the HTTP library reads them

Fault: a response with a status line of 50 KB ended the process (SIGSEGV: the library matches the line with a recursive regular expression), and header and chunk lines had no limit. The adapters now make the connection themselves and give the library a stream that scans the head (status line 256 bytes, head 32 KB, 64 KB between pieces of body). This also shows whether any byte left the process, so that a failed write with nothing sent is proven not run, and needs one descriptor a call instead of two. Responses without a body keep their status; before, a 204 was reported as status 0. Test: standins_malformed_responses.

--- /dev/null
+++ b/standins/test/malformed_responses.cpp
@@ -0,0 +1,117 @@
+// Guards against responses that harm this process: a status line of 50 KB overflowed the stack in the HTTP library's
+// regular expression, and header and chunk lines were collected without a limit. Mutated responses end each call with
+// one outcome.
+#include "standins/test/recording_sink.h"
+#include "standins/test/silent_listener.h"
+#include "targets/http_service_client.h"
+#include "targets/response_guard.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace oriolepick;
+
+namespace {
+
+service_outcome callWith(const std::string& response)
+{
+    silent_listener listener;
+    std::thread server([&] { listener.answerOnce(response); });
+    call_abort abort;
+    const auto outcome = http_service_client().call(listener.address(), { "GET", "/", {}, {} }, {}, abort);
+    server.join();
+    return outcome;
+}
+
+std::string chunked(const std::string& body)
+{
+    char size[32];
+    std::snprintf(size, sizeof size, "%zx\r\n", body.size());
+    return size + body + "\r\n";
+}
+
+std::string engineResponse()
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+           "Engine-Load: running=1;waiting=0;batch=8;kv_free=99\r\n\r\n"
+        + chunked("data: {\"position\":0,\"token_id\":5,\"text\":\" w5\"}\n\n")
+        + chunked("data: {\"position\":1,\"token_id\":6,\"text\":\" w6\"}\n\n")
+        + chunked("event: done\ndata: "
+                  "{\"finish_reason\":\"stop\",\"length\":2,\"prompt_tokens\":1,\"cached_tokens\":0}\n\n")
+        + "0\r\n\r\n";
+}
+
+} // namespace
+
+TEST(malformed_responses, overlong_parts_may_have_run)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string responses[] = {
+        "HTTP/1.1 200 " + std::string(50'000, 'a') + "\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 " + std::string(50'000, 'a') + "\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX: " + std::string(100'000, 'a') + "\r\nContent-Length: 0\r\n\r\n",
+        head + std::string(1'000'000, '0') + "\r\n\r\n",
+        head + "0\r\nX: " + std::string(1'000'000, 'a') + "\r\n\r\n",
+    };
+    for (const auto& response : responses) {
+        const auto outcome = callWith(response);
+        EXPECT_EQ(outcome.kind, service_outcome_kind::MayHaveRun) << response.substr(0, 60) << " " << outcome.detail;
+    }
+}
+
+TEST(malformed_responses, truncated_and_foreign_responses_may_have_run)
+{
+    for (const std::string response : { "", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "SSH-2.0-server\r\n" })
+        EXPECT_EQ(callWith(response).kind, service_outcome_kind::MayHaveRun) << response;
+}
+
+TEST(malformed_responses, responses_without_a_body_keep_their_status)
+{
+    EXPECT_EQ(callWith("HTTP/1.1 204 No Content\r\n\r\n").status, 204);
+    EXPECT_EQ(callWith("HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n").status, 304);
+}
+
+TEST(malformed_responses, mutated_engine_responses_end_the_call_once)
+{
+    EXPECT_TRUE(rc::check("mutated response", [] {
+        std::string response = engineResponse();
+        const auto edits = *rc::gen::inRange(0, 3);
+        for (int edit = 0; edit < edits; ++edit) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, response.size());
+            if (*rc::gen::arbitrary<bool>())
+                response[at] = *rc::gen::arbitrary<char>();
+            else
+                response.erase(at, *rc::gen::inRange<std::size_t>(1, 100));
+            if (response.empty())
+                break;
+        }
+        silent_listener listener;
+        std::thread server([&] { listener.answerOnce(response); });
+        recording_sink sink;
+        call_abort abort;
+        http_engine_client().start(listener.address(), testRequest("x"), {}, sink, abort);
+        server.join();
+        RC_ASSERT(sink.summary().has_value() != sink.reason().has_value());
+        if (response == engineResponse())
+            RC_ASSERT(sink.summary().has_value());
+    }));
+}
+
+TEST(malformed_responses, guard_gives_one_verdict_for_any_pieces)
+{
+    EXPECT_TRUE(rc::check("pieces", [] {
+        const std::string response = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 "
+            + std::string(*rc::gen::inRange<std::size_t>(200, 300), 'a') + "\r\nX: y\r\n\r\nbody";
+        response_guard whole;
+        const bool expected = whole.take(response);
+        response_guard guard;
+        bool taken = true;
+        for (std::size_t at = 0; at < response.size() && taken;) {
+            const auto size = *rc::gen::inRange<std::size_t>(1, 64);
+            taken = guard.take(std::string_view(response).substr(at, size));
+            at += size;
+        }
+        RC_ASSERT(taken == expected);
+    }));
+}
--- a/targets/attempt_reader.cpp
+++ b/targets/attempt_reader.cpp
@@ -117,6 +117,9 @@
     case exchange_end::Lost:
         breakOff(stream_break::Reset, exchanged.detail);
         return;
+    case exchange_end::Malformed:
+        breakOff(stream_break::Malformed, exchanged.detail);
+        return;
     case exchange_end::TimedOut:
         breakOff(stream_break::Timeout, exchanged.detail);
         return;
--- a/targets/call_abort.cpp
+++ b/targets/call_abort.cpp
@@ -1,15 +1,9 @@
 #include "targets/call_abort.h"
 
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace oriolepick {
 
-call_abort::~call_abort()
-{
-    releaseSocket();
-}
-
 void call_abort::abort()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -27,18 +21,14 @@
 void call_abort::watchSocket(int socket)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (m_socket >= 0)
-        ::close(m_socket);
-    m_socket = ::dup(socket);
-    if (m_aborted && m_socket >= 0)
+    m_socket = socket;
+    if (m_aborted)
         ::shutdown(m_socket, SHUT_RDWR);
 }
 
 void call_abort::releaseSocket()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (m_socket >= 0)
-        ::close(m_socket);
     m_socket = -1;
 }
 
--- a/targets/call_abort.h
+++ b/targets/call_abort.h
@@ -11,7 +11,6 @@
 class call_abort {
 public:
     call_abort() = default;
-    ~call_abort();
     call_abort(const call_abort&) = delete;
     call_abort& operator=(const call_abort&) = delete;
 
@@ -21,11 +20,11 @@
     /// \return whether abort() was called
     bool aborted() const;
 
-    /// Used by adapters: makes abort() shut down \p socket. Holds a duplicate of the descriptor, so that a late abort
-    /// cannot hit another connection that got the same number.
+    /// Used by adapters: makes abort() shut down \p socket, also before and during its connect.
     void watchSocket(int socket);
 
-    /// Used by adapters: ends the watch.
+    /// Used by adapters, before they close the socket: a late abort must not hit another connection that got the same
+    /// descriptor.
     void releaseSocket();
 
 private:
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -1,6 +1,7 @@
 #include "targets/http_exchange.h"
 
 #include "targets/call_abort.h"
+#include "targets/target_socket.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
@@ -8,15 +9,12 @@
 #include <httplib.h>
 
 #include <array>
-#include <csignal>
 #include <optional>
 
 namespace oriolepick {
 
 namespace {
 
-    using clock = std::chrono::steady_clock;
-
     struct endpoint {
         std::string host;
         int port = 0;
@@ -93,8 +91,46 @@
         return list;
     }
 
-    httplib::Request makeRequest(
-        const service_request& request, const response_handlers& handlers, clock::time_point& lastByte)
+    /// Gives the HTTP library the connection.
+    class socket_stream : public httplib::Stream {
+    public:
+        explicit socket_stream(target_socket& socket)
+            : m_socket(socket)
+        {
+        }
+
+        bool is_readable() const override { return m_socket.waitReadable(); }
+        bool is_writable() const override { return m_socket.waitWritable(); }
+        ssize_t read(char* target, std::size_t size) override { return m_socket.read(target, size); }
+        ssize_t write(const char* source, std::size_t size) override { return m_socket.write(source, size); }
+        void get_remote_ip_and_port(std::string&, int&) const override { }
+        void get_local_ip_and_port(std::string&, int&) const override { }
+        socket_t socket() const override { return m_socket.descriptor(); }
+
+    private:
+        target_socket& m_socket;
+    };
+
+    /// The HTTP library's client on a connection that this adapter made itself. That way it is known whether a byte
+    /// left the process, and the response is guarded before the library reads it.
+    class exchange_client : public httplib::ClientImpl {
+    public:
+        exchange_client(const std::string& host, int port)
+            : httplib::ClientImpl(host, port)
+        {
+            set_url_encode(false);
+            set_decompress(false);
+        }
+
+        httplib::Error run(httplib::Stream& stream, httplib::Request& request, httplib::Response& response)
+        {
+            auto error = httplib::Error::Success;
+            const bool complete = process_request(stream, request, response, true, error);
+            return complete || error != httplib::Error::Success ? error : httplib::Error::Unknown;
+        }
+    };
+
+    httplib::Request makeRequest(const service_request& request)
     {
         httplib::Request made;
         made.method = request.method;
@@ -105,41 +141,30 @@
                 made.headers.emplace(name, value);
         }
         made.headers.emplace("Accept-Encoding", "identity");
-        made.response_handler = [&](const httplib::Response& response) {
-            lastByte = clock::now();
-            return handlers.head(response.status, endToEndHeaders(response.headers));
-        };
-        made.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-            lastByte = clock::now();
-            return handlers.body(std::string_view(data, size));
-        };
         return made;
     }
 
-    /// The HTTP library writes without MSG_NOSIGNAL; a peer that closes its connection must not end this process.
-    void ignoreBrokenPipeSignal()
+    exchange_end classify(httplib::Error error, const target_socket& socket, const call_abort& abort)
     {
-        static const auto previous = std::signal(SIGPIPE, SIG_IGN);
-        (void)previous;
-    }
-
-    exchange_end classify(httplib::Error error, const call_abort& abort, bool timedOut)
-    {
-        switch (error) {
-        case httplib::Error::Success:
+        if (error == httplib::Error::Success)
             return exchange_end::Complete;
-        case httplib::Error::Connection:
-        case httplib::Error::ConnectionTimeout:
-        case httplib::Error::BindIPAddress:
-            // The library writes only after the connect has succeeded.
-            return exchange_end::NotSent;
-        case httplib::Error::Canceled:
+        if (error == httplib::Error::Canceled)
             return exchange_end::Stopped;
-        default:
-            if (abort.aborted())
-                return exchange_end::Aborted;
-            return timedOut ? exchange_end::TimedOut : exchange_end::Lost;
+        if (!socket.hasSent())
+            return exchange_end::NotSent;
+        if (abort.aborted())
+            return exchange_end::Aborted;
+        switch (socket.end()) {
+        case socket_end::TimedOut:
+            return exchange_end::TimedOut;
+        case socket_end::Closed:
+        case socket_end::Failed:
+            return exchange_end::Lost;
+        case socket_end::Open: // the library could not make sense of the bytes
+        case socket_end::Overlong:
+            break;
         }
+        return exchange_end::Malformed;
     }
 
 } // namespace
@@ -154,28 +179,28 @@
         return { exchange_end::NotSent, std::move(fault) };
     if (abort.aborted())
         return { exchange_end::NotSent, "aborted before the connect" };
+    target_socket socket(abort, timeouts.idle);
+    if (auto fault = socket.connect(target->host, target->port, timeouts.connect); !fault.empty())
+        return { exchange_end::NotSent, std::move(fault) };
 
-    ignoreBrokenPipeSignal();
-    httplib::Client client(target->host, target->port);
-    client.set_connection_timeout(timeouts.connect);
-    client.set_read_timeout(timeouts.idle);
-    client.set_write_timeout(timeouts.idle);
-    client.set_tcp_nodelay(true);
-    client.set_url_encode(false);
-    client.set_decompress(false);
-    client.set_socket_options([&abort](int socket) { abort.watchSocket(socket); });
-
-    auto lastByte = clock::now();
-    auto httpRequest = makeRequest(request, handlers, lastByte);
+    bool headTaken = false;
+    auto httpRequest = makeRequest(request);
+    httpRequest.response_handler = [&](const httplib::Response& response) {
+        headTaken = true;
+        return handlers.head(response.status, endToEndHeaders(response.headers));
+    };
+    httpRequest.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+        socket.noteProgress();
+        return handlers.body(std::string_view(data, size));
+    };
+    socket_stream stream(socket);
     httplib::Response response;
-    auto error = httplib::Error::Success;
-    const bool sent = client.send(httpRequest, response, error);
-    const bool timedOut = clock::now() - lastByte >= timeouts.idle;
-    client.stop();
-    abort.releaseSocket();
-    if (!sent && error == httplib::Error::Success)
-        error = httplib::Error::Unknown;
-    const auto end = classify(error, abort, timedOut);
+    const auto error = exchange_client(target->host, target->port).run(stream, httpRequest, response);
+    // The library does not call the handler for responses that cannot have a body.
+    if (error == httplib::Error::Success && !headTaken
+        && !handlers.head(response.status, endToEndHeaders(response.headers)))
+        return { exchange_end::Stopped, {} };
+    const auto end = classify(error, socket, abort);
     return { end, end == exchange_end::Complete ? std::string() : httplib::to_string(error) };
 }
 
@@ -199,7 +224,8 @@
     };
     response.result = exchange(address, request, timeouts, handlers, abort);
     if (tooLong)
-        response.result = { exchange_end::Lost, absl::StrCat("response body longer than ", maxBodyBytes, " bytes") };
+        response.result
+            = { exchange_end::Malformed, absl::StrCat("response body longer than ", maxBodyBytes, " bytes") };
     return response;
 }
 
--- a/targets/http_exchange.h
+++ b/targets/http_exchange.h
@@ -14,9 +14,10 @@
 enum class exchange_end {
     Complete, ///< The whole response was read.
     Stopped, ///< A handler stopped the read.
-    NotSent, ///< No connection was made, or the request cannot be sent: no byte left this process.
+    NotSent, ///< No connection was made, or the request cannot be written: no byte left this process.
     Lost, ///< The connection ended in the middle of the request or response.
-    TimedOut, ///< No byte of the response arrived in time.
+    TimedOut, ///< No byte could be read or written in time.
+    Malformed, ///< The response is not HTTP, or longer than its limits.
     Aborted, ///< call_abort ended the call after the connection was made.
 };
 
@@ -47,7 +48,7 @@
     const response_handlers& handlers, call_abort& abort);
 
 /// Sends one request and keeps the response.
-/// \param maxBodyBytes a longer body ends the exchange as Lost
+/// \param maxBodyBytes a longer body ends the exchange as Malformed
 buffered_response exchangeBuffered(const std::string& address, const service_request& request,
     const service_timeouts& timeouts, std::size_t maxBodyBytes, call_abort& abort);
 
--- /dev/null
+++ b/targets/response_guard.h
@@ -0,0 +1,37 @@
+/// \file
+/// Limits on what an HTTP response may contain before the HTTP library reads it.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace oriolepick {
+
+/// Scans the bytes of a response as they arrive. The HTTP library matches the status line with a recursive regular
+/// expression, which overflows the stack on a long line (a status line of 50 KB ended the process), and collects header
+/// and chunk lines without a limit. The guard ends such responses before the library sees them.
+class response_guard {
+public:
+    static constexpr std::size_t MaxStatusLineBytes = 256;
+    static constexpr std::size_t MaxHeadBytes = 32768;
+    static constexpr std::size_t MaxUnusedBytes = 65536; ///< after the head, between two pieces of body
+
+    /// \return whether \p bytes may be read
+    bool take(std::string_view bytes);
+
+    /// Notes that the library gave out a piece of the body.
+    void noteProgress() { m_unusedBytes = 0; }
+
+private:
+    bool takeHead(std::string_view& bytes);
+
+    bool m_inHead = true;
+    bool m_inStatusLine = true;
+    bool m_lineIsEmpty = true;
+    std::string m_statusLine;
+    std::size_t m_headBytes = 0;
+    std::size_t m_unusedBytes = 0;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/targets/target_socket.cpp
@@ -0,0 +1,164 @@
+#include "targets/target_socket.h"
+
+#include "targets/call_abort.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace oriolepick {
+
+namespace {
+
+    struct socket_address {
+        sockaddr_storage storage {};
+        socklen_t size = 0;
+    };
+
+    bool parseIp(const std::string& ip, int port, socket_address& address)
+    {
+        auto* const four = reinterpret_cast<sockaddr_in*>(&address.storage);
+        if (::inet_pton(AF_INET, ip.c_str(), &four->sin_addr) == 1) {
+            four->sin_family = AF_INET;
+            four->sin_port = htons(static_cast<std::uint16_t>(port));
+            address.size = sizeof *four;
+            return true;
+        }
+        auto* const six = reinterpret_cast<sockaddr_in6*>(&address.storage);
+        if (::inet_pton(AF_INET6, ip.c_str(), &six->sin6_addr) != 1)
+            return false;
+        six->sin6_family = AF_INET6;
+        six->sin6_port = htons(static_cast<std::uint16_t>(port));
+        address.size = sizeof *six;
+        return true;
+    }
+
+    std::string describe(int code)
+    {
+        return std::error_code(code, std::generic_category()).message();
+    }
+
+} // namespace
+
+target_socket::target_socket(call_abort& abort, std::chrono::milliseconds idle)
+    : m_abort(abort)
+    , m_idle(idle)
+{
+}
+
+target_socket::~target_socket()
+{
+    if (m_socket < 0)
+        return;
+    m_abort.releaseSocket();
+    ::close(m_socket);
+}
+
+std::string target_socket::connect(const std::string& ip, int port, std::chrono::milliseconds timeout)
+{
+    socket_address address;
+    if (!parseIp(ip, port, address))
+        return "\"" + ip + "\" is not an IP address";
+    m_socket = ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (m_socket < 0)
+        return describe(errno);
+    const int enabled = 1;
+    ::setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    m_abort.watchSocket(m_socket);
+    if (::connect(m_socket, reinterpret_cast<const sockaddr*>(&address.storage), address.size) == 0)
+        return {};
+    if (errno != EINPROGRESS)
+        return describe(errno);
+    if (!wait(POLLOUT, timeout))
+        return "connect timed out";
+    int failure = 0;
+    socklen_t size = sizeof failure;
+    ::getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &failure, &size);
+    return failure ? describe(failure) : std::string();
+}
+
+ssize_t target_socket::read(char* target, std::size_t size)
+{
+    if (m_unread.empty()) {
+        const ssize_t filled = fill();
+        if (filled <= 0)
+            return filled;
+    }
+    const std::size_t count = std::min(size, m_unread.size());
+    std::memcpy(target, m_unread.data(), count);
+    m_unread.remove_prefix(count);
+    return static_cast<ssize_t>(count);
+}
+
+ssize_t target_socket::write(const char* source, std::size_t size)
+{
+    if (!waitWritable()) {
+        m_end = socket_end::TimedOut;
+        return -1;
+    }
+    ssize_t written = 0;
+    do
+        written = ::send(m_socket, source, size, MSG_NOSIGNAL);
+    while (written < 0 && errno == EINTR);
+    if (written < 0)
+        m_end = socket_end::Failed;
+    m_sent = m_sent || written > 0;
+    return written;
+}
+
+bool target_socket::waitReadable() const
+{
+    return !m_unread.empty() || wait(POLLIN, m_idle);
+}
+
+bool target_socket::waitWritable() const
+{
+    return wait(POLLOUT, m_idle);
+}
+
+bool target_socket::wait(short events, std::chrono::milliseconds timeout) const
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    for (;;) {
+        const auto left
+            = std::chrono::ceil<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now()).count();
+        pollfd polled { m_socket, events, 0 };
+        const int ready = ::poll(&polled, 1, static_cast<int>(std::max<decltype(left)>(left, 0)));
+        if (ready >= 0 || errno != EINTR)
+            return ready > 0;
+    }
+}
+
+ssize_t target_socket::fill()
+{
+    if (m_end != socket_end::Open)
+        return -1;
+    if (!wait(POLLIN, m_idle)) {
+        m_end = socket_end::TimedOut;
+        return -1;
+    }
+    ssize_t received = 0;
+    do
+        received = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
+    while (received < 0 && errno == EINTR);
+    if (received <= 0) {
+        m_end = received ? socket_end::Failed : socket_end::Closed;
+        return received;
+    }
+    m_unread = std::string_view(m_buffer.data(), static_cast<std::size_t>(received));
+    if (m_guard.take(m_unread))
+        return received;
+    m_unread = {};
+    m_end = socket_end::Overlong;
+    return -1;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/targets/target_socket.h
@@ -0,0 +1,64 @@
+/// \file
+/// TCP connection to a target.
+#pragma once
+
+#include "targets/response_guard.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <sys/types.h>
+
+namespace oriolepick {
+
+class call_abort;
+
+/// Why a connection gives no more bytes.
+enum class socket_end { Open, Closed, Failed, TimedOut, Overlong };
+
+/// One connection, used by one thread; call_abort ends it from another.
+class target_socket {
+public:
+    /// \param idle longest wait for one read or write
+    target_socket(call_abort& abort, std::chrono::milliseconds idle);
+    ~target_socket();
+    target_socket(const target_socket&) = delete;
+    target_socket& operator=(const target_socket&) = delete;
+
+    /// \param ip literal IPv4 or IPv6 address
+    /// \return what went wrong, empty for nothing
+    std::string connect(const std::string& ip, int port, std::chrono::milliseconds timeout);
+
+    /// \return bytes read, or 0 or less at the end, see end()
+    ssize_t read(char* target, std::size_t size);
+
+    /// \return bytes written, or less than 0 at the end
+    ssize_t write(const char* source, std::size_t size);
+
+    bool waitReadable() const;
+    bool waitWritable() const;
+
+    /// Notes that a piece of the body was given out, see response_guard.
+    void noteProgress() { m_guard.noteProgress(); }
+
+    socket_end end() const { return m_end; }
+    bool hasSent() const { return m_sent; } ///< whether any byte left this process
+    int descriptor() const { return m_socket; }
+
+private:
+    bool wait(short events, std::chrono::milliseconds timeout) const;
+    ssize_t fill();
+
+    call_abort& m_abort;
+    const std::chrono::milliseconds m_idle;
+    int m_socket = -1;
+    bool m_sent = false;
+    socket_end m_end = socket_end::Open;
+    response_guard m_guard;
+    std::array<char, 8192> m_buffer;
+    std::string_view m_unread; ///< part of \c m_buffer
+};
+
+} // namespace oriolepick
