--- a/config/snapshot_json.cpp
+++ b/config/snapshot_json.cpp
@@ -46,8 +46,10 @@
     std::sort(retired.begin(), retired.end());
     for (const auto& id : retired) {
         const auto& entry = *state.retired().at(id);
-        auto object = encodeObject({ { object_kind::Deployment, id.fleet(), id.name() }, entry.settings });
-        value["retired"].push_back({ { "retired_by", entry.retiredBy }, { "object", std::move(object) } });
+        ticket_object object;
+        object.key = { object_kind::Deployment, id.fleet(), id.name() };
+        object.state = entry.settings;
+        value["retired"].push_back({ { "retired_by", entry.retiredBy }, { "object", encodeObject(object) } });
     }
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/core/fleet_state.cpp
+++ b/core/fleet_state.cpp
@@ -71,30 +71,36 @@
     for (const auto& object : objects)
         put(object);
     for (const auto& [id, entry] : retired)
-        m_retired.insert_or_assign(id, std::make_shared<const retired_deployment>(entry));
-    rebuildIndexes();
+        m_retired.edit().insert_or_assign(id, std::make_shared<const retired_deployment>(entry));
+    indexTeams();
+    indexDeployments();
 }
 
 std::shared_ptr<const fleet_state> fleet_state::after(const std::vector<ticket>& tickets) const
 {
     auto next = std::make_shared<fleet_state>(*this);
-    bool indexed = false;
+    bool teamsChanged = false;
+    bool deploymentsChanged = false;
     for (const auto& change : tickets) {
         next->apply(change);
         for (const auto& object : change.objects) {
-            indexed = indexed || object.key.kind == object_kind::Team || object.key.kind == object_kind::Deployment;
+            teamsChanged = teamsChanged || object.key.kind == object_kind::Team;
+            deploymentsChanged = deploymentsChanged || object.key.kind == object_kind::Deployment;
         }
     }
     next->forgetRetired();
-    if (indexed)
-        next->rebuildIndexes();
+    if (teamsChanged)
+        next->indexTeams();
+    if (deploymentsChanged)
+        next->indexDeployments();
     return next;
 }
 
 void fleet_state::put(const ticket_object& object)
 {
-    withMap(*this, object.key.kind, [&](auto& map) {
-        using map_type = std::decay_t<decltype(map)>;
+    withMap(*this, object.key.kind, [&](auto& shared) {
+        using map_type = typename std::decay_t<decltype(shared)>::map_type;
+        auto& map = shared.edit();
         using settings_type = std::remove_const_t<typename map_type::mapped_type::element_type>;
         auto id = idOf<typename map_type::key_type>(object.key);
         if (object.state)
@@ -115,9 +121,9 @@
             const deployment_id id(object.key.fleet, object.key.name);
             const auto* last = deployment(id);
             if (object.state)
-                m_retired.erase(id);
+                m_retired.edit().erase(id);
             else if (last)
-                m_retired.insert_or_assign(
+                m_retired.edit().insert_or_assign(
                     id, std::make_shared<const retired_deployment>(retired_deployment { *last, m_number }));
         }
         put(object);
@@ -126,92 +132,99 @@
 
 void fleet_state::forgetRetired()
 {
-    absl::erase_if(
-        m_retired, [&](const auto& entry) { return entry.second->retiredBy + RetiredKeptForTickets <= m_number; });
+    const auto expired = [&](const auto& entry) { return entry.second->retiredBy + RetiredKeptForTickets <= m_number; };
+    if (std::any_of(m_retired->begin(), m_retired->end(), expired))
+        absl::erase_if(m_retired.edit(), expired);
 }
 
-void fleet_state::rebuildIndexes()
+void fleet_state::indexTeams()
 {
-    m_teamByDigest.clear();
-    for (const auto& [id, team] : m_teams) {
+    auto& index = m_teamByDigest.edit();
+    index.clear();
+    for (const auto& [id, team] : *m_teams) {
         for (const auto& digest : team->tokenDigests)
-            m_teamByDigest.insert_or_assign(digest, id);
+            index.insert_or_assign(digest, id);
     }
-    m_deploymentsByTarget.clear();
-    for (const auto& [id, deployment] : m_deployments) {
+}
+
+void fleet_state::indexDeployments()
+{
+    auto& index = m_deploymentsByTarget.edit();
+    index.clear();
+    for (const auto& [id, deployment] : *m_deployments) {
         for (const auto& target : deployment->targets)
-            m_deploymentsByTarget[target].push_back(id);
+            index[target].push_back(id);
     }
-    for (auto& entry : m_deploymentsByTarget)
+    for (auto& entry : index)
         std::sort(entry.second.begin(), entry.second.end());
 }
 
 std::optional<deployment_id> fleet_state::resolveDeployment(const fleet_name& caller, std::string_view name) const
 {
-    if (const auto* alias = findIn(m_aliases, alias_id(caller, std::string(name))); alias && alias->deployment)
-        return m_deployments.contains(*alias->deployment) ? alias->deployment : std::nullopt;
+    if (const auto* alias = findIn(*m_aliases, alias_id(caller, std::string(name))); alias && alias->deployment)
+        return m_deployments->contains(*alias->deployment) ? alias->deployment : std::nullopt;
     deployment_id own(caller, std::string(name));
-    if (m_deployments.contains(own))
+    if (m_deployments->contains(own))
         return own;
     return std::nullopt;
 }
 
 std::optional<service_id> fleet_state::resolveService(const fleet_name& caller, std::string_view name) const
 {
-    if (const auto* alias = findIn(m_aliases, alias_id(caller, std::string(name))); alias && alias->service)
-        return m_services.contains(*alias->service) ? alias->service : std::nullopt;
+    if (const auto* alias = findIn(*m_aliases, alias_id(caller, std::string(name))); alias && alias->service)
+        return m_services->contains(*alias->service) ? alias->service : std::nullopt;
     service_id own(caller, std::string(name));
-    if (m_services.contains(own))
+    if (m_services->contains(own))
         return own;
     return std::nullopt;
 }
 
 std::optional<team_id> fleet_state::teamByTokenDigest(std::string_view digest) const
 {
-    const auto found = m_teamByDigest.find(std::string(digest));
-    return found == m_teamByDigest.end() ? std::nullopt : std::optional(found->second);
+    const auto found = m_teamByDigest->find(std::string(digest));
+    return found == m_teamByDigest->end() ? std::nullopt : std::optional(found->second);
 }
 
 const fleet_settings* fleet_state::fleet(const fleet_name& id) const
 {
-    return findIn(m_fleets, id);
+    return findIn(*m_fleets, id);
 }
 
 const team_settings* fleet_state::team(const team_id& id) const
 {
-    return findIn(m_teams, id);
+    return findIn(*m_teams, id);
 }
 
 const model_settings* fleet_state::model(const model_id& id) const
 {
-    return findIn(m_models, id);
+    return findIn(*m_models, id);
 }
 
 const deployment_settings* fleet_state::deployment(const deployment_id& id) const
 {
-    return findIn(m_deployments, id);
+    return findIn(*m_deployments, id);
 }
 
 const service_settings* fleet_state::service(const service_id& id) const
 {
-    return findIn(m_services, id);
+    return findIn(*m_services, id);
 }
 
 const target_settings* fleet_state::target(const target_id& id) const
 {
-    return findIn(m_targets, id);
+    return findIn(*m_targets, id);
 }
 
 const policy_settings* fleet_state::policy(const fleet_name& fleet, std::string_view name) const
 {
-    return findIn(m_policies, policy_id(fleet, std::string(name)));
+    return findIn(*m_policies, policy_id(fleet, std::string(name)));
 }
 
 const deployment_settings* fleet_state::deploymentForStream(const deployment_id& id) const
 {
     if (const auto* inService = deployment(id))
         return inService;
-    const auto* entry = findIn(m_retired, id);
+    const auto* entry = findIn(*m_retired, id);
     return entry ? &entry->settings : nullptr;
 }
 
@@ -223,7 +236,7 @@
     desired_target wanted;
     wanted.role = settings->role;
     wanted.leaving = settings->leaving;
-    if (const auto found = m_deploymentsByTarget.find(id); found != m_deploymentsByTarget.end()) {
+    if (const auto found = m_deploymentsByTarget->find(id); found != m_deploymentsByTarget->end()) {
         wanted.deployments = found->second;
         wanted.model = deployment(found->second.front())->served();
     }
@@ -242,8 +255,9 @@
 bool fleet_state::contains(const object_key& key) const
 {
     bool found = false;
-    withMap(*this, key.kind,
-        [&](const auto& map) { found = map.contains(idOf<typename std::decay_t<decltype(map)>::key_type>(key)); });
+    withMap(*this, key.kind, [&](const auto& map) {
+        found = map->contains(idOf<typename std::decay_t<decltype(map)>::map_type::key_type>(key));
+    });
     return found;
 }
 
@@ -251,7 +265,7 @@
 {
     std::optional<object_state> state;
     withMap(*this, key.kind, [&](const auto& map) {
-        if (const auto* settings = findIn(map, idOf<typename std::decay_t<decltype(map)>::key_type>(key)))
+        if (const auto* settings = findIn(*map, idOf<typename std::decay_t<decltype(map)>::map_type::key_type>(key)))
             state = *settings;
     });
     return state;
@@ -263,7 +277,7 @@
     for (int index = 0; index < KindCount; ++index) {
         const auto kind = static_cast<object_kind>(index);
         withMap(*this, kind, [&](const auto& map) {
-            for (const auto& [id, settings] : map)
+            for (const auto& [id, settings] : *map)
                 all.push_back({ keyOf(kind, id), *settings });
         });
     }
--- a/core/fleet_state.h
+++ b/core/fleet_state.h
@@ -2,6 +2,7 @@
 /// The state in force: an immutable snapshot, the fold of all tickets up to its number. Nodes publish it by pointer.
 #pragma once
 
+#include "core/shared_map.h"
 #include "core/ticket.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -31,7 +32,7 @@
 /// than any stream runs. It bounds the state without a clock, so that all nodes forget at the same number.
 constexpr ticket_number RetiredKeptForTickets = 100'000;
 
-/// The fold of tickets. Copying is cheap in proportion to the number of objects: their states are shared.
+/// The fold of tickets. Successive states share the objects, and the maps of the kinds that did not change.
 class fleet_state {
 public:
     template <typename Id, typename Settings>
@@ -78,14 +79,11 @@
     /// \return the method's declaration, or nothing when the service does not declare it
     static const service_method* methodOf(const service_settings& service, std::string_view method);
 
-    const object_map<team_id, team_settings>& teams() const { return m_teams; }
-    const object_map<deployment_id, deployment_settings>& deployments() const { return m_deployments; }
-    const object_map<service_id, service_settings>& services() const { return m_services; }
-    const object_map<target_id, target_settings>& targets() const { return m_targets; }
-    const absl::flat_hash_map<deployment_id, std::shared_ptr<const retired_deployment>>& retired() const
-    {
-        return m_retired;
-    }
+    const object_map<team_id, team_settings>& teams() const { return *m_teams; }
+    const object_map<deployment_id, deployment_settings>& deployments() const { return *m_deployments; }
+    const object_map<service_id, service_settings>& services() const { return *m_services; }
+    const object_map<target_id, target_settings>& targets() const { return *m_targets; }
+    const object_map<deployment_id, retired_deployment>& retired() const { return *m_retired; }
 
     /// \return whether the object exists (a retired deployment does not)
     bool contains(const object_key& key) const;
@@ -105,21 +103,22 @@
     void put(const ticket_object& object);
     void apply(const ticket& change);
     void forgetRetired();
-    void rebuildIndexes();
+    void indexTeams();
+    void indexDeployments();
 
     ticket_number m_number = 0;
-    absl::flat_hash_map<fleet_name, std::shared_ptr<const fleet_settings>> m_fleets;
-    object_map<team_id, team_settings> m_teams;
-    object_map<model_id, model_settings> m_models;
-    object_map<deployment_id, deployment_settings> m_deployments;
-    object_map<service_id, service_settings> m_services;
-    object_map<target_id, target_settings> m_targets;
-    object_map<alias_id, alias_settings> m_aliases;
-    object_map<policy_id, policy_settings> m_policies;
-    object_map<objective_id, objective_settings> m_objectives;
-    absl::flat_hash_map<deployment_id, std::shared_ptr<const retired_deployment>> m_retired;
-    absl::flat_hash_map<std::string, team_id> m_teamByDigest;
-    absl::flat_hash_map<target_id, std::vector<deployment_id>> m_deploymentsByTarget;
+    shared_map<absl::flat_hash_map<fleet_name, std::shared_ptr<const fleet_settings>>> m_fleets;
+    shared_map<object_map<team_id, team_settings>> m_teams;
+    shared_map<object_map<model_id, model_settings>> m_models;
+    shared_map<object_map<deployment_id, deployment_settings>> m_deployments;
+    shared_map<object_map<service_id, service_settings>> m_services;
+    shared_map<object_map<target_id, target_settings>> m_targets;
+    shared_map<object_map<alias_id, alias_settings>> m_aliases;
+    shared_map<object_map<policy_id, policy_settings>> m_policies;
+    shared_map<object_map<objective_id, objective_settings>> m_objectives;
+    shared_map<object_map<deployment_id, retired_deployment>> m_retired;
+    shared_map<absl::flat_hash_map<std::string, team_id>> m_teamByDigest;
+    shared_map<absl::flat_hash_map<target_id, std::vector<deployment_id>>> m_deploymentsByTarget;
 };
 
 } // namespace oriolepick
--- a/core/order_planner.cpp
+++ b/core/order_planner.cpp
@@ -107,7 +107,7 @@
         if (!isCapacity(target))
             continue;
         total += target.capacity;
-        out += inService(target) && !drainGiven(target.target) ? 0 : target.capacity;
+        out += inService(target) && !drainGiven(now, target.target) ? 0 : target.capacity;
     }
     const bool waitsForZone = earlierZoneChanges(targets, zone);
     std::vector<target_order> orders;
@@ -122,8 +122,8 @@
         }
         order->fencing = authority.fencing;
         order->ticket = authority.ticket;
-        const bool takesOut
-            = order->kind == order_kind::Drain && isCapacity(target) && inService(target) && !drainGiven(target.target);
+        const bool takesOut = order->kind == order_kind::Drain && isCapacity(target) && inService(target)
+            && !drainGiven(now, target.target);
         if (takesOut && (waitsForZone || (out > 0 && out + target.capacity > changeShare * total)))
             continue;
         if (takesOut)
@@ -136,11 +136,13 @@
     return orders;
 }
 
-/// A drain counts from its order on: the report that shows it comes later.
-bool order_planner::drainGiven(const target_id& target) const
+/// A drain counts from its order on, because the report that shows it comes later; but not for ever, because the order
+/// may be lost and this node may not hold the target's lease any more.
+bool order_planner::drainGiven(instant now, const target_id& target) const
 {
     const auto found = m_given.find(target);
-    return found != m_given.end() && found->second.kind == order_kind::Drain;
+    return found != m_given.end() && found->second.kind == order_kind::Drain
+        && now < found->second.at + m_settings.countDrainFor;
 }
 
 bool order_planner::mayRepeat(instant now, const target_order& order) const
--- a/core/order_planner.h
+++ b/core/order_planner.h
@@ -52,6 +52,8 @@
 /// Settings of the planner.
 struct order_planner_settings {
     std::chrono::milliseconds repeatAfter { 2'000 }; ///< the reconciliation period
+    /// A given drain counts as done for this long; later the target's report decides. Reports are at most 10 s old.
+    std::chrono::milliseconds countDrainFor { 10'000 };
     std::chrono::milliseconds repeatLoadAfter { 30'000 }; ///< a load whose start the target has not reported
 };
 
@@ -79,7 +81,7 @@
         instant at;
     };
 
-    bool drainGiven(const target_id& target) const;
+    bool drainGiven(instant now, const target_id& target) const;
     bool mayRepeat(instant now, const target_order& order) const;
     bool takeLoadToken(instant now);
 
