Make stale news and long streams safe for placement and limit

Cause: with news 5 s old the first token's p95 was above 1 s, and the limit was cut in every window while streams of many seconds could not end. Change: load_view moves old news of idle targets towards the mean; the limit uses a window's median, is not cut again before a cut took effect, and has a latency ceiling, because an overload longer than the baseline's window raised the baseline.

--- a/bench/placement_simulation.cpp
+++ b/bench/placement_simulation.cpp
@@ -17,7 +17,7 @@
 
 placement_simulation::sim_node::sim_node(
     const node_id& id, const availability_zone& zone, const simulation_settings& settings, seeded_random source)
-    : view(id, zone, region_name("region"))
+    : view(id, zone, region_name("region"), settings.view)
     , queue(settings.queue, seeded_random(source.next()))
     , limit(settings.concurrency)
     , random(source.next())
--- a/bench/placement_simulation.h
+++ b/bench/placement_simulation.h
@@ -31,6 +31,7 @@
     placement_limits limits;
     concurrency_settings concurrency;
     request_queue_settings queue;
+    load_view_settings view;
 };
 
 /// One run over one trace.
--- a/core/concurrency_limit.cpp
+++ b/core/concurrency_limit.cpp
@@ -34,8 +34,9 @@
 
 void concurrency_limit::recordLatency(std::chrono::milliseconds latency, instant now)
 {
-    m_latencySum += latency;
-    ++m_samples;
+    constexpr std::size_t MaxSamples = 1024; // bounds memory when nobody calls update
+    if (m_samples.size() < MaxSamples)
+        m_samples.push_back(latency);
     update(now);
 }
 
@@ -51,28 +52,30 @@
         m_started = true;
         m_windowStart = now;
     }
-    if (now - m_windowStart < m_settings.window)
+    const auto age = now - m_windowStart;
+    if (age < m_settings.window || (m_samples.size() < m_settings.minimumSamples && age < 4 * m_settings.window))
         return;
     m_windowStart = now;
     const double headroom = std::sqrt(std::max(1.0, m_limit));
     double next = m_limit;
-    if (!m_samples) {
+    if (m_samples.empty()) {
         // No news: drift to the initial limit, which is safe for a healthy group.
         next += (m_settings.initialShare * m_batchPlaces - m_limit) * 0.1;
     } else {
-        const auto mean = m_latencySum / m_samples;
-        const auto allowed = std::max<std::chrono::duration<double>>(
-            baseline(mean, now) * m_settings.tolerance, m_settings.latencyFloor);
-        const double gradient = std::clamp(allowed / std::max(mean, allowed), 0.5, 1.0);
+        // The median, because one slow target is a matter of placement and not of the limit.
+        const auto median = takeMedian();
+        using precise = std::chrono::duration<double, std::milli>;
+        const auto allowed = std::clamp(precise(baseline(median, now)) * m_settings.tolerance,
+            precise(m_settings.latencyFloor), precise(m_settings.latencyCeiling));
+        const double gradient = std::clamp(allowed / std::max(precise(median), allowed), m_settings.largestCut, 1.0);
+        // Streams run for many windows: while more are in flight than the limit allows, the last cut has not taken
+        // effect yet, and a further one would only leave the targets idle later.
         if (gradient < 1)
-            next = m_limit * gradient + headroom * 0.25;
+            next = m_inFlight > m_limit ? m_limit : std::min<double>(m_limit, m_peakInFlight) * gradient;
         else if (m_peakInFlight + headroom >= m_limit) // an unused limit says nothing about its latency
-            next = m_limit + headroom;
-        next = m_limit + 0.5 * (next - m_limit);
+            next = m_limit + headroom / 2;
     }
     m_limit = std::clamp(next, minimum(), maximum());
-    m_latencySum = std::chrono::duration<double> { 0 };
-    m_samples = 0;
     m_peakInFlight = m_inFlight;
 }
 
@@ -86,14 +89,23 @@
     return std::max(minimum(), (1 + m_settings.waitingShare) * m_batchPlaces);
 }
 
-std::chrono::duration<double> concurrency_limit::baseline(std::chrono::duration<double> mean, instant now)
+std::chrono::milliseconds concurrency_limit::takeMedian()
 {
-    while (!m_means.empty() && m_means.back().mean >= mean)
-        m_means.pop_back();
-    m_means.push_back({ now, mean });
-    const auto expired = [&](const window_mean& old) { return now - old.at > m_settings.baselineWindow; };
-    m_means.erase(m_means.begin(), std::find_if_not(m_means.begin(), m_means.end(), expired));
-    return m_means.front().mean;
+    const auto middle = m_samples.begin() + static_cast<std::ptrdiff_t>(m_samples.size() / 2);
+    std::nth_element(m_samples.begin(), middle, m_samples.end());
+    const auto median = *middle;
+    m_samples.clear();
+    return median;
+}
+
+std::chrono::milliseconds concurrency_limit::baseline(std::chrono::milliseconds median, instant now)
+{
+    while (!m_medians.empty() && m_medians.back().median >= median)
+        m_medians.pop_back();
+    m_medians.push_back({ now, median });
+    const auto expired = [&](const window_median& old) { return now - old.at > m_settings.baselineWindow; };
+    m_medians.erase(m_medians.begin(), std::find_if_not(m_medians.begin(), m_medians.end(), expired));
+    return m_medians.front().median;
 }
 
 } // namespace oriolepick
--- a/core/concurrency_limit.h
+++ b/core/concurrency_limit.h
@@ -20,9 +20,13 @@
     /// hundred ms, without the queue's priorities and fairness, so only enough to keep the batches full.
     double waitingShare = 0.05;
     double tolerance = 1.5; ///< latency above the baseline by this factor lowers the limit
-    std::chrono::milliseconds latencyFloor { 250 }; ///< below it latency is not a sign of overload
-    std::chrono::milliseconds window { 500 }; ///< one adjustment per window
-    std::chrono::milliseconds baselineWindow { 30'000 }; ///< the baseline is the least window mean of this time
+    double largestCut = 0.9; ///< factor of one window; larger cuts overshoot, because streams end slowly
+    std::chrono::milliseconds latencyFloor { 500 }; ///< below it latency is not a sign of overload
+    /// Above it latency is a sign of overload whatever the baseline, which an overload longer than its window raises.
+    std::chrono::milliseconds latencyCeiling { 1'000 };
+    std::chrono::milliseconds window { 500 }; ///< at most one adjustment per window
+    std::uint32_t minimumSamples = 8; ///< a window with fewer is extended up to four times
+    std::chrono::milliseconds baselineWindow { 30'000 }; ///< the baseline is the least window median of this time
     /// Share of the limit that each priority (Bulk, Normal, Urgent) may fill; the rest is kept for higher ones.
     std::array<double, PriorityCount> priorityShare { 0.9, 0.97, 1.0 };
 };
@@ -56,7 +60,8 @@
 private:
     double minimum() const;
     double maximum() const;
-    std::chrono::duration<double> baseline(std::chrono::duration<double> mean, instant now);
+    std::chrono::milliseconds takeMedian();
+    std::chrono::milliseconds baseline(std::chrono::milliseconds median, instant now);
 
     concurrency_settings m_settings;
     std::uint32_t m_targets = 0;
@@ -66,13 +71,12 @@
     std::uint32_t m_peakInFlight = 0;
     bool m_started = false;
     instant m_windowStart;
-    std::chrono::duration<double> m_latencySum { 0 };
-    std::uint32_t m_samples = 0;
-    struct window_mean {
+    std::vector<std::chrono::milliseconds> m_samples; // of this window
+    struct window_median {
         instant at;
-        std::chrono::duration<double> mean { 0 };
+        std::chrono::milliseconds median { 0 };
     };
-    std::vector<window_mean> m_means; // increasing in time and mean, so that the front is the least
+    std::vector<window_median> m_medians; // increasing in time and value, so that the front is the least
 };
 
 } // namespace oriolepick
--- a/core/load_view.cpp
+++ b/core/load_view.cpp
@@ -183,22 +183,58 @@
     const auto position = m_groups.find(keyOf(work));
     if (position == m_groups.end())
         return result;
+    const auto collect = [&](const std::vector<target_id>& targets) {
+        result.clear();
+        result.reserve(targets.size());
+        for (const auto& target : targets)
+            result.push_back(candidateFor(m_targets.at(target), work, prefixBlocks, now));
+    };
     const auto& subset = subsetOf(position->second);
-    bool usable = false;
-    result.reserve(subset.size());
-    for (const auto& target : subset) {
-        const auto& entry = m_targets.at(target);
-        usable = usable || stateOf(entry) == target_state::Live;
-        result.push_back(candidateFor(entry, work, prefixBlocks, now));
-    }
-    if (usable || subset.size() == position->second.members.size())
-        return result;
-    result.clear();
-    for (const auto& target : position->second.members)
-        result.push_back(candidateFor(m_targets.at(target), work, prefixBlocks, now));
+    collect(subset);
+    const bool usable = std::any_of(result.begin(), result.end(),
+        [](const target_candidate& candidate) { return candidate.state == target_state::Live; });
+    if (!usable && subset.size() < position->second.members.size())
+        collect(position->second.members);
+    estimateLoad(result, now);
     return result;
 }
 
+// Own requests are known exactly. What the others had in flight is known from the report; where that is less than the
+// mean of the targets, it moves towards the mean with the report's age.
+void load_view::estimateLoad(std::vector<target_candidate>& candidates, instant now) const
+{
+    std::vector<double> others;
+    others.reserve(candidates.size());
+    double sum = 0;
+    std::size_t reported = 0;
+    for (const auto& candidate : candidates) {
+        const auto& entry = m_targets.at(candidate.target);
+        double ownAtReport = entry.ownInFlight;
+        for (const auto& change : entry.changes)
+            ownAtReport -= change.delta;
+        others.push_back(std::max(0.0, entry.report.running + entry.report.waiting - std::max(0.0, ownAtReport)));
+        if (entry.reflectsUntil) {
+            sum += others.back();
+            ++reported;
+        }
+    }
+    const double mean = reported ? sum / static_cast<double>(reported) : 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        auto& candidate = candidates[index];
+        const auto& reflectsUntil = m_targets.at(candidate.target).reflectsUntil;
+        double trust = 0;
+        if (reflectsUntil) {
+            const std::chrono::duration<double> age = std::max(now - *reflectsUntil, instant::duration::zero());
+            const std::chrono::duration<double> half = m_settings.reportHalfAge;
+            trust = half / (half + age);
+        }
+        const double shift = others[index] - mean;
+        const double load = candidate.ownInFlight + mean + (shift > 0 ? shift : trust * shift);
+        candidate.running = std::min<double>(load, candidate.batchLimit);
+        candidate.waiting = load - candidate.running;
+    }
+}
+
 std::vector<target_id> load_view::subset(const work_ref& work) const
 {
     const auto position = m_groups.find(keyOf(work));
@@ -334,12 +370,6 @@
     }
     candidate.batchLimit
         = std::max<std::uint32_t>(1, entry.report.batch ? entry.report.batch : entry.profile.batchLimit);
-    double load = entry.report.running + entry.report.waiting;
-    for (const auto& change : entry.changes)
-        load += change.delta;
-    load = std::max<double>(load, entry.ownInFlight);
-    candidate.running = std::min<double>(load, candidate.batchLimit);
-    candidate.waiting = load - candidate.running;
     candidate.ownInFlight = entry.ownInFlight;
     candidate.pendingPrefillTokens = entry.pendingPrefillTokens;
     if (entry.reflectsUntil)
--- a/core/load_view.h
+++ b/core/load_view.h
@@ -75,6 +75,10 @@
 struct load_view_settings {
     std::size_t subsetSize = 32; ///< targets per node and model
     std::uint32_t blockTokens = 64; ///< prompt tokens per hashed block
+    /// Age at which a report of less load than the mean of the targets counts half and the mean counts the other half.
+    /// The other nodes saw the idle target too and have used it since; without this, news 5 s old caused herds that
+    /// raised the first token's p95 from 0.1 s to above 1 s.
+    std::chrono::milliseconds reportHalfAge { 500 };
     std::chrono::milliseconds pollAfter { 10'000 }; ///< a target silent for so long is polled
 };
 
@@ -171,6 +175,7 @@
     void leaveGroup(const target_profile& profile);
     void invalidateGroup(const target_profile& profile);
     const std::vector<target_id>& subsetOf(const group& group) const;
+    void estimateLoad(std::vector<target_candidate>& candidates, instant now) const;
     target_candidate candidateFor(
         const entry& entry, const work_ref& work, const std::vector<block_hash>& prefixBlocks, instant now) const;
 
--- a/core/request_queue.cpp
+++ b/core/request_queue.cpp
@@ -22,6 +22,9 @@
 {
     offer_outcome outcome;
     request.deadline = std::min(request.deadline, now + m_settings.longestWait);
+    if (isStanding(request.priority, now))
+        request.deadline = std::min(
+            request.deadline, now + m_settings.standingWait[indexOf(request.priority)] * m_settings.standingDeadline);
     const auto wait = expectedWait(request.key.team, request.priority, now);
     const bool hopeless = request.deadline <= now || now + wait > request.deadline;
     const bool full = m_requests.size() >= m_settings.capacity;
@@ -158,11 +161,17 @@
     }
 }
 
+bool request_queue::isStanding(request_priority priority, instant now) const
+{
+    const auto& longSince = m_classes[indexOf(priority)].longSince;
+    return longSince && now - *longSince >= m_settings.standingAfter;
+}
+
 bool request_queue::lineTooLong(request_priority priority, instant now) const
 {
     constexpr std::size_t ShortestLine = 2; // keeps the targets busy when dispatches are rare
     const auto& lineClass = m_classes[indexOf(priority)];
-    if (!lineClass.longSince || now - *lineClass.longSince < m_settings.standingAfter || lineClass.count < ShortestLine)
+    if (!isStanding(priority, now) || lineClass.count < ShortestLine)
         return false;
     std::size_t ahead = 0;
     for (auto index = indexOf(priority); index < PriorityCount; ++index)
--- a/core/request_queue.h
+++ b/core/request_queue.h
@@ -59,14 +59,16 @@
     std::uint32_t oldestEvery = 4; ///< every n-th dispatch serves the oldest request of any priority
     std::chrono::milliseconds longestWait { 30'000 }; ///< caps every deadline
     /// A priority whose requests have waited long for this time is overloaded: a burst passes sooner.
-    std::chrono::milliseconds standingAfter { 1'000 };
+    std::chrono::milliseconds standingAfter { 200 };
     /// Longest line of an overloaded priority as expected wait (Bulk, Normal, Urgent); a quarter of it is a long wait.
     /// Queueing up to the deadlines would serve everyone late and keep a backlog after the overload; a short line
     /// serves as many per second in time.
-    std::array<std::chrono::milliseconds, PriorityCount> standingWait { std::chrono::milliseconds(2'000),
-        std::chrono::milliseconds(400), std::chrono::milliseconds(300) };
+    std::array<std::chrono::milliseconds, PriorityCount> standingWait { std::chrono::milliseconds(500),
+        std::chrono::milliseconds(400), std::chrono::milliseconds(200) };
+    /// Times standingWait: later ones overtake a request of an overloaded line for at most so long.
+    int standingDeadline = 4;
     std::chrono::milliseconds shortestRetry { 500 };
-    std::chrono::milliseconds longestRetry { 5'000 }; ///< callers wait a few seconds at most
+    std::chrono::milliseconds longestRetry { 2'000 }; ///< callers wait a few seconds at most
 };
 
 /// Serves the highest priority first and within a priority the team that has had the least (start-time fair queueing
@@ -128,6 +130,7 @@
     void enqueue(queue_number number, queued_request request, instant arrived, bool first);
     entry remove(queue_number number);
     void noteWait(const entry& removed, instant now);
+    bool isStanding(request_priority priority, instant now) const;
     bool lineTooLong(request_priority priority, instant now) const;
     std::chrono::milliseconds waitFor(std::size_t ahead, instant now) const;
     double nextTag(const queued_request& request) const;
--- a/core/test/load_view.cpp
+++ b/core/test/load_view.cpp
@@ -112,6 +112,26 @@
     EXPECT_EQ(only(view).ownInFlight, 1u);
 }
 
+// Failure: all nodes run to a target that was idle some seconds ago.
+TEST(load_view, old_news_of_an_idle_target_moves_towards_the_mean)
+{
+    auto view = viewOf(3, 1);
+    const int loads[] = { 0, 8, 16 };
+    for (int number = 0; number < 3; ++number)
+        view.recordReport(engine(number, 1).target, { static_cast<std::uint32_t>(loads[number]), 0, 16, 0 }, instant());
+    const auto loadAt = [&](int number, milliseconds time) {
+        for (const auto& candidate : view.candidates(Manuals, {}, instant(time))) {
+            if (candidate.target == engine(number, 1).target)
+                return candidate.running + candidate.waiting;
+        }
+        return -1.0;
+    };
+    EXPECT_DOUBLE_EQ(loadAt(0, milliseconds(0)), 0);
+    EXPECT_DOUBLE_EQ(loadAt(0, milliseconds(500)), 4);
+    EXPECT_GT(loadAt(0, milliseconds(10'000)), 7.5);
+    EXPECT_DOUBLE_EQ(loadAt(2, milliseconds(10'000)), 16); // news of a busy target is kept
+}
+
 TEST(load_view, wider_choice_when_the_whole_subset_is_unusable)
 {
     auto view = viewOf(100, 4);
