--- a/core/team_limiter.cpp
+++ b/core/team_limiter.cpp
@@ -119,15 +119,21 @@
 
 std::vector<demand_report> team_limiter::dueReports(instant now)
 {
+    // When one team is due by time, those that are nearly due go along: the reports to one owner share a message.
+    bool anyDue = false;
+    for (const auto& [team, state] : m_buckets)
+        anyDue = anyDue || (isActive(state, now) && silence(state, now) >= m_settings.reportInterval);
+    const instant::duration dueAfter = anyDue ? m_settings.reportInterval * 3 / 4 : m_settings.reportInterval;
     std::vector<demand_report> reports;
     for (auto& [team, state] : m_buckets) {
-        if (!state.lastRequest || now - *state.lastRequest > m_settings.idleAfter)
+        if (!isActive(state, now))
             continue;
         addDemand(state, 0, now);
-        const auto silence = state.reportedAt ? now - *state.reportedAt : instant::duration::max();
         const double change = std::abs(state.demand - state.reportedDemand);
-        const bool changed = change > m_settings.reportChange * std::max(state.reportedDemand, 1.0);
-        if (silence < m_settings.fastestReport || (!changed && silence < m_settings.reportInterval))
+        const bool changed = change > m_settings.reportChange * state.reportedDemand
+            && change > m_settings.reportLimitShare * state.limit.tokensPerSecond;
+        const auto quiet = silence(state, now);
+        if (quiet < dueAfter && (!changed || quiet < m_settings.fastestReport))
             continue;
         state.reportedAt = now;
         state.reportedDemand = state.demand;
@@ -139,6 +145,16 @@
     return reports;
 }
 
+bool team_limiter::isActive(const bucket& state, instant now) const
+{
+    return state.lastRequest && now - *state.lastRequest <= m_settings.idleAfter;
+}
+
+instant::duration team_limiter::silence(const bucket& state, instant now)
+{
+    return state.reportedAt ? now - *state.reportedAt : instant::duration::max();
+}
+
 double team_limiter::rate(const team_id& team, instant now) const
 {
     const auto position = m_buckets.find(team);
--- a/core/team_limiter.h
+++ b/core/team_limiter.h
@@ -20,7 +20,9 @@
 struct team_limiter_settings {
     std::chrono::milliseconds burst { 2'000 }; ///< a bucket holds the tokens of this time
     std::chrono::milliseconds reportInterval { 2'000 };
-    double reportChange = 0.25; ///< a change of demand by this share is reported at once
+    double reportChange = 0.25; ///< a change of demand by this share is reported at once,
+    double reportLimitShare = 0.02; ///< if it is also this share of the team's limit; single requests of a small demand
+                                    ///< would otherwise cause a report each
     std::chrono::milliseconds fastestReport { 200 }; ///< between reports about one team, also when demand changes
     std::chrono::milliseconds demandWindow { 2'000 }; ///< time constant of the demand estimate
     std::chrono::milliseconds idleAfter { 10'000 }; ///< a team without requests for so long is no longer reported
@@ -86,6 +88,8 @@
         std::vector<sent_report> unanswered;
     };
 
+    bool isActive(const bucket& state, instant now) const;
+    static instant::duration silence(const bucket& state, instant now);
     double fixedRate(const bucket& state) const;
     double rateAt(const bucket& state, instant now) const;
     void fill(bucket& state, instant now) const;
