--- a/bench/resume_fleet.cpp
+++ b/bench/resume_fleet.cpp
@@ -14,10 +14,10 @@
     constexpr bench_time PeerNews { 300'000 }; // gossip delay of a loss report
     constexpr bench_time ProbeTimeout { 250'000 };
     constexpr double SampledShare = 0.35; // of the workers, for each choice
-    constexpr double UnsampledPenalty = 10'000;
+    constexpr double UnsampledPenalty = 1200; // milliseconds: taken only when the sample is full
     constexpr double ViewNoise = 30; // milliseconds; nodes see loads of different age
     constexpr bench_time HealthPoll { 1'000'000 }; // until a returned worker is used again
-    constexpr double OtherZoneBonus = 500; // milliseconds of expected first-token time
+    constexpr double OtherZoneBonus = 1500; // milliseconds of expected first-token time
     constexpr std::uint64_t GapSample = 64; // every 64th inter-token time is kept
 
 } // namespace
--- a/core/generation_attempts.cpp
+++ b/core/generation_attempts.cpp
@@ -114,12 +114,14 @@
     attempt.target = event.target;
     attempt.phase = attempt_phase::Starting;
     attempt.due = now;
-    attempt.detector.attemptStarted(now, event.expectedFirstToken);
+    const bool callerWaits = m_interrupted || attempt.purpose == attempt_purpose::Hedge;
+    attempt.detector.attemptStarted(
+        now, m_interrupted ? std::min(event.expectedFirstToken, rules().longestResume) : event.expectedFirstToken);
     if (m_mayHaveRun++ > 0) {
         attempt.extraPrefill = m_request.promptTokens + attempt.next;
         m_usage.extraPrefill += attempt.extraPrefill;
     }
-    start_attempt action { attempt.id, attempt.target, {}, m_interrupted || attempt.purpose == attempt_purpose::Hedge };
+    start_attempt action { attempt.id, attempt.target, {}, callerWaits };
     if (attempt.next > 0)
         action.prefix = m_tokens;
     emit(std::move(action));
--- a/core/resume_policy.cpp
+++ b/core/resume_policy.cpp
@@ -10,7 +10,7 @@
     // hung: a prefill of the longest prompts blocks a batch for seconds, but not for ten.
     constexpr milliseconds HungAfter { 10'000 };
     constexpr milliseconds ProbeWait { 300 }; // longer than the node's own timeout of a probe
-    constexpr milliseconds QuickProbeWait { 40 }; // ten round trips between zones
+    constexpr milliseconds QuickProbeWait { 20 }; // several round trips between zones
     constexpr std::uint32_t ProbesBeforeAbandon = 2; // a pause of half a second passes without repeated work
 
 } // namespace
@@ -22,6 +22,7 @@
     m_rules.stall.prefillSlack = milliseconds(300);
     m_rules.attachTimeout = milliseconds(150);
     m_rules.acceptTimeout = milliseconds(150);
+    m_rules.longestResume = milliseconds(600); // a full target is left for another one before 3 s have passed
     m_rules.retryPause = milliseconds(50);
 }
 
--- a/core/resume_policy.h
+++ b/core/resume_policy.h
@@ -49,6 +49,9 @@
     bool preferCached = false; ///< prefer a target with the prefix cached
     std::chrono::milliseconds attachTimeout { 250 }; ///< how long an attach may take to be accepted
     std::chrono::milliseconds acceptTimeout { 500 }; ///< how long a start may take to be accepted without suspicion
+    std::chrono::milliseconds longestResume {
+        2000
+    }; ///< longest estimate of a first token believed while a caller waits
     std::chrono::milliseconds resumePatience { 3000 }; ///< how long to look for a target after a break
     std::chrono::milliseconds retryPause { 100 }; ///< pause before asking again for a target
     std::uint32_t maxLostTargets = 3; ///< targets that one request may lose
--- a/core/retry_budget.cpp
+++ b/core/retry_budget.cpp
@@ -56,8 +56,9 @@
     for (auto* account : accounts)
         account->take(now);
     const instant start = m_pacer ? m_pacer->schedule(request.remainingTokens, now) : now;
-    if (request.hedge || start > now)
+    if (start > now)
         return start;
+    // All streams of a dead engine stall at once; spread over a few round trips, later choices see earlier ones.
     const std::chrono::duration<double, std::milli> jitter = m_settings.jitter * m_random.unit();
     return start + std::chrono::duration_cast<instant::duration>(jitter);
 }
