--- a/core/generation_attempts.cpp
+++ b/core/generation_attempts.cpp
@@ -77,6 +77,8 @@
     // The duplicate of a benchmark baseline is part of its plan, not a retry.
     if (purpose != attempt_purpose::Start && !admit(attempt, true, now))
         return;
+    if (purpose == attempt_purpose::Hedge)
+        countOne(generation_counter::Hedge);
     m_second = std::move(attempt);
     if (m_second->phase == attempt_phase::Choosing)
         choose(*m_second);
@@ -221,6 +223,7 @@
 {
     const auto phase = m_current->phase;
     if (reason == break_reason::Superseded) {
+        countOne(generation_counter::Superseded);
         handOver(error_kind::Cancelled);
         return;
     }
--- a/core/test/generation_life_cycle.cpp
+++ b/core/test/generation_life_cycle.cpp
@@ -1,4 +1,4 @@
-// Guards the plain life cycle: an undisturbed stream, a crash in the middle, and answers before any dispatch.
+// Guards the plain life cycle: an undisturbed stream, breaks, the answers of each kind of end, and what is cancelled.
 #include "fake_world_impl.h"
 
 #include <gtest/gtest.h>
@@ -10,6 +10,56 @@
 const latency_first_policy LatencyFirst;
 const waiting_policy Waiting;
 
+template <typename Action> int countOf(const generation_actions& actions)
+{
+    return static_cast<int>(std::count_if(
+        actions.begin(), actions.end(), [](const auto& action) { return std::holds_alternative<Action>(action); }));
+}
+
+const fail* failureIn(const generation_actions& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* failed = std::get_if<fail>(&action))
+            return failed;
+    }
+    return nullptr;
+}
+
+/// A generation driven event by event.
+struct direct_generation {
+    explicit direct_generation(const resume_policy& policy = LatencyFirst, std::uint32_t maxTokens = 100)
+        : world(policy)
+        , machine(limited(maxTokens), policy, budget, paces)
+    {
+    }
+
+    generation_request limited(std::uint32_t maxTokens)
+    {
+        world.request.maxTokens = maxTokens;
+        return world.request;
+    }
+
+    generation_actions on(const generation_event& event) { return machine.handle(event, now); }
+
+    /// Starts the first attempt and delivers its first token.
+    void stream()
+    {
+        machine.start(now);
+        on(target_chosen { first, target, world.request.model, milliseconds(10) });
+        on(attempt_accepted { first });
+        on(token_arrived { first, 0, token { 1, "a" } });
+    }
+
+    fake_world world; ///< only for a valid request
+    seeded_random random { 1 };
+    instant now { std::chrono::hours(1) };
+    retry_budget budget { {}, nullptr, random, now };
+    target_paces paces;
+    const attempt_id first { "node1", 1 };
+    const target_id target { fleet_name("one"), "engine0" };
+    generation machine;
+};
+
 } // namespace
 
 TEST(generation, streams_to_the_end_without_extra_work)
@@ -43,3 +93,95 @@
     EXPECT_EQ(world.starts, 1);
     EXPECT_EQ(world.current->extraTokens(), 0u);
 }
+
+TEST(generation, ends_by_itself_at_max_tokens)
+{
+    direct_generation direct(LatencyFirst, 2);
+    direct.stream();
+    const auto actions = direct.on(token_arrived { direct.first, 1, token { 2, "b" } });
+    EXPECT_EQ(countOf<complete>(actions), 1);
+    const auto late = direct.on(token_arrived { direct.first, 2, token { 3, "c" } });
+    EXPECT_EQ(countOf<deliver_token>(late), 0);
+    EXPECT_EQ(countOf<cancel_attempt>(late), 1); // the engine ignored its limit
+}
+
+TEST(generation, rejections_before_any_dispatch_report_not_run)
+{
+    direct_generation direct;
+    direct.machine.start(direct.now);
+    generation_actions actions;
+    for (std::uint32_t ordinal = 1; !direct.machine.ended(); ++ordinal) {
+        const attempt_id attempt { "node1", ordinal };
+        direct.now += std::chrono::seconds(1);
+        direct.on(timer_fired {});
+        direct.on(target_chosen { attempt, direct.target, direct.world.request.model, {} });
+        actions = direct.on(attempt_rejected { attempt, reject_reason::QueueFull, milliseconds(700) });
+        ASSERT_LT(ordinal, 20u);
+    }
+    EXPECT_EQ(failureIn(actions)->kind, error_kind::Overloaded);
+    EXPECT_EQ(failureIn(actions)->retryAfter, milliseconds(700));
+    EXPECT_EQ(direct.machine.state(), generation_state::Refused);
+}
+
+TEST(generation, without_a_target_fails_at_once)
+{
+    direct_generation direct;
+    direct.machine.start(direct.now);
+    const auto actions = direct.on(no_target { direct.first, no_target_reason::NoneAvailable, milliseconds(300) });
+    EXPECT_EQ(failureIn(actions)->kind, error_kind::NoTarget);
+    EXPECT_EQ(failureIn(actions)->retryAfter, milliseconds(300));
+}
+
+TEST(generation, superseded_reader_stops_and_leaves_the_attempt_to_the_other)
+{
+    direct_generation direct;
+    direct.stream();
+    const auto actions = direct.on(attempt_broken { direct.first, break_reason::Superseded });
+    EXPECT_EQ(countOf<cancel_attempt>(actions), 0);
+    EXPECT_EQ(countOf<fail>(actions), 1);
+    EXPECT_EQ(direct.machine.state(), generation_state::HandedOver);
+}
+
+TEST(generation, hand_over_leaves_the_attempt_attachable)
+{
+    direct_generation direct;
+    direct.stream();
+    EXPECT_EQ(countOf<fail>(direct.on(drain_requested { milliseconds(100) })), 0);
+    direct.now += milliseconds(100);
+    const auto actions = direct.on(timer_fired {});
+    EXPECT_EQ(countOf<cancel_attempt>(actions), 0);
+    EXPECT_EQ(answerFor(failureIn(actions)->kind).run, run_state::MayHaveRun);
+    EXPECT_TRUE(answerFor(failureIn(actions)->kind).retryable);
+}
+
+TEST(generation, drain_before_the_start_refuses)
+{
+    direct_generation direct;
+    direct.on(drain_requested {});
+    EXPECT_EQ(failureIn(direct.machine.start(direct.now))->kind, error_kind::NodeDraining);
+}
+
+TEST(generation, one_request_loses_at_most_three_targets)
+{
+    fake_world world(LatencyFirst, {}, 8);
+    for (int index = 0; index < 7; ++index)
+        world.applyAt(milliseconds(130 + 200 * index), fault::EngineCrash);
+    world.run();
+    const auto dead
+        = std::count_if(world.engines.begin(), world.engines.end(), [](auto& engine) { return engine.dead; });
+    EXPECT_TRUE(world.violations.empty()) << world.violations.front();
+    EXPECT_EQ(world.failure()->kind, error_kind::TargetFailed);
+    EXPECT_EQ(world.starts, 3);
+    EXPECT_GE(dead, 3);
+}
+
+TEST(generation, late_token_of_an_old_attempt_is_dropped_and_cancelled_again)
+{
+    direct_generation direct;
+    direct.stream();
+    direct.on(attempt_broken { direct.first, break_reason::Refused });
+    const auto actions = direct.on(token_arrived { direct.first, 1, token { 2, "b" } });
+    EXPECT_EQ(countOf<deliver_token>(actions), 0);
+    EXPECT_EQ(countOf<cancel_attempt>(actions), 1);
+    EXPECT_EQ(direct.machine.usage().extraOutput, 1u);
+}
