Admit generations through queue, limits and crash guard

Cause: requests were neither limited nor queued, and a request that crashes engines was run again. Change: generation gate over core's queue and concurrency limit, team limits with permits, crash guard with the engines' incarnation (new field of /v1/state) and isolation permits in the table. Before: no admission.

--- a/core/crash_permit.h
+++ b/core/crash_permit.h
@@ -61,6 +61,9 @@
     permit_action rowRead(wall_time now, const result<std::optional<table_row>>& outcome);
     permit_action rowWritten(wall_time now, const result<table_outcome>& outcome);
 
+    /// \return the request that the permit is for
+    request_fingerprint fingerprint() const { return m_fingerprint; }
+
     /// \return when the attempt must be ended at the latest by this node's clock, once granted
     wall_time heldUntil() const { return m_heldUntil - m_settings.clockSkew; }
 
--- a/node/completions_endpoint.cpp
+++ b/node/completions_endpoint.cpp
@@ -6,7 +6,10 @@
 #include "node/authenticator.h"
 #include "node/completion_request.h"
 #include "node/cursor_codec.h"
+#include "node/gate_pass.h"
+#include "node/generation_gate.h"
 #include "node/state_keeper.h"
+#include "node/team_limits.h"
 #include "targets/prompt_blocks.h"
 
 #include <algorithm>
@@ -50,13 +53,15 @@
 
 completions_endpoint::completions_endpoint(std::string originPrefix, const state_keeper& states,
     const authenticator& callers, const cursor_codec& cursors, std::chrono::seconds cursorLifetime,
-    const session_services& services)
+    const session_services& services, team_limits& limits, generation_gate& gate)
     : m_originPrefix(std::move(originPrefix))
     , m_states(states)
     , m_callers(callers)
     , m_cursors(cursors)
     , m_cursorLifetime(cursorLifetime)
     , m_services(services)
+    , m_limits(limits)
+    , m_gate(gate)
     , m_latencyFirst(makeResumePolicy("latency_first"))
     , m_waiting(makeResumePolicy("waiting"))
 {
@@ -87,6 +92,9 @@
     const bool waits = policySettings && policySettings->strategy == resume_strategy::Waiting;
     auto session = sessionFor(request.value(), resolved, call);
     session.latencyWeight = waits ? 0 : 1;
+    const auto admitted = admit(session, call);
+    if (!admitted)
+        return admitted.error();
     opened_completion opened;
     opened.streamed = request.value().stream;
     opened.stream = std::make_unique<completion_stream>(
@@ -169,6 +177,38 @@
     return session;
 }
 
+result<void> completions_endpoint::admit(session_request& session, const completion_call& call)
+{
+    const auto& team = session.generation.key.team;
+    const bool resumed = session.generation.resume.has_value();
+    const auto tokens = session.generation.promptTokens + session.generation.maxTokens;
+    // A resumed stream was admitted and charged before.
+    const auto reserved = resumed ? 0 : tokens;
+    const auto limited = m_limits.admit(team, reserved, call.arrived);
+    if (!limited)
+        return limited;
+    session.permit = std::make_unique<request_permit>(m_limits, team, reserved);
+    auto guarded = m_services.crashes.admit(session.generation.model, session.prompt);
+    if (!guarded)
+        return guarded.error();
+    session.guarded = std::move(guarded.value());
+    gate_request request;
+    request.deployment = session.deployment;
+    request.targets = session.allowedTargets;
+    request.key = session.generation.key;
+    request.priority = placementPriority(session.priority);
+    request.cost = tokens;
+    request.deadline = session.generation.deadline;
+    request.resumed = resumed;
+    auto pass = m_gate.enter(request);
+    if (!pass) {
+        m_services.crashes.finish(session.guarded, false);
+        return pass.error();
+    }
+    session.permit->setPass(std::move(pass.value()));
+    return success();
+}
+
 std::string completions_endpoint::nextOrigin()
 {
     return m_originPrefix + "-" + std::to_string(++m_counter);
--- /dev/null
+++ b/node/crash_guard.cpp
@@ -0,0 +1,230 @@
+#include "node/crash_guard.h"
+
+#include "node/control_loop.h"
+#include "node/node_log.h"
+#include "node/node_metrics.h"
+#include "node/peer_hub.h"
+#include "node/target_directory.h"
+#include "platform/table_service.h"
+#include "targets/engine_client.h"
+#include "wire/messages.pb.h"
+
+#include <set>
+
+namespace oriolepick {
+
+namespace {
+
+    // A crashed process refuses the connection at once. One that does not answer in this time is paused, not crashed,
+    // and the resume must not wait longer.
+    constexpr std::chrono::milliseconds CrashCheckTimeout { 50 };
+    constexpr std::chrono::milliseconds ExpirePeriod { 60'000 };
+    constexpr std::chrono::milliseconds BusyRetry { 1000 };
+    constexpr int ReleaseTries = 5;
+    constexpr std::size_t MaximumKnownCrashes = 4096;
+
+    wall_time wallNow()
+    {
+        return std::chrono::system_clock::now();
+    }
+
+} // namespace
+
+crash_guard::crash_guard(std::string holderPrefix, table_service& table, engine_client& engines,
+    const target_directory& targets, peer_hub& peers, control_loop& loop, node_metrics& metrics,
+    std::chrono::milliseconds tableTimeout)
+    : m_holderPrefix(std::move(holderPrefix))
+    , m_table(table)
+    , m_engines(engines)
+    , m_targets(targets)
+    , m_peers(peers)
+    , m_loop(loop)
+    , m_metrics(metrics)
+    , m_tableTimeout(tableTimeout)
+    , m_ledger(ledger_settings {})
+{
+    peers.handle(wire::envelope::kCrashReport, [this](const node_id&, const wire::envelope& message, instant) {
+        const auto& report = message.crash_report();
+        const auto target = target_id::parse(report.target());
+        if (!target)
+            return false;
+        crash_event event { report.crash(), *target, wallNow(),
+            { report.in_flight().begin(), report.in_flight().end() } };
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_ledger.recordCrash(event.at, event);
+        return true;
+    });
+    loop.every(ExpirePeriod, [this](instant) { expire(); });
+}
+
+void crash_guard::expire()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_ledger.expire(wallNow());
+    m_metrics.set(gauge_metric::Quarantined, {}, static_cast<double>(m_ledger.quarantined(wallNow())));
+}
+
+template <typename Action> permit_ended::end crash_guard::runPermit(crash_permit& permit, Action action)
+{
+    permit_action next = [&] {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        return action(permit);
+    }();
+    while (!std::holds_alternative<permit_ended>(next)) {
+        if (std::holds_alternative<read_crash_row>(next)) {
+            const auto row = m_table.read(crashRowKey(permit.fingerprint()), m_tableTimeout);
+            std::lock_guard<std::mutex> lock(m_mutex);
+            next = permit.rowRead(wallNow(), row);
+            continue;
+        }
+        const auto outcome = m_table.commit(std::get<write_crash_row>(next).transaction, m_tableTimeout);
+        std::lock_guard<std::mutex> lock(m_mutex);
+        next = permit.rowWritten(wallNow(), outcome);
+    }
+    return std::get<permit_ended>(next).how;
+}
+
+result<guarded_request> crash_guard::admit(const model_ref& model, const std::string& prompt)
+{
+    guarded_request request;
+    request.fingerprint = fingerprintOf(model, prompt);
+    const auto verdict = [&] {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        return m_ledger.verdict(wallNow(), request.fingerprint);
+    }();
+    if (verdict == crash_verdict::Quarantined)
+        return error { error_kind::RequestCrashesTargets, "this request crashed several targets and is not run again",
+            {} };
+    if (verdict != crash_verdict::Isolated)
+        return request;
+    request.permit = std::make_unique<crash_permit>(
+        permit_settings {}, m_ledger, m_codec, request.fingerprint, m_holderPrefix + "-" + std::to_string(++m_counter));
+    switch (runPermit(*request.permit, [](crash_permit& permit) { return permit.acquire(); })) {
+    case permit_ended::end::Granted:
+        return request;
+    case permit_ended::end::Quarantined:
+        return error { error_kind::RequestCrashesTargets, "this request crashed several targets and is not run again",
+            {} };
+    case permit_ended::end::Busy:
+        return error { error_kind::Overloaded, "this request is under test after crashes of targets", BusyRetry };
+    case permit_ended::end::Released:
+    case permit_ended::end::Unavailable:
+        break;
+    }
+    finish(request, false);
+    return error { error_kind::PlatformUnavailable, "this request must run in isolation, which needs the table",
+        BusyRetry };
+}
+
+void crash_guard::finish(guarded_request& request, bool succeeded)
+{
+    if (!request.permit) {
+        if (succeeded) {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_ledger.recordSuccess(wallNow(), request.fingerprint);
+        }
+        return;
+    }
+    // A permit that is not released counts as a crash when it ends.
+    for (int tries = 0; tries < ReleaseTries; ++tries) {
+        const auto how
+            = runPermit(*request.permit, [succeeded](crash_permit& permit) { return permit.release(succeeded); });
+        if (how != permit_ended::end::Unavailable)
+            break;
+    }
+    request.permit.reset();
+}
+
+std::vector<target_id> crash_guard::targetsToAvoid(request_fingerprint fingerprint) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_ledger.targetsToAvoid(wallNow(), fingerprint);
+}
+
+std::vector<target_id> crash_guard::targetsThatCrashed(request_fingerprint fingerprint) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<target_id> targets;
+    for (const auto& mark : m_ledger.marks(wallNow(), fingerprint))
+        targets.push_back(mark.target);
+    return targets;
+}
+
+void crash_guard::attemptStarted(request_fingerprint fingerprint, const target_id& target)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_ledger.attemptStarted(fingerprint, target);
+    m_inFlight[target].insert(fingerprint);
+}
+
+void crash_guard::attemptEnded(request_fingerprint fingerprint, const target_id& target)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_ledger.attemptEnded(fingerprint, target);
+    auto& running = m_inFlight[target];
+    const auto found = running.find(fingerprint);
+    if (found != running.end())
+        running.erase(found);
+}
+
+bool crash_guard::stillRuns(const target_id& target, std::uint64_t incarnation) const
+{
+    const auto address = m_targets.addressOf(target);
+    if (!address)
+        return false;
+    const auto state = m_engines.readState(*address, CrashCheckTimeout);
+    if (state)
+        return state.value().incarnation == incarnation;
+    return state.error().kind != error_kind::NoTarget;
+}
+
+void crash_guard::streamsLost(const target_id& target)
+{
+    const auto incarnation = m_targets.incarnationOf(target);
+    crash_event event { crashIdOf(target, incarnation), target, wallNow(), {} };
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_known.count(event.crash))
+            return;
+    }
+    if (stillRuns(target, incarnation))
+        return;
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        if (!m_known.insert(event.crash).second)
+            return;
+        if (m_known.size() > MaximumKnownCrashes)
+            m_known.erase(m_known.begin());
+        const auto& running = m_inFlight[target];
+        event.suspects.assign(running.begin(), running.end());
+        m_ledger.recordCrash(event.at, event);
+    }
+    m_metrics.add(counter_metric::StateChanges, { { "part", "target" }, { "to", "crashed" } });
+    logWarning("target",
+        { { "target", target.text() }, { "to", "crashed" }, { "suspects", std::to_string(event.suspects.size()) } });
+    broadcast(event);
+}
+
+void crash_guard::broadcast(const crash_event& event)
+{
+    m_loop.post([this, event](instant) {
+        for (const auto& node : m_nodes) {
+            if (node == m_peers.self())
+                continue;
+            wire::envelope message;
+            auto& report = *message.mutable_crash_report();
+            report.set_crash(event.crash);
+            report.set_target(event.target.text());
+            for (const auto fingerprint : event.suspects)
+                report.add_in_flight(fingerprint);
+            m_peers.send(node, std::move(message));
+        }
+    });
+}
+
+void crash_guard::setNodes(const std::vector<node_id>& usable)
+{
+    m_nodes = usable;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/node/crash_guard.h
@@ -0,0 +1,85 @@
+/// \file
+/// The node's shared crash ledger: decides whether a request may run, learns of crashes from this node's streams and
+/// from peers, and runs the permits of isolated requests in the table.
+#pragma once
+
+#include "config/crash_row_json.h"
+#include "core/crash_ledger.h"
+#include "core/crash_permit.h"
+#include "core/error.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oriolepick {
+
+class control_loop;
+class engine_client;
+class node_metrics;
+class peer_hub;
+class table_service;
+class target_directory;
+
+/// One admitted request as the guard knows it; used by one thread at a time.
+struct guarded_request {
+    request_fingerprint fingerprint = 0;
+    std::unique_ptr<crash_permit> permit; ///< only of an isolated request
+};
+
+/// Thread-safe.
+class crash_guard {
+public:
+    crash_guard(std::string holderPrefix, table_service& table, engine_client& engines, const target_directory& targets,
+        peer_hub& peers, control_loop& loop, node_metrics& metrics, std::chrono::milliseconds tableTimeout);
+
+    /// Decides whether a request may run; blocks on the table for an isolated one.
+    /// \return RequestCrashesTargets when quarantined; Overloaded while it runs elsewhere in isolation;
+    ///     PlatformUnavailable when isolation cannot be arranged
+    result<guarded_request> admit(const model_ref& model, const std::string& prompt);
+
+    /// Records the end of an admitted request; blocks on the table for an isolated one.
+    void finish(guarded_request& request, bool succeeded);
+
+    std::vector<target_id> targetsToAvoid(request_fingerprint fingerprint) const;
+    /// \return only the targets that crashed with this request
+    std::vector<target_id> targetsThatCrashed(request_fingerprint fingerprint) const;
+    void attemptStarted(request_fingerprint fingerprint, const target_id& target);
+    void attemptEnded(request_fingerprint fingerprint, const target_id& target);
+
+    /// Checks whether a target really crashed and records it with all requests of this node that ran on it.
+    void streamsLost(const target_id& target);
+
+    /// Takes the usable nodes; on the control loop.
+    void setNodes(const std::vector<node_id>& usable);
+
+private:
+    template <typename Action> permit_ended::end runPermit(crash_permit& permit, Action action);
+    bool stillRuns(const target_id& target, std::uint64_t incarnation) const;
+    void broadcast(const crash_event& event);
+    void expire();
+
+    std::string m_holderPrefix;
+    table_service& m_table;
+    engine_client& m_engines;
+    const target_directory& m_targets;
+    peer_hub& m_peers;
+    control_loop& m_loop;
+    node_metrics& m_metrics;
+    std::chrono::milliseconds m_tableTimeout;
+    crash_row_json m_codec;
+    mutable std::mutex m_mutex; ///< guards the ledger and the in-flight sets
+    crash_ledger m_ledger;
+    std::map<target_id, std::multiset<request_fingerprint>> m_inFlight;
+    std::set<std::uint64_t> m_known; ///< crashes that were recorded here
+    std::vector<node_id> m_nodes;
+    std::atomic<std::uint64_t> m_counter { 0 };
+};
+
+} // namespace oriolepick
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -6,7 +6,9 @@
 #include "node/call_driver.h"
 #include "node/completions_endpoint.h"
 #include "node/control_loop.h"
+#include "node/crash_guard.h"
 #include "node/cursor_codec.h"
+#include "node/generation_gate.h"
 #include "node/http_edge.h"
 #include "node/limits_driver.h"
 #include "node/locked_admission.h"
@@ -98,11 +100,14 @@
         , tasks(TaskThreads, TaskCapacity)
         , callers(states, configuration.operatorTokenSha256)
         , cursors(configuration.cursorKeys)
-        , completions(origin, states, callers, cursors, configuration.cursorLifetime,
-              session_services { engines, targets, tasks, metrics, traces, admission })
         , operators(configuration, states, targets, traces, status, [] { kill(getpid(), SIGTERM); })
         , transport(configuration.peersListen)
         , peers(node_id(configuration.peersListen), incarnation, transport, loop, states, metrics)
+        , crashes(origin, table, engines, targets, peers, loop, metrics, configuration.platformTimeout)
+        , gate(targets, metrics, static_cast<std::size_t>(configuration.queueCapacity), configuration.queueTimeout,
+              processSeed())
+        , completions(origin, states, callers, cursors, configuration.cursorLifetime,
+              session_services { engines, targets, tasks, metrics, traces, admission, crashes }, limits, gate)
         , tickets(table, objects, configuration.platformTimeout)
         , members(
               configuration.zone, configuration.region, seedNodes(configuration), processSeed(), peers, loop, metrics)
@@ -123,6 +128,8 @@
             ticketDriver.setPeers(usable);
             limitsDriver.setNodes(usable, now);
             calls.setNodes(usable, now);
+            crashes.setNodes(usable);
+            gate.setNodeCount(usable.size());
         });
     }
 
@@ -142,13 +149,15 @@
     task_pool tasks;
     authenticator callers;
     cursor_codec cursors;
-    completions_endpoint completions;
     operator_endpoint operators;
     zmq_peer_transport transport;
     control_loop loop;
     peer_hub peers;
-    ticket_store tickets;
+    crash_guard crashes;
     team_limits limits;
+    generation_gate gate;
+    completions_endpoint completions;
+    ticket_store tickets;
     membership_driver members;
     ticket_driver ticketDriver;
     limits_driver limitsDriver;
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -26,15 +26,6 @@
         return std::chrono::steady_clock::now();
     }
 
-    request_priority placementPriority(int priority)
-    {
-        constexpr int LowestNormal = 3;
-        constexpr int LowestUrgent = 7;
-        if (priority >= LowestUrgent)
-            return request_priority::Urgent;
-        return priority >= LowestNormal ? request_priority::Normal : request_priority::Bulk;
-    }
-
     const char* purposeName(attempt_purpose purpose)
     {
         switch (purpose) {
@@ -87,6 +78,15 @@
 
 } // namespace
 
+request_priority placementPriority(int priority)
+{
+    constexpr int LowestNormal = 3;
+    constexpr int LowestUrgent = 7;
+    if (priority >= LowestUrgent)
+        return request_priority::Urgent;
+    return priority >= LowestNormal ? request_priority::Normal : request_priority::Bulk;
+}
+
 generation_session::generation_session(
     session_request request, const resume_policy& policy, const session_services& services)
     : m_request(std::move(request))
@@ -158,6 +158,10 @@
         if (!running.started && running.counted) {
             running.started = true;
             m_services.targets.recordFirstToken(running.target, running.uncachedTokens);
+            if (m_request.permit) {
+                m_request.permit->recordFirstToken(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - running.dispatched));
+            }
         }
     }
     if (std::holds_alternative<attempt_broken>(event))
@@ -190,11 +194,27 @@
     return query;
 }
 
-void generation_session::run(const choose_target& action)
+std::variant<placed_target, no_choice> generation_session::place(
+    const choose_target& action, placement_query query) const
 {
     const auto now = clockNow();
+    const auto avoided = m_services.crashes.targetsToAvoid(m_request.guarded.fingerprint);
+    query.excluded.insert(query.excluded.end(), avoided.begin(), avoided.end());
+    auto decision = m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
+    if (std::holds_alternative<placed_target>(decision) || avoided.empty() || m_request.guarded.permit)
+        return decision;
+    // In a small group every target may run another suspect. A stream that has begun goes on all the same, on any
+    // target that it has not crashed: a second crash isolates it.
+    const auto crashed = m_services.crashes.targetsThatCrashed(m_request.guarded.fingerprint);
+    query.excluded = action.excluded;
+    query.excluded.insert(query.excluded.end(), crashed.begin(), crashed.end());
+    return m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
+}
+
+void generation_session::run(const choose_target& action)
+{
     const auto query = placementQuery(action);
-    const auto decision = m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
+    const auto decision = place(action, query);
     if (const auto* none = std::get_if<no_choice>(&decision)) {
         const bool gone = !m_services.targets.anyLoaded(m_request.generation.model, m_request.allowedTargets);
         const auto reason = gone && action.purpose != attempt_purpose::Start ? no_target_reason::VersionGone
@@ -208,6 +228,8 @@
     running.address = placed.address;
     running.uncachedTokens = query.prefixTokens - std::min(placed.cachedTokens, query.prefixTokens);
     running.counted = true;
+    running.dispatched = clockNow();
+    m_services.crashes.attemptStarted(m_request.guarded.fingerprint, placed.target);
     trace("attempt=" + action.attempt.text() + " purpose=" + purposeName(action.purpose)
         + " target=" + placed.target.text());
     m_events->push(target_chosen { action.attempt, placed.target, placed.model, {} });
@@ -333,6 +355,7 @@
 {
     trace("target lost target=" + action.target.text());
     m_services.targets.recordUnreachable(action.target);
+    m_services.crashes.streamsLost(action.target);
 }
 
 void generation_session::run(const count& action)
@@ -356,6 +379,7 @@
         return;
     running.counted = false;
     m_services.targets.recordFinished(running.target, running.uncachedTokens, running.started, clockNow());
+    m_services.crashes.attemptEnded(m_request.guarded.fingerprint, running.target);
 }
 
 void generation_session::countUsage()
@@ -383,6 +407,9 @@
     m_end = end;
     for (auto& [attempt, running] : m_attempts)
         stopReader(attempt);
+    m_services.crashes.finish(m_request.guarded, end.finished.has_value());
+    if (m_request.permit)
+        m_request.permit->finish(m_request.generation.promptTokens + m_generation.position());
 }
 
 void generation_session::trace(const std::string& line)
--- a/node/generation_session.h
+++ b/node/generation_session.h
@@ -6,6 +6,9 @@
 #include "core/generation.h"
 #include "core/placement.h"
 #include "node/attempt_reader_thread.h"
+#include "node/crash_guard.h"
+#include "node/request_permit.h"
+#include "node/target_directory.h"
 
 #include <chrono>
 #include <deque>
@@ -20,7 +23,6 @@
 class engine_client;
 class event_channel;
 class node_metrics;
-class target_directory;
 class task_pool;
 class trace_store;
 
@@ -32,6 +34,7 @@
     node_metrics& metrics;
     trace_store& traces;
     resume_admission& admission;
+    crash_guard& crashes;
 };
 
 /// Parts of the request that the state machine does not need.
@@ -43,6 +46,8 @@
     std::uint64_t seed = 0;
     int priority = 5;
     double latencyWeight = 0.5; ///< of the placement, from 0 (least extra use) to 1 (least latency)
+    std::unique_ptr<request_permit> permit; ///< given back when the session ends
+    guarded_request guarded; ///< recorded as ended when the session ends
     std::uint64_t readerEpoch = 0; ///< epoch of the first attach
     instant arrived;
 };
@@ -54,6 +59,10 @@
     target_id target;
 };
 
+/// \param priority from 0 (can wait) to 9 (most urgent)
+/// \return the class that queues and placement use
+request_priority placementPriority(int priority);
+
 /// How a session ended.
 struct session_end {
     std::optional<finish_reason> finished; ///< set when the response is complete
@@ -94,6 +103,7 @@
         target_id target;
         std::string address;
         std::uint32_t uncachedTokens = 0;
+        instant dispatched;
         bool counted = false; ///< a dispatch is recorded in the directory
         bool started = false;
         std::unique_ptr<attempt_reader_thread> reader;
@@ -114,6 +124,7 @@
     void run(const count& action);
 
     placement_query placementQuery(const choose_target& action) const;
+    std::variant<placed_target, no_choice> place(const choose_target& action, placement_query query) const;
     attempt_observer observerFor(const target_id& target) const;
     void observeToken(instant now);
     void stopReader(const attempt_id& attempt);
--- a/node/target_directory.cpp
+++ b/node/target_directory.cpp
@@ -61,6 +61,7 @@
         return;
     const auto& loaded = state.loaded;
     record->second.observed = state;
+    record->second.incarnation = state.incarnation;
     record->second.loaded = loaded;
     auto& profile = record->second.profile;
     profile.model.reset();
@@ -193,6 +194,27 @@
     return list;
 }
 
+std::uint64_t target_directory::incarnationOf(const target_id& target) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto record = m_records.find(target);
+    return record == m_records.end() ? 0 : record->second.incarnation;
+}
+
+target_directory::room target_directory::capacityOf(const std::vector<target_id>& targets) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    room found;
+    for (const auto& target : targets) {
+        const auto record = m_records.find(target);
+        if (record == m_records.end() || m_view.state(target) != target_state::Live)
+            continue;
+        ++found.targets;
+        found.places += record->second.profile.batchLimit;
+    }
+    return found;
+}
+
 std::size_t target_directory::reportingEngines() const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -76,6 +76,16 @@
 
     std::vector<polled_target> engines() const;
 
+    /// \return the incarnation that an engine last reported, 0 when unknown
+    std::uint64_t incarnationOf(const target_id& target) const;
+
+    /// Usable targets among some and their places for requests.
+    struct room {
+        std::size_t targets = 0;
+        std::size_t places = 0;
+    };
+    room capacityOf(const std::vector<target_id>& targets) const;
+
     /// \return number of engines whose last poll succeeded
     std::size_t reportingEngines() const;
 
@@ -88,6 +98,7 @@
         target_profile profile;
         bool engine = true;
         std::optional<engine_state> observed;
+        std::uint64_t incarnation = 0;
         std::vector<model_ref> loaded; ///< of the last report, kept while the target cannot be reached
     };
 
--- a/standins/engine_models.cpp
+++ b/standins/engine_models.cpp
@@ -9,6 +9,7 @@
 engine_models::engine_models(const engine_settings& settings)
     : m_loadTime(settings.weightBytes * 1000 / std::max<std::uint64_t>(settings.weightBytesPerSecond, 1))
     , m_checksFencing(settings.checksFencing)
+    , m_incarnation(static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()))
     , m_loaded(settings.models)
     , m_role(settings.role)
 {
@@ -63,6 +64,7 @@
     state.role = m_role;
     state.draining = m_draining;
     state.fencing = m_fencing;
+    state.incarnation = m_incarnation;
     return state;
 }
 
--- a/standins/engine_models.h
+++ b/standins/engine_models.h
@@ -51,6 +51,7 @@
 
     const std::chrono::milliseconds m_loadTime;
     const bool m_checksFencing;
+    const std::uint64_t m_incarnation; ///< start time of the process
     mutable std::mutex m_mutex;
     std::vector<model_ref> m_loaded;
     std::deque<pending_load> m_loading;
--- a/standins/engine_requests.cpp
+++ b/standins/engine_requests.cpp
@@ -171,9 +171,10 @@
     json loaded = json::array();
     for (const auto& model : state.loaded)
         loaded.push_back(modelJson(model));
-    return dump({ { "loaded", std::move(loaded) },
-        { "loading", state.loading ? modelJson(*state.loading) : json(nullptr) }, { "role", state.role },
-        { "draining", state.draining }, { "fencing", state.fencing }, { "attempts", state.attempts } });
+    return dump(
+        { { "loaded", std::move(loaded) }, { "loading", state.loading ? modelJson(*state.loading) : json(nullptr) },
+            { "role", state.role }, { "draining", state.draining }, { "fencing", state.fencing },
+            { "attempts", state.attempts }, { "incarnation", state.incarnation } });
 }
 
 std::string formatLoad(const engine_load& load)
--- a/targets/engine_messages.cpp
+++ b/targets/engine_messages.cpp
@@ -216,6 +216,8 @@
     state.draining = reader.flag("draining");
     state.fencing = reader.number<std::uint64_t>("fencing");
     state.attempts = reader.number<std::uint32_t>("attempts");
+    if (reader.optional("incarnation"))
+        state.incarnation = reader.number<std::uint64_t>("incarnation");
     return finish(reader, std::move(state));
 }
 
--- a/targets/engine_state.h
+++ b/targets/engine_state.h
@@ -19,6 +19,7 @@
     std::string role; ///< for example "serve"
     bool draining = false;
     std::uint64_t fencing = 0; ///< highest fencing number seen
+    std::uint64_t incarnation = 0; ///< changes with each start of the process; 0 when the engine does not report it
     std::uint32_t attempts = 0; ///< attempts that run, wait or can be attached to
 };
 
--- a/targets/http_engine_client.cpp
+++ b/targets/http_engine_client.cpp
@@ -45,6 +45,8 @@
         result<Value> (*parse)(std::string_view))
     {
         const auto response = callOnce(address, { "GET", path, {}, {} }, timeout);
+        if (response.result.end == exchange_end::NotSent)
+            return error { error_kind::NoTarget, absl::StrCat("engine ", address, ": ", response.result.detail), {} };
         if (response.result.end != exchange_end::Complete || response.status != 200)
             return failed(address, response);
         auto parsed = parse(response.body);
