--- a/standins/emulated_batch.cpp
+++ b/standins/emulated_batch.cpp
@@ -202,9 +202,9 @@
     const auto& request = running.attempt->request();
     if (!m_settings.crashOn.empty() && request.prompt.find(m_settings.crashOn) != std::string::npos) {
         m_stopping = true;
+        m_crash();
         for (const auto& [id, known] : m_entries)
             known->attempt->cancel();
-        m_crash();
         return share;
     }
     m_cache.store(promptBlocks(request.model, request.prompt), clock::now());
