--- a/targets/engine_state.h
+++ b/targets/engine_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/names.h"
+#include "core/order_kind.h"
 
 #include <cstdint>
 #include <optional>
@@ -34,8 +35,6 @@
     std::uint64_t last = 0; ///< sequence number up to which this report goes
 };
 
-enum class order_kind { Load, Unload, Role, Drain, Undrain };
-
 /// An order to an engine; repeating one has no further effect.
 struct engine_order {
     order_kind kind = order_kind::Load;
