--- a/bench/bench_decisions.cpp
+++ b/bench/bench_decisions.cpp
@@ -79,6 +79,7 @@
 {
     const std::vector<std::size_t> counts { 4, 8, 16, 32, 64, 128 };
     std::vector<double> times;
+    times.reserve(counts.size());
     for (const auto count : counts)
         times.push_back(secondsPerPlacement(count, seed));
     for (std::size_t index = 0; index < counts.size(); ++index)
--- a/bench/placement_fake_engine.cpp
+++ b/bench/placement_fake_engine.cpp
@@ -73,6 +73,21 @@
     return step;
 }
 
+std::vector<std::pair<std::uint64_t, std::uint32_t>> placement_fake_engine::crash()
+{
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> lost;
+    for (const auto& sequence : m_running)
+        lost.emplace_back(sequence.request.id, sequence.produced);
+    for (const auto& request : m_waiting)
+        lost.emplace_back(request.id, 0);
+    m_running.clear();
+    m_waiting.clear();
+    m_recency.clear();
+    m_cache.clear();
+    m_inStep = false;
+    return lost;
+}
+
 load_report placement_fake_engine::load() const
 {
     return { static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(m_waiting.size()), m_speed.batch,
--- a/bench/placement_fake_engine.h
+++ b/bench/placement_fake_engine.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <list>
+#include <utility>
 #include <vector>
 
 namespace oriolepick {
@@ -68,8 +69,12 @@
     /// Ends the planned step.
     engine_step endStep();
 
+    /// Loses all requests and the cache, as a crash does. Ends a planned step without result.
+    /// \return the lost requests with the tokens that were produced
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> crash();
+
     load_report load() const;
-    double meanRunning() const { return m_time ? m_runningTime / m_time : 0; }
+    double meanRunning() const { return m_time > 0 ? m_runningTime / m_time : 0; }
 
 private:
     struct sequence {
--- a/bench/placement_figures.h
+++ b/bench/placement_figures.h
@@ -34,6 +34,8 @@
     std::uint64_t repeatedTokens = 0; ///< prompt tokens computed that an engine had computed before
     std::uint64_t deliveredTokens = 0;
     std::vector<double> meanRunning; ///< by engine
+    std::vector<double> resumes; ///< seconds from the loss of an engine to the next token of each of its streams
+    std::uint64_t lostStreams = 0;
 };
 
 /// \return the \p share quantile, 0 for no values
--- a/bench/placement_simulation.cpp
+++ b/bench/placement_simulation.cpp
@@ -45,7 +45,7 @@
         }
         const target_id target(fleet_name(m_profile.name), "worker-" + std::to_string(number));
         m_engineOf[target] = m_engines.size();
-        m_engines.push_back({ target, placement_fake_engine(speed), 0 });
+        m_engines.push_back({ target, placement_fake_engine(speed), 0, 0, false });
     }
 }
 
@@ -70,11 +70,9 @@
             profile.cacheBlocks = m_settings.speed.cacheBlocks;
             node->view.setTarget(profile);
         }
-        const auto engines = static_cast<std::uint32_t>(m_profile.engines);
-        node->limit.setCapacity(
-            engines, engines * m_settings.speed.batch / static_cast<std::uint32_t>(m_profile.nodes));
         m_nodes.push_back(std::move(node));
     }
+    updateCapacity();
 }
 
 run_log placement_simulation::run(const std::vector<traced_request>& trace)
@@ -191,7 +189,7 @@
     placement_query query;
     query.work = request.service ? m_service : m_model;
     query.prefixBlocks = request.blocks;
-    query.prefixTokens = request.promptTokens;
+    query.prefixTokens = request.promptTokens + m_flights[index].delivered;
     query.priority = request.priority;
     query.latencyWeight = m_profile.latencyWeight;
     const auto decision
@@ -201,7 +199,7 @@
         return false;
     auto& flight = m_flights[index];
     flight.engine = m_engineOf.at(choice->target);
-    flight.uncached = request.promptTokens - choice->cachedTokens;
+    flight.uncached = query.prefixTokens - choice->cachedTokens;
     flight.dispatched = m_now;
     node.view.recordDispatch(choice->target, request.blocks, flight.uncached, m_now);
     if (!request.service)
@@ -209,8 +207,15 @@
     at(m_now + Transit, [this, index] {
         const auto& sent = (*m_trace)[index];
         const auto& flown = m_flights[index];
+        if (m_engines[flown.engine].down) {
+            if (!sent.service)
+                m_nodes[flown.node]->limit.recordFinished();
+            offer(index);
+            return;
+        }
+        const auto left = sent.outputTokens - std::min(flown.delivered, sent.outputTokens - 1);
         m_engines[flown.engine].engine.submit(
-            { index, sent.blocks, sent.promptTokens, sent.outputTokens, sent.priority });
+            { index, sent.blocks, sent.promptTokens + flown.delivered, left, sent.priority });
         sendReport(flown.node, flown.engine, flown.dispatched);
         step(flown.engine);
     });
@@ -226,11 +231,67 @@
     const auto duration = engine.beginStep(admitted);
     for (const auto& request : admitted)
         countPrompt(request.id, request.cachedTokens);
-    at(m_now + duration, [this, engineIndex] { finishStep(engineIndex); });
+    const auto incarnation = m_engines[engineIndex].incarnation;
+    at(m_now + duration, [this, engineIndex, incarnation] { finishStep(engineIndex, incarnation); });
+}
+
+void placement_simulation::loseZone(int zone, instant from, instant until)
+{
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        if (static_cast<int>(index % static_cast<std::size_t>(m_profile.zones)) != zone)
+            continue;
+        at(from, [this, index] { crash(index); });
+        at(until, [this, index] { restart(index); });
+    }
+}
+
+void placement_simulation::crash(std::size_t engineIndex)
+{
+    auto& engine = m_engines[engineIndex];
+    engine.down = true;
+    ++engine.incarnation;
+    for (auto& node : m_nodes) {
+        node->view.recordRestart(engine.target);
+        node->view.setEjected(engine.target, true); // connections are refused at once
+    }
+    updateCapacity();
+    for (const auto& [index, produced] : engine.engine.crash()) {
+        auto& flight = m_flights[index];
+        if (!(*m_trace)[index].service) {
+            m_nodes[flight.node]->limit.recordFinished();
+            ++m_log.lostStreams;
+            flight.lostAt = flight.lostAt ? flight.lostAt : m_now;
+        }
+        flight.delivered += produced;
+        flight.started = false;
+        flight.tries = 0;
+        at(m_now + Transit, [this, lost = index] { offer(lost); });
+    }
 }
 
-void placement_simulation::finishStep(std::size_t engineIndex)
+void placement_simulation::restart(std::size_t engineIndex)
 {
+    m_engines[engineIndex].down = false;
+    for (auto& node : m_nodes) {
+        node->view.recordRestart(m_engines[engineIndex].target);
+        node->view.setEjected(m_engines[engineIndex].target, false);
+    }
+    updateCapacity();
+}
+
+void placement_simulation::updateCapacity()
+{
+    std::uint32_t up = 0;
+    for (std::size_t index = 0; index < static_cast<std::size_t>(m_profile.engines); ++index)
+        up += m_engines[index].down ? 0 : 1;
+    for (auto& node : m_nodes)
+        node->limit.setCapacity(up, up * m_settings.speed.batch / static_cast<std::uint32_t>(m_profile.nodes));
+}
+
+void placement_simulation::finishStep(std::size_t engineIndex, std::uint32_t incarnation)
+{
+    if (m_engines[engineIndex].incarnation != incarnation)
+        return;
     const auto result = m_engines[engineIndex].engine.endStep();
     const auto tokens = result.decoded + static_cast<std::uint32_t>(result.firstTokens.size());
     if (engineIndex < static_cast<std::size_t>(m_profile.engines)) {
@@ -252,9 +313,15 @@
     auto& flight = m_flights[index];
     auto& node = *m_nodes[flight.node];
     flight.started = true;
+    if (flight.lostAt) {
+        m_log.resumes.push_back(std::chrono::duration<double>(m_now - *flight.lostAt).count());
+        flight.lostAt.reset();
+    }
+    if (m_log.requests[index].firstToken < 0) {
+        m_log.requests[index].queued = std::chrono::duration<double>(flight.dispatched - flight.offered).count();
+        m_log.requests[index].waited = std::chrono::duration<double>(m_now + Transit - flight.offered).count();
+    }
     m_log.requests[index].firstToken = seconds(m_now);
-    m_log.requests[index].queued = std::chrono::duration<double>(flight.dispatched - flight.offered).count();
-    m_log.requests[index].waited = std::chrono::duration<double>(m_now + Transit - flight.offered).count();
     node.view.recordFirstToken(m_engines[flight.engine].target, flight.uncached);
     if ((*m_trace)[index].service)
         return;
--- a/bench/placement_simulation.h
+++ b/bench/placement_simulation.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -39,6 +40,10 @@
 public:
     placement_simulation(const trace_profile& profile, simulation_settings settings);
 
+    /// Crashes the targets of one zone at \p from; they are back with empty caches at \p until. All their streams
+    /// reconnect at once.
+    void loseZone(int zone, instant from, instant until);
+
     /// \return the measurements of the whole trace
     run_log run(const std::vector<traced_request>& trace);
 
@@ -58,6 +63,8 @@
         target_id target;
         placement_fake_engine engine;
         std::uint64_t sequence = 0;
+        std::uint32_t incarnation = 0; // events of an earlier one are dropped
+        bool down = false;
     };
     struct flight {
         std::size_t node = 0;
@@ -67,6 +74,8 @@
         std::uint32_t uncached = 0;
         int tries = 0;
         bool started = false;
+        std::uint32_t delivered = 0; // tokens of earlier attempts
+        std::optional<instant> lostAt;
     };
     struct timed_event {
         instant at;
@@ -84,7 +93,10 @@
     void pumpLater(std::size_t nodeIndex);
     bool place(std::size_t nodeIndex, std::size_t index);
     void step(std::size_t engineIndex);
-    void finishStep(std::size_t engineIndex);
+    void finishStep(std::size_t engineIndex, std::uint32_t incarnation);
+    void crash(std::size_t engineIndex);
+    void restart(std::size_t engineIndex);
+    void updateCapacity();
     void firstToken(std::size_t index);
     void finished(std::size_t index);
     void sendReport(std::size_t nodeIndex, std::size_t engineIndex, instant reflectsUntil);
