--- a/core/test/membership.cpp
+++ b/core/test/membership.cpp
@@ -157,6 +157,25 @@
     EXPECT_EQ(countOf<member_changed>(network.changesOf(2)), before);
 }
 
+// Failure: timers that ran out during the own pause make the probed node suspect.
+TEST(membership, probe_sent_before_a_pause_proves_nothing)
+{
+    membership state({ node_id("a"), {}, {}, member_state::Alive, 1 }, {}, seeded_random(1), instant());
+    state.receive({ { node_id("b"), {}, {}, member_state::Alive, 1 }, ack_message {}, {} }, instant());
+    const auto tickUntilProbe = [&](int time) {
+        while (!countOf<send_membership_message>(state.tick(instant(milliseconds(time)))))
+            time += 100;
+        return time;
+    };
+    int time = tickUntilProbe(100);
+    const auto afterPause = state.tick(instant(milliseconds(time += 40'000)));
+    EXPECT_EQ(countOf<member_changed>(afterPause), 0);
+    int changes = 0;
+    for (int count = 0; count < 20; ++count)
+        changes += countOf<member_changed>(state.tick(instant(milliseconds(time += 100))));
+    EXPECT_EQ(changes, 1); // without a pause an unanswered probe does
+}
+
 TEST(membership, lost_zone_is_reported_as_a_unit)
 {
     membership_network network(6);
