--- a/config/ticket_fields.h
+++ b/config/ticket_fields.h
@@ -26,11 +26,13 @@
     };
 };
 template <> struct enum_words<objective_metric> {
-    static constexpr std::array<std::pair<objective_metric, std::string_view>, 5> Words {
+    static constexpr std::array<std::pair<objective_metric, std::string_view>, 8> Words {
         { { objective_metric::ResumeLatencyMs, "resume_latency_ms" },
             { objective_metric::FirstTokenMs, "first_token_ms" }, { objective_metric::TokenGapMs, "token_gap_ms" },
             { objective_metric::ExtraTokenShare, "extra_token_share" },
-            { objective_metric::SuccessShare, "success_share" } }
+            { objective_metric::SuccessShare, "success_share" }, { objective_metric::TicketDelayMs, "ticket_delay_ms" },
+            { objective_metric::TruthfulRefusalShare, "truthful_refusal_share" },
+            { objective_metric::AtMostOnceShare, "at_most_once_share" } }
     };
 };
 
@@ -131,7 +133,7 @@
 
 template <typename Visitor> void describe(Visitor& visit, objective_settings& objective)
 {
-    visit("deployment", objective.deployment, RequiredReference);
+    visit("deployment", objective.deployment, OptionalReference);
     visit("metric", objective.metric, field_rule { presence::Required });
     visit("percentile", objective.percentile, numberRule(0, 100));
     visit("goal", objective.goal, { presence::Required, text_form::Any, 0, 1e9 });
--- a/core/test/ticket_validation.cpp
+++ b/core/test/ticket_validation.cpp
@@ -90,3 +90,22 @@
         *state);
     EXPECT_TRUE(has(errors, "objects[1].state.targets")) << toString(errors);
 }
+
+TEST(ticket_validation, an_objective_names_a_deployment_unless_it_covers_the_fleet)
+{
+    const auto errorsOf = [](objective_metric metric, std::optional<deployment_id> deployment, double goal) {
+        ticket change { 2, "op", "", {} };
+        change.objects.push_back(
+            { { object_kind::Objective, One, "o" }, objective_settings { std::move(deployment), metric, 99, goal } });
+        return validate(change, *oneFleet());
+    };
+    const deployment_id known(One, "d");
+    EXPECT_TRUE(errorsOf(objective_metric::SuccessShare, known, 0.999).empty());
+    EXPECT_TRUE(errorsOf(objective_metric::AtMostOnceShare, std::nullopt, 1).empty());
+    EXPECT_TRUE(errorsOf(objective_metric::TicketDelayMs, std::nullopt, 13'000).empty());
+    EXPECT_TRUE(has(errorsOf(objective_metric::SuccessShare, std::nullopt, 1), "objects[0].state.deployment"));
+    EXPECT_TRUE(has(errorsOf(objective_metric::AtMostOnceShare, known, 1), "objects[0].state.deployment"));
+    EXPECT_TRUE(
+        has(errorsOf(objective_metric::FirstTokenMs, deployment_id(One, "gone"), 780), "objects[0].state.deployment"));
+    EXPECT_TRUE(has(errorsOf(objective_metric::TruthfulRefusalShare, std::nullopt, 2), "objects[0].state.goal"));
+}
--- a/core/ticket.h
+++ b/core/ticket.h
@@ -134,11 +134,34 @@
 };
 
 /// What an objective measures.
-enum class objective_metric { ResumeLatencyMs, FirstTokenMs, TokenGapMs, ExtraTokenShare, SuccessShare };
+enum class objective_metric {
+    ResumeLatencyMs,
+    FirstTokenMs,
+    TokenGapMs,
+    ExtraTokenShare,
+    SuccessShare, ///< complete responses among those that were complete or failed
+    TicketDelayMs, ///< of the whole fleet
+    TruthfulRefusalShare, ///< of the whole fleet
+    AtMostOnceShare, ///< of the whole fleet
+};
 
-/// A service-level objective of a deployment.
+/// \return whether the metric covers the whole fleet instead of one deployment
+constexpr bool coversFleet(objective_metric metric)
+{
+    return metric == objective_metric::TicketDelayMs || metric == objective_metric::TruthfulRefusalShare
+        || metric == objective_metric::AtMostOnceShare;
+}
+
+/// \return whether the goal is a share from 0 to 1 instead of a time
+constexpr bool isShare(objective_metric metric)
+{
+    return metric == objective_metric::ExtraTokenShare || metric == objective_metric::SuccessShare
+        || metric == objective_metric::TruthfulRefusalShare || metric == objective_metric::AtMostOnceShare;
+}
+
+/// A service-level objective of a deployment or, by the metric, of a fleet.
 struct objective_settings {
-    deployment_id deployment;
+    std::optional<deployment_id> deployment; ///< nothing exactly when the metric covers the fleet
     objective_metric metric = objective_metric::ResumeLatencyMs;
     double percentile = 99; ///< for latencies
     double goal = 0; ///< milliseconds or a share, by the metric
--- a/core/ticket_validation.cpp
+++ b/core/ticket_validation.cpp
@@ -163,11 +163,14 @@
 
         void check(const objective_settings& objective)
         {
-            if (!m_after.deployment(objective.deployment))
-                fail("state.deployment", "deployment " + objective.deployment.text() + " does not exist");
-            const bool share = objective.metric == objective_metric::ExtraTokenShare
-                || objective.metric == objective_metric::SuccessShare;
-            if (share && objective.goal > 1)
+            if (coversFleet(objective.metric)) {
+                if (objective.deployment)
+                    fail("state.deployment", "does not apply to this metric, which covers the whole fleet");
+            } else if (!objective.deployment)
+                fail("state.deployment", "is missing");
+            else if (!m_after.deployment(*objective.deployment))
+                fail("state.deployment", "deployment " + objective.deployment->text() + " does not exist");
+            if (isShare(objective.metric) && objective.goal > 1)
                 fail("state.goal", "a share is at most 1");
         }
 
