--- a/tool/command.cpp
+++ b/tool/command.cpp
@@ -1,6 +1,7 @@
 #include "tool/command.h"
 
 #include "tool/in_force_command.h"
+#include "tool/report_command.h"
 #include "tool/ticket_command.h"
 
 #include <docopt/docopt.h>
@@ -18,15 +19,17 @@
     constexpr const char* Version = "oriolepick 0.1.0";
     constexpr std::size_t MaxTokenBytes = 4096;
 
-    constexpr const char* Usage = R"(Operates Oriolepick: files change tickets and reads back the state in force.
+    constexpr const char* Usage
+        = R"(Operates Oriolepick: files change tickets, reads back the state in force and reports on nodes.
 
 Usage:
   oriolepick ticket (check|file|status|show|diff|log|schema) [<arguments>...]
   oriolepick in-force [<arguments>...]
+  oriolepick report (burn|scrape) [<arguments>...]
   oriolepick --help
   oriolepick --version
 
-`oriolepick ticket --help` and `oriolepick in-force --help` explain the arguments.
+`oriolepick ticket --help` and the like explain the arguments.
 
 Exit codes: 0 success, 1 failure, 2 usage error.
 )";
@@ -36,9 +39,10 @@
         exit_code (*run)(const std::vector<std::string>& arguments, tool_environment& environment);
     };
 
-    constexpr std::array<command_group, 2> Groups { {
+    constexpr std::array<command_group, 3> Groups { {
         { "ticket", runTicketCommand },
         { "in-force", runInForceCommand },
+        { "report", runReportCommand },
     } };
 
 } // namespace
--- a/tool/command.h
+++ b/tool/command.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "core/instant.h"
 #include "platform/object_store.h"
 #include "platform/table_service.h"
 
@@ -37,9 +38,10 @@
 
     /// Reads one page of the operators.
     /// \param address "ip:port"
-    /// \param page "in-force" for the complete state, "status" for the number in force without the objects
+    /// \param page "in-force" for the complete state, "status" for the number in force without the objects,
+    ///     "trace/<key>" for one request, or a path from "/" on such as "/metrics"
     /// \param token the operators' bearer token; empty for none
-    /// \return the JSON text
+    /// \return the body
     virtual result<std::string> read(const std::string& address, const std::string& page, const std::string& token) = 0;
 };
 
@@ -51,6 +53,8 @@
     node_reader& nodes;
     std::function<void(std::chrono::milliseconds)> sleep;
     std::function<std::optional<std::string>(const std::string& name)> variable; ///< environment variables
+    std::function<wall_time()> now = [] { return std::chrono::system_clock::now(); };
+    std::function<bool()> interrupted = [] { return false; }; ///< whether a repeated display must end
 };
 
 using parsed_arguments = std::map<std::string, docopt::value>;
--- a/tool/http_node_reader.cpp
+++ b/tool/http_node_reader.cpp
@@ -20,7 +20,7 @@
     httplib::Headers headers;
     if (!token.empty())
         headers.emplace("Authorization", "Bearer " + token);
-    const auto response = client.Get("/v1/admin/" + page, headers);
+    const auto response = client.Get(!page.empty() && page.front() == '/' ? page : "/v1/admin/" + page, headers);
     if (!response)
         return error { error_kind::TargetFailed,
             "node " + address + " does not answer: " + httplib::to_string(response.error()) };
--- a/tool/in_force_command.cpp
+++ b/tool/in_force_command.cpp
@@ -6,7 +6,6 @@
 #include "tool/state_reader.h"
 
 #include <docopt/docopt.h>
-#include <nlohmann/json.hpp>
 
 #include <ostream>
 
@@ -54,16 +53,7 @@
         const auto token = readToken(arguments, environment);
         if (!token)
             return token.error();
-        const auto text = environment.nodes.read(address, "in-force", token.value());
-        if (!text)
-            return text.error();
-        // A node's page names itself and its ticket number; the rest is as in a snapshot.
-        auto page = nlohmann::json::parse(text.value(), nullptr, false);
-        if (!page.is_object() || !page.contains("ticket") || !page.contains("objects"))
-            return error { error_kind::TargetFailed, "node " + address + " answered no state in force" };
-        const nlohmann::json snapshot { { "number", page["ticket"] }, { "objects", page["objects"] },
-            { "retired", page.value("retired", nlohmann::json::array()) } };
-        return parseSnapshot(snapshot.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        return readNodeState(environment.nodes, address, token.value());
     }
 
     result<std::shared_ptr<const fleet_state>> readPlatform(
--- a/tool/metrics_text.cpp
+++ b/tool/metrics_text.cpp
@@ -41,7 +41,7 @@
             if (sample.name.empty())
                 return "does not start with a metric name";
             if (take('{')) {
-                const auto fault = readLabels(sample);
+                auto fault = readLabels(sample);
                 if (!fault.empty())
                     return fault;
             }
--- a/tool/metrics_text.h
+++ b/tool/metrics_text.h
@@ -18,7 +18,7 @@
     double value = 0;
 };
 
-inline constexpr std::size_t MaxScrapeBytes = 16 * 1024 * 1024;
+inline constexpr std::size_t MaxScrapeBytes = 16U << 20U;
 inline constexpr std::size_t MaxScrapeSamples = 200'000;
 inline constexpr std::size_t MaxMetricLineBytes = 8192;
 inline constexpr std::size_t MaxMetricLabels = 16;
--- a/tool/state_reader.cpp
+++ b/tool/state_reader.cpp
@@ -1,6 +1,10 @@
 #include "tool/state_reader.h"
 
+#include "config/snapshot_json.h"
 #include "config/state_in_force.h"
+#include "tool/command.h"
+
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -33,4 +37,19 @@
     return state.get();
 }
 
+result<std::shared_ptr<const fleet_state>> readNodeState(
+    node_reader& nodes, const std::string& address, const std::string& token)
+{
+    const auto text = nodes.read(address, "in-force", token);
+    if (!text)
+        return text.error();
+    // A node's page names itself and its ticket number; the rest is as in a snapshot.
+    auto page = nlohmann::json::parse(text.value(), nullptr, false);
+    if (!page.is_object() || !page.contains("ticket") || !page.contains("objects"))
+        return error { error_kind::TargetFailed, "node " + address + " answered no state in force" };
+    const nlohmann::json snapshot { { "number", page["ticket"] }, { "objects", page["objects"] },
+        { "retired", page.value("retired", nlohmann::json::array()) } };
+    return parseSnapshot(snapshot.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
 } // namespace oriolepick
