Report members, leases, targets and crash counts in a node's status

Cause: the status page had only counts of targets, so operators cannot see which nodes a node knows, which leases it holds and which requests it suspects. Nothing measured refusals that state "not run" wrongly. Change: the control loop publishes a copy of members and held leases once a second for other threads; the endpoint adds them with every target's state and zone and with suspected and quarantined requests. The counter oriolepick_false_refusals_total counts "not run" answers after a token was delivered and must stay 0.

--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -222,6 +222,13 @@
     });
 }
 
+crash_counts crash_guard::counts() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto quarantined = m_ledger.quarantined(wallNow());
+    return { m_ledger.fingerprints() - quarantined, quarantined };
+}
+
 void crash_guard::setNodes(const std::vector<node_id>& usable)
 {
     m_nodes = usable;
--- a/node/crash_guard.h
+++ b/node/crash_guard.h
@@ -33,6 +33,12 @@
     std::unique_ptr<crash_permit> permit; ///< only of an isolated request
 };
 
+/// Requests by what crashes of targets say about them.
+struct crash_counts {
+    std::size_t suspected = 0;
+    std::size_t quarantined = 0;
+};
+
 /// Thread-safe.
 class crash_guard {
 public:
@@ -56,6 +62,9 @@
     /// Checks whether a target really crashed and records it with all requests of this node that ran on it.
     void streamsLost(const target_id& target);
 
+    /// \return the requests with a record of crashes
+    crash_counts counts() const;
+
     /// Takes the usable nodes; on the control loop.
     void setNodes(const std::vector<node_id>& usable);
 
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -6,6 +6,7 @@
 #include "node/call_driver.h"
 #include "node/completions_endpoint.h"
 #include "node/control_loop.h"
+#include "node/control_view.h"
 #include "node/crash_guard.h"
 #include "node/cursor_codec.h"
 #include "node/generation_gate.h"
@@ -51,6 +52,7 @@
     constexpr std::chrono::milliseconds TargetPollPeriod { 1000 };
     constexpr std::chrono::milliseconds TargetPollTimeout { 500 };
     constexpr std::chrono::milliseconds DrainCheckPeriod { 50 };
+    constexpr std::chrono::milliseconds ControlViewPeriod { 1000 };
 
     /// Higher at each start of a process with the same name, so that attempts, claims and membership of an earlier
     /// process
@@ -100,10 +102,12 @@
         , tasks(TaskThreads, TaskCapacity)
         , callers(states, configuration.operatorTokenSha256)
         , cursors(configuration.cursorKeys)
-        , operators(configuration, states, targets, traces, status, [] { kill(getpid(), SIGTERM); })
         , transport(configuration.peersListen)
         , peers(node_id(configuration.peersListen), incarnation, transport, loop, states, metrics)
         , crashes(origin, table, engines, targets, peers, loop, metrics, configuration.platformTimeout)
+        , operators(configuration,
+              operator_sources { states, targets, traces, control, [this] { return crashes.counts(); } }, status,
+              [] { kill(getpid(), SIGTERM); })
         , gate(targets, metrics, static_cast<std::size_t>(configuration.queueCapacity), configuration.queueTimeout,
               processSeed())
         , completions(origin, states, callers, cursors, configuration.cursorLifetime,
@@ -131,6 +135,12 @@
             crashes.setNodes(usable);
             gate.setNodeCount(usable.size());
         });
+        loop.every(ControlViewPeriod, [this](instant now) {
+            control_snapshot snapshot { {}, orders.heldGroups(now) };
+            for (const auto& [node, known] : members.members())
+                snapshot.members.push_back(known.update);
+            control.publish(std::move(snapshot));
+        });
     }
 
     std::uint64_t incarnation;
@@ -149,11 +159,12 @@
     task_pool tasks;
     authenticator callers;
     cursor_codec cursors;
-    operator_endpoint operators;
     zmq_peer_transport transport;
     control_loop loop;
     peer_hub peers;
     crash_guard crashes;
+    control_view control;
+    operator_endpoint operators;
     team_limits limits;
     generation_gate gate;
     completions_endpoint completions;
--- a/node/generation_session.h
+++ b/node/generation_session.h
@@ -95,6 +95,7 @@
     bool hasTokens() const { return !m_tokens.empty(); }
     bool ended() const { return m_end.has_value(); }
     const session_end& end() const { return *m_end; }
+    bool delivered() const { return m_lastToken.has_value(); } ///< whether a token went to the caller
     const session_request& request() const { return m_request; }
     std::uint64_t readerEpoch() const { return m_readerEpoch; }
 
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -303,6 +303,8 @@
         outcome = "caller_gone";
     else if (answerFor(end->kind).run == run_state::NotRun)
         outcome = "refused";
+    if (outcome == "refused" && stream.session().delivered())
+        m_services.metrics.add(counter_metric::FalseRefusals, { { "fleet", request.deployment.fleet().value() } });
     m_services.metrics.add(counter_metric::Responses,
         { { "fleet", request.deployment.fleet().value() }, { "deployment", request.deployment.name() },
             { "priority", std::to_string(request.priority) }, { "result", outcome } });
--- a/node/membership_driver.cpp
+++ b/node/membership_driver.cpp
@@ -1,6 +1,7 @@
 #include "node/membership_driver.h"
 
 #include "node/control_loop.h"
+#include "node/control_view.h"
 #include "node/node_log.h"
 #include "node/node_metrics.h"
 #include "node/peer_hub.h"
@@ -14,7 +15,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds TickPeriod { 100 };
-    constexpr std::array<const char*, 5> StateNames { "alive", "suspect", "leaving", "left", "dead" };
+    constexpr std::size_t StateCount = static_cast<std::size_t>(member_state::Dead) + 1;
 
     member_update selfUpdate(const peer_hub& peers, const availability_zone& zone, const region_name& region)
     {
@@ -64,7 +65,7 @@
             encode(outgoing->message, *message.mutable_membership());
             m_peers.send(outgoing->to, std::move(message));
         } else if (const auto* changed = std::get_if<member_changed>(&action)) {
-            const std::string to = StateNames.at(static_cast<std::size_t>(changed->state));
+            const std::string to = memberStateName(changed->state);
             m_metrics.add(counter_metric::StateChanges, { { "part", "peer" }, { "to", to } });
             logInfo("peer", { { "peer", changed->node.value() }, { "to", to } });
         } else if (const auto* zone = std::get_if<zone_changed>(&action)) {
@@ -86,11 +87,12 @@
 
 void membership_driver::publishCounts()
 {
-    std::array<int, StateNames.size()> counts {};
+    std::array<int, StateCount> counts {};
     for (const auto& [node, known] : m_membership.members())
         ++counts.at(static_cast<std::size_t>(known.update.state));
     for (std::size_t index = 0; index < counts.size(); ++index)
-        m_metrics.set(gauge_metric::KnownPeers, { { "status", StateNames.at(index) } }, counts.at(index));
+        m_metrics.set(gauge_metric::KnownPeers, { { "status", memberStateName(static_cast<member_state>(index)) } },
+            counts.at(index));
 }
 
 } // namespace oriolepick
--- a/node/node_metrics.cpp
+++ b/node/node_metrics.cpp
@@ -22,6 +22,7 @@
         { "oriolepick_requests_total", "Requests of callers by kind and code of the answer" },
         { "oriolepick_responses_total", "Generations by how their response ended" },
         { "oriolepick_refusals_total", "Refusals by code and by what they say about the work" },
+        { "oriolepick_false_refusals_total", "Answers \"not run\" after a token was delivered; must stay 0" },
         { "oriolepick_team_requests_total", "Requests by team" },
         { "oriolepick_tokens_delivered_total", "Tokens delivered to callers" },
         { "oriolepick_tokens_extra_total", "Tokens computed again or never delivered" },
--- a/node/node_metrics.h
+++ b/node/node_metrics.h
@@ -21,6 +21,7 @@
     Requests, ///< fleet, kind, code
     Responses, ///< fleet, deployment, priority, result (whole, failed, refused, handed_over, caller_gone)
     Refusals, ///< fleet, code, run
+    FalseRefusals, ///< fleet: a "not run" answer after a token was delivered, must stay 0
     TeamRequests, ///< team, code
     TokensDelivered, ///< fleet, deployment, priority
     TokensExtra, ///< fleet, deployment, kind (output, prefill)
--- a/node/operator_endpoint.cpp
+++ b/node/operator_endpoint.cpp
@@ -3,6 +3,8 @@
 #include "config/settings.h"
 #include "config/ticket_json.h"
 #include "core/fleet_state.h"
+#include "node/control_view.h"
+#include "node/crash_guard.h"
 #include "node/node_status.h"
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
@@ -21,12 +23,10 @@
 
 } // namespace
 
-operator_endpoint::operator_endpoint(const settings& configuration, const state_keeper& states,
-    const target_directory& targets, const trace_store& traces, node_status& status, std::function<void()> requestStop)
+operator_endpoint::operator_endpoint(
+    const settings& configuration, operator_sources sources, node_status& status, std::function<void()> requestStop)
     : m_settings(configuration)
-    , m_states(states)
-    , m_targets(targets)
-    , m_traces(traces)
+    , m_sources(std::move(sources))
     , m_status(status)
     , m_requestStop(std::move(requestStop))
 {
@@ -34,7 +34,7 @@
 
 std::string operator_endpoint::inForce() const
 {
-    const auto state = m_states.current();
+    const auto state = m_sources.states.current();
     nlohmann::json body;
     body["ticket"] = state->number();
     body["node"] = m_settings.nodeName;
@@ -52,10 +52,29 @@
     body["region"] = m_settings.region.value();
     body["ready"] = m_status.ready.load();
     body["draining"] = m_status.draining.load();
-    body["ticket"] = m_states.current()->number();
+    const auto state = m_sources.states.current();
+    body["ticket"] = state->number();
+    body["peer"] = m_settings.peersListen;
     body["open_requests"] = m_status.openRequests.load();
-    body["targets"] = m_targets.stateCounts();
-    body["engines_reporting"] = m_targets.reportingEngines();
+    body["targets"] = m_sources.targets.stateCounts();
+    body["engines_reporting"] = m_sources.targets.reportingEngines();
+    body["target_list"] = nlohmann::json::array();
+    for (const auto& target : m_sources.targets.targetStates()) {
+        nlohmann::json entry { { "target", target.target.text() }, { "state", target.state } };
+        if (const auto* known = state->target(target.target))
+            entry["zone"] = known->zone.value();
+        if (target.reporting)
+            entry["reporting"] = *target.reporting;
+        body["target_list"].push_back(std::move(entry));
+    }
+    const auto control = m_sources.control.current();
+    body["members"] = nlohmann::json::array();
+    for (const auto& member : control->members)
+        body["members"].push_back({ { "node", member.node.value() }, { "availability_zone", member.zone.value() },
+            { "region", member.region.value() }, { "state", memberStateName(member.state) } });
+    body["leases"] = control->leases;
+    const auto crashes = m_sources.crashes();
+    body["requests"] = { { "suspected", crashes.suspected }, { "quarantined", crashes.quarantined } };
     return dumped(body);
 }
 
@@ -64,7 +83,7 @@
     nlohmann::json body;
     body["node"] = m_settings.nodeName;
     body["key"] = key;
-    body["lines"] = m_traces.lines(key);
+    body["lines"] = m_sources.traces.lines(key);
     return dumped(body);
 }
 
--- a/node/target_directory.cpp
+++ b/node/target_directory.cpp
@@ -6,6 +6,18 @@
 
 namespace oriolepick {
 
+namespace {
+
+    const std::map<target_state, std::string>& stateNames()
+    {
+        static const std::map<target_state, std::string> names { { target_state::Live, "live" },
+            { target_state::Suspected, "suspected" }, { target_state::Ejected, "ejected" },
+            { target_state::Leaving, "leaving" } };
+        return names;
+    }
+
+} // namespace
+
 target_directory::target_directory(node_id self, availability_zone zone, region_name region,
     std::unique_ptr<placement_strategy> strategy, std::uint64_t seed)
     : m_strategy(std::move(strategy))
@@ -224,16 +236,27 @@
 
 std::map<std::string, std::size_t> target_directory::stateCounts() const
 {
-    static const std::map<target_state, std::string> names { { target_state::Live, "live" },
-        { target_state::Suspected, "suspected" }, { target_state::Ejected, "ejected" },
-        { target_state::Leaving, "leaving" } };
     std::lock_guard<std::mutex> lock(m_mutex);
     std::map<std::string, std::size_t> counts;
-    for (const auto& [state, name] : names)
+    for (const auto& [state, name] : stateNames())
         counts[name] = 0;
     for (const auto& [target, record] : m_records)
-        ++counts[names.at(m_view.state(target))];
+        ++counts[stateNames().at(m_view.state(target))];
     return counts;
 }
 
+std::vector<target_directory::target_view> target_directory::targetStates() const
+{
+    std::vector<target_view> views;
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        for (const auto& [target, record] : m_records)
+            views.push_back({ target, stateNames().at(m_view.state(target)),
+                record.engine ? std::optional(record.observed.has_value()) : std::nullopt });
+    }
+    std::sort(views.begin(), views.end(),
+        [](const target_view& left, const target_view& right) { return left.target < right.target; });
+    return views;
+}
+
 } // namespace oriolepick
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -92,6 +92,15 @@
     /// \return number of targets by state: "live", "suspected", "ejected", "leaving"
     std::map<std::string, std::size_t> stateCounts() const;
 
+    /// One target as this node sees it.
+    struct target_view {
+        target_id target;
+        std::string state; ///< as in stateCounts()
+        std::optional<bool> reporting; ///< whether an engine's last poll succeeded; nothing for a plain service
+    };
+    /// \return all targets in the order of their names
+    std::vector<target_view> targetStates() const;
+
 private:
     struct target_record {
         std::string address;
--- a/tool/burn_text.cpp
+++ b/tool/burn_text.cpp
@@ -47,7 +47,7 @@
 
 std::string goalText(const service_objective& objective)
 {
-    const auto share = absl::StrFormat("%.6g%%", objective.share * Percent);
+    auto share = absl::StrFormat("%.6g%%", objective.share * Percent);
     if (objective.limitMs > 0)
         return share + absl::StrFormat(" within %.6g ms", objective.limitMs);
     return share;
