Add the commands status and trace

Cause: to see the state of nodes or to follow one request, operators had to read each node's pages by hand.

--- a/tool/command.cpp
+++ b/tool/command.cpp
@@ -2,7 +2,9 @@
 
 #include "tool/in_force_command.h"
 #include "tool/report_command.h"
+#include "tool/status_command.h"
 #include "tool/ticket_command.h"
+#include "tool/trace_command.h"
 
 #include <docopt/docopt.h>
 #include <nlohmann/json.hpp>
@@ -26,6 +28,8 @@
   oriolepick ticket (check|file|status|show|diff|log|schema) [<arguments>...]
   oriolepick in-force [<arguments>...]
   oriolepick report (burn|scrape) [<arguments>...]
+  oriolepick status [<arguments>...]
+  oriolepick trace [<arguments>...]
   oriolepick --help
   oriolepick --version
 
@@ -39,10 +43,12 @@
         exit_code (*run)(const std::vector<std::string>& arguments, tool_environment& environment);
     };
 
-    constexpr std::array<command_group, 3> Groups { {
+    constexpr std::array<command_group, 5> Groups { {
         { "ticket", runTicketCommand },
         { "in-force", runInForceCommand },
         { "report", runReportCommand },
+        { "status", runStatusCommand },
+        { "trace", runTraceCommand },
     } };
 
 } // namespace
