Report extra tokens only by a declared objective

Cause: in a live run with a killed engine the report paged for extra tokens by a built-in goal that no operator had set, and services appeared as atelier/atelier/booking. Change: extra tokens need an objective of a ticket; the fleet's name is taken off the qualified label of a service.

--- a/tool/event_counts.cpp
+++ b/tool/event_counts.cpp
@@ -58,6 +58,10 @@
         if (metric == objective_metric::TruthfulRefusalShare)
             return series;
         series.deployment = labelOr(sample, "deployment", labelOr(sample, "service", AllLabel));
+        // The label of a service is qualified; reports show the caller's fleet already.
+        const auto prefix = series.fleet + "/";
+        if (series.deployment.rfind(prefix, 0) == 0)
+            series.deployment.erase(0, prefix.size());
         // Extra tokens have no priority, so delivered tokens are added up over theirs.
         if (metric != objective_metric::ExtraTokenShare)
             series.priority = labelOr(sample, "priority", AllLabel);
--- a/tool/service_objective.cpp
+++ b/tool/service_objective.cpp
@@ -22,7 +22,7 @@
         { objective_metric::TruthfulRefusalShare, "truthful refusals", 0, 1 },
         { objective_metric::TicketDelayMs, "tickets in force", 13'000, 0.99 },
         { objective_metric::AtMostOnceShare, "at most once", 0, 1 },
-        { objective_metric::ExtraTokenShare, "extra tokens", 0, 0.98 },
+        { objective_metric::ExtraTokenShare, "extra tokens", 0, 1 },
     } };
 
     const metric_row& rowOf(objective_metric metric)
@@ -72,7 +72,8 @@
         if (objective.metric == metric && objective.covers(fleet, deployment))
             found.push_back(objective);
     }
-    if (found.empty()) {
+    // How many extra tokens are acceptable depends on the deployment's resume policy, so there is no built-in goal.
+    if (found.empty() && metric != objective_metric::ExtraTokenShare) {
         const auto& row = rowOf(metric);
         found.push_back({ "default", metric, "", "", row.limitMs, row.share });
     }
--- a/tool/service_objective.h
+++ b/tool/service_objective.h
@@ -30,7 +30,8 @@
 /// \return the objectives that the objects declare
 std::vector<service_objective> declaredObjectives(const std::vector<ticket_object>& objects);
 
-/// \return the objectives that apply where \p declared has none for the metric: each of these is one built-in default
+/// \return the declared objectives that cover the deployment, or the built-in one where there is none; nothing for
+///     ExtraTokenShare without a declared one
 std::vector<service_objective> objectivesFor(objective_metric metric, const std::string& fleet,
     const std::string& deployment, const std::vector<service_objective>& declared);
 
--- a/tool/test/burn_report.cpp
+++ b/tool/test/burn_report.cpp
@@ -167,3 +167,21 @@
         EXPECT_NEAR(row.period.burn, row.deployment == "manuals" ? 1 : 2, 1e-9);
     }
 }
+
+TEST(burn_report, extra_tokens_need_a_declared_objective)
+{
+    const event_series extra { objective_metric::ExtraTokenShare, "atelier", "manuals" };
+    const node_scrape before { "a", Start, { { extra, {} } }, std::nullopt };
+    const node_scrape after { "a", Start + 60s, { { extra, { 1000, 30, {} } } }, std::nullopt };
+    EXPECT_TRUE(calculate({ before, after }).rows.empty());
+    objective_settings settings;
+    settings.deployment = deployment_id(fleet_name("atelier"), "manuals");
+    settings.metric = objective_metric::ExtraTokenShare;
+    settings.goal = 0.02;
+    const auto declared
+        = declaredObjectives({ { { object_kind::Objective, fleet_name("atelier"), "extra" }, settings } });
+    const auto report = calculate({ before, after }, declared);
+    ASSERT_EQ(report.rows.size(), 1u);
+    EXPECT_NEAR(report.rows[0].period.burn, 1.5, 1e-9);
+    EXPECT_EQ(report.rows[0].objective.name, "atelier/extra");
+}
--- a/tool/test/metrics_text.cpp
+++ b/tool/test/metrics_text.cpp
@@ -20,6 +20,8 @@
 oriolepick_first_token_seconds_bucket{fleet="atelier",deployment="manuals",priority="5",le="+Inf"} 10
 oriolepick_refusals_total{fleet="atelier",code="overloaded",run="not_run"} 3
 oriolepick_refusals_total{fleet="atelier",code="target_failed",run="may_have_run"} 4
+oriolepick_calls_total{fleet="atelier",service="atelier/booking",outcome="answered"} 8
+oriolepick_repeated_calls_total{fleet="atelier",service="atelier/booking"} 1
 oriolepick_ticket_in_force 12
 odd{text="a \"b\" \\ \n",} NaN
 )";
@@ -36,7 +38,7 @@
 {
     const auto parsed = parseMetricsText(Scrape);
     ASSERT_TRUE(parsed) << parsed.error().message;
-    ASSERT_EQ(parsed.value().size(), 11u);
+    ASSERT_EQ(parsed.value().size(), 13u);
     EXPECT_EQ(parsed.value().back().labels.at("text"), "a \"b\" \\ \n");
     const auto scrape = summarizeScrape("a", {}, parsed.value());
     EXPECT_EQ(scrape.ticket, 12);
@@ -48,6 +50,9 @@
     EXPECT_DOUBLE_EQ(first.badBeyond(700), 4);
     EXPECT_DOUBLE_EQ(first.badBeyond(100), 10);
     EXPECT_DOUBLE_EQ(scrape.series.at({ objective_metric::TruthfulRefusalShare, "atelier" }).total, 3);
+    const auto& calls = scrape.series.at({ objective_metric::AtMostOnceShare, "atelier", "booking" });
+    EXPECT_DOUBLE_EQ(calls.total, 8);
+    EXPECT_DOUBLE_EQ(calls.bad, 1);
 }
 
 TEST(metrics_text, faults_name_line_and_cause)
