--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -123,6 +123,8 @@
             targets.applyState(state);
             limitsDriver.applyState(state, std::chrono::steady_clock::now());
             calls.applyState(state);
+            if (targetPoller)
+                targetPoller->wake();
         });
         members.addListener([this](const auto& usable, instant now) {
             ticketDriver.setPeers(usable);
@@ -192,10 +194,10 @@
     const auto bound = m_parts->edge.bind();
     if (!bound)
         return bound.error();
-    m_parts->loop.start();
-    m_parts->peers.start();
     m_parts->targetPoller.emplace(m_parts->engines, m_parts->instances, m_parts->targets, m_parts->tasks,
         m_parts->metrics, TargetPollPeriod, TargetPollTimeout);
+    m_parts->loop.start();
+    m_parts->peers.start();
     m_parts->server = std::thread([this] { m_parts->edge.serve(); });
     logInfo("node", { { "to", "serving" }, { "name", m_settings.nodeName }, { "listen", m_settings.callersListen } });
     return success();
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -26,6 +26,18 @@
         return std::chrono::steady_clock::now();
     }
 
+    /// \return the attempt whose stream the event ends, or null
+    const attempt_id* endedAttempt(const generation_event& event)
+    {
+        if (const auto* broken = std::get_if<attempt_broken>(&event))
+            return &broken->attempt;
+        if (const auto* rejected = std::get_if<attempt_rejected>(&event))
+            return &rejected->attempt;
+        if (const auto* done = std::get_if<attempt_done>(&event))
+            return &done->attempt;
+        return nullptr;
+    }
+
     const char* purposeName(attempt_purpose purpose)
     {
         switch (purpose) {
@@ -166,13 +178,13 @@
     }
     if (std::holds_alternative<attempt_broken>(event))
         m_interrupted = true;
+    const auto* ended = endedAttempt(event);
+    // The finished reader goes first: the state machine may attach to the same attempt again with a new one.
+    if (ended)
+        m_attempts[*ended].reader.reset();
     execute(m_generation.handle(event, now));
-    if (const auto* broken = std::get_if<attempt_broken>(&event))
-        stopReader(broken->attempt);
-    else if (const auto* rejected = std::get_if<attempt_rejected>(&event))
-        stopReader(rejected->attempt);
-    else if (const auto* done = std::get_if<attempt_done>(&event))
-        stopReader(done->attempt);
+    if (ended && !m_attempts[*ended].reader)
+        stopReader(*ended);
 }
 
 void generation_session::execute(const generation_actions& actions)
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -136,6 +136,8 @@
             ready ? "ready\n" : (m_services.status.draining ? "draining\n" : "not ready\n"), "text/plain");
     });
     m_server->Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
+        m_services.metrics.set(gauge_metric::OpenStreams, {}, static_cast<double>(m_services.status.openRequests));
+        m_services.metrics.set(gauge_metric::Ready, {}, m_services.status.ready && !m_services.status.draining ? 1 : 0);
         response.set_content(m_services.metrics.serialize(), "text/plain; version=0.0.4");
     });
 }
--- a/node/peer_hub.cpp
+++ b/node/peer_hub.cpp
@@ -5,12 +5,14 @@
 #include "node/node_metrics.h"
 #include "node/state_keeper.h"
 #include "wire/messages.pb.h"
+#include "wire/transport_counters.h"
 
 namespace oriolepick {
 
 namespace {
 
     constexpr std::size_t MaximumSenderBytes = 64;
+    constexpr std::chrono::milliseconds PublishPeriod { 1000 };
 
 } // namespace
 
@@ -23,6 +25,24 @@
     , m_states(states)
     , m_metrics(metrics)
 {
+    loop.every(PublishPeriod, [this](instant) { publishCounters(); });
+}
+
+void peer_hub::publishCounters()
+{
+    const auto& counters = m_transport.counters();
+    const auto publish = [this](counter_metric metric, const char* direction, std::uint64_t total) {
+        auto& published = m_published[std::to_string(static_cast<int>(metric)) + direction];
+        if (total != published)
+            m_metrics.add(metric, { { "direction", direction } }, static_cast<double>(total - published));
+        published = total;
+    };
+    publish(counter_metric::PeerMessages, "sent", counters.sentMessages);
+    publish(counter_metric::PeerMessages, "received", counters.receivedMessages);
+    publish(counter_metric::PeerMessages, "malformed", counters.malformedMessages);
+    publish(counter_metric::PeerMessages, "dropped", counters.droppedMessages);
+    publish(counter_metric::PeerBytes, "sent", counters.sentBytes);
+    publish(counter_metric::PeerBytes, "received", counters.receivedBytes);
 }
 
 void peer_hub::handle(int bodyCase, handler onMessage)
--- a/node/peer_hub.h
+++ b/node/peer_hub.h
@@ -43,6 +43,7 @@
     std::uint64_t incarnation() const { return m_incarnation; }
 
 private:
+    void publishCounters();
     void dispatch(const wire::envelope& message, instant now);
 
     node_id m_self;
@@ -51,6 +52,7 @@
     control_loop& m_loop;
     const state_keeper& m_states;
     node_metrics& m_metrics;
+    std::map<std::string, std::uint64_t> m_published; ///< counts that the metrics include, by direction
     std::map<int, handler> m_handlers;
     std::function<void(const node_id&, std::uint64_t, instant)> m_numberWatcher;
 };
--- a/node/target_poller.cpp
+++ b/node/target_poller.cpp
@@ -34,17 +34,27 @@
     m_stop.wait(lock, [this] { return m_polling.empty(); });
 }
 
+void target_poller::wake()
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_woken = true;
+    }
+    m_stop.notify_all();
+}
+
 void target_poller::run()
 {
     std::unique_lock<std::mutex> lock(m_mutex);
     while (!m_stopping) {
+        m_woken = false;
         lock.unlock();
         pollEngines();
         pollInstances();
         for (const auto& [state, number] : m_targets.stateCounts())
             m_metrics.set(gauge_metric::Targets, { { "state", state } }, static_cast<double>(number));
         lock.lock();
-        m_stop.wait_for(lock, m_period, [this] { return m_stopping; });
+        m_stop.wait_for(lock, m_period, [this] { return m_stopping || m_woken; });
     }
 }
 
--- a/node/target_poller.h
+++ b/node/target_poller.h
@@ -30,6 +30,9 @@
     target_poller(const target_poller&) = delete;
     target_poller& operator=(const target_poller&) = delete;
 
+    /// Polls at once, for example after a change of the state in force. Thread-safe.
+    void wake();
+
 private:
     void run();
     void pollEngines();
@@ -47,6 +50,7 @@
     std::mutex m_mutex;
     std::condition_variable m_stop;
     bool m_stopping = false;
+    bool m_woken = false;
     std::set<target_id> m_polling; ///< targets with a poll under way
     std::map<target_id, bool> m_reachable;
     std::thread m_thread;
--- a/standins/fake_table.cpp
+++ b/standins/fake_table.cpp
@@ -59,7 +59,7 @@
     return m_table.scan(prefix, after, limit);
 }
 
-void fake_table::setFaults(const service_faults& faults)
+void fake_table::setFaults(const platform_faults& faults)
 {
     m_faults.set(faults);
 }
--- a/standins/fake_table.h
+++ b/standins/fake_table.h
@@ -24,7 +24,7 @@
         std::chrono::milliseconds timeout) const override;
 
     /// Replaces the faults in force.
-    void setFaults(const service_faults& faults);
+    void setFaults(const platform_faults& faults);
 
     /// Lets the oldest held commit take effect (if its conditions still hold).
     /// \return whether there was one
--- a/standins/fault_json.h
+++ b/standins/fault_json.h
@@ -13,7 +13,7 @@
 /// New faults of one service.
 struct fault_order {
     std::string service; ///< "table", "objects", "instances" or "weights"
-    service_faults faults; ///< replaces all faults of that service; absent fields are off
+    platform_faults faults; ///< replaces all faults of that service; absent fields are off
 };
 
 /// Parses {"service","delay_before_ms","delay_after_ms","down","down_requests","lose_responses","lose_probability"}.
--- a/standins/fault_switch.cpp
+++ b/standins/fault_switch.cpp
@@ -7,7 +7,7 @@
 {
 }
 
-void fault_switch::set(const service_faults& faults)
+void fault_switch::set(const platform_faults& faults)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_faults = faults;
--- a/standins/fault_switch.h
+++ b/standins/fault_switch.h
@@ -11,7 +11,7 @@
 namespace oriolepick {
 
 /// The faults in force for one service.
-struct service_faults {
+struct platform_faults {
     std::chrono::milliseconds delayBefore { 0 }; ///< wait before the operation takes effect
     std::chrono::milliseconds delayAfter { 0 }; ///< wait between the effect and the response
     bool down = false; ///< every operation is refused without effect
@@ -34,7 +34,7 @@
     explicit fault_switch(std::uint64_t seed);
 
     /// Replaces the faults in force.
-    void set(const service_faults& faults);
+    void set(const platform_faults& faults);
 
     /// Decides about the next operation and uses up counted faults.
     /// \param losable whether the loss of its response is counted (writes, and reads of services without writes)
@@ -42,7 +42,7 @@
 
 private:
     std::mutex m_mutex;
-    service_faults m_faults;
+    platform_faults m_faults;
     seeded_random m_random;
 };
 
--- a/wire/peer_transport.h
+++ b/wire/peer_transport.h
@@ -8,6 +8,8 @@
 
 namespace oriolepick {
 
+struct transport_counters;
+
 namespace wire {
     class envelope;
 }
@@ -27,6 +29,8 @@
 
     /// Queues a message for a peer; drops it when the peer's queue is full.
     virtual void send(const node_id& peer, const wire::envelope& message) = 0;
+
+    virtual const transport_counters& counters() const = 0;
 };
 
 } // namespace oriolepick
--- a/wire/zmq_peer_transport.h
+++ b/wire/zmq_peer_transport.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wire/peer_transport.h"
+#include "wire/transport_counters.h"
 
 #include <atomic>
 #include <cstdint>
@@ -19,16 +20,6 @@
 
 namespace oriolepick {
 
-/// Counts of the transport, for metrics.
-struct transport_counters {
-    std::atomic<std::uint64_t> sentMessages { 0 };
-    std::atomic<std::uint64_t> sentBytes { 0 };
-    std::atomic<std::uint64_t> receivedMessages { 0 };
-    std::atomic<std::uint64_t> receivedBytes { 0 };
-    std::atomic<std::uint64_t> malformedMessages { 0 };
-    std::atomic<std::uint64_t> droppedMessages { 0 };
-};
-
 class zmq_peer_transport final : public peer_transport {
 public:
     /// Binds at once.
@@ -44,7 +35,7 @@
     /// \return the bound "ip:port"
     const std::string& address() const { return m_address; }
 
-    const transport_counters& counters() const { return m_counters; }
+    const transport_counters& counters() const override { return m_counters; }
 
 private:
     void receiveLoop(const handler& onMessage);
