--- a/core/test/fake_world_impl.h
+++ b/core/test/fake_world_impl.h
@@ -34,7 +34,12 @@
 {
     begin();
     const auto horizon = m_now + std::chrono::minutes(4);
-    while (!m_queue.empty() && m_queue.begin()->first < horizon) {
+    constexpr int MostSteps = 100'000; // a run takes a few hundred; more means a timer that fires without effect
+    for (int step = 0; !m_queue.empty() && m_queue.begin()->first < horizon; ++step) {
+        if (step == MostSteps) {
+            violations.emplace_back("no end of events");
+            return;
+        }
         m_now = std::max(m_now, m_queue.begin()->first);
         const auto work = std::move(m_queue.begin()->second);
         m_queue.erase(m_queue.begin());
--- a/core/test/generation_life_cycle.cpp
+++ b/core/test/generation_life_cycle.cpp
@@ -33,6 +33,18 @@
     {
     }
 
+    direct_generation(const resume_point& resume, const resume_policy& policy)
+        : world(policy)
+        , machine(resumed(resume), policy, budget, paces)
+    {
+    }
+
+    generation_request resumed(const resume_point& resume)
+    {
+        world.request.resume = resume;
+        return world.request;
+    }
+
     generation_request limited(std::uint32_t maxTokens)
     {
         world.request.maxTokens = maxTokens;
@@ -170,6 +182,7 @@
     const auto dead
         = std::count_if(world.engines.begin(), world.engines.end(), [](auto& engine) { return engine.dead; });
     EXPECT_TRUE(world.violations.empty()) << world.violations.front();
+    ASSERT_NE(world.failure(), nullptr);
     EXPECT_EQ(world.failure()->kind, error_kind::TargetFailed);
     EXPECT_EQ(world.starts, 3);
     EXPECT_GE(dead, 3);
@@ -185,3 +198,57 @@
     EXPECT_EQ(countOf<cancel_attempt>(actions), 1);
     EXPECT_EQ(direct.machine.usage().extraOutput, 1u);
 }
+
+TEST(generation, received_tokens_that_do_not_match_the_cursor_are_not_continued)
+{
+    const resume_point resume { { "node0", 1 }, target_id(fleet_name("one"), "engine0"), 2, digestOf({ 1, 2 }),
+        token_list { 1, 3 } };
+    direct_generation direct(resume, LatencyFirst);
+    direct.machine.start(direct.now);
+    EXPECT_EQ(direct.machine.deliveredTokens(), nullptr);
+    direct.on(attempt_broken { resume.attempt, break_reason::UnknownAttempt });
+    direct.now += milliseconds(100);
+    direct.on(timer_fired {});
+    const auto actions = direct.on(target_chosen { direct.first, direct.target, direct.world.request.model, {} });
+    ASSERT_EQ(countOf<start_attempt>(actions), 1);
+    EXPECT_TRUE(std::get<start_attempt>(actions.front()).prefix.empty());
+}
+
+TEST(generation, hedge_does_not_start_on_the_suspected_target)
+{
+    direct_generation direct;
+    direct.stream();
+    for (int round = 0; round < 20; ++round) {
+        direct.now += milliseconds(100);
+        direct.on(timer_fired {});
+    }
+    const attempt_id hedge { "node1", 2 };
+    const auto again = direct.on(target_chosen { hedge, direct.target, direct.world.request.model, {} });
+    EXPECT_EQ(countOf<start_attempt>(again), 0);
+    EXPECT_EQ(countOf<choose_target>(again), 1);
+    const target_id other(fleet_name("one"), "engine1");
+    EXPECT_EQ(countOf<start_attempt>(direct.on(target_chosen { hedge, other, direct.world.request.model, {} })), 1);
+}
+
+TEST(generation, attaches_that_bring_nothing_end)
+{
+    direct_generation direct;
+    direct.stream();
+    int attaches = 0;
+    for (int round = 0; round < 5; ++round)
+        attaches += countOf<attach_attempt>(direct.on(attempt_broken { direct.first, break_reason::Truncated }));
+    EXPECT_EQ(attaches, 2);
+    EXPECT_NE(direct.machine.currentAttempt(), direct.first);
+}
+
+TEST(generation, version_that_is_gone_loses_the_stream_at_once)
+{
+    direct_generation direct;
+    direct.stream();
+    direct.on(attempt_broken { direct.first, break_reason::Refused });
+    direct.now += milliseconds(100);
+    direct.on(timer_fired {});
+    const auto actions = direct.on(no_target { { "node1", 2 }, no_target_reason::VersionGone, {} });
+    ASSERT_NE(failureIn(actions), nullptr);
+    EXPECT_EQ(failureIn(actions)->kind, error_kind::GenerationLost);
+}
--- a/core/test/generation_properties.cpp
+++ b/core/test/generation_properties.cpp
@@ -49,6 +49,14 @@
     }
 
 private:
+    /// \return settings whose budget a random history often uses up
+    static retry_budget_settings smallBudget()
+    {
+        retry_budget_settings settings;
+        settings.teamLimit = 4;
+        return settings;
+    }
+
     generation_event anyEvent()
     {
         const auto current = m_generation.currentAttempt();
@@ -82,7 +90,8 @@
         case 9:
             return attempt_accepted { attempt };
         default:
-            return token_arrived { attempt, position, token { position * 10 + attempt.ordinal, attempt.text() } };
+            return token_arrived { attempt, position,
+                token { position * 10 + attempt.ordinal, attempt.text() + "@" + std::to_string(position) } };
         }
     }
 
@@ -122,6 +131,9 @@
             const auto* failed = std::get_if<fail>(&action);
             if (failed && !m_unproven.empty())
                 RC_ASSERT(answerFor(failed->kind).run == run_state::MayHaveRun);
+            const auto* done = std::get_if<attempt_done>(&event);
+            if (done && std::holds_alternative<complete>(action))
+                RC_ASSERT(done->length == m_next);
             m_finals += failed || std::holds_alternative<complete>(action);
             RC_ASSERT(m_finals <= 1);
         }
@@ -134,13 +146,14 @@
         m_digest = extendDigest(m_digest, delivered.value.id);
         RC_ASSERT(delivered.digest == m_digest);
         if (!m_generation.ended())
-            RC_ASSERT(delivered.value.text == m_generation.currentAttempt().text());
+            RC_ASSERT(delivered.value.text
+                == m_generation.currentAttempt().text() + "@" + std::to_string(delivered.position));
     }
 
     fake_world m_world; ///< only for a valid request
     seeded_random m_random { 3 };
     instant m_now { std::chrono::hours(1) };
-    retry_budget m_budget { {}, nullptr, m_random, m_now };
+    retry_budget m_budget { smallBudget(), nullptr, m_random, m_now };
     target_paces m_paces;
     generation m_generation;
     std::uint32_t m_next = 0;
--- a/core/test/stall_detector.cpp
+++ b/core/test/stall_detector.cpp
@@ -57,7 +57,7 @@
     auto now = Start;
     const auto detector = steady(milliseconds(40), 50, now);
     EXPECT_FALSE(
-        detector.othersProgress(target_pace { now + milliseconds(2), milliseconds(40) }, now + milliseconds(300)));
+        detector.othersProgress(target_pace { now + milliseconds(2), milliseconds(40) }, now + milliseconds(200)));
     EXPECT_TRUE(
         detector.othersProgress(target_pace { now + milliseconds(290), milliseconds(40) }, now + milliseconds(300)));
 }
