--- a/core/generation_attempts.cpp
+++ b/core/generation_attempts.cpp
@@ -77,6 +77,8 @@
     // The duplicate of a benchmark baseline is part of its plan, not a retry.
     if (purpose != attempt_purpose::Start && !admit(attempt, true, now))
         return;
+    if (purpose == attempt_purpose::Hedge)
+        countOne(generation_counter::Hedge);
     m_second = std::move(attempt);
     if (m_second->phase == attempt_phase::Choosing)
         choose(*m_second);
@@ -99,7 +101,8 @@
 void generation::choose(attempt_record& attempt)
 {
     attempt.phase = attempt_phase::Choosing;
-    choose_target request { attempt.id, attempt.purpose, m_excluded, attempt.next, rules().preferCached };
+    choose_target request { attempt.id, attempt.purpose, m_excluded, attempt.next, rules().preferCached,
+        m_interrupted || attempt.purpose == attempt_purpose::Hedge };
     request.excluded.insert(request.excluded.end(), m_busy.begin(), m_busy.end());
     for (const auto* other : { &m_current, &m_second }) {
         if (*other && (*other)->id != attempt.id && !(*other)->target.empty())
@@ -112,12 +115,15 @@
 {
     attempt.target = event.target;
     attempt.phase = attempt_phase::Starting;
-    attempt.detector.attemptStarted(now, event.expectedFirstToken);
+    attempt.due = now;
+    const bool callerWaits = m_interrupted || attempt.purpose == attempt_purpose::Hedge;
+    attempt.detector.attemptStarted(
+        now, m_interrupted ? std::min(event.expectedFirstToken, rules().longestResume) : event.expectedFirstToken);
     if (m_mayHaveRun++ > 0) {
         attempt.extraPrefill = m_request.promptTokens + attempt.next;
         m_usage.extraPrefill += attempt.extraPrefill;
     }
-    start_attempt action { attempt.id, attempt.target, {} };
+    start_attempt action { attempt.id, attempt.target, {}, callerWaits };
     if (attempt.next > 0)
         action.prefix = m_tokens;
     emit(std::move(action));
@@ -217,6 +223,7 @@
 {
     const auto phase = m_current->phase;
     if (reason == break_reason::Superseded) {
+        countOne(generation_counter::Superseded);
         handOver(error_kind::Cancelled);
         return;
     }
