--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -20,6 +20,8 @@
 
     constexpr std::chrono::milliseconds ReconnectPause { 20 };
     constexpr std::chrono::milliseconds DefaultRetryAfter { 200 };
+    // A call whose outcome is unknown stays so; a caller asks a few times and then stops.
+    constexpr int MaxUnknownAnswers = 3;
     constexpr std::size_t MaxBodyBytes = std::size_t { 1 } << 20;
 
     /// The error object in a body.
@@ -233,6 +235,7 @@
         { { "Content-Type", "application/json" }, { "Authorization", "Bearer " + traffic.bearer },
             { "Idempotency-Key", key } },
         traffic.method == "GET" ? std::string() : absl::StrCat("{\"order\":\"", key, "\"}") };
+    int unknownAnswers = 0;
     for (std::size_t node = firstNode; clock::now() - begin < plan.patience; ++node) {
         call_abort abort;
         ++report.connections;
@@ -244,6 +247,8 @@
                 report.firstToken = clock::now() - begin;
                 return report;
             }
+            if (report.outcome == caller_outcome::MayHaveRun && ++unknownAnswers == MaxUnknownAnswers)
+                return report;
         } else {
             ++report.breaks;
             // What an earlier answer said does not hold for the repetition whose answer was lost.
