--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -10,6 +10,7 @@
 #include "node/node_metrics.h"
 #include "node/node_status.h"
 #include "node/operator_endpoint.h"
+#include "node/process_usage.h"
 #include "node/service_endpoint.h"
 
 #include <httplib.h>
@@ -40,6 +41,13 @@
         node_status& m_status;
     };
 
+    void recordProcess(node_metrics& metrics)
+    {
+        const auto usage = processUsage();
+        metrics.set(gauge_metric::ProcessMemory, {}, static_cast<double>(usage.residentBytes));
+        metrics.set(gauge_metric::ProcessCpu, {}, usage.cpu.count());
+    }
+
     bool hasJsonBody(const httplib::Request& request)
     {
         return request.get_header_value("Content-Type").rfind(JsonType, 0) == 0;
@@ -138,6 +146,7 @@
     m_server->Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
         m_services.metrics.set(gauge_metric::OpenStreams, {}, static_cast<double>(m_services.status.openRequests));
         m_services.metrics.set(gauge_metric::Ready, {}, m_services.status.ready && !m_services.status.draining ? 1 : 0);
+        recordProcess(m_services.metrics);
         response.set_content(m_services.metrics.serialize(), "text/plain; version=0.0.4");
     });
 }
--- a/node/node_metrics.cpp
+++ b/node/node_metrics.cpp
@@ -67,6 +67,9 @@
         { "oriolepick_targets", "Targets by state" },
         { "oriolepick_quarantined_requests", "Fingerprints that are not dispatched any more" },
         { "oriolepick_ready", "1 when this node takes requests" },
+        { "process_resident_memory_bytes", "Resident memory of this process" },
+        { "process_cpu_seconds_total", "Processor time of this process" },
+        { "oriolepick_control_cpu_seconds_total", "Processor time of the control loop's thread" },
     } };
 
 } // namespace
--- a/node/node_metrics.h
+++ b/node/node_metrics.h
@@ -53,6 +53,9 @@
     Targets, ///< state
     Quarantined, ///< none
     Ready, ///< none
+    ProcessMemory, ///< none; bytes
+    ProcessCpu, ///< none; seconds
+    ControlCpu, ///< none; seconds of the control loop's thread
     Count
 };
 
--- a/node/peer_hub.cpp
+++ b/node/peer_hub.cpp
@@ -3,6 +3,7 @@
 #include "core/fleet_state.h"
 #include "node/control_loop.h"
 #include "node/node_metrics.h"
+#include "node/process_usage.h"
 #include "node/state_keeper.h"
 #include "wire/messages.pb.h"
 #include "wire/transport_counters.h"
@@ -37,6 +38,7 @@
             m_metrics.add(metric, { { "direction", direction } }, static_cast<double>(total - published));
         published = total;
     };
+    m_metrics.set(gauge_metric::ControlCpu, {}, threadCpu().count());
     publish(counter_metric::PeerMessages, "sent", counters.sentMessages);
     publish(counter_metric::PeerMessages, "received", counters.receivedMessages);
     publish(counter_metric::PeerMessages, "malformed", counters.malformedMessages);
--- a/standins/engine_settings.h
+++ b/standins/engine_settings.h
@@ -18,7 +18,7 @@
 /// Settings of an emulated engine; durations are real time.
 struct engine_settings {
     std::vector<model_ref> models; ///< loaded at the start
-    std::string role = "serve";
+    std::string role = "mixed"; ///< the role that tickets give by default
     std::uint64_t salt = 0; ///< enters each token; 0 makes all engines agree
     std::uint64_t seed = 1; ///< of the choice which cache events are lost
 
--- a/standins/main_engine_emulator.cpp
+++ b/standins/main_engine_emulator.cpp
@@ -19,7 +19,7 @@
 Options:
   --listen=ADDR             Address ip:port; port 0 takes any free one.
   --model=REF               Model loaded at the start: fleet/model@version or fleet/model@version+adapter.
-  --role=NAME               Role reported at the start. [default: serve]
+  --role=NAME               Role reported at the start. [default: mixed]
   --salt=N                  Enters each output token; 0 makes all engines give equal answers. [default: 0]
   --seed=N                  Seed of the loss of cache events. [default: 1]
   --step-us=N               Step with an empty batch, microseconds. [default: 20000]
