--- a/core/test/generation_life_cycle.cpp
+++ b/core/test/generation_life_cycle.cpp
@@ -252,3 +252,19 @@
     ASSERT_NE(failureIn(actions), nullptr);
     EXPECT_EQ(failureIn(actions)->kind, error_kind::GenerationLost);
 }
+
+TEST(generation, rejections_after_a_dispatch_report_may_have_run)
+{
+    direct_generation direct;
+    direct.stream();
+    auto actions = direct.on(attempt_broken { direct.first, break_reason::Refused });
+    for (std::uint32_t ordinal = 2; !direct.machine.ended(); ++ordinal) {
+        const attempt_id attempt { "node1", ordinal };
+        direct.now += milliseconds(100);
+        direct.on(timer_fired {});
+        direct.on(target_chosen { attempt, direct.target, direct.world.request.model, {} });
+        actions = direct.on(attempt_rejected { attempt, reject_reason::QueueFull, {} });
+        ASSERT_LT(ordinal, 20u);
+    }
+    EXPECT_EQ(failureIn(actions)->kind, error_kind::TargetFailed);
+}
