--- a/core/placement.h
+++ b/core/placement.h
@@ -6,6 +6,7 @@
 #include "core/error_kind.h"
 #include "core/load_view.h"
 #include "core/names.h"
+#include "core/request_priority.h"
 #include "core/seeded_random.h"
 
 #include <chrono>
@@ -17,9 +18,6 @@
 
 namespace oriolepick {
 
-/// Importance of a request; a higher value is served first.
-enum class request_priority : std::uint8_t { Bulk, Normal, Urgent };
-
 /// What a request asks of the placement.
 struct placement_query {
     work_ref work;
@@ -83,8 +81,9 @@
 /// Constants of the cost model, in seconds unless stated otherwise.
 struct placement_costs {
     double prefillTokensPerSecond = 8000; ///< prompt tokens that an engine computes per second
-    double requestSeconds = 8; ///< mean time that a request occupies a place in the batch
+    double requestSeconds = 14; ///< mean time that a request occupies a place in the batch
     double stepSeconds = 0.3; ///< delay that a full batch adds compared with an empty one
+    double loadError = 2; ///< typical error of a load estimate in requests, not below 0.1
     double otherZone = 0.001; ///< round trip to another zone
     double otherRegion = 0.08; ///< round trip to another region
     double adapterLoad = 1.5; ///< load of an adapter that is not in memory
--- /dev/null
+++ b/node/daemon.cpp
@@ -0,0 +1,231 @@
+#include "node/daemon.h"
+
+#include "config/settings.h"
+#include "core/fleet_state.h"
+#include "node/authenticator.h"
+#include "node/call_driver.h"
+#include "node/completions_endpoint.h"
+#include "node/control_loop.h"
+#include "node/crash_guard.h"
+#include "node/cursor_codec.h"
+#include "node/generation_gate.h"
+#include "node/http_edge.h"
+#include "node/limits_driver.h"
+#include "node/locked_admission.h"
+#include "node/membership_driver.h"
+#include "node/node_log.h"
+#include "node/node_metrics.h"
+#include "node/node_status.h"
+#include "node/operator_endpoint.h"
+#include "node/order_driver.h"
+#include "node/peer_hub.h"
+#include "node/service_endpoint.h"
+#include "node/state_keeper.h"
+#include "node/target_directory.h"
+#include "node/target_poller.h"
+#include "node/task_pool.h"
+#include "node/ticket_driver.h"
+#include "node/trace_store.h"
+#include "platform/http_instance_list.h"
+#include "platform/http_object_store.h"
+#include "platform/http_table_service.h"
+#include "platform/ticket_store.h"
+#include "targets/http_engine_client.h"
+#include "targets/http_service_client.h"
+#include "wire/zmq_peer_transport.h"
+
+#include <csignal>
+#include <optional>
+#include <random>
+#include <thread>
+#include <unistd.h>
+#include <zmq.hpp>
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr std::size_t TaskThreads = 16;
+    constexpr std::size_t TaskCapacity = 65536;
+    constexpr std::size_t TracedRequests = 4096;
+    constexpr std::chrono::milliseconds TargetPollPeriod { 1000 };
+    constexpr std::chrono::milliseconds TargetPollTimeout { 500 };
+    constexpr std::chrono::milliseconds DrainCheckPeriod { 50 };
+
+    /// Higher at each start of a process with the same name, so that attempts, claims and membership of an earlier
+    /// process
+    /// stay apart.
+    std::uint64_t processIncarnation()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    }
+
+    std::vector<node_id> seedNodes(const settings& configuration)
+    {
+        std::vector<node_id> seeds;
+        for (const auto& address : configuration.peersSeeds) {
+            if (address != configuration.peersListen)
+                seeds.emplace_back(address);
+        }
+        return seeds;
+    }
+
+    ticket_distributor_settings distributionSettings(const settings& configuration)
+    {
+        ticket_distributor_settings distribution;
+        distribution.shortestPoll = configuration.ticketPollInterval;
+        return distribution;
+    }
+
+    std::uint64_t processSeed()
+    {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32) | device();
+    }
+
+} // namespace
+
+struct daemon::parts {
+    explicit parts(const settings& configuration)
+        : incarnation(processIncarnation())
+        , origin(configuration.nodeName + "-" + std::to_string(incarnation))
+        , table("http://" + configuration.platformAddress)
+        , objects("http://" + configuration.platformAddress)
+        , instances("http://" + configuration.platformAddress)
+        , traces(TracedRequests)
+        , targets(node_id(configuration.peersListen), configuration.zone, configuration.region,
+              makePlacementStrategy("cost_based"), processSeed())
+        , admission(retry_budget_settings {}, processSeed(), std::chrono::steady_clock::now())
+        , tasks(TaskThreads, TaskCapacity)
+        , callers(states, configuration.operatorTokenSha256)
+        , cursors(configuration.cursorKeys)
+        , operators(configuration, states, targets, traces, status, [] { kill(getpid(), SIGTERM); })
+        , transport(configuration.peersListen)
+        , peers(node_id(configuration.peersListen), incarnation, transport, loop, states, metrics)
+        , crashes(origin, table, engines, targets, peers, loop, metrics, configuration.platformTimeout)
+        , gate(targets, metrics, static_cast<std::size_t>(configuration.queueCapacity), configuration.queueTimeout,
+              processSeed())
+        , completions(origin, states, callers, cursors, configuration.cursorLifetime,
+              session_services { engines, targets, tasks, metrics, traces, admission, crashes }, limits, gate)
+        , tickets(table, objects, configuration.platformTimeout)
+        , members(
+              configuration.zone, configuration.region, seedNodes(configuration), processSeed(), peers, loop, metrics)
+        , ticketDriver(
+              tickets, states, status, peers, loop, tasks, metrics, distributionSettings(configuration), processSeed())
+        , limitsDriver(limits, peers, loop)
+        , orders(origin, table, engines, targets, states, loop, tasks, metrics, configuration.platformTimeout)
+        , calls(table, serviceClient, targets, peers, loop, metrics, configuration.platformTimeout, processSeed())
+        , services(origin, states, callers, calls, serviceClient, targets, limits, admission, metrics, traces)
+        , edge(configuration, edge_services { completions, services, operators, callers, metrics, status })
+    {
+        states.addListener([this](const auto& state) {
+            targets.applyState(state);
+            limitsDriver.applyState(state, std::chrono::steady_clock::now());
+            calls.applyState(state);
+            if (targetPoller)
+                targetPoller->wake();
+        });
+        members.addListener([this](const auto& usable, instant now) {
+            ticketDriver.setPeers(usable);
+            limitsDriver.setNodes(usable, now);
+            calls.setNodes(usable, now);
+            crashes.setNodes(usable);
+            gate.setNodeCount(usable.size());
+        });
+    }
+
+    std::uint64_t incarnation;
+    std::string origin;
+    node_metrics metrics;
+    node_status status;
+    state_keeper states;
+    http_table_service table;
+    http_object_store objects;
+    http_instance_list instances;
+    http_engine_client engines;
+    http_service_client serviceClient;
+    trace_store traces;
+    target_directory targets;
+    locked_admission admission;
+    task_pool tasks;
+    authenticator callers;
+    cursor_codec cursors;
+    operator_endpoint operators;
+    zmq_peer_transport transport;
+    control_loop loop;
+    peer_hub peers;
+    crash_guard crashes;
+    team_limits limits;
+    generation_gate gate;
+    completions_endpoint completions;
+    ticket_store tickets;
+    membership_driver members;
+    ticket_driver ticketDriver;
+    limits_driver limitsDriver;
+    order_driver orders;
+    call_driver calls;
+    service_endpoint services;
+    http_edge edge;
+    std::optional<target_poller> targetPoller;
+    std::thread server;
+};
+
+daemon::daemon(const settings& configuration)
+    : m_settings(configuration)
+    , m_parts(std::make_unique<parts>(configuration))
+{
+}
+
+daemon::~daemon() = default;
+
+result<std::unique_ptr<daemon>> daemon::create(const settings& configuration)
+{
+    try {
+        return std::unique_ptr<daemon>(new daemon(configuration));
+    } catch (const zmq::error_t& problem) {
+        return error { error_kind::Internal,
+            "peers.listen: cannot bind " + configuration.peersListen + ": " + problem.what(), {} };
+    }
+}
+
+result<void> daemon::start()
+{
+    const auto bound = m_parts->edge.bind();
+    if (!bound)
+        return bound.error();
+    m_parts->targetPoller.emplace(m_parts->engines, m_parts->instances, m_parts->targets, m_parts->tasks,
+        m_parts->metrics, TargetPollPeriod, TargetPollTimeout);
+    m_parts->loop.start();
+    m_parts->peers.start();
+    m_parts->server = std::thread([this] { m_parts->edge.serve(); });
+    logInfo("node", { { "to", "serving" }, { "name", m_settings.nodeName }, { "listen", m_settings.callersListen } });
+    return success();
+}
+
+bool daemon::drainAndStop()
+{
+    auto& status = m_parts->status;
+    status.draining = true;
+    logInfo("node", { { "to", "draining" }, { "open", std::to_string(status.openRequests.load()) } });
+    m_parts->loop.post([this](instant now) {
+        m_parts->orders.stop();
+        m_parts->members.leave(now);
+    });
+    const auto limit = std::chrono::steady_clock::now() + m_settings.drainTimeout;
+    while (status.openRequests > 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(DrainCheckPeriod);
+    const bool finished = status.openRequests == 0;
+    m_parts->edge.stop();
+    m_parts->server.join();
+    m_parts->targetPoller.reset();
+    // Tasks refer to parts that are destroyed before the pool.
+    m_parts->tasks.stop();
+    m_parts->calls.stop();
+    m_parts->transport.stop();
+    m_parts->loop.stop();
+    logInfo("node", { { "to", "stopped" }, { "finished", finished ? "all" : "not all" } });
+    return finished;
+}
+
+} // namespace oriolepick
--- a/node/target_directory.cpp
+++ b/node/target_directory.cpp
@@ -53,12 +53,15 @@
     }
 }
 
-void target_directory::recordEngineState(const target_id& target, const std::vector<model_ref>& loaded, bool draining)
+void target_directory::recordEngineState(const target_id& target, const engine_state& state)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     const auto record = m_records.find(target);
     if (record == m_records.end())
         return;
+    const auto& loaded = state.loaded;
+    record->second.observed = state;
+    record->second.incarnation = state.incarnation;
     record->second.loaded = loaded;
     auto& profile = record->second.profile;
     profile.model.reset();
@@ -72,16 +75,26 @@
     }
     m_view.setTarget(profile);
     m_view.setSuspected(target, false);
-    if (draining)
+    if (state.draining)
         m_view.markLeaving(target, leaving_source::Target);
     else
         m_view.clearLeaving(target, leaving_source::Target);
 }
 
-void target_directory::setSuspected(const target_id& target, bool suspected)
+void target_directory::recordUnreachable(const target_id& target)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    m_view.setSuspected(target, suspected);
+    const auto record = m_records.find(target);
+    if (record != m_records.end())
+        record->second.observed.reset();
+    m_view.setSuspected(target, true);
+}
+
+std::optional<engine_state> target_directory::observed(const target_id& target) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto record = m_records.find(target);
+    return record == m_records.end() ? std::nullopt : record->second.observed;
 }
 
 void target_directory::setLeavingAddresses(const std::vector<std::string>& addresses)
@@ -181,17 +194,45 @@
     return list;
 }
 
+std::uint64_t target_directory::incarnationOf(const target_id& target) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto record = m_records.find(target);
+    return record == m_records.end() ? 0 : record->second.incarnation;
+}
+
+target_directory::room target_directory::capacityOf(const std::vector<target_id>& targets) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    room found;
+    for (const auto& target : targets) {
+        const auto record = m_records.find(target);
+        if (record == m_records.end() || m_view.state(target) != target_state::Live)
+            continue;
+        ++found.targets;
+        found.places += record->second.profile.batchLimit;
+    }
+    return found;
+}
+
+std::size_t target_directory::reportingEngines() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(
+        m_records.begin(), m_records.end(), [](const auto& entry) { return entry.second.observed.has_value(); }));
+}
+
 std::map<std::string, std::size_t> target_directory::stateCounts() const
 {
-    static const std::map<target_state, std::string> Names { { target_state::Live, "live" },
+    static const std::map<target_state, std::string> names { { target_state::Live, "live" },
         { target_state::Suspected, "suspected" }, { target_state::Ejected, "ejected" },
         { target_state::Leaving, "leaving" } };
     std::lock_guard<std::mutex> lock(m_mutex);
     std::map<std::string, std::size_t> counts;
-    for (const auto& [state, name] : Names)
+    for (const auto& [state, name] : names)
         counts[name] = 0;
     for (const auto& [target, record] : m_records)
-        ++counts[Names.at(m_view.state(target))];
+        ++counts[names.at(m_view.state(target))];
     return counts;
 }
 
--- a/targets/engine_client.h
+++ b/targets/engine_client.h
@@ -7,7 +7,7 @@
 #include "core/token.h"
 #include "targets/engine_load.h"
 #include "targets/engine_state.h"
-#include "targets/stream_end.h"
+#include "targets/stream_break.h"
 
 #include <chrono>
 #include <cstdint>
@@ -63,7 +63,7 @@
     virtual void done(const attempt_summary& summary) = 0;
 
     /// \param detail for logs
-    virtual void broken(stream_end reason, const std::string& detail) = 0;
+    virtual void broken(stream_break reason, const std::string& detail) = 0;
 };
 
 /// Answer to a health probe.
@@ -99,10 +99,10 @@
     virtual probe_answer probe(const std::string& address, const std::optional<attempt_id>& attempt,
         std::chrono::milliseconds timeout) const = 0;
 
-    /// \return the state, or TargetFailed
+    /// \return the state, NoTarget when no connection was made, or TargetFailed
     virtual result<engine_state> readState(const std::string& address, std::chrono::milliseconds timeout) const = 0;
 
-    /// \return the load, or TargetFailed
+    /// \return the load, NoTarget when no connection was made, or TargetFailed
     virtual result<engine_load> readLoad(const std::string& address, std::chrono::milliseconds timeout) const = 0;
 
     /// \param after sequence number of the last event known, 0 for all that the engine keeps
--- a/targets/engine_state.h
+++ b/targets/engine_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/names.h"
+#include "core/order_kind.h"
 
 #include <cstdint>
 #include <optional>
@@ -18,6 +19,7 @@
     std::string role; ///< for example "serve"
     bool draining = false;
     std::uint64_t fencing = 0; ///< highest fencing number seen
+    std::uint64_t incarnation = 0; ///< changes with each start of the process; 0 when the engine does not report it
     std::uint32_t attempts = 0; ///< attempts that run, wait or can be attached to
 };
 
@@ -34,8 +36,6 @@
     std::uint64_t last = 0; ///< sequence number up to which this report goes
 };
 
-enum class order_kind { Load, Unload, Role, Drain, Undrain };
-
 /// An order to an engine; repeating one has no further effect.
 struct engine_order {
     order_kind kind = order_kind::Load;
--- a/targets/http_engine_client.cpp
+++ b/targets/http_engine_client.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     // State and cache reports of an engine are far below this.
-    constexpr std::size_t MaxReportBytes = 4 * 1024 * 1024;
+    constexpr std::size_t MaxReportBytes = std::size_t { 4 } << 20;
 
     void stream(const std::string& address, const service_request& request, const stream_timeouts& timeouts,
         attempt_reader& reader, call_abort& abort)
@@ -45,6 +45,8 @@
         result<Value> (*parse)(std::string_view))
     {
         const auto response = callOnce(address, { "GET", path, {}, {} }, timeout);
+        if (response.result.end == exchange_end::NotSent)
+            return error { error_kind::NoTarget, absl::StrCat("engine ", address, ": ", response.result.detail), {} };
         if (response.result.end != exchange_end::Complete || response.status != 200)
             return failed(address, response);
         auto parsed = parse(response.body);
