--- a/bench/resume_fleet.h
+++ b/bench/resume_fleet.h
@@ -73,7 +73,7 @@
 
     std::uint32_t workerOf(const target_id& target) const;
     double firstTokenMilliseconds(const bench_worker& worker, const trace_request& request, std::uint32_t prefix) const;
-    void whenReachable(std::uint32_t worker, std::function<void()> work);
+    void whenReachable(std::uint32_t worker, const std::function<void()>& work);
     void startRun(std::uint32_t worker, std::uint32_t stream, const start_attempt& action);
     void beginStep(std::uint32_t worker);
     void endStep(std::uint32_t worker, std::uint64_t incarnation);
--- a/bench/resume_worker.cpp
+++ b/bench/resume_worker.cpp
@@ -31,7 +31,7 @@
     return tokens * m_shape.prefillMilliseconds + (std::ceil(tokens / m_shape.prefillChunk) + 1) * step + queued;
 }
 
-void resume_fleet::whenReachable(std::uint32_t index, std::function<void()> work)
+void resume_fleet::whenReachable(std::uint32_t index, const std::function<void()>& work)
 {
     const auto& worker = *m_workers[index];
     if (worker.pausedUntil <= m_now) {
