--- a/bench/resume_fleet.cpp
+++ b/bench/resume_fleet.cpp
@@ -13,7 +13,11 @@
     constexpr bench_time Hop { 1000 }; // client and zone hops of the design's regions are 0.5 to 3 ms
     constexpr bench_time PeerNews { 300'000 }; // gossip delay of a loss report
     constexpr bench_time ProbeTimeout { 250'000 };
+    constexpr double SampledShare = 0.35; // of the workers, for each choice
+    constexpr double UnsampledPenalty = 1200; // milliseconds: taken only when the sample is full
+    constexpr double ViewNoise = 30; // milliseconds; nodes see loads of different age
     constexpr bench_time HealthPoll { 1'000'000 }; // until a returned worker is used again
+    constexpr double OtherZoneBonus = 1500; // milliseconds of expected first-token time
     constexpr std::uint64_t GapSample = 64; // every 64th inter-token time is kept
 
 } // namespace
@@ -113,7 +117,7 @@
 void resume_fleet::act(std::uint32_t stream, const choose_target& action)
 {
     const auto& request = m_trace.requests[stream];
-    const auto& node = *m_nodes[request.node];
+    auto& node = *m_nodes[request.node];
     const bench_worker* best = nullptr;
     double bestScore = 0;
     for (std::uint32_t index = 0; index < m_workers.size(); ++index) {
@@ -122,9 +126,19 @@
         if (node.lost[index] || std::find(excluded.begin(), excluded.end(), worker.id) != excluded.end())
             continue;
         double score = firstTokenMilliseconds(worker, request, action.prefixLength) + 4.0 * worker.running.size();
+        score += node.sent[index] * m_shape.prefillMilliseconds;
+        if (worker.dead)
+            score = worker.loadAtDeath;
         if (action.preferCached && !worker.caches(request.manual))
             score += m_shape.prefillMilliseconds * request.manualTokens;
-        score += 5 * m_random.unit(); // nodes see slightly old loads
+        const bool zoneExcluded = std::any_of(excluded.begin(), excluded.end(),
+            [&](const target_id& id) { return workerOf(id) % m_shape.zones == index % m_shape.zones; });
+        if (action.preferOtherZone && zoneExcluded)
+            score += OtherZoneBonus;
+        score += ViewNoise * m_random.unit();
+        // Simultaneous choices of several nodes would meet on the one best worker; a sample each spreads them.
+        if (m_random.unit() > SampledShare)
+            score += UnsampledPenalty;
         if (!best || score < bestScore) {
             best = &worker;
             bestScore = score;
@@ -136,6 +150,12 @@
         return;
     }
     const auto expected = firstTokenMilliseconds(*best, request, action.prefixLength);
+    // The node adds its own starts to a target's reported load until the target reports again.
+    const auto tokens
+        = request.ownTokens + action.prefixLength + (best->caches(request.manual) ? 0 : request.manualTokens);
+    auto& sent = node.sent[workerOf(best->id)];
+    sent += tokens;
+    at(m_now + 3 * Hop, [&sent, tokens] { sent -= tokens; });
     post(stream, target_chosen { action.attempt, best->id, {}, std::chrono::milliseconds(static_cast<long>(expected)) },
         Hop / 5);
 }
@@ -145,6 +165,8 @@
     const auto worker = workerOf(action.target);
     auto& state = *m_streams[stream];
     m_figures.secondAttempts += state.started;
+    if (state.started && !state.targetBefore.empty())
+        m_figures.needlessAttempts += !m_workers[workerOf(state.targetBefore)]->dead && !state.reset;
     state.disturbed = state.started;
     at(m_now + Hop, [this, stream, worker, action] {
         if (m_workers[worker]->dead && !m_workers[worker]->silent) {
@@ -235,10 +257,11 @@
     ++m_figures.completed;
 }
 
-void resume_fleet::act(std::uint32_t stream, const fail& /*action*/)
+void resume_fleet::act(std::uint32_t stream, const fail& action)
 {
     m_streams[stream]->ended = true;
     ++m_figures.failed;
+    ++m_figures.failures[action.kind];
 }
 
 void resume_fleet::act(std::uint32_t stream, const set_timer& action)
@@ -282,6 +305,7 @@
             && !stream.brokenAt)
             stream.brokenAt = m_now;
         stream.disturbed = true;
+        stream.reset = true;
         if (fault.kind != trace_fault_kind::SilentDeath)
             post(run->stream, attempt_broken { id, break_reason::Reset }, Hop);
         if (fault.kind == trace_fault_kind::LostConnection)
@@ -290,6 +314,8 @@
     if (fault.kind == trace_fault_kind::LostConnection)
         return;
     worker.dead = true;
+    worker.loadAtDeath = 4.0 * static_cast<double>(worker.running.size())
+        + firstTokenMilliseconds(worker, m_trace.requests.front(), 0);
     worker.silent = fault.kind == trace_fault_kind::SilentDeath;
     ++worker.incarnation;
     worker.stepping = false;
--- a/bench/resume_fleet_parts.h
+++ b/bench/resume_fleet_parts.h
@@ -18,6 +18,7 @@
     bool read = true;
     bool cancelled = false;
     bool finished = false;
+    bool urgent = false; ///< before others in the queue and in prefill
     bool repeated = false; ///< an attempt beyond the first of its generation
 };
 
@@ -25,6 +26,7 @@
     target_id id;
     bool dead = false;
     bool silent = false; ///< dead without closing connections
+    double loadAtDeath = 0; ///< what nodes still believe until they learn of the loss
     std::uint64_t incarnation = 0;
     bench_time pausedUntil { 0 };
     bool stepping = false;
@@ -39,12 +41,14 @@
 struct resume_fleet::bench_node {
     bench_node(seeded_random& random, std::size_t workers)
         : budget({}, &pacer, random, instant {})
+        , sent(workers, 0)
         , lost(workers, false)
     {
     }
     resume_pacer pacer { {}, instant {} };
     retry_budget budget;
     target_paces paces;
+    std::vector<std::uint32_t> sent; ///< prompt tokens of own starts under way, by worker
     std::vector<bool> lost; ///< workers that this node knows to be down
 };
 
@@ -55,6 +59,7 @@
     std::optional<bench_time> brokenAt; ///< when the engine of its stream died
     bench_time lastToken { -1 };
     bool started = false;
+    bool reset = false; ///< its connection was lost at some time
     bool disturbed = false;
     bool ended = false;
 };
--- a/core/generation_stall.cpp
+++ b/core/generation_stall.cpp
@@ -22,10 +22,12 @@
         return;
     }
     m_stall.probeAlive = event.alive;
+    if (event.alive)
+        m_stall.failedProbes = 0;
     m_stall.probeHasAttempt = event.hasAttempt;
     consultPolicy(now);
     // Each answer serves one decision; the policy asks again when it needs a fresh one.
-    m_stall.probed = false;
+    m_stall.probed = event.alive ? false : m_stall.probed;
     m_stall.probeAlive.reset();
     m_stall.probeHasAttempt.reset();
 }
@@ -95,10 +97,18 @@
             choose(*m_second);
         return;
     }
-    if (!m_second->onTarget() || rules().duplicate || suspectAt(*m_second) > now)
+    if (!m_second->onTarget() || rules().duplicate || std::max(suspectAt(*m_second), m_second->due) > now)
         return;
+    const auto pace = m_paces.paceOf(m_second->target);
+    const bool patient = now - m_second->detector.lastProgress() < rules().stall.longestGap;
+    if (patient && m_second->accepted && m_second->detector.othersProgress(pace, now)) {
+        // The target is busy, not dead: a third attempt would only add to the load.
+        m_second->due = now + rules().stall.prefillSlack / 2;
+        return;
+    }
     m_excluded.push_back(m_second->target);
     retire(m_second, true);
+    m_stall.lookAgainAt = now;
 }
 
 void generation::consultPolicy(instant now)
@@ -110,6 +120,7 @@
     stall.othersProgress = m_current->detector.othersProgress(pace, now);
     stall.reportedLost = m_current->reportedLost;
     stall.probed = m_stall.probed;
+    stall.failedProbes = m_stall.failedProbes;
     stall.probeAlive = m_stall.probeAlive;
     stall.probeHasAttempt = m_stall.probeHasAttempt;
     stall.hedged = m_second.has_value();
@@ -120,6 +131,7 @@
         break;
     case stall_step::Probe:
         m_stall.probed = true;
+        ++m_stall.failedProbes;
         emit(probe_target { m_current->id, m_current->target });
         break;
     case stall_step::Hedge:
@@ -135,7 +147,9 @@
 instant generation::suspectAt(const attempt_record& attempt) const
 {
     const auto pace = m_paces.paceOf(attempt.target);
-    const auto usual = attempt.detector.suspectAt(pace);
+    auto usual = attempt.detector.suspectAt(pace);
+    if (attempt.phase == attempt_phase::Starting)
+        usual = std::min(usual, attempt.detector.lastProgress() + rules().acceptTimeout);
     return attempt.reportedLost ? std::min(usual, attempt.detector.expectedBy(pace)) : usual;
 }
 
@@ -154,7 +168,7 @@
         if (record.phase == attempt_phase::Waiting || record.phase == attempt_phase::Attaching)
             include(record.due);
         else if (attempt == &m_second && record.onTarget() && !rules().duplicate)
-            include(suspectAt(record));
+            include(std::max(suspectAt(record), record.due));
         else if (attempt == &m_current && record.onTarget())
             include(m_state == generation_state::Suspect ? m_stall.lookAgainAt : suspectAt(record));
     }
--- a/core/order_planner.cpp
+++ b/core/order_planner.cpp
@@ -25,6 +25,13 @@
         return target.reachable && !target.draining && !target.leaving && !target.loaded.empty();
     }
 
+    /// Leaving targets and those without a deployment are no capacity: counting them as out of service would block
+    /// every change while they exist.
+    bool isCapacity(const planned_target& target)
+    {
+        return target.wanted && !target.leaving;
+    }
+
     bool roleDiffers(const planned_target& target)
     {
         return target.wanted && target.role != target.wantedRole;
@@ -97,8 +104,10 @@
     double total = 0;
     double out = 0;
     for (const auto& target : targets) {
+        if (!isCapacity(target))
+            continue;
         total += target.capacity;
-        out += inService(target) ? 0 : target.capacity;
+        out += inService(target) && !drainGiven(now, target.target) ? 0 : target.capacity;
     }
     const bool waitsForZone = earlierZoneChanges(targets, zone);
     std::vector<target_order> orders;
@@ -113,10 +122,10 @@
         }
         order->fencing = authority.fencing;
         order->ticket = authority.ticket;
-        const bool takesOut = order->kind == order_kind::Drain && inService(target);
+        const bool takesOut = order->kind == order_kind::Drain && isCapacity(target) && inService(target)
+            && !drainGiven(now, target.target);
         if (takesOut && (waitsForZone || (out > 0 && out + target.capacity > changeShare * total)))
             continue;
-        // A drain counts from its decision, whether or not it is repeated: the report that shows it comes later.
         if (takesOut)
             out += target.capacity;
         if (!mayRepeat(now, *order) || (order->kind == order_kind::Load && !takeLoadToken(now)))
@@ -127,6 +136,15 @@
     return orders;
 }
 
+/// A drain counts from its order on, because the report that shows it comes later; but not for ever, because the order
+/// may be lost and this node may not hold the target's lease any more.
+bool order_planner::drainGiven(instant now, const target_id& target) const
+{
+    const auto found = m_given.find(target);
+    return found != m_given.end() && found->second.kind == order_kind::Drain
+        && now < found->second.at + m_settings.countDrainFor;
+}
+
 bool order_planner::mayRepeat(instant now, const target_order& order) const
 {
     const auto found = m_given.find(order.target);
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -3,9 +3,12 @@
 #include "config/settings.h"
 #include "core/fleet_state.h"
 #include "node/authenticator.h"
+#include "node/call_driver.h"
 #include "node/completions_endpoint.h"
 #include "node/control_loop.h"
+#include "node/crash_guard.h"
 #include "node/cursor_codec.h"
+#include "node/generation_gate.h"
 #include "node/http_edge.h"
 #include "node/limits_driver.h"
 #include "node/locked_admission.h"
@@ -16,6 +19,7 @@
 #include "node/operator_endpoint.h"
 #include "node/order_driver.h"
 #include "node/peer_hub.h"
+#include "node/service_endpoint.h"
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
 #include "node/target_poller.h"
@@ -27,6 +31,7 @@
 #include "platform/http_table_service.h"
 #include "platform/ticket_store.h"
 #include "targets/http_engine_client.h"
+#include "targets/http_service_client.h"
 #include "wire/zmq_peer_transport.h"
 
 #include <csignal>
@@ -34,6 +39,7 @@
 #include <random>
 #include <thread>
 #include <unistd.h>
+#include <zmq.hpp>
 
 namespace oriolepick {
 
@@ -94,11 +100,14 @@
         , tasks(TaskThreads, TaskCapacity)
         , callers(states, configuration.operatorTokenSha256)
         , cursors(configuration.cursorKeys)
-        , completions(origin, states, callers, cursors, configuration.cursorLifetime,
-              session_services { engines, targets, tasks, metrics, traces, admission })
         , operators(configuration, states, targets, traces, status, [] { kill(getpid(), SIGTERM); })
         , transport(configuration.peersListen)
         , peers(node_id(configuration.peersListen), incarnation, transport, loop, states, metrics)
+        , crashes(origin, table, engines, targets, peers, loop, metrics, configuration.platformTimeout)
+        , gate(targets, metrics, static_cast<std::size_t>(configuration.queueCapacity), configuration.queueTimeout,
+              processSeed())
+        , completions(origin, states, callers, cursors, configuration.cursorLifetime,
+              session_services { engines, targets, tasks, metrics, traces, admission, crashes }, limits, gate)
         , tickets(table, objects, configuration.platformTimeout)
         , members(
               configuration.zone, configuration.region, seedNodes(configuration), processSeed(), peers, loop, metrics)
@@ -106,15 +115,23 @@
               tickets, states, status, peers, loop, tasks, metrics, distributionSettings(configuration), processSeed())
         , limitsDriver(limits, peers, loop)
         , orders(origin, table, engines, targets, states, loop, tasks, metrics, configuration.platformTimeout)
-        , edge(configuration, edge_services { completions, operators, callers, metrics, status })
+        , calls(table, serviceClient, targets, peers, loop, metrics, configuration.platformTimeout, processSeed())
+        , services(origin, states, callers, calls, serviceClient, targets, limits, admission, metrics, traces)
+        , edge(configuration, edge_services { completions, services, operators, callers, metrics, status })
     {
         states.addListener([this](const auto& state) {
             targets.applyState(state);
             limitsDriver.applyState(state, std::chrono::steady_clock::now());
+            calls.applyState(state);
+            if (targetPoller)
+                targetPoller->wake();
         });
         members.addListener([this](const auto& usable, instant now) {
             ticketDriver.setPeers(usable);
             limitsDriver.setNodes(usable, now);
+            calls.setNodes(usable, now);
+            crashes.setNodes(usable);
+            gate.setNodeCount(usable.size());
         });
     }
 
@@ -127,23 +144,28 @@
     http_object_store objects;
     http_instance_list instances;
     http_engine_client engines;
+    http_service_client serviceClient;
     trace_store traces;
     target_directory targets;
     locked_admission admission;
     task_pool tasks;
     authenticator callers;
     cursor_codec cursors;
-    completions_endpoint completions;
     operator_endpoint operators;
     zmq_peer_transport transport;
     control_loop loop;
     peer_hub peers;
-    ticket_store tickets;
+    crash_guard crashes;
     team_limits limits;
+    generation_gate gate;
+    completions_endpoint completions;
+    ticket_store tickets;
     membership_driver members;
     ticket_driver ticketDriver;
     limits_driver limitsDriver;
     order_driver orders;
+    call_driver calls;
+    service_endpoint services;
     http_edge edge;
     std::optional<target_poller> targetPoller;
     std::thread server;
@@ -157,15 +179,25 @@
 
 daemon::~daemon() = default;
 
+result<std::unique_ptr<daemon>> daemon::create(const settings& configuration)
+{
+    try {
+        return std::unique_ptr<daemon>(new daemon(configuration));
+    } catch (const zmq::error_t& problem) {
+        return error { error_kind::Internal,
+            "peers.listen: cannot bind " + configuration.peersListen + ": " + problem.what(), {} };
+    }
+}
+
 result<void> daemon::start()
 {
     const auto bound = m_parts->edge.bind();
     if (!bound)
         return bound.error();
-    m_parts->loop.start();
-    m_parts->peers.start();
     m_parts->targetPoller.emplace(m_parts->engines, m_parts->instances, m_parts->targets, m_parts->tasks,
         m_parts->metrics, TargetPollPeriod, TargetPollTimeout);
+    m_parts->loop.start();
+    m_parts->peers.start();
     m_parts->server = std::thread([this] { m_parts->edge.serve(); });
     logInfo("node", { { "to", "serving" }, { "name", m_settings.nodeName }, { "listen", m_settings.callersListen } });
     return success();
@@ -189,6 +221,7 @@
     m_parts->targetPoller.reset();
     // Tasks refer to parts that are destroyed before the pool.
     m_parts->tasks.stop();
+    m_parts->calls.stop();
     m_parts->transport.stop();
     m_parts->loop.stop();
     logInfo("node", { { "to", "stopped" }, { "finished", finished ? "all" : "not all" } });
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -26,13 +26,16 @@
         return std::chrono::steady_clock::now();
     }
 
-    request_priority placementPriority(int priority)
+    /// \return the attempt whose stream the event ends, or null
+    const attempt_id* endedAttempt(const generation_event& event)
     {
-        constexpr int LowestNormal = 3;
-        constexpr int LowestUrgent = 7;
-        if (priority >= LowestUrgent)
-            return request_priority::Urgent;
-        return priority >= LowestNormal ? request_priority::Normal : request_priority::Bulk;
+        if (const auto* broken = std::get_if<attempt_broken>(&event))
+            return &broken->attempt;
+        if (const auto* rejected = std::get_if<attempt_rejected>(&event))
+            return &rejected->attempt;
+        if (const auto* done = std::get_if<attempt_done>(&event))
+            return &done->attempt;
+        return nullptr;
     }
 
     const char* purposeName(attempt_purpose purpose)
@@ -87,6 +90,15 @@
 
 } // namespace
 
+request_priority placementPriority(int priority)
+{
+    constexpr int LowestNormal = 3;
+    constexpr int LowestUrgent = 7;
+    if (priority >= LowestUrgent)
+        return request_priority::Urgent;
+    return priority >= LowestNormal ? request_priority::Normal : request_priority::Bulk;
+}
+
 generation_session::generation_session(
     session_request request, const resume_policy& policy, const session_services& services)
     : m_request(std::move(request))
@@ -158,21 +170,26 @@
         if (!running.started && running.counted) {
             running.started = true;
             m_services.targets.recordFirstToken(running.target, running.uncachedTokens);
+            if (m_request.permit) {
+                m_request.permit->recordFirstToken(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - running.dispatched));
+            }
         }
     }
     if (std::holds_alternative<attempt_broken>(event))
         m_interrupted = true;
+    const auto* ended = endedAttempt(event);
+    // The finished reader goes first: the state machine may attach to the same attempt again with a new one.
+    if (ended)
+        m_attempts[*ended].reader.reset();
     execute(m_generation.handle(event, now));
-    if (const auto* broken = std::get_if<attempt_broken>(&event))
-        stopReader(broken->attempt);
-    else if (const auto* rejected = std::get_if<attempt_rejected>(&event))
-        stopReader(rejected->attempt);
-    else if (const auto* done = std::get_if<attempt_done>(&event))
-        stopReader(done->attempt);
+    if (ended && !m_attempts[*ended].reader)
+        stopReader(*ended);
 }
 
 void generation_session::execute(const generation_actions& actions)
 {
+    countUsage();
     for (const auto& action : actions)
         std::visit([this](const auto& typed) { run(typed); }, action);
 }
@@ -189,11 +206,27 @@
     return query;
 }
 
-void generation_session::run(const choose_target& action)
+std::variant<placed_target, no_choice> generation_session::place(
+    const choose_target& action, placement_query query) const
 {
     const auto now = clockNow();
+    const auto avoided = m_services.crashes.targetsToAvoid(m_request.guarded.fingerprint);
+    query.excluded.insert(query.excluded.end(), avoided.begin(), avoided.end());
+    auto decision = m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
+    if (std::holds_alternative<placed_target>(decision) || avoided.empty() || m_request.guarded.permit)
+        return decision;
+    // In a small group every target may run another suspect. A stream that has begun goes on all the same, on any
+    // target that it has not crashed: a second crash isolates it.
+    const auto crashed = m_services.crashes.targetsThatCrashed(m_request.guarded.fingerprint);
+    query.excluded = action.excluded;
+    query.excluded.insert(query.excluded.end(), crashed.begin(), crashed.end());
+    return m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
+}
+
+void generation_session::run(const choose_target& action)
+{
     const auto query = placementQuery(action);
-    const auto decision = m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
+    const auto decision = place(action, query);
     if (const auto* none = std::get_if<no_choice>(&decision)) {
         const bool gone = !m_services.targets.anyLoaded(m_request.generation.model, m_request.allowedTargets);
         const auto reason = gone && action.purpose != attempt_purpose::Start ? no_target_reason::VersionGone
@@ -207,6 +240,8 @@
     running.address = placed.address;
     running.uncachedTokens = query.prefixTokens - std::min(placed.cachedTokens, query.prefixTokens);
     running.counted = true;
+    running.dispatched = clockNow();
+    m_services.crashes.attemptStarted(m_request.guarded.fingerprint, placed.target);
     trace("attempt=" + action.attempt.text() + " purpose=" + purposeName(action.purpose)
         + " target=" + placed.target.text());
     m_events->push(target_chosen { action.attempt, placed.target, placed.model, {} });
@@ -332,6 +367,7 @@
 {
     trace("target lost target=" + action.target.text());
     m_services.targets.recordUnreachable(action.target);
+    m_services.crashes.streamsLost(action.target);
 }
 
 void generation_session::run(const count& action)
@@ -355,24 +391,37 @@
         return;
     running.counted = false;
     m_services.targets.recordFinished(running.target, running.uncachedTokens, running.started, clockNow());
+    m_services.crashes.attemptEnded(m_request.guarded.fingerprint, running.target);
+}
+
+void generation_session::countUsage()
+{
+    const auto usage = m_generation.usage();
+    const auto add = [this](const char* kind, std::uint64_t now, std::uint64_t before) {
+        if (now == before)
+            return;
+        m_services.metrics.add(counter_metric::TokensExtra,
+            { { "fleet", m_request.deployment.fleet().value() }, { "deployment", m_request.deployment.name() },
+                { "kind", kind } },
+            static_cast<double>(now - before));
+    };
+    add("output", usage.extraOutput, m_countedUsage.extraOutput);
+    add("prefill", usage.extraPrefill, m_countedUsage.extraPrefill);
+    m_countedUsage = usage;
 }
 
 void generation_session::finish(session_end end)
 {
     if (m_end)
         return;
-    const node_metrics::labels at { { "fleet", m_request.deployment.fleet().value() },
-        { "deployment", m_request.deployment.name() } };
-    auto extra = at;
-    extra["kind"] = "output";
-    m_services.metrics.add(counter_metric::TokensExtra, extra, static_cast<double>(m_generation.usage().extraOutput));
-    extra["kind"] = "prefill";
-    m_services.metrics.add(counter_metric::TokensExtra, extra, static_cast<double>(m_generation.usage().extraPrefill));
     trace(end.finished ? "complete tokens=" + std::to_string(m_generation.position())
                        : "ended code=" + std::string(answerFor(end.kind).code));
     m_end = end;
     for (auto& [attempt, running] : m_attempts)
         stopReader(attempt);
+    m_services.crashes.finish(m_request.guarded, end.finished.has_value());
+    if (m_request.permit)
+        m_request.permit->finish(m_request.generation.promptTokens + m_generation.position());
 }
 
 void generation_session::trace(const std::string& line)
