--- a/tool/event_counts.cpp
+++ b/tool/event_counts.cpp
@@ -93,12 +93,14 @@
 
 node_scrape summarizeScrape(const std::string& node, wall_time at, const std::vector<metric_sample>& samples)
 {
-    node_scrape scrape { node, at, {}, {} };
+    node_scrape scrape { node, at, {}, {}, {} };
     for (const auto& sample : samples) {
         if (!std::isfinite(sample.value) || sample.value < 0)
             continue;
         if (sample.name == "oriolepick_ticket_in_force")
             scrape.ticket = sample.value;
+        if (sample.name == "process_cpu_seconds_total")
+            scrape.processSeconds = sample.value;
         for (const auto& source : Counters) {
             if (sample.name != source.name
                 || (source.onlyLabel && labelOr(sample, source.onlyLabel, "") != source.onlyValue))
--- a/tool/event_counts.h
+++ b/tool/event_counts.h
@@ -48,6 +48,7 @@
     wall_time at;
     std::map<event_series, event_totals> series;
     std::optional<double> ticket; ///< number in force
+    std::optional<double> processSeconds {}; ///< processor time, which only a new process lowers
 };
 
 node_scrape summarizeScrape(const std::string& node, wall_time at, const std::vector<metric_sample>& samples);
--- a/tool/event_timeline.cpp
+++ b/tool/event_timeline.cpp
@@ -19,6 +19,8 @@
     bool restarted(const node_scrape& before, const node_scrape& after)
     {
         static const event_totals none;
+        if (before.processSeconds && after.processSeconds && *after.processSeconds < *before.processSeconds)
+            return true;
         return std::any_of(before.series.begin(), before.series.end(), [&](const auto& entry) {
             const auto found = after.series.find(entry.first);
             return fell(entry.second, found == after.series.end() ? none : found->second);
--- a/tool/event_timeline.h
+++ b/tool/event_timeline.h
@@ -26,9 +26,9 @@
 };
 
 /// Builds the timeline from the counters.
-/// The first scrape of a node gives no events, because it is unknown when they happened. When any counter of a node
-/// fell or vanished, the node was restarted, and all of its counters count from 0.
-/// \param scrapes sorted by time
+/// The first scrape of a node gives no events, because it is unknown when they happened. When any counter of a node or
+/// its processor time fell or vanished, the node was restarted, and all of its counters count from 0. Events between
+/// the last scrape of a process and its end are lost. \param scrapes sorted by time
 event_timeline timelineOf(const std::vector<node_scrape>& scrapes);
 
 /// Builds one event for each scrape of a node that reports a number in force: bad when another node had a higher number
--- a/tool/test/burn_report.cpp
+++ b/tool/test/burn_report.cpp
@@ -66,6 +66,18 @@
     EXPECT_DOUBLE_EQ(rowOf(report).period.bad, 1);
 }
 
+TEST(burn_report, a_restart_shows_in_the_processor_time_when_the_counters_are_higher_again)
+{
+    auto before = scrape("a", 0s, 100, 1);
+    auto after = scrape("a", 600s, 250, 4);
+    before.processSeconds = 40;
+    after.processSeconds = 30;
+    const auto report = calculate({ before, after });
+    EXPECT_EQ(report.restarts, 1u);
+    EXPECT_DOUBLE_EQ(rowOf(report).period.total, 250);
+    EXPECT_DOUBLE_EQ(rowOf(report).period.bad, 4);
+}
+
 TEST(burn_report, a_series_that_vanished_shows_a_restart)
 {
     node_scrape empty { "a", Start + 60s, {}, std::nullopt };
