--- a/tool/test/ticket_command.cpp
+++ b/tool/test/ticket_command.cpp
@@ -4,7 +4,7 @@
 #include "config/state_in_force.h"
 #include "standins/fake_table.h"
 #include "tool/command.h"
-#include "tool/test/ticket_world.h"
+#include "tool/test/ticket_world_parts.h"
 
 #include <gtest/gtest.h>
 
--- a/tool/test/ticket_world.h
+++ b/tool/test/ticket_world.h
@@ -9,12 +9,11 @@
 #include "core/ticket_compaction.h"
 #include "core/ticket_distributor.h"
 #include "core/ticket_log.h"
-#include "core/ticket_validation.h"
-#include "platform/object_store.h"
 #include "platform/ticket_store.h"
 #include "standins/fake_table.h"
+#include "tool/test/racing_operators.h"
+#include "tool/test/ticket_world_parts.h"
 
-#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include <deque>
@@ -27,79 +26,16 @@
 
 namespace oriolepick {
 
-class memory_objects : public object_store {
-public:
-    result<void> put(const std::string& name, const std::string& bytes, std::chrono::milliseconds) override
-    {
-        m_objects[name] = bytes;
-        return success();
-    }
-    result<std::optional<std::string>> get(const std::string& name, std::chrono::milliseconds) const override
-    {
-        const auto found = m_objects.find(name);
-        return found == m_objects.end() ? std::nullopt : std::optional(found->second);
-    }
-    result<void> remove(const std::string& name, std::chrono::milliseconds) override
-    {
-        m_objects.erase(name);
-        return success();
-    }
-
-private:
-    std::map<std::string, std::string> m_objects;
-};
-
-/// One step of a history: what happens, and two numbers that choose where and how.
-struct history_step {
-    int kind;
-    unsigned first;
-    unsigned second;
-};
-
-/// The accepted tickets folded by plain JSON, independently of fleet_state.
-class reference_fold {
-public:
-    void apply(const std::string& content)
-    {
-        const auto change = nlohmann::json::parse(content);
-        for (const auto& object : change.at("objects")) {
-            const auto key = object.at("kind").get<std::string>() + " " + object.at("fleet").get<std::string>() + "/"
-                + object.at("name").get<std::string>();
-            if (object.contains("deleted"))
-                m_objects.erase(key);
-            else
-                m_objects[key] = object;
-        }
-        m_folds.push_back(m_objects);
-    }
-
-    void requireEqual(const fleet_state& state) const
-    {
-        RC_ASSERT(state.number() <= m_folds.size());
-        std::map<std::string, nlohmann::json> held;
-        for (const auto& object : state.objects())
-            held[object.key.text()] = encodeObject(object);
-        const auto& expected = state.number() ? m_folds[state.number() - 1] : std::map<std::string, nlohmann::json>();
-        RC_ASSERT(held == expected);
-    }
-
-    ticket_number number() const { return m_folds.size(); }
-
-private:
-    std::map<std::string, nlohmann::json> m_objects;
-    std::vector<std::map<std::string, nlohmann::json>> m_folds;
-};
-
 class ticket_world {
 public:
     static constexpr unsigned NodeCount = 4;
-    static constexpr unsigned OperatorCount = 3;
     static constexpr ticket_number TicketsPerSnapshotHere = 3;
     static constexpr int HandlerCount = 16;
 
     ticket_world()
         : m_store(m_table, m_objects, Timeout)
         , m_nodes(NodeCount)
+        , m_operators(m_table)
     {
         for (unsigned index = 0; index < NodeCount; ++index)
             restart(index);
@@ -125,9 +61,9 @@
         m_cutFromPeers.clear();
         m_cutFromPlatform.clear();
         while (m_table.releaseHeld()) { }
-        for (unsigned index = 0; index < OperatorCount; ++index) {
-            while (m_operators[index].submission) {
-                advanceSubmission(index, HealthyAnswer);
+        for (unsigned index = 0; index < racing_operators::Count; ++index) {
+            while (m_operators.busy(index)) {
+                advanceSubmission(index, racing_operators::HealthyAnswer);
                 observe();
             }
         }
@@ -152,7 +88,7 @@
             RC_ASSERT(node.state->get()->number() == m_reference.number());
             RC_ASSERT(node.distributor->number() == m_reference.number());
         }
-        for (const auto& [number, content] : m_refused) {
+        for (const auto& [number, content] : m_operators.refused()) {
             const auto found = m_accepted.find(number);
             RC_ASSERT(found == m_accepted.end() || found->second != content);
         }
@@ -162,7 +98,6 @@
 
 private:
     static constexpr std::chrono::milliseconds Timeout { 1000 };
-    static constexpr unsigned HealthyAnswer = 7;
 
     struct fetch_message {
         std::uint64_t after;
@@ -187,14 +122,6 @@
         ticket_number lastSeen = 0;
         unsigned incarnation = 0;
     };
-    struct world_operator {
-        std::optional<ticket_submission> submission;
-        ticket_number number = 0;
-        std::string content;
-        bool resubmit = false; ///< the last answer was unknown: the operator files the same ticket again
-        bool mayBeAccepted = false; ///< an earlier submission of this content ended unknown
-    };
-
     static node_id idOf(unsigned index) { return node_id(std::to_string(index)); }
     static unsigned indexOf(const node_id& id) { return static_cast<unsigned>(std::stoul(id.value())); }
 
@@ -209,72 +136,14 @@
         }
     }
 
-    // Tickets: several policies of two fleets change together, so that a partly applied ticket shows.
-    std::string contentFor(ticket_number number, unsigned chance)
-    {
-        ticket change;
-        change.number = number;
-        change.operatorName = "operator";
-        change.note = "submission " + std::to_string(++m_submissions); // makes every content unique
-        if (number == 1) {
-            for (const auto* fleet : { "one", "two" })
-                change.objects.push_back({ { object_kind::Fleet, fleet_name(fleet), fleet },
-                    fleet_settings { fleet, { availability_zone("a") }, 6 } });
-        }
-        const unsigned count = 2 + chance % 2;
-        for (unsigned index = 0; index < count; ++index) {
-            ticket_object object { { object_kind::Policy, fleet_name((chance + index) % 2 ? "one" : "two"),
-                                       "p" + std::to_string((chance / 2 + index) % 3) },
-                std::nullopt };
-            if ((chance >> (4 + index)) % 4 || number == 1)
-                object.state = policy_settings { resume_strategy::Waiting, std::chrono::milliseconds(1 + chance % 50),
-                    std::chrono::milliseconds(1000), static_cast<double>(m_submissions % 100), 0.1 };
-            change.objects.push_back(std::move(object));
-        }
-        return encodeTicket(change);
-    }
-
     void startSubmission(unsigned first, unsigned second)
     {
-        auto& who = m_operators[first % OperatorCount];
-        if (who.submission)
-            return;
-        if (!who.resubmit) {
-            // Mostly the next number as this operator sees it, sometimes an old one or one with a gap.
-            const auto next = m_reference.number() + 1;
-            who.number = second % 8 == 0 ? 1 + second % (next + 2) : next;
-            who.content = contentFor(who.number, second);
-            who.mayBeAccepted = false;
-        }
-        who.resubmit = false;
-        who.submission.emplace(who.number, who.content, 4);
+        m_operators.start(first, second, m_reference.number() + 1);
     }
 
     void advanceSubmission(unsigned first, unsigned second)
     {
-        auto& who = m_operators[first % OperatorCount];
-        if (!who.submission)
-            return;
-        auto& submission = *who.submission;
-        const auto& action = submission.next();
-        if (const auto* read = std::get_if<ticket_submission::read_row>(&action)) {
-            service_faults faults;
-            faults.down = m_platformDown || second % 7 == 1;
-            m_table.setFaults(faults);
-            submission.rowRead(m_table.read(read->key, Timeout));
-        } else if (const auto* commit = std::get_if<ticket_submission::commit_rows>(&action)) {
-            service_faults faults;
-            faults.down = m_platformDown || second % 7 == 1;
-            faults.loseResponses = second % 7 == 2 ? 1 : 0;
-            if (second % 7 == 3)
-                faults.delayBefore = std::chrono::milliseconds(1);
-            m_table.setFaults(faults);
-            submission.committed(m_table.commit(commit->transaction, Timeout));
-        } else if (const auto* validation = std::get_if<ticket_submission::validate_against>(&action))
-            submission.validated(validate(*parseTicket(who.content).value, *m_folds.at(validation->number)));
-        m_table.setFaults({});
-        if (const auto* done = std::get_if<ticket_submission::submission_done>(&submission.next()))
-            finish(who, done->failure);
+        m_operators.advance(first, second, m_platformDown, m_folds);
     }
 
     /// Files a ticket without interruption, while other operators may be in the middle of theirs. In half of the cases
@@ -282,27 +151,12 @@
     void completeSubmission(unsigned first, unsigned second)
     {
         startSubmission(first, second);
-        while (m_operators[first % OperatorCount].submission) {
-            advanceSubmission(first, second / 16 % 2 ? second : HealthyAnswer);
+        while (m_operators.busy(first)) {
+            advanceSubmission(first, second / 16 % 2 ? second : racing_operators::HealthyAnswer);
             observe();
         }
     }
 
-    void finish(world_operator& who, const std::optional<error>& failure)
-    {
-        if (!failure) {
-            const auto [entry, added] = m_acknowledged.emplace(who.number, who.content);
-            RC_ASSERT(added || entry->second == who.content);
-        } else if (answerFor(failure->kind).run != run_state::NotRun) {
-            who.resubmit = true;
-            who.mayBeAccepted = true;
-        } else if (failure->kind == error_kind::PlatformUnavailable && who.mayBeAccepted) {
-            who.resubmit = true; // this submission had no effect, but the earlier one may have had
-        } else
-            m_refused.emplace_back(who.number, who.content);
-        who.submission.reset();
-    }
-
     void send(unsigned from, const node_id& to, message_body body)
     {
         m_messages.push_back({ from, indexOf(to), std::move(body) });
@@ -484,7 +338,7 @@
             const auto row = m_table.read(ticketRowKey(accepted), Timeout).value();
             RC_ASSERT(!row || row->value == content);
         }
-        for (const auto& [acknowledged, content] : m_acknowledged)
+        for (const auto& [acknowledged, content] : m_operators.acknowledged())
             RC_ASSERT(m_accepted.count(acknowledged) && m_accepted.at(acknowledged) == content);
         for (auto& node : m_nodes) {
             const auto state = node.state->get();
@@ -500,20 +354,17 @@
     memory_objects m_objects;
     ticket_store m_store;
     std::vector<world_node> m_nodes;
-    std::array<world_operator, OperatorCount> m_operators;
+    racing_operators m_operators;
     std::deque<message> m_messages;
     std::deque<platform_answer> m_answers;
     std::set<unsigned> m_cutFromPeers;
     std::set<unsigned> m_cutFromPlatform;
     bool m_platformDown = false;
     instant m_now { std::chrono::hours(1) };
-    unsigned m_submissions = 0;
     unsigned m_incarnations = 0;
     reference_fold m_reference;
     std::vector<std::shared_ptr<const fleet_state>> m_folds { std::make_shared<fleet_state>() };
     std::map<ticket_number, std::string> m_accepted;
-    std::map<ticket_number, std::string> m_acknowledged;
-    std::vector<std::pair<ticket_number, std::string>> m_refused;
 };
 
 } // namespace oriolepick
