--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -211,15 +211,12 @@
 {
     const auto now = clockNow();
     const auto avoided = m_services.crashes.targetsToAvoid(m_request.guarded.fingerprint);
-    query.excluded.insert(query.excluded.end(), avoided.begin(), avoided.end());
-    auto decision = m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
-    if (std::holds_alternative<placed_target>(decision) || avoided.empty() || m_request.guarded.permit)
+    query.excluded.insert(query.excluded.end(), avoided.never.begin(), avoided.never.end());
+    auto strict = query;
+    strict.excluded.insert(strict.excluded.end(), avoided.ratherNot.begin(), avoided.ratherNot.end());
+    const auto decision = m_services.targets.choose(strict, m_request.allowedTargets, strict.prefixTokens, now);
+    if (std::holds_alternative<placed_target>(decision) || avoided.ratherNot.empty())
         return decision;
-    // In a small group every target may run another suspect. A stream that has begun goes on all the same, on any
-    // target that it has not crashed: a second crash isolates it.
-    const auto crashed = m_services.crashes.targetsThatCrashed(m_request.guarded.fingerprint);
-    query.excluded = action.excluded;
-    query.excluded.insert(query.excluded.end(), crashed.begin(), crashed.end());
     return m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
 }
 
--- a/standins/test/crash_bound.cpp
+++ b/standins/test/crash_bound.cpp
@@ -244,7 +244,7 @@
 
 TEST_F(crash_permit_rules, a_grant_that_lands_after_the_permit_was_given_up_holds_up_nobody)
 {
-    service_faults held;
+    platform_faults held;
     held.delayBefore = milliseconds(1);
     m_table.setFaults(held);
     EXPECT_EQ(finish(m_permit, m_table, m_now, m_permit.acquire()), permit_ended::end::Unavailable);
