--- a/node/crash_guard.h
+++ b/node/crash_guard.h
@@ -53,9 +53,7 @@
     /// Records the end of an admitted request; blocks on the table for an isolated one.
     void finish(guarded_request& request, bool succeeded);
 
-    std::vector<target_id> targetsToAvoid(request_fingerprint fingerprint) const;
-    /// \return only the targets that crashed with this request
-    std::vector<target_id> targetsThatCrashed(request_fingerprint fingerprint) const;
+    avoided_targets targetsToAvoid(request_fingerprint fingerprint) const;
     void attemptStarted(request_fingerprint fingerprint, const target_id& target);
     void attemptEnded(request_fingerprint fingerprint, const target_id& target);
 
