Follow the new errors of unreachable engines in tests and docs

readState and readLoad now report NoTarget when nothing was sent, so the test expected the wrong kind. It requires NoTarget for an unreachable engine, and a new one TargetFailed for a silent engine, which keeps both cases apart; the incarnation of an engine gets its test.

--- a/standins/test/engine_reports.cpp
+++ b/standins/test/engine_reports.cpp
@@ -1,5 +1,6 @@
 // Guards state, load, orders and cache events between the HTTP adapter and an emulated engine.
 #include "standins/test/recording_sink.h"
+#include "standins/test/silent_listener.h"
 #include "targets/prompt_blocks.h"
 
 #include <gtest/gtest.h>
@@ -133,6 +134,26 @@
     low->abort().abort();
 }
 
+TEST(engine_reports, silent_engine_is_another_error_than_an_unreachable_one)
+{
+    silent_listener engine;
+    http_engine_client client;
+    constexpr std::chrono::milliseconds Short { 50 };
+    EXPECT_EQ(client.readState(engine.address(), Short).error().kind, error_kind::TargetFailed);
+    EXPECT_EQ(client.readLoad(engine.address(), Short).error().kind, error_kind::TargetFailed);
+    EXPECT_EQ(client.giveOrder(engine.address(), orderOf(order_kind::Drain, 1), Short).error().kind,
+        error_kind::TargetFailed);
+}
+
+TEST(engine_reports, incarnation_is_kept_while_the_engine_runs)
+{
+    engine_emulator engine(quickEngine());
+    ASSERT_TRUE(engine.start("127.0.0.1:0"));
+    const auto first = http_engine_client().readState(engine.address(), Patience).value().incarnation;
+    EXPECT_NE(first, 0u);
+    EXPECT_EQ(http_engine_client().readState(engine.address(), Patience).value().incarnation, first);
+}
+
 TEST(engine_reports, unreachable_engine_is_an_error)
 {
     std::string address;
@@ -142,8 +163,9 @@
         address = engine.address();
     }
     http_engine_client client;
-    EXPECT_EQ(client.readState(address, Patience).error().kind, error_kind::TargetFailed);
-    EXPECT_EQ(client.readLoad(address, Patience).error().kind, error_kind::TargetFailed);
+    EXPECT_EQ(client.readState(address, Patience).error().kind, error_kind::NoTarget);
+    EXPECT_EQ(client.readLoad(address, Patience).error().kind, error_kind::NoTarget);
+    EXPECT_EQ(client.readCacheEvents(address, 0, Patience).error().kind, error_kind::NoTarget);
     EXPECT_EQ(client.giveOrder(address, orderOf(order_kind::Drain, 1), Patience).error().kind, error_kind::NoTarget);
     EXPECT_FALSE(client.probe(address, std::nullopt, Patience).alive);
 }
--- a/targets/engine_client.h
+++ b/targets/engine_client.h
@@ -106,7 +106,8 @@
     virtual result<engine_load> readLoad(const std::string& address, std::chrono::milliseconds timeout) const = 0;
 
     /// \param after sequence number of the last event known, 0 for all that the engine keeps
-    /// \return events in order, with gaps in their numbers where some were lost, or TargetFailed
+    /// \return events in order, with gaps in their numbers where some were lost; NoTarget when no
+    ///     connection was made, or TargetFailed
     virtual result<cache_events> readCacheEvents(
         const std::string& address, std::uint64_t after, std::chrono::milliseconds timeout) const = 0;
 
