--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -29,7 +29,7 @@
         { error_kind::RequestCrashesTargets, 422, "request_crashes_targets", run_state::MayHaveRun, false },
         { error_kind::GenerationLost, 502, "generation_lost", run_state::MayHaveRun, true },
         { error_kind::TargetFailed, 502, "target_failed", run_state::MayHaveRun, true },
-        { error_kind::OutcomeUnknown, 504, "outcome_unknown", run_state::MayHaveRun, true },
+        { error_kind::OutcomeUnknown, 504, "outcome_unknown", run_state::MayHaveRun, false },
         { error_kind::ClaimUnavailable, 503, "claim_unavailable", run_state::MayHaveRun, true },
         { error_kind::TicketInvalid, 422, "ticket_invalid", run_state::NotRun, false },
         { error_kind::TicketNumberTaken, 409, "ticket_number_taken", run_state::NotRun, false },
