--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -135,21 +135,12 @@
     request.permit.reset();
 }
 
-std::vector<target_id> crash_guard::targetsToAvoid(request_fingerprint fingerprint) const
+avoided_targets crash_guard::targetsToAvoid(request_fingerprint fingerprint) const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     return m_ledger.targetsToAvoid(wallNow(), fingerprint);
 }
 
-std::vector<target_id> crash_guard::targetsThatCrashed(request_fingerprint fingerprint) const
-{
-    std::lock_guard<std::mutex> lock(m_mutex);
-    std::vector<target_id> targets;
-    for (const auto& mark : m_ledger.marks(wallNow(), fingerprint))
-        targets.push_back(mark.target);
-    return targets;
-}
-
 void crash_guard::attemptStarted(request_fingerprint fingerprint, const target_id& target)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
