--- a/core/test/claim_committer.cpp
+++ b/core/test/claim_committer.cpp
@@ -100,6 +100,17 @@
     EXPECT_EQ(committer.finishCommit(at(1000), table_outcome { false, { "other" } }).size(), 1u);
 }
 
+TEST(claim_committer, an_idle_node_of_a_large_fleet_commits_a_claim_and_its_answer_at_once)
+{
+    claim_committer committer({}, 1);
+    committer.setFleetSize(370);
+    committer.add(write(1, "k"));
+    ASSERT_TRUE(committer.takeCommit(at(100'000)));
+    committer.finishCommit(at(100'005), table_outcome { true, {} });
+    committer.add(write(1, "k"));
+    EXPECT_TRUE(committer.takeCommit(at(100'030)));
+}
+
 TEST(claim_committer, bounds_the_pending_rows)
 {
     committer_settings settings;
--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -10,6 +10,7 @@
 #include "wire/messages.pb.h"
 
 #include <set>
+#include <utility>
 
 namespace oriolepick {
 
@@ -138,7 +139,9 @@
 std::vector<target_id> crash_guard::targetsToAvoid(request_fingerprint fingerprint) const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    return m_ledger.targetsToAvoid(wallNow(), fingerprint);
+    auto avoided = m_ledger.targetsToAvoid(wallNow(), fingerprint);
+    avoided.never.insert(avoided.never.end(), avoided.ratherNot.begin(), avoided.ratherNot.end());
+    return std::move(avoided.never);
 }
 
 std::vector<target_id> crash_guard::targetsThatCrashed(request_fingerprint fingerprint) const
