--- a/tool/event_counts.cpp
+++ b/tool/event_counts.cpp
@@ -58,6 +58,10 @@
         if (metric == objective_metric::TruthfulRefusalShare)
             return series;
         series.deployment = labelOr(sample, "deployment", labelOr(sample, "service", AllLabel));
+        // The label of a service is qualified; reports show the caller's fleet already.
+        const auto prefix = series.fleet + "/";
+        if (series.deployment.rfind(prefix, 0) == 0)
+            series.deployment.erase(0, prefix.size());
         // Extra tokens have no priority, so delivered tokens are added up over theirs.
         if (metric != objective_metric::ExtraTokenShare)
             series.priority = labelOr(sample, "priority", AllLabel);
@@ -89,12 +93,14 @@
 
 node_scrape summarizeScrape(const std::string& node, wall_time at, const std::vector<metric_sample>& samples)
 {
-    node_scrape scrape { node, at, {}, {} };
+    node_scrape scrape { node, at, {}, {}, {} };
     for (const auto& sample : samples) {
         if (!std::isfinite(sample.value) || sample.value < 0)
             continue;
         if (sample.name == "oriolepick_ticket_in_force")
             scrape.ticket = sample.value;
+        if (sample.name == "process_cpu_seconds_total")
+            scrape.processSeconds = sample.value;
         for (const auto& source : Counters) {
             if (sample.name != source.name
                 || (source.onlyLabel && labelOr(sample, source.onlyLabel, "") != source.onlyValue))
