Keep RapidCheck from evaluating both sides of conditions in the ticket world

Cause, seen in the disassembly: RC_ASSERT overloads || and &&, so 'RC_ASSERT(!row || row->value == content)' compares the strings of an absent row. Inner parentheses keep the short circuit. The product code was not involved.

--- a/tool/test/racing_operators.h
+++ b/tool/test/racing_operators.h
@@ -120,7 +120,7 @@
     {
         if (!failure) {
             const auto [entry, added] = m_acknowledged.emplace(who.number, who.content);
-            RC_ASSERT(added || entry->second == who.content);
+            RC_ASSERT((added || entry->second == who.content));
         } else if (answerFor(failure->kind).run != run_state::NotRun) {
             who.resubmit = true;
             who.mayBeAccepted = true;
--- a/tool/test/ticket_world.h
+++ b/tool/test/ticket_world.h
@@ -90,7 +90,7 @@
         }
         for (const auto& [number, content] : m_operators.refused()) {
             const auto found = m_accepted.find(number);
-            RC_ASSERT(found == m_accepted.end() || found->second != content);
+            RC_ASSERT((found == m_accepted.end() || found->second != content));
         }
     }
 
@@ -336,10 +336,11 @@
         }
         for (const auto& [accepted, content] : m_accepted) {
             const auto row = m_table.read(ticketRowKey(accepted), Timeout).value();
-            RC_ASSERT(!row || row->value == content);
+            // RC_ASSERT overloads || and evaluates both of its sides; the inner parentheses keep the short circuit.
+            RC_ASSERT((!row || row->value == content));
         }
         for (const auto& [acknowledged, content] : m_operators.acknowledged())
-            RC_ASSERT(m_accepted.count(acknowledged) && m_accepted.at(acknowledged) == content);
+            RC_ASSERT((m_accepted.count(acknowledged) && m_accepted.at(acknowledged) == content));
         for (auto& node : m_nodes) {
             const auto state = node.state->get();
             RC_ASSERT(state->number() >= node.lastSeen);
