--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -30,6 +30,7 @@
     RequestCrashesTargets, ///< The request is quarantined: it crashed several targets.
     GenerationLost, ///< The answer cannot be completed without mixing two generations.
     TargetFailed, ///< The target failed and retries are used up.
+    HandedOver, ///< The stream goes on; reconnect at another node with the cursor.
     OutcomeUnknown, ///< The call was dispatched and its result is not known.
     ClaimUnavailable, ///< The table cannot be reached; another node may have run this key.
     TicketInvalid, ///< The ticket fails validation.
--- a/core/generation.cpp
+++ b/core/generation.cpp
@@ -58,7 +58,7 @@
     if (m_request.deadline && *m_request.deadline <= now) {
         expire();
     } else if (m_draining) {
-        handOver(dispatched() ? error_kind::OutcomeUnknown : error_kind::NodeDraining);
+        handOver(dispatched() ? error_kind::HandedOver : error_kind::NodeDraining);
     } else if (m_request.resume) {
         startFromResumePoint(*m_request.resume, now);
     } else {
--- a/core/generation_stall.cpp
+++ b/core/generation_stall.cpp
@@ -38,7 +38,7 @@
         return;
     m_armed.reset();
     if (m_handOverAt && *m_handOverAt <= now) {
-        handOver(dispatched() ? error_kind::OutcomeUnknown : error_kind::NodeDraining);
+        handOver(dispatched() ? error_kind::HandedOver : error_kind::NodeDraining);
         return;
     }
     checkSecond(now);
--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -139,9 +139,7 @@
 avoided_targets crash_guard::targetsToAvoid(request_fingerprint fingerprint) const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    auto avoided = m_ledger.targetsToAvoid(wallNow(), fingerprint);
-    avoided.never.insert(avoided.never.end(), avoided.ratherNot.begin(), avoided.ratherNot.end());
-    return std::move(avoided.never);
+    return m_ledger.targetsToAvoid(wallNow(), fingerprint);
 }
 
 void crash_guard::attemptStarted(request_fingerprint fingerprint, const target_id& target)
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -20,6 +20,7 @@
     constexpr std::chrono::milliseconds ReconnectGrace { 3000 }; // callers reconnect within a few seconds or not at all
     constexpr std::chrono::milliseconds ProbeTimeout { 250 };
     constexpr std::chrono::milliseconds CancelTimeout { 1000 };
+    constexpr int HighestPriority = 9;
 
     instant clockNow()
     {
@@ -214,8 +215,12 @@
     query.excluded.insert(query.excluded.end(), avoided.never.begin(), avoided.never.end());
     auto strict = query;
     strict.excluded.insert(strict.excluded.end(), avoided.ratherNot.begin(), avoided.ratherNot.end());
+    if (action.preferOtherZone) {
+        const auto suspected = m_services.targets.inZonesOf(action.excluded);
+        strict.excluded.insert(strict.excluded.end(), suspected.begin(), suspected.end());
+    }
     const auto decision = m_services.targets.choose(strict, m_request.allowedTargets, strict.prefixTokens, now);
-    if (std::holds_alternative<placed_target>(decision) || avoided.ratherNot.empty())
+    if (std::holds_alternative<placed_target>(decision) || strict.excluded.size() == query.excluded.size())
         return decision;
     return m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
 }
@@ -241,7 +246,9 @@
     m_services.crashes.attemptStarted(m_request.guarded.fingerprint, placed.target);
     trace("attempt=" + action.attempt.text() + " purpose=" + purposeName(action.purpose)
         + " target=" + placed.target.text());
-    m_events->push(target_chosen { action.attempt, placed.target, placed.model, {} });
+    const auto prefill = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(running.uncachedTokens / placement_costs {}.prefillTokensPerSecond));
+    m_events->push(target_chosen { action.attempt, placed.target, placed.model, prefill });
 }
 
 attempt_observer generation_session::observerFor(const target_id& target) const
@@ -262,7 +269,8 @@
     request.prefix = action.prefix;
     request.seed = m_request.seed;
     request.maxTokens = m_request.generation.maxTokens;
-    request.priority = m_request.priority;
+    // A caller's stream that stands still goes before requests that have not begun.
+    request.priority = action.interrupted ? HighestPriority : m_request.priority;
     running.reader = std::make_unique<attempt_reader_thread>(m_services.engines, running.address, std::move(request),
         stream_timeouts {}, m_events, observerFor(action.target));
 }
--- a/node/target_directory.cpp
+++ b/node/target_directory.cpp
@@ -3,6 +3,7 @@
 #include "core/fleet_state.h"
 
 #include <algorithm>
+#include <set>
 
 namespace oriolepick {
 
@@ -181,6 +182,23 @@
     return record->second.address;
 }
 
+std::vector<target_id> target_directory::inZonesOf(const std::vector<target_id>& targets) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    std::set<availability_zone> zones;
+    for (const auto& target : targets) {
+        const auto record = m_records.find(target);
+        if (record != m_records.end())
+            zones.insert(record->second.profile.zone);
+    }
+    std::vector<target_id> found;
+    for (const auto& [target, record] : m_records) {
+        if (zones.count(record.profile.zone))
+            found.push_back(target);
+    }
+    return found;
+}
+
 bool target_directory::hasLoaded(const target_id& target, const model_ref& model) const
 {
     const auto record = m_records.find(target);
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -71,6 +71,9 @@
     /// \return the address, or nothing for an unknown target
     std::optional<std::string> addressOf(const target_id& target) const;
 
+    /// \return all targets in the zones of \p targets
+    std::vector<target_id> inZonesOf(const std::vector<target_id>& targets) const;
+
     /// \return whether any of \p allowed reports the model with version and adapter
     bool anyLoaded(const model_ref& model, const std::vector<target_id>& allowed) const;
 
