Keep the limit's minimum within the node's share of the places

Cause: two requests per target exceed the places when many nodes share targets with small batches: 8 nodes, 24 targets, batch 4 kept 384 in flight for 96 places.

--- a/bench/bench_zone_loss.cpp
+++ b/bench/bench_zone_loss.cpp
@@ -57,7 +57,7 @@
 int main(int argc, char** argv)
 {
     const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 20261204;
-    // Capacities as measured by bench_placement with this seed.
+    // Near the capacities that bench_placement measures; fixed, so that runs of different builds compare.
     for (const double load : { 0.6, 0.85 }) {
         run(atelierProfile(), 48.7, load, seed);
         run(refillProfile(), 76.0, load, seed);
--- a/core/concurrency_limit.cpp
+++ b/core/concurrency_limit.cpp
@@ -81,7 +81,7 @@
 
 double concurrency_limit::minimum() const
 {
-    return std::max(1.0, m_settings.minimumPerTarget * m_targets);
+    return std::max(1.0, std::min(m_settings.minimumPerTarget * m_targets, m_settings.minimumShare * m_batchPlaces));
 }
 
 double concurrency_limit::maximum() const
--- a/core/concurrency_limit.h
+++ b/core/concurrency_limit.h
@@ -14,7 +14,10 @@
 
 /// Settings of concurrency_limit.
 struct concurrency_settings {
-    double minimumPerTarget = 2; ///< keeps samples coming from cold or slow engines
+    /// Never less, so that samples keep coming from cold or slow engines, but within a share of the batch places: many
+    /// nodes that share targets with small batches would otherwise exceed the places together.
+    double minimumPerTarget = 2;
+    double minimumShare = 0.25;
     double initialShare = 0.75; ///< of the batch places
     /// Requests beyond the batch places that may wait at the targets. There they wait for a place without the queue's
     /// priorities and fairness: 0.05 raised the first token's p95 under 2x overload without more goodput.
@@ -32,8 +35,8 @@
 };
 
 /// Gradient limit: grows while requests use it and their latency stays near the baseline, and shrinks in proportion
-/// when latency rises. It never falls below a minimum per target and grows again without samples, so that no overload,
-/// zone loss or cold start can hold it down.
+/// when latency rises. It never falls below a small minimum and grows again without samples, so that no
+/// overload, zone loss or cold start can hold it down.
 class concurrency_limit {
 public:
     explicit concurrency_limit(concurrency_settings settings = {});
--- a/core/test/concurrency_limit.cpp
+++ b/core/test/concurrency_limit.cpp
@@ -76,6 +76,17 @@
     EXPECT_GT(limit.limit(), 90);
 }
 
+// Failure: 8 nodes that share 24 targets with batches of 4 each keep 48 requests in flight for 96 places.
+TEST(concurrency_limit, minimum_stays_within_the_share_of_the_places)
+{
+    concurrency_limit limit;
+    limit.setCapacity(24, 12);
+    for (int time = 0; time < 20'000; time += 50)
+        limit.recordLatency(milliseconds(10'000), instant(milliseconds(time)));
+    EXPECT_LE(limit.limit(), 12);
+    EXPECT_GE(limit.limit(), 3);
+}
+
 TEST(concurrency_limit, unused_limit_does_not_grow)
 {
     concurrency_limit limit;
