--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -231,9 +231,15 @@
 
 void membership::expireSuspicions(actions& out, instant now)
 {
+    if (!m_mayHaveSuspects)
+        return;
+    m_mayHaveSuspects = false;
     std::vector<node_id> expired;
     for (const auto& [node, member] : m_members) {
-        if (member.update.state == member_state::Suspect && now - member.changedAt >= suspicionTime())
+        if (member.update.state != member_state::Suspect)
+            continue;
+        m_mayHaveSuspects = true;
+        if (now - member.changedAt >= suspicionTime())
             expired.push_back(node);
     }
     for (const auto& node : expired)
--- a/core/membership.h
+++ b/core/membership.h
@@ -150,6 +150,7 @@
     std::map<availability_zone, bool> m_zoneReachable;
     std::map<region_name, bool> m_regionReachable;
     bool m_unitsStale = false;
+    bool m_mayHaveSuspects = false; // spares the scan of all members in most ticks
     std::uint64_t m_sequence = 0;
     instant m_lastTick;
     instant m_nextProbe;
--- a/core/membership_events.cpp
+++ b/core/membership_events.cpp
@@ -88,6 +88,7 @@
         if (update.state == member_state::Dead || update.state == member_state::Left)
             return;
         m_members[update.node] = { update, now };
+        m_mayHaveSuspects = true;
         m_updates.add(update);
         // Probed within one round like all others, at a random place.
         m_probeOrder.insert(
@@ -105,6 +106,7 @@
         return;
     known->second.changedAt = now;
     m_unitsStale = true;
+    m_mayHaveSuspects = true;
     out.push_back(member_changed { update.node, update.state });
 }
 
@@ -128,6 +130,7 @@
     member.changedAt = now;
     m_updates.add(member.update);
     m_unitsStale = true;
+    m_mayHaveSuspects = true;
     out.push_back(member_changed { node, state });
 }
 
