--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -10,6 +10,7 @@
 #include "wire/messages.pb.h"
 
 #include <set>
+#include <utility>
 
 namespace oriolepick {
 
@@ -135,19 +136,12 @@
     request.permit.reset();
 }
 
-std::vector<target_id> crash_guard::targetsToAvoid(request_fingerprint fingerprint) const
+avoided_targets crash_guard::targetsToAvoid(request_fingerprint fingerprint) const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    return m_ledger.targetsToAvoid(wallNow(), fingerprint);
-}
-
-std::vector<target_id> crash_guard::targetsThatCrashed(request_fingerprint fingerprint) const
-{
-    std::lock_guard<std::mutex> lock(m_mutex);
-    std::vector<target_id> targets;
-    for (const auto& mark : m_ledger.marks(wallNow(), fingerprint))
-        targets.push_back(mark.target);
-    return targets;
+    auto avoided = m_ledger.targetsToAvoid(wallNow(), fingerprint);
+    avoided.never.insert(avoided.never.end(), avoided.ratherNot.begin(), avoided.ratherNot.end());
+    return std::move(avoided.never);
 }
 
 void crash_guard::attemptStarted(request_fingerprint fingerprint, const target_id& target)
@@ -222,6 +216,13 @@
     });
 }
 
+crash_counts crash_guard::counts() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto quarantined = m_ledger.quarantined(wallNow());
+    return { m_ledger.fingerprints() - quarantined, quarantined };
+}
+
 void crash_guard::setNodes(const std::vector<node_id>& usable)
 {
     m_nodes = usable;
--- a/node/crash_guard.h
+++ b/node/crash_guard.h
@@ -33,6 +33,12 @@
     std::unique_ptr<crash_permit> permit; ///< only of an isolated request
 };
 
+/// Requests by what crashes of targets say about them.
+struct crash_counts {
+    std::size_t suspected = 0;
+    std::size_t quarantined = 0;
+};
+
 /// Thread-safe.
 class crash_guard {
 public:
@@ -47,15 +53,16 @@
     /// Records the end of an admitted request; blocks on the table for an isolated one.
     void finish(guarded_request& request, bool succeeded);
 
-    std::vector<target_id> targetsToAvoid(request_fingerprint fingerprint) const;
-    /// \return only the targets that crashed with this request
-    std::vector<target_id> targetsThatCrashed(request_fingerprint fingerprint) const;
+    avoided_targets targetsToAvoid(request_fingerprint fingerprint) const;
     void attemptStarted(request_fingerprint fingerprint, const target_id& target);
     void attemptEnded(request_fingerprint fingerprint, const target_id& target);
 
     /// Checks whether a target really crashed and records it with all requests of this node that ran on it.
     void streamsLost(const target_id& target);
 
+    /// \return the requests with a record of crashes
+    crash_counts counts() const;
+
     /// Takes the usable nodes; on the control loop.
     void setNodes(const std::vector<node_id>& usable);
 
--- a/node/node_metrics.h
+++ b/node/node_metrics.h
@@ -21,6 +21,7 @@
     Requests, ///< fleet, kind, code
     Responses, ///< fleet, deployment, priority, result (whole, failed, refused, handed_over, caller_gone)
     Refusals, ///< fleet, code, run
+    FalseRefusals, ///< fleet: a "not run" answer after a token was delivered, must stay 0
     TeamRequests, ///< team, code
     TokensDelivered, ///< fleet, deployment, priority
     TokensExtra, ///< fleet, deployment, kind (output, prefill)
@@ -53,6 +54,9 @@
     Targets, ///< state
     Quarantined, ///< none
     Ready, ///< none
+    ProcessMemory, ///< none; bytes
+    ProcessCpu, ///< none; seconds
+    ControlCpu, ///< none; seconds of the control loop's thread
     Count
 };
 
--- a/tool/test/burn_report.cpp
+++ b/tool/test/burn_report.cpp
@@ -66,6 +66,18 @@
     EXPECT_DOUBLE_EQ(rowOf(report).period.bad, 1);
 }
 
+TEST(burn_report, a_restart_shows_in_the_processor_time_when_the_counters_are_higher_again)
+{
+    auto before = scrape("a", 0s, 100, 1);
+    auto after = scrape("a", 600s, 250, 4);
+    before.processSeconds = 40;
+    after.processSeconds = 30;
+    const auto report = calculate({ before, after });
+    EXPECT_EQ(report.restarts, 1u);
+    EXPECT_DOUBLE_EQ(rowOf(report).period.total, 250);
+    EXPECT_DOUBLE_EQ(rowOf(report).period.bad, 4);
+}
+
 TEST(burn_report, a_series_that_vanished_shows_a_restart)
 {
     node_scrape empty { "a", Start + 60s, {}, std::nullopt };
@@ -167,3 +179,21 @@
         EXPECT_NEAR(row.period.burn, row.deployment == "manuals" ? 1 : 2, 1e-9);
     }
 }
+
+TEST(burn_report, extra_tokens_need_a_declared_objective)
+{
+    const event_series extra { objective_metric::ExtraTokenShare, "atelier", "manuals" };
+    const node_scrape before { "a", Start, { { extra, {} } }, std::nullopt };
+    const node_scrape after { "a", Start + 60s, { { extra, { 1000, 30, {} } } }, std::nullopt };
+    EXPECT_TRUE(calculate({ before, after }).rows.empty());
+    objective_settings settings;
+    settings.deployment = deployment_id(fleet_name("atelier"), "manuals");
+    settings.metric = objective_metric::ExtraTokenShare;
+    settings.goal = 0.02;
+    const auto declared
+        = declaredObjectives({ { { object_kind::Objective, fleet_name("atelier"), "extra" }, settings } });
+    const auto report = calculate({ before, after }, declared);
+    ASSERT_EQ(report.rows.size(), 1u);
+    EXPECT_NEAR(report.rows[0].period.burn, 1.5, 1e-9);
+    EXPECT_EQ(report.rows[0].objective.name, "atelier/extra");
+}
