--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -10,6 +10,7 @@
 #include "wire/messages.pb.h"
 
 #include <set>
+#include <utility>
 
 namespace oriolepick {
 
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -14,6 +14,7 @@
 #include "node/service_endpoint.h"
 
 #include <httplib.h>
+#include <sys/socket.h>
 
 namespace oriolepick {
 
@@ -21,6 +22,7 @@
 
     constexpr const char* JsonType = "application/json";
     constexpr std::chrono::milliseconds ConnectionCheckPeriod { 250 };
+    constexpr int ConnectBacklog = 2048;
     constexpr time_t KeepAliveSeconds = 2; // an idle connection holds a thread
     constexpr time_t ReadTimeoutSeconds = 10;
     constexpr time_t WriteTimeoutSeconds = 10;
@@ -76,6 +78,12 @@
     m_server->new_task_queue = [threads] { return new bounded_task_queue(threads); };
     m_server->set_payload_max_length(static_cast<std::size_t>(configuration.maximumBodyBytes));
     m_server->set_tcp_nodelay(true);
+    // Replaces the library's default, which sets SO_REUSEPORT and lets two processes share a port unnoticed.
+    m_server->set_socket_options([this](int socket) {
+        const int enabled = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+        m_socket = socket;
+    });
     m_server->set_keep_alive_timeout(KeepAliveSeconds);
     m_server->set_read_timeout(ReadTimeoutSeconds);
     m_server->set_write_timeout(WriteTimeoutSeconds);
@@ -91,8 +99,11 @@
     const auto colon = address.rfind(':');
     if (!m_server->is_valid())
         return error { error_kind::Internal, "callers.tls_certificate: cannot be loaded with callers.tls_key", {} };
-    if (m_server->bind_to_port(address.substr(0, colon), std::stoi(address.substr(colon + 1))))
+    if (m_server->bind_to_port(address.substr(0, colon), std::stoi(address.substr(colon + 1)))) {
+        // The library's backlog of 5 drops connects when many callers reconnect at once.
+        ::listen(m_socket, ConnectBacklog);
         return success();
+    }
     return error { error_kind::Internal, "callers.listen: cannot bind " + address, {} };
 }
 
--- a/node/http_edge.h
+++ b/node/http_edge.h
@@ -66,6 +66,7 @@
     const settings& m_settings;
     edge_services m_services;
     std::unique_ptr<httplib::Server> m_server;
+    int m_socket = -1; ///< the listening socket, owned by the server
 };
 
 } // namespace oriolepick
