Spread new requests over the versions in service while one is loaded

A ticket with a new version left new requests without a target until the first engine had loaded it; the node folded tickets with a second copy of the code that the histories test; four metrics were never counted; a target that the instance list calls leaving was not drained by orders. Change: requests choose among the loaded versions by places, state_keeper uses state_in_force, requests and repeated dispatches are counted, two metrics without a source are gone. Conclusion: rolling a version no longer takes a model out of service.

--- a/node/call_driver.cpp
+++ b/node/call_driver.cpp
@@ -12,6 +12,7 @@
 #include "wire/messages.pb.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolepick {
 
@@ -85,7 +86,7 @@
         [this, request = std::move(request), dispatch = std::move(dispatch), onReply = std::move(onReply)](instant) {
             auto [number, actions] = m_desk.open(timeNow(), request);
             m_calls[number] = { dispatch, onReply, false };
-            execute(std::move(actions));
+            execute(actions);
         });
 }
 
@@ -95,7 +96,7 @@
         [this, request = std::move(request), reason = std::move(reason), onReply = std::move(onReply)](instant) {
             auto [number, actions] = m_desk.openRefused(timeNow(), request, reason);
             m_calls[number] = { {}, onReply, false };
-            execute(std::move(actions));
+            execute(actions);
         });
 }
 
@@ -114,7 +115,7 @@
     return describeCall(known, std::chrono::system_clock::now());
 }
 
-void call_driver::execute(desk_actions actions)
+void call_driver::execute(const desk_actions& actions)
 {
     for (const auto& action : actions)
         std::visit([this](const auto& typed) { run(typed); }, action);
@@ -175,6 +176,12 @@
         execute(m_desk.dispatchUnsent(timeNow(), action.number));
         return;
     }
+    if (std::exchange(call->second.sent, true)) {
+        const auto& service = call->second.dispatch.service;
+        m_metrics.add(
+            counter_metric::RepeatedCalls, { { "fleet", service.fleet().value() }, { "service", service.text() } });
+        logError("call dispatched twice", { { "service", service.text() } });
+    }
     const auto& dispatch = call->second.dispatch;
     const bool queued = m_sendTasks.submit(
         [this, action, address = *address, request = dispatch.request, timeouts = dispatch.timeouts] {
@@ -194,10 +201,14 @@
         execute(m_desk.dispatchAnswered(
             timeNow(), number, { outcome.status, contentTypeOf(outcome.headers), outcome.body }));
         break;
-    case service_outcome_kind::NotSent:
+    case service_outcome_kind::NotSent: {
         m_targets.recordUnreachable(target);
+        const auto call = m_calls.find(number);
+        if (call != m_calls.end())
+            call->second.sent = false;
         execute(m_desk.dispatchUnsent(timeNow(), number));
         break;
+    }
     case service_outcome_kind::MayHaveRun:
         execute(m_desk.dispatchBroken(timeNow(), number));
         break;
--- a/node/call_driver.h
+++ b/node/call_driver.h
@@ -61,10 +61,10 @@
     struct open_call {
         call_dispatch dispatch;
         reply_handler onReply;
-        bool replied = false;
+        bool sent = false; ///< a dispatch is under way or may have reached a target
     };
 
-    void execute(desk_actions actions);
+    void execute(const desk_actions& actions);
     void run(const commit_call_rows& action);
     void run(const read_desk_row& action);
     void run(const place_desk_call& action);
--- a/node/completions_endpoint.cpp
+++ b/node/completions_endpoint.cpp
@@ -9,6 +9,7 @@
 #include "node/gate_pass.h"
 #include "node/generation_gate.h"
 #include "node/state_keeper.h"
+#include "node/target_directory.h"
 #include "node/team_limits.h"
 #include "targets/prompt_blocks.h"
 
@@ -113,7 +114,7 @@
     resolved.deployment = *deployment;
     resolved.settings = resolved.state->deployment(*deployment);
     resolved.base.deployment = *deployment;
-    resolved.base.model = resolved.settings->served();
+    resolved.base.model = versionInService(*resolved.settings);
     resolved.base.seed = request.seed.value_or(randomSeed());
     resolved.base.promptDigest = stableHash(request.prompt);
     resolved.base.maximumTokens = request.maximumTokens;
@@ -121,6 +122,26 @@
     return success();
 }
 
+model_ref completions_endpoint::versionInService(const deployment_settings& settings) const
+{
+    const auto wanted = settings.served();
+    const auto versions = m_services.targets.versionsOf(wanted, settings.targets);
+    // While a ticket's new version is being loaded, requests are spread over both versions by their places. Only new
+    // requests choose: a stream keeps the version that it began with.
+    std::size_t places = 0;
+    for (const auto& version : versions)
+        places += version.places;
+    if (!places)
+        return wanted;
+    auto chosen = randomSeed() % places;
+    for (const auto& version : versions) {
+        if (chosen < version.places)
+            return version.model;
+        chosen -= version.places;
+    }
+    return wanted;
+}
+
 result<void> completions_endpoint::resolveCursor(
     const completion_call& call, const completion_request& request, resolved_call& resolved) const
 {
@@ -184,7 +205,7 @@
     const auto tokens = session.generation.promptTokens + session.generation.maxTokens;
     // A resumed stream was admitted and charged before.
     const auto reserved = resumed ? 0 : tokens;
-    const auto limited = m_limits.admit(team, reserved, call.arrived);
+    auto limited = m_limits.admit(team, reserved, call.arrived);
     if (!limited)
         return limited;
     session.permit = std::make_unique<request_permit>(m_limits, team, reserved);
--- a/node/completions_endpoint.h
+++ b/node/completions_endpoint.h
@@ -14,6 +14,7 @@
 
 namespace oriolepick {
 
+struct deployment_settings;
 class authenticator;
 class cursor_codec;
 class fleet_state;
@@ -54,6 +55,7 @@
     struct resolved_call;
 
     result<void> resolveNew(const completion_request& request, resolved_call& resolved) const;
+    model_ref versionInService(const deployment_settings& settings) const;
     result<void> resolveCursor(
         const completion_call& call, const completion_request& request, resolved_call& resolved) const;
     session_request sessionFor(
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -219,7 +219,7 @@
         const auto suspected = m_services.targets.inZonesOf(action.excluded);
         strict.excluded.insert(strict.excluded.end(), suspected.begin(), suspected.end());
     }
-    const auto decision = m_services.targets.choose(strict, m_request.allowedTargets, strict.prefixTokens, now);
+    auto decision = m_services.targets.choose(strict, m_request.allowedTargets, strict.prefixTokens, now);
     if (std::holds_alternative<placed_target>(decision) || strict.excluded.size() == query.excluded.size())
         return decision;
     return m_services.targets.choose(query, m_request.allowedTargets, query.prefixTokens, now);
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -218,6 +218,7 @@
     }
     response.set_content(errorBody(problem, run), JsonType);
     const std::string code(answer.code);
+    m_services.metrics.add(counter_metric::Requests, { { "fleet", fleet }, { "code", code } });
     m_services.metrics.add(counter_metric::Refusals,
         { { "fleet", fleet }, { "code", code }, { "run", std::string(toString(run.value_or(answer.run))) } });
     if (answer.status == 400 || answer.status == 413 || answer.status == 415)
@@ -274,6 +275,7 @@
     const auto served = m_services.services.call(call);
     if (!served.reply)
         return answerError(served.reply.error(), response, served.fleet);
+    m_services.metrics.add(counter_metric::Requests, { { "fleet", served.fleet }, { "code", "ok" } });
     response.status = served.reply.value().status;
     response.set_content(served.reply.value().body, served.reply.value().contentType);
 }
@@ -327,12 +329,16 @@
         outcome = "refused";
     if (outcome == "refused" && stream.session().delivered())
         m_services.metrics.add(counter_metric::FalseRefusals, { { "fleet", request.deployment.fleet().value() } });
+    const auto code = end->finished ? "ok" : std::string(answerFor(end->kind).code);
+    // An error before the first token is counted with its answer.
+    if (end->finished || stream.session().delivered())
+        m_services.metrics.add(
+            counter_metric::Requests, { { "fleet", request.deployment.fleet().value() }, { "code", code } });
     m_services.metrics.add(counter_metric::Responses,
         { { "fleet", request.deployment.fleet().value() }, { "deployment", request.deployment.name() },
             { "priority", std::to_string(request.priority) }, { "result", outcome } });
-    m_services.metrics.add(counter_metric::TeamRequests,
-        { { "team", request.generation.key.team.text() },
-            { "code", end->finished ? "ok" : std::string(answerFor(end->kind).code) } });
+    m_services.metrics.add(
+        counter_metric::TeamRequests, { { "team", request.generation.key.team.text() }, { "code", code } });
 }
 
 } // namespace oriolepick
--- a/node/node_metrics.cpp
+++ b/node/node_metrics.cpp
@@ -19,7 +19,7 @@
     };
 
     constexpr std::array<metric_row, static_cast<std::size_t>(counter_metric::Count)> Counters { {
-        { "oriolepick_requests_total", "Requests of callers by kind and code of the answer" },
+        { "oriolepick_requests_total", "Requests of callers by code of the answer" },
         { "oriolepick_responses_total", "Generations by how their response ended" },
         { "oriolepick_refusals_total", "Refusals by code and by what they say about the work" },
         { "oriolepick_false_refusals_total", "Answers \"not run\" after a token was delivered; must stay 0" },
@@ -34,7 +34,6 @@
         { "oriolepick_peer_messages_total", "Messages between nodes" },
         { "oriolepick_peer_bytes_total", "Bytes of messages between nodes" },
         { "oriolepick_platform_operations_total", "Operations on the platform by outcome" },
-        { "oriolepick_log_lines_total", "Log lines by level" },
     } };
 
     struct histogram_row {
@@ -54,8 +53,6 @@
                 { 0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10 } },
             { "oriolepick_call_seconds", "Time of calls to plain services",
                 { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5 } },
-            { "oriolepick_ticket_delay_seconds", "Time from acceptance of a ticket to in force on this node",
-                { 0.1, 0.25, 0.5, 1, 2, 3, 5, 8, 13, 30, 60 } },
         } };
         return rows;
     }
--- a/node/node_metrics.h
+++ b/node/node_metrics.h
@@ -18,7 +18,7 @@
 namespace oriolepick {
 
 enum class counter_metric {
-    Requests, ///< fleet, kind, code
+    Requests, ///< fleet, code ("ok" for a whole answer)
     Responses, ///< fleet, deployment, priority, result (whole, failed, refused, handed_over, caller_gone)
     Refusals, ///< fleet, code, run
     FalseRefusals, ///< fleet: a "not run" answer after a token was delivered, must stay 0
@@ -33,7 +33,6 @@
     PeerMessages, ///< direction
     PeerBytes, ///< direction
     PlatformOperations, ///< operation, outcome
-    LogLines, ///< level
     Count
 };
 
@@ -42,7 +41,6 @@
     InterToken, ///< fleet, deployment, priority; seconds
     Resume, ///< fleet, deployment, priority; seconds
     CallTime, ///< fleet, service; seconds
-    TicketDelay, ///< none; seconds from acceptance to in force here
     Count
 };
 
--- a/node/order_driver.cpp
+++ b/node/order_driver.cpp
@@ -144,7 +144,7 @@
         entry.capacity = settings->capacity;
         entry.wanted = desired->model;
         entry.wantedRole = desired->role;
-        entry.leaving = desired->leaving;
+        entry.leaving = desired->leaving || m_targets.isListedAsLeaving(target);
         if (const auto observed = m_targets.observed(target)) {
             entry.reachable = true;
             entry.draining = observed->draining;
--- a/node/state_keeper.h
+++ b/node/state_keeper.h
@@ -1,8 +1,9 @@
 /// \file
-/// The state in force on this node, published by pointer: readers take the pointer and are never blocked by a change.
+/// The state in force on this node with the parts that follow its changes. Readers take a pointer to an immutable state
+/// and are never blocked by a change.
 #pragma once
 
-#include "core/ticket.h"
+#include "config/state_in_force.h"
 
 #include <functional>
 #include <memory>
@@ -11,28 +12,24 @@
 
 namespace oriolepick {
 
-class fleet_state;
-
 /// Holds the state and moves it forward only. Thread-safe.
 class state_keeper {
 public:
     using listener = std::function<void(const std::shared_ptr<const fleet_state>&)>;
 
-    state_keeper();
-
     /// Adds a function that runs after each change, on the thread that makes it. Called before the first change.
     void addListener(listener onChange);
 
-    /// Takes over a state if its number is higher than the one in force.
-    /// \return whether the state changed
-    bool publish(const std::shared_ptr<const fleet_state>& next);
+    /// Folds in a batch of tickets and tells the listeners when the number in force grew.
+    /// \return the number in force, or TicketInvalid: nothing changes then
+    result<ticket_number> apply(const ticket_batch& batch);
 
     /// \return the state in force; number 0 before the first ticket is known
-    std::shared_ptr<const fleet_state> current() const { return std::atomic_load(&m_state); }
+    std::shared_ptr<const fleet_state> current() const { return m_states.get(); }
 
 private:
-    std::mutex m_mutex; ///< serialises changes
-    std::shared_ptr<const fleet_state> m_state;
+    std::mutex m_mutex; ///< serialises changes with their listeners
+    state_in_force m_states;
     std::vector<listener> m_listeners;
 };
 
--- a/node/target_directory.cpp
+++ b/node/target_directory.cpp
@@ -113,8 +113,9 @@
 void target_directory::setLeavingAddresses(const std::vector<std::string>& addresses)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    for (const auto& [target, record] : m_records) {
-        if (std::find(addresses.begin(), addresses.end(), record.address) != addresses.end())
+    for (auto& [target, record] : m_records) {
+        record.leavingByList = std::find(addresses.begin(), addresses.end(), record.address) != addresses.end();
+        if (record.leavingByList)
             m_view.markLeaving(target, leaving_source::InstanceList);
         else
             m_view.clearLeaving(target, leaving_source::InstanceList);
@@ -173,6 +174,13 @@
     return m_paces.paceOf(target);
 }
 
+bool target_directory::isListedAsLeaving(const target_id& target) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto record = m_records.find(target);
+    return record != m_records.end() && record->second.leavingByList;
+}
+
 std::optional<std::string> target_directory::addressOf(const target_id& target) const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -245,6 +253,26 @@
     return found;
 }
 
+std::vector<target_directory::loaded_version> target_directory::versionsOf(
+    const model_ref& wanted, const std::vector<target_id>& targets) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    std::map<model_ref, std::size_t> places;
+    for (const auto& target : targets) {
+        const auto record = m_records.find(target);
+        if (record == m_records.end() || m_view.state(target) != target_state::Live)
+            continue;
+        for (const auto& loaded : record->second.loaded) {
+            if (loaded.model == wanted.model && loaded.adapter == wanted.adapter)
+                places[loaded] += record->second.profile.batchLimit;
+        }
+    }
+    std::vector<loaded_version> versions;
+    for (const auto& [model, count] : places)
+        versions.push_back({ model, count });
+    return versions;
+}
+
 std::size_t target_directory::reportingEngines() const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -68,6 +68,9 @@
     void recordGap(const target_id& target, std::chrono::microseconds gap, instant now);
     std::optional<target_pace> paceOf(const target_id& target) const override;
 
+    /// \return whether the platform's list announced that the target is leaving
+    bool isListedAsLeaving(const target_id& target) const;
+
     /// \return the address, or nothing for an unknown target
     std::optional<std::string> addressOf(const target_id& target) const;
 
@@ -79,6 +82,14 @@
 
     std::vector<polled_target> engines() const;
 
+    /// A version in service and its places for requests.
+    struct loaded_version {
+        model_ref model;
+        std::size_t places = 0;
+    };
+    /// \return what the live targets among \p targets have loaded of the same model and adapter as \p wanted
+    std::vector<loaded_version> versionsOf(const model_ref& wanted, const std::vector<target_id>& targets) const;
+
     /// \return the incarnation that an engine last reported, 0 when unknown
     std::uint64_t incarnationOf(const target_id& target) const;
 
@@ -111,6 +122,7 @@
         bool engine = true;
         std::optional<engine_state> observed;
         std::uint64_t incarnation = 0;
+        bool leavingByList = false;
         std::vector<model_ref> loaded; ///< of the last report, kept while the target cannot be reached
     };
 
--- a/node/test/operator_status.cpp
+++ b/node/test/operator_status.cpp
@@ -1,5 +1,6 @@
 // Guards the operators' status: members, leases, targets or crash counts that are missing or belong to another object.
 #include "config/settings.h"
+#include "config/ticket_json.h"
 #include "core/fleet_state.h"
 #include "node/control_view.h"
 #include "node/crash_guard.h"
@@ -34,7 +35,7 @@
     target_directory targets(
         node_id("127.0.0.1:9"), availability_zone("zone-a"), region_name("r"), makePlacementStrategy("cost_based"), 1);
     states.addListener([&](const auto& state) { targets.applyState(state); });
-    states.publish(fleet_state().after({ first }));
+    ASSERT_TRUE(states.apply({ 0, "", 1, { encodeTicket(first) }, 1 }));
     trace_store traces(1);
     node_status status;
     control_view control;
--- a/node/ticket_driver.cpp
+++ b/node/ticket_driver.cpp
@@ -1,7 +1,6 @@
 #include "node/ticket_driver.h"
 
 #include "config/snapshot_json.h"
-#include "config/ticket_json.h"
 #include "core/fleet_state.h"
 #include "core/grant_owner.h"
 #include "core/ticket_compaction.h"
@@ -42,9 +41,9 @@
         });
     peers.handle(
         wire::envelope::kTicketBatch, [this](const node_id& sender, const wire::envelope& message, instant now) {
-            auto batch = decode(message.ticket_batch());
+            const auto batch = decode(message.ticket_batch());
             if (batch)
-                execute(m_distributor.batchArrived(now, sender, *std::move(batch)), now);
+                execute(m_distributor.batchArrived(now, sender, *batch), now);
             return batch.has_value();
         });
     peers.watchNumbers([this](const node_id& sender, std::uint64_t number, instant now) {
@@ -132,48 +131,21 @@
     });
 }
 
-std::shared_ptr<const fleet_state> ticket_driver::fold(const ticket_batch& batch) const
-{
-    auto state = m_states.current();
-    if (batch.snapshotNumber > state->number()) {
-        auto restored = parseSnapshot(batch.snapshot);
-        if (!restored || restored.value()->number() != batch.snapshotNumber)
-            return nullptr;
-        state = restored.value();
-    }
-    std::vector<ticket> tickets;
-    for (const auto& text : batch.tickets) {
-        auto parsed = parseTicket(text);
-        if (!parsed.value)
-            return nullptr;
-        if (parsed.value->number <= state->number())
-            continue;
-        if (parsed.value->number != state->number() + tickets.size() + 1)
-            return nullptr;
-        tickets.push_back(std::move(*parsed.value));
-    }
-    return tickets.empty() ? state : state->after(tickets);
-}
-
 void ticket_driver::run(const ticket_distributor::apply_batch& action)
 {
-    const auto next = fold(action.batch);
-    if (!next) {
+    const auto before = m_states.current()->number();
+    const auto applied = m_states.apply(action.batch);
+    if (!applied) {
         // An unreadable ticket is not skipped, because later tickets build on it; it is asked for again.
         m_metrics.add(counter_metric::BadInput, { { "entrance", "tickets" } });
         return;
     }
-    publish(next);
-    execute(m_distributor.applied(next->number()), m_now);
-}
-
-void ticket_driver::publish(const std::shared_ptr<const fleet_state>& next)
-{
-    if (!m_states.publish(next))
-        return;
-    m_metrics.set(gauge_metric::TicketInForce, {}, static_cast<double>(next->number()));
-    logInfo("ticket in force", { { "ticket", std::to_string(next->number()) } });
-    maybeCompact(next);
+    if (applied.value() > before) {
+        m_metrics.set(gauge_metric::TicketInForce, {}, static_cast<double>(applied.value()));
+        logInfo("ticket in force", { { "ticket", std::to_string(applied.value()) } });
+        maybeCompact(m_states.current());
+    }
+    execute(m_distributor.applied(applied.value()), m_now);
 }
 
 void ticket_driver::maybeCompact(const std::shared_ptr<const fleet_state>& state)
--- a/node/ticket_driver.h
+++ b/node/ticket_driver.h
@@ -37,8 +37,6 @@
     void run(const ticket_distributor::read_head& action);
     void run(const ticket_distributor::read_tail& action);
     void run(const ticket_distributor::apply_batch& action);
-    std::shared_ptr<const fleet_state> fold(const ticket_batch& batch) const;
-    void publish(const std::shared_ptr<const fleet_state>& next);
     void maybeCompact(const std::shared_ptr<const fleet_state>& state);
     void countOperation(const char* operation, bool succeeded);
 
