--- a/node/completions_endpoint.cpp
+++ b/node/completions_endpoint.cpp
@@ -124,7 +124,7 @@
 
 model_ref completions_endpoint::versionInService(const deployment_settings& settings) const
 {
-    const auto wanted = settings.served();
+    auto wanted = settings.served();
     const auto versions = m_services.targets.versionsOf(wanted, settings.targets);
     // While a ticket's new version is being loaded, requests are spread over both versions by their places. Only new
     // requests choose: a stream keeps the version that it began with.
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -1,6 +1,7 @@
 #include "node/generation_session.h"
 
 #include "node/event_channel.h"
+#include "node/generation_names.h"
 #include "node/node_metrics.h"
 #include "node/target_directory.h"
 #include "node/task_pool.h"
@@ -39,56 +40,6 @@
         return nullptr;
     }
 
-    const char* purposeName(attempt_purpose purpose)
-    {
-        switch (purpose) {
-        case attempt_purpose::Start:
-            return "start";
-        case attempt_purpose::Continue:
-            return "continue";
-        case attempt_purpose::Replay:
-            return "replay";
-        case attempt_purpose::Hedge:
-            break;
-        }
-        return "hedge";
-    }
-
-    const char* counterName(generation_counter counter)
-    {
-        switch (counter) {
-        case generation_counter::OldAttemptToken:
-            return "old_attempt_token";
-        case generation_counter::RepeatedToken:
-            return "repeated_token";
-        case generation_counter::TokenGap:
-            return "token_gap";
-        case generation_counter::Suspicion:
-            return "suspicion";
-        case generation_counter::FalseSuspicion:
-            return "false_suspicion";
-        case generation_counter::Hedge:
-            return "hedge";
-        case generation_counter::HedgeWon:
-            return "hedge_won";
-        case generation_counter::Attach:
-            return "attach";
-        case generation_counter::AttachWorked:
-            return "attach_worked";
-        case generation_counter::Resumed:
-            return "resumed";
-        case generation_counter::DigestMismatch:
-            return "digest_mismatch";
-        case generation_counter::WrongVersion:
-            return "wrong_version";
-        case generation_counter::RetryDenied:
-            return "retry_denied";
-        case generation_counter::Superseded:
-            break;
-        }
-        return "superseded";
-    }
-
 } // namespace
 
 request_priority placementPriority(int priority)
@@ -244,7 +195,7 @@
     running.counted = true;
     running.dispatched = clockNow();
     m_services.crashes.attemptStarted(m_request.guarded.fingerprint, placed.target);
-    trace("attempt=" + action.attempt.text() + " purpose=" + purposeName(action.purpose)
+    trace("attempt=" + action.attempt.text() + " purpose=" + toString(action.purpose)
         + " target=" + placed.target.text());
     const auto prefill = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::duration<double>(running.uncachedTokens / placement_costs {}.prefillTokensPerSecond));
@@ -380,9 +331,9 @@
     if (action.counter == generation_counter::Suspicion)
         m_interrupted = true;
     m_services.metrics.add(counter_metric::GenerationEvents,
-        { { "fleet", m_request.deployment.fleet().value() }, { "event", counterName(action.counter) } });
+        { { "fleet", m_request.deployment.fleet().value() }, { "event", toString(action.counter) } });
     if (action.counter == generation_counter::Suspicion || action.counter == generation_counter::Resumed)
-        trace(std::string(counterName(action.counter)) + " position=" + std::to_string(m_generation.position()));
+        trace(std::string(toString(action.counter)) + " position=" + std::to_string(m_generation.position()));
 }
 
 void generation_session::stopReader(const attempt_id& attempt)
--- a/tool/burn_html.cpp
+++ b/tool/burn_html.cpp
@@ -22,11 +22,11 @@
     constexpr const char* Style = R"(<style>
 :root{color-scheme:light dark;--page:#fff;--text:#1b1f24;--muted:#57606a;--line:#d0d7de;--card:#f6f8fa;--good:#1a7f37;--warn:#9a6700;--bad:#cf222e;--badback:#ffebe9;--plot:#0969da}
 @media(prefers-color-scheme:dark){:root{--page:#0d1117;--text:#e6edf3;--muted:#9198a1;--line:#3d444d;--card:#151b23;--good:#3fb950;--warn:#d29922;--bad:#ff7b72;--badback:#3a1618;--plot:#58a6ff}}
-body{background:var(--page);color:var(--text);font:15px/1.45 system-ui,sans-serif;margin:24px auto;max-width:1280px;padding:0 16px}
+body{background:var(--page);color:var(--text);font:15px/1.45 system-ui,sans-serif;margin:24px auto;max-width:1480px;padding:0 16px}
 h1{font-size:24px;margin:0 0 4px}h2{font-size:18px;margin:28px 0 8px}p{margin:4px 0}.muted{color:var(--muted)}
 .banner{border:1px solid var(--line);border-left:6px solid var(--good);background:var(--card);padding:10px 14px;margin:14px 0;border-radius:4px}
 .banner.bad{border-left-color:var(--bad);background:var(--badback)}.banner ul{margin:6px 0 0;padding-left:20px}
-.wide{overflow-x:auto}table{border-collapse:collapse;width:100%}th,td{padding:5px 9px;border-bottom:1px solid var(--line);text-align:right;white-space:nowrap;font-variant-numeric:tabular-nums}
+.wide{overflow-x:auto}table{border-collapse:collapse;width:100%}th,td{padding:5px 6px;border-bottom:1px solid var(--line);text-align:right;white-space:nowrap;font-variant-numeric:tabular-nums}
 th{color:var(--muted);font-weight:600;font-size:13px}th:first-child,td:first-child{text-align:left}tr.sum td{font-weight:600}
 .good{color:var(--good)}.warn{color:var(--warn)}.bad{color:var(--bad);font-weight:700}svg{display:block;margin-left:auto}
 .bar{fill:var(--line)}.left{fill:var(--good)}.left.warn{fill:var(--warn)}.left.bad{fill:var(--bad)}
@@ -135,8 +135,8 @@
                            "<th>goal</th><th>events</th><th>bad</th><th>budget left of "
             + windowText(report.period.count()) + "</th>";
         for (const auto& window : BurnWindows)
-            html += "<th>burn " + windowText(window.count()) + "</th>";
-        return html + "<th>burn over the scrapes' time</th></tr></thead><tbody>\n";
+            html += "<th>" + windowText(window.count()) + "</th>";
+        return html + "<th>burn rate over the scrapes' time</th></tr></thead><tbody>\n";
     }
 
 } // namespace
