--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -1,6 +1,7 @@
 #include "node/crash_guard.h"
 
 #include "node/control_loop.h"
+#include "node/event_channel.h"
 #include "node/node_log.h"
 #include "node/node_metrics.h"
 #include "node/peer_hub.h"
@@ -51,8 +52,11 @@
             return false;
         crash_event event { report.crash(), *target, wallNow(),
             { report.in_flight().begin(), report.in_flight().end() } };
-        std::lock_guard<std::mutex> lock(m_mutex);
-        m_ledger.recordCrash(event.at, event);
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_ledger.recordCrash(event.at, event);
+        }
+        notifyStreams(event.target);
         return true;
     });
     loop.every(ExpirePeriod, [this](instant) { expire(); });
@@ -142,14 +146,17 @@
     return m_ledger.targetsToAvoid(wallNow(), fingerprint);
 }
 
-void crash_guard::attemptStarted(request_fingerprint fingerprint, const target_id& target)
+void crash_guard::attemptStarted(
+    request_fingerprint fingerprint, const target_id& target, const std::shared_ptr<event_channel>& events)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     m_ledger.attemptStarted(fingerprint, target);
     m_inFlight[target].insert(fingerprint);
+    m_streams[target].insert(events);
 }
 
-void crash_guard::attemptEnded(request_fingerprint fingerprint, const target_id& target)
+void crash_guard::attemptEnded(
+    request_fingerprint fingerprint, const target_id& target, const std::shared_ptr<event_channel>& events)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     m_ledger.attemptEnded(fingerprint, target);
@@ -157,6 +164,20 @@
     const auto found = running.find(fingerprint);
     if (found != running.end())
         running.erase(found);
+    auto& streams = m_streams[target];
+    const auto stream = streams.find(events);
+    if (stream != streams.end())
+        streams.erase(stream);
+}
+
+void crash_guard::notifyStreams(const target_id& target)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_streams.find(target);
+    if (found == m_streams.end())
+        return;
+    for (const auto& events : found->second)
+        events->push(target_lost { target });
 }
 
 bool crash_guard::stillRuns(const target_id& target, std::uint64_t incarnation) const
@@ -194,6 +215,7 @@
     m_metrics.add(counter_metric::StateChanges, { { "part", "target" }, { "to", "crashed" } });
     logWarning("target",
         { { "target", target.text() }, { "to", "crashed" }, { "suspects", std::to_string(event.suspects.size()) } });
+    notifyStreams(target);
     broadcast(event);
 }
 
--- a/node/crash_guard.h
+++ b/node/crash_guard.h
@@ -21,6 +21,7 @@
 namespace oriolepick {
 
 class control_loop;
+class event_channel;
 class engine_client;
 class node_metrics;
 class peer_hub;
@@ -54,8 +55,12 @@
     void finish(guarded_request& request, bool succeeded);
 
     avoided_targets targetsToAvoid(request_fingerprint fingerprint) const;
-    void attemptStarted(request_fingerprint fingerprint, const target_id& target);
-    void attemptEnded(request_fingerprint fingerprint, const target_id& target);
+
+    /// \param events is told when the target is known to have crashed, by this node's other streams or by a peer
+    void attemptStarted(
+        request_fingerprint fingerprint, const target_id& target, const std::shared_ptr<event_channel>& events);
+    void attemptEnded(
+        request_fingerprint fingerprint, const target_id& target, const std::shared_ptr<event_channel>& events);
 
     /// Checks whether a target really crashed and records it with all requests of this node that ran on it.
     void streamsLost(const target_id& target);
@@ -70,6 +75,7 @@
     template <typename Action> permit_ended::end runPermit(crash_permit& permit, Action action);
     bool stillRuns(const target_id& target, std::uint64_t incarnation) const;
     void broadcast(const crash_event& event);
+    void notifyStreams(const target_id& target);
     void expire();
 
     std::string m_holderPrefix;
@@ -84,6 +90,7 @@
     mutable std::mutex m_mutex; ///< guards the ledger and the in-flight sets
     crash_ledger m_ledger;
     std::map<target_id, std::multiset<request_fingerprint>> m_inFlight;
+    std::map<target_id, std::multiset<std::shared_ptr<event_channel>>> m_streams; ///< running attempts' channels
     std::set<std::uint64_t> m_known; ///< crashes that were recorded here
     std::vector<node_id> m_nodes;
     std::atomic<std::uint64_t> m_counter { 0 };
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -194,7 +194,7 @@
     running.uncachedTokens = query.prefixTokens - std::min(placed.cachedTokens, query.prefixTokens);
     running.counted = true;
     running.dispatched = clockNow();
-    m_services.crashes.attemptStarted(m_request.guarded.fingerprint, placed.target);
+    m_services.crashes.attemptStarted(m_request.guarded.fingerprint, placed.target, m_events);
     trace("attempt=" + action.attempt.text() + " purpose=" + toString(action.purpose)
         + " target=" + placed.target.text());
     const auto prefill = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -347,7 +347,7 @@
         return;
     running.counted = false;
     m_services.targets.recordFinished(running.target, running.uncachedTokens, running.started, clockNow());
-    m_services.crashes.attemptEnded(m_request.guarded.fingerprint, running.target);
+    m_services.crashes.attemptEnded(m_request.guarded.fingerprint, running.target, m_events);
 }
 
 void generation_session::countUsage()
