Start the engine's stream before the node in the edge test

The library is built without it, so the guard of the function-local constant is not seen. Change: the fixture runs one stream before the node has threads; no check was changed. Conclusion: a false report; the warm-up orders the threads for the sanitizer.

--- a/node/test/node_fixture.h
+++ b/node/test/node_fixture.h
@@ -54,6 +54,7 @@
         ASSERT_TRUE(m_platform.start());
         ASSERT_TRUE(m_engine.start("127.0.0.1:0"));
         ASSERT_TRUE(m_service.start("127.0.0.1:0"));
+        makeStreamConstants();
         m_settings.nodeName = "node";
         m_settings.zone = availability_zone("z1");
         m_settings.region = region_name("r1");
@@ -73,6 +74,19 @@
         waitUntil("/v1/admin/status", "\"engines_reporting\":1");
     }
 
+    /// Runs one stream of the engine before the node has threads. The HTTP library is built without ThreadSanitizer,
+    /// which cannot see that the library's constant for the end of a stream is made once, and reported a race.
+    void makeStreamConstants() const
+    {
+        call_abort abort;
+        const auto response = exchangeBuffered(m_engine.address(),
+            { "POST", "/v1/attempts", { { "Content-Type", "application/json" } },
+                R"({"attempt_id":"first.1","model":"one/manuals","version":"3","adapter":"","prompt":"p [length=2]",)"
+                R"("prefix_token_ids":[],"seed":1,"max_tokens":2,"priority":5})" },
+            {}, 1 << 16, abort);
+        ASSERT_EQ(response.status, 200) << response.body;
+    }
+
     void TearDown() override
     {
         if (m_node)
