--- a/node/locked_admission.h
+++ b/node/locked_admission.h
@@ -1,8 +1,9 @@
 /// \file
-/// Makes the node's retry budget usable by all request threads.
+/// Makes the node's retry budget with its pacer usable by all request threads.
 #pragma once
 
 #include "core/resume_admission.h"
+#include "core/resume_pacer.h"
 #include "core/retry_budget.h"
 #include "core/seeded_random.h"
 
@@ -15,7 +16,8 @@
 public:
     locked_admission(const retry_budget_settings& settings, std::uint64_t seed, instant now)
         : m_random(seed)
-        , m_budget(settings, nullptr, m_random, now)
+        , m_pacer(resume_pacer_settings {}, now)
+        , m_budget(settings, &m_pacer, m_random, now)
     {
     }
 
@@ -34,6 +36,7 @@
 private:
     std::mutex m_mutex;
     seeded_random m_random;
+    resume_pacer m_pacer;
     retry_budget m_budget;
 };
 
