--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-    constexpr std::array<error_answer, 33> Answers { {
+    constexpr std::array<error_answer, 34> Answers { {
         { error_kind::BadRequest, 400, "bad_request", run_state::NotRun, false },
         { error_kind::UnsupportedMediaType, 415, "unsupported_media_type", run_state::NotRun, false },
         { error_kind::BodyTooLarge, 413, "body_too_large", run_state::NotRun, false },
+        { error_kind::HeaderTooLarge, 431, "header_too_large", run_state::NotRun, false },
         { error_kind::Unauthorized, 401, "unauthorized", run_state::NotRun, false },
         { error_kind::Forbidden, 403, "forbidden", run_state::NotRun, false },
         { error_kind::UnknownModel, 404, "unknown_model", run_state::NotRun, false },
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -12,6 +12,7 @@
     BadRequest, ///< The request's form is wrong; the message names the field.
     UnsupportedMediaType, ///< The body is not JSON.
     BodyTooLarge, ///< The body is larger than the configured limit.
+    HeaderTooLarge, ///< The header fields are larger than the configured limit.
     Unauthorized, ///< No valid token.
     Forbidden, ///< A valid token without the right to this object.
     UnknownModel, ///< No such deployment in the caller's fleet.
--- /dev/null
+++ b/gateway/answer_sink.h
@@ -0,0 +1,34 @@
+/// \file
+/// Where an exchange sends its answer.
+#pragma once
+
+#include "gateway/http_message.h"
+
+#include <string_view>
+
+namespace oriolepick {
+
+/// The caller's side of one request. Exactly one of sendWhole, endStream and breakOff ends the answer.
+class answer_sink {
+public:
+    virtual ~answer_sink() = default;
+
+    /// Sends a complete answer.
+    virtual void sendWhole(const http_response_head& head, std::string_view body) = 0;
+
+    /// Starts an answer of unknown length.
+    virtual void beginStream(const http_response_head& head) = 0;
+
+    virtual void sendPiece(std::string_view bytes) = 0;
+
+    /// Ends a streamed answer as complete.
+    virtual void endStream() = 0;
+
+    /// Ends the answer in a way that cannot look complete.
+    virtual void breakOff() = 0;
+
+    /// \return bytes that the caller has not taken yet
+    virtual std::size_t unsentBytes() const = 0;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/byte_channel.cpp
@@ -0,0 +1,162 @@
+#include "gateway/byte_channel.h"
+
+#include "gateway/socket_address.h"
+
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace oriolepick {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+byte_channel::byte_channel(asio::ip::tcp::socket socket, const channel_settings& settings)
+    : m_socket(std::move(socket))
+    , m_settings(settings)
+{
+    if (m_socket.is_open())
+        configure();
+}
+
+void byte_channel::configure()
+{
+    error_code ignored; // a connection that lacks an option still works; it only notices a dead peer later
+    m_socket.non_blocking(true, ignored);
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const auto set = [this](int option, int value) {
+        setsockopt(m_socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+    };
+    set(TCP_KEEPIDLE, static_cast<int>(m_settings.keepAliveIdle.count()));
+    set(TCP_KEEPINTVL, static_cast<int>(m_settings.keepAliveInterval.count()));
+    set(TCP_KEEPCNT, m_settings.keepAliveProbes);
+    set(TCP_USER_TIMEOUT, static_cast<int>(m_settings.userTimeout.count()));
+}
+
+void byte_channel::connect(const std::string& address)
+{
+    const auto endpoint = parseSocketAddress(address);
+    error_code error;
+    if (endpoint)
+        m_socket.open(endpoint->protocol(), error);
+    if (!endpoint || error) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->end(channel_end::Refused); });
+        return;
+    }
+    configure();
+    m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code& failed) {
+        if (!self->m_open)
+            return;
+        if (failed) {
+            self->end(channel_end::Refused);
+            return;
+        }
+        if (const auto listener = self->m_listener.lock())
+            listener->onConnected();
+        self->startReading();
+    });
+}
+
+void byte_channel::startReading()
+{
+    if (!m_reading && m_open && !m_paused)
+        read();
+}
+
+void byte_channel::pauseReading(bool paused)
+{
+    m_paused = paused;
+    startReading();
+}
+
+void byte_channel::read()
+{
+    m_reading = true;
+    m_socket.async_read_some(
+        asio::buffer(m_input), [self = shared_from_this()](const error_code& error, std::size_t size) {
+            self->m_reading = false;
+            if (!self->m_open)
+                return;
+            if (error) {
+                self->end(error == asio::error::eof ? channel_end::Closed : channel_end::Reset);
+                return;
+            }
+            if (const auto listener = self->m_listener.lock())
+                listener->onBytes({ self->m_input.data(), size });
+            self->startReading();
+        });
+}
+
+void byte_channel::send(std::string_view bytes)
+{
+    if (!m_open)
+        return;
+    if (!m_writeActive && m_output.empty()) {
+        error_code error;
+        const auto sent = m_socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+        if (!error)
+            bytes.remove_prefix(sent);
+        else if (error != asio::error::would_block && error != asio::error::try_again) {
+            // The owner is in the middle of a step; it hears of the loss when that step is done.
+            asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->end(channel_end::Reset); });
+            return;
+        }
+    }
+    if (bytes.empty())
+        return;
+    m_output.append(bytes);
+    write();
+}
+
+void byte_channel::write()
+{
+    if (m_writeActive || m_output.empty())
+        return;
+    m_writeActive = true;
+    m_writing.swap(m_output);
+    m_output.clear();
+    asio::async_write(
+        m_socket, asio::buffer(m_writing), [self = shared_from_this()](const error_code& error, std::size_t) {
+            self->m_writeActive = false;
+            self->m_writing.clear();
+            if (!self->m_open)
+                return;
+            if (error) {
+                self->end(channel_end::Reset);
+                return;
+            }
+            self->write();
+            if (self->m_closing && !self->m_writeActive)
+                self->close();
+        });
+}
+
+void byte_channel::closeAfterSending()
+{
+    m_closing = true;
+    if (!m_writeActive && m_output.empty())
+        close();
+}
+
+void byte_channel::close()
+{
+    if (!m_open)
+        return;
+    m_open = false;
+    error_code ignored; // closing what the peer has closed already fails without harm
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+}
+
+void byte_channel::end(channel_end end)
+{
+    if (!m_open)
+        return;
+    close();
+    if (const auto listener = m_listener.lock())
+        listener->onEnd(end);
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/caller_session.cpp
@@ -0,0 +1,244 @@
+#include "gateway/caller_session.h"
+
+#include "core/error_kind.h"
+#include "core/seeded_random.h"
+#include "core/text.h"
+#include "gateway/config_in_force.h"
+#include "gateway/error_answer_head.h"
+#include "gateway/exchange.h"
+#include "gateway/gateway_metrics.h"
+#include "routing/route_table.h"
+
+#include <boost/asio/post.hpp>
+
+namespace oriolepick {
+
+namespace {
+
+    /// Input read ahead while a request is in progress; a caller that sends more waits.
+    constexpr std::size_t MaxReadAhead = 65'536;
+
+    caller_limits limitsOf(const config_in_force& config)
+    {
+        return config.table() ? config.table()->config().limits : caller_limits {};
+    }
+
+    error_kind kindOf(read_fault fault)
+    {
+        switch (fault) {
+        case read_fault::HeaderTooLarge:
+            return error_kind::HeaderTooLarge;
+        case read_fault::BodyTooLarge:
+            return error_kind::BodyTooLarge;
+        case read_fault::None:
+        case read_fault::Malformed:
+        case read_fault::Truncated:
+            break;
+        }
+        return error_kind::BadRequest;
+    }
+
+} // namespace
+
+caller_session::caller_session(boost::asio::io_context& loop, const gateway_parts& parts,
+    std::shared_ptr<byte_channel> channel, std::function<void(const std::shared_ptr<caller_session>&)> onGone)
+    : m_loop(loop)
+    , m_parts(parts)
+    , m_channel(std::move(channel))
+    , m_onGone(std::move(onGone))
+{
+}
+
+caller_session::~caller_session()
+{
+    m_parts.timers.cancel(m_inputTimer);
+}
+
+void caller_session::start()
+{
+    m_channel->setListener(weak_from_this());
+    readNext();
+    m_channel->startReading();
+}
+
+// Prepares for the next request and reads what has arrived of it already.
+void caller_session::readNext()
+{
+    const auto limits = limitsOf(m_parts.config);
+    m_reader = std::make_unique<request_reader>(limits.maxHeaderBytes, limits.maxBodyBytes);
+    m_continueSent = false;
+    m_channel->pauseReading(false);
+    onBytes({});
+}
+
+void caller_session::onBytes(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    m_input.append(bytes);
+    if (m_exchange) {
+        m_channel->pauseReading(m_input.size() > MaxReadAhead);
+        return;
+    }
+    const auto used = m_reader->put(m_input);
+    m_input.erase(0, used);
+    if (m_reader->fault() != read_fault::None) {
+        rejectUnread();
+        return;
+    }
+    if (m_reader->isDone()) {
+        startExchange();
+        return;
+    }
+    if (m_reader->headerDone() && m_reader->expectsContinue() && !m_continueSent) {
+        m_continueSent = true;
+        m_channel->send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    watchInput();
+}
+
+// Bounds how long a caller may stay idle and how long it may take to send its header.
+void caller_session::watchInput()
+{
+    m_parts.timers.cancel(m_inputTimer);
+    if (m_reader->headerDone())
+        return;
+    const auto limits = limitsOf(m_parts.config);
+    const bool started = m_reader->started();
+    const auto due = m_parts.timers.now() + (started ? limits.headerTimeout : limits.idleTimeout);
+    m_inputTimer = m_parts.timers.at(due, [self = weak_from_this(), started] {
+        const auto session = self.lock();
+        if (!session)
+            return;
+        session->m_inputTimer = 0;
+        if (started)
+            session->m_parts.metrics.count("header_timeouts");
+        session->close();
+    });
+}
+
+void caller_session::startExchange()
+{
+    m_parts.timers.cancel(m_inputTimer);
+    auto request = m_reader->take();
+    m_keepAlive = request.keepAlive && !m_closing;
+    m_chunked = request.version >= 11;
+    m_streaming = false;
+    m_exchange = std::make_shared<exchange>(m_parts, std::move(request), *this);
+    m_exchange->start();
+}
+
+void caller_session::rejectUnread()
+{
+    m_parts.timers.cancel(m_inputTimer);
+    m_parts.metrics.count("unreadable_requests");
+    m_keepAlive = false;
+    const auto answer = errorAnswer(kindOf(m_reader->fault()), "the request cannot be read", m_parts.random);
+    sendWhole(answer.head, answer.body);
+    m_channel->closeAfterSending();
+    gone();
+}
+
+std::string caller_session::headText(const http_response_head& head, std::string_view framing)
+{
+    std::string text = concatenated("HTTP/1.1 ", head.status, " ", head.reason, "\r\n");
+    const auto* connection = findField(head.fields, "Connection");
+    for (const auto& field : head.fields) {
+        if (!isConnectionField(field.name, connection ? *connection : std::string()))
+            append(text, field.name, ": ", field.value, "\r\n");
+    }
+    append(text, framing, m_keepAlive && !m_closing ? "" : "Connection: close\r\n", "\r\n");
+    return text;
+}
+
+void caller_session::sendWhole(const http_response_head& head, std::string_view body)
+{
+    if (m_closing)
+        m_keepAlive = false;
+    auto text = headText(head, concatenated("Content-Length: ", body.size(), "\r\n"));
+    text.append(body);
+    m_channel->send(text);
+    answerDone();
+}
+
+void caller_session::beginStream(const http_response_head& head)
+{
+    if (m_closing || !m_chunked)
+        m_keepAlive = false;
+    m_streaming = true;
+    m_channel->send(headText(head, m_chunked ? "Transfer-Encoding: chunked\r\n" : ""));
+}
+
+void caller_session::sendPiece(std::string_view bytes)
+{
+    if (m_chunked)
+        m_channel->send(concatenated(hexadecimal(bytes.size()), "\r\n", bytes, "\r\n"));
+    else
+        m_channel->send(bytes);
+}
+
+void caller_session::endStream()
+{
+    if (m_chunked)
+        m_channel->send("0\r\n\r\n");
+    answerDone();
+}
+
+void caller_session::breakOff()
+{
+    m_keepAlive = false;
+    m_channel->close();
+    answerDone();
+}
+
+// The exchange is still on the stack: the next request starts from the loop.
+void caller_session::answerDone()
+{
+    boost::asio::post(m_loop, [self = shared_from_this()] {
+        self->m_exchange.reset();
+        if (!self->m_channel->isOpen()) {
+            self->gone();
+            return;
+        }
+        if (!self->m_keepAlive || self->m_closing) {
+            self->m_channel->closeAfterSending();
+            self->gone();
+            return;
+        }
+        self->readNext();
+    });
+}
+
+void caller_session::announceClose()
+{
+    m_closing = true;
+}
+
+void caller_session::closeIfIdle()
+{
+    if (isIdle())
+        close();
+}
+
+void caller_session::close()
+{
+    m_channel->close();
+    onEnd(channel_end::Closed);
+}
+
+void caller_session::onEnd(channel_end)
+{
+    if (m_exchange)
+        m_exchange->cancel();
+    gone();
+}
+
+void caller_session::gone()
+{
+    m_parts.timers.cancel(m_inputTimer);
+    auto onGone = std::move(m_onGone);
+    m_onGone = nullptr;
+    if (onGone)
+        onGone(shared_from_this());
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/caller_session.h
@@ -0,0 +1,79 @@
+/// \file
+/// One caller's connection: its requests are read one after another and answered in that order.
+#pragma once
+
+#include "gateway/answer_sink.h"
+#include "gateway/byte_channel.h"
+#include "gateway/gateway_parts.h"
+#include "gateway/http_reader.h"
+#include "gateway/timer_queue.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oriolepick {
+
+class exchange;
+
+/// Kept alive by the gateway that accepted it.
+class caller_session : public channel_listener,
+                       public answer_sink,
+                       public std::enable_shared_from_this<caller_session> {
+public:
+    /// \param onGone called once, when the connection is closed
+    caller_session(boost::asio::io_context& loop, const gateway_parts& parts, std::shared_ptr<byte_channel> channel,
+        std::function<void(const std::shared_ptr<caller_session>&)> onGone);
+    ~caller_session() override;
+
+    /// Starts reading requests.
+    void start();
+
+    /// The node is stopping: every further answer is the last one on this connection.
+    void announceClose();
+
+    /// Closes the connection if no request is in progress.
+    void closeIfIdle();
+
+    /// Closes the connection in any case.
+    void close();
+
+    bool isIdle() const { return !m_exchange && !m_reader->started(); }
+
+    void onBytes(std::string_view bytes) override;
+    void onEnd(channel_end end) override;
+
+    void sendWhole(const http_response_head& head, std::string_view body) override;
+    void beginStream(const http_response_head& head) override;
+    void sendPiece(std::string_view bytes) override;
+    void endStream() override;
+    void breakOff() override;
+    std::size_t unsentBytes() const override { return m_channel->queuedBytes(); }
+
+private:
+    void readNext();
+    void startExchange();
+    void rejectUnread();
+    void answerDone();
+    void watchInput();
+    void gone();
+    std::string headText(const http_response_head& head, std::string_view framing);
+
+    boost::asio::io_context& m_loop;
+    const gateway_parts& m_parts;
+    std::shared_ptr<byte_channel> m_channel;
+    std::function<void(const std::shared_ptr<caller_session>&)> m_onGone;
+    std::unique_ptr<request_reader> m_reader;
+    std::shared_ptr<exchange> m_exchange;
+    std::string m_input;
+    timer_handle m_inputTimer = 0;
+    bool m_keepAlive = true;
+    bool m_chunked = true; ///< the caller understands chunks
+    bool m_closing = false;
+    bool m_streaming = false;
+    bool m_continueSent = false;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/config_in_force.cpp
@@ -0,0 +1,17 @@
+#include "gateway/config_in_force.h"
+
+#include "routing/route_table.h"
+
+namespace oriolepick {
+
+bool config_in_force::apply(routing_config config, instant now)
+{
+    if (m_table && config.version <= m_version)
+        return false;
+    m_version = config.version;
+    m_table = std::make_shared<const route_table>(std::move(config));
+    m_since = now;
+    return true;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/error_answer_head.h
@@ -0,0 +1,25 @@
+/// \file
+/// The gateway's own answers, from the table of errors.
+#pragma once
+
+#include "core/error_kind.h"
+#include "gateway/http_message.h"
+
+#include <string>
+
+namespace oriolepick {
+
+class seeded_random;
+
+/// Head and body of one answer.
+struct whole_answer {
+    http_response_head head;
+    std::string body;
+};
+
+/// \param random spreads the time at which refused callers return
+/// \return the answer for \p kind with a JSON body and, where the request did not run and may be sent again, the time
+/// to come back
+whole_answer errorAnswer(error_kind kind, std::string_view why, seeded_random& random);
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/exchange.cpp
@@ -0,0 +1,189 @@
+/// \file
+/// Routing, the deadline and the final answer of an exchange. Attempts stand in exchange_attempts.cpp, streams in
+/// exchange_stream.cpp.
+#include "gateway/exchange.h"
+
+#include "core/seeded_random.h"
+#include "gateway/answer_sink.h"
+#include "gateway/config_in_force.h"
+#include "gateway/decision_log.h"
+#include "gateway/error_answer_head.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/stream_stall_settings.h"
+#include "routing/retry_allowance.h"
+#include "routing/route_table.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+namespace {
+
+    std::string_view nameOf(const route* route)
+    {
+        if (!route)
+            return "none";
+        switch (route->kind) {
+        case route_kind::Repeatable:
+            return "repeatable";
+        case route_kind::RunsOnce:
+            return "runs_once";
+        case route_kind::Stream:
+            break;
+        }
+        return "stream";
+    }
+
+    std::chrono::milliseconds since(instant then, instant now)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
+    }
+
+} // namespace
+
+exchange::exchange(const gateway_parts& parts, http_request request, answer_sink& sink)
+    : m_parts(parts)
+    , m_request(std::move(request))
+    , m_sink(&sink)
+    , m_startedAt(parts.timers.now())
+    , m_stall(stall_settings {})
+{
+}
+
+exchange::~exchange()
+{
+    cancel();
+}
+
+void exchange::start()
+{
+    if (!decode() || !admit())
+        return;
+    m_parts.allowance.recordRequest(m_service, m_startedAt);
+    m_deadlineTimer = m_parts.timers.at(m_deadline, [self = weak_from_this()] {
+        if (const auto exchange = self.lock()) {
+            exchange->m_deadlineTimer = 0;
+            exchange->onTimeout();
+        }
+    });
+    dispatch();
+}
+
+bool exchange::decode()
+{
+    auto decoded = m_parts.dialect.readRequest(m_request);
+    if (!decoded) {
+        refuse(decoded.error().kind, decoded.error().message);
+        return false;
+    }
+    m_caller = std::move(decoded.value());
+    m_lastEvent = m_caller.lastEvent;
+    return true;
+}
+
+bool exchange::admit()
+{
+    m_table = m_parts.config.table();
+    if (!m_table) {
+        refuse(error_kind::NodeNotReady, "no configuration is known yet");
+        return false;
+    }
+    m_route = m_table->find(m_caller.host, m_request.path());
+    if (!m_route) {
+        refuse(error_kind::UnknownService, "no route matches host and path");
+        return false;
+    }
+    if (m_table->config().teamsDeclared && !m_route->anonymous) {
+        m_team = m_caller.key ? m_table->teamOf(*m_caller.key) : nullptr;
+        if (!m_team) {
+            refuse(error_kind::Unauthorized, "the key belongs to no team");
+            return false;
+        }
+    }
+    m_service = route_table::chooseService(*m_route, m_parts.random.unit());
+    m_deadline = m_startedAt + m_route->timeout;
+    if (m_caller.patience)
+        m_deadline = std::min(m_deadline, m_startedAt + *m_caller.patience);
+    m_history.mayRepeat = m_route->mayRepeat();
+    m_history.maxTargets = m_route->maxTargets;
+    if (m_route->longestGap.count())
+        m_stall = stall_detector(streamStallSettings(m_route->longestGap));
+    return true;
+}
+
+std::chrono::milliseconds exchange::remaining() const
+{
+    return since(m_parts.timers.now(), m_deadline);
+}
+
+void exchange::onTimeout()
+{
+    if (m_over)
+        return;
+    const bool sent = m_history.mayHaveRun || m_sent;
+    m_history.mayHaveRun = sent;
+    refuse(sent ? error_kind::DeadlineExceeded : error_kind::Overloaded, "the time for an answer is over");
+}
+
+void exchange::refuse(error_kind kind, std::string_view why)
+{
+    if (m_over)
+        return;
+    const auto outcome = answerFor(kind).code;
+    if (m_answerBegun) {
+        m_parts.log.write("stream_broken_off",
+            { { "attempt", m_caller.attempt }, { "why", std::string(why) },
+                { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
+        m_sink->breakOff();
+        finish(outcome);
+        return;
+    }
+    const auto answer = errorAnswer(kind, why, m_parts.random);
+    m_parts.log.write("refused",
+        { { "attempt", m_caller.attempt }, { "code", std::string(outcome) }, { "why", std::string(why) },
+            { "attempts", std::to_string(m_attempts) },
+            { "config_version", std::to_string(m_parts.config.version()) },
+            { "usable_targets", std::to_string(m_parts.board.usableTargets(m_service, m_parts.timers.now())) } });
+    m_sink->sendWhole(answer.head, answer.body);
+    finish(outcome);
+}
+
+void exchange::deliver()
+{
+    m_sink->sendWhole(m_head, m_body);
+    finish("answered");
+}
+
+void exchange::finish(std::string_view outcome)
+{
+    if (m_over)
+        return;
+    m_over = true;
+    const auto now = m_parts.timers.now();
+    m_parts.metrics.countAnswer(nameOf(m_route), outcome, since(m_startedAt, now));
+    m_parts.log.write("answer",
+        { { "attempt", m_caller.attempt }, { "route", m_route ? m_route->name : "" },
+            { "target", m_target ? m_target->name.value() : "" }, { "outcome", std::string(outcome) },
+            { "status", std::to_string(m_head.status) }, { "attempts", std::to_string(m_attempts) },
+            { "ms", std::to_string(since(m_startedAt, now).count()) } });
+    m_sink = nullptr;
+    cancel();
+}
+
+void exchange::cancel()
+{
+    if (!m_over && m_sink) {
+        m_over = true;
+        m_parts.metrics.countAnswer(nameOf(m_route), "cancelled", since(m_startedAt, m_parts.timers.now()));
+        m_parts.log.write("caller_left",
+            { { "attempt", m_caller.attempt }, { "target", m_target ? m_target->name.value() : "" },
+                { "attempts", std::to_string(m_attempts) } });
+    }
+    m_over = true;
+    m_sink = nullptr;
+    m_parts.timers.cancel(m_deadlineTimer);
+    m_parts.timers.cancel(m_waitTimer);
+    endAttempt();
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/exchange.h
@@ -0,0 +1,122 @@
+/// \file
+/// One caller's request from its arrival to the end of its answer: routing, attempts at targets, and resumes.
+#pragma once
+
+#include "core/error_kind.h"
+#include "core/instant.h"
+#include "core/stall_detector.h"
+#include "gateway/gateway_parts.h"
+#include "gateway/http_message.h"
+#include "gateway/request_dialect.h"
+#include "gateway/target_link.h"
+#include "gateway/timer_queue.h"
+#include "routing/attempt_policy.h"
+#include "routing/event_splitter.h"
+#include "routing/target_board.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oriolepick {
+
+class answer_sink;
+class route_table;
+struct route;
+struct team_rules;
+
+/// Belongs to one caller session, which is its sink.
+class exchange : public response_listener, public std::enable_shared_from_this<exchange> {
+public:
+    /// \param sink outlives this object or is cut off by cancel()
+    exchange(const gateway_parts& parts, http_request request, answer_sink& sink);
+    ~exchange() override;
+
+    /// Routes the request and sends it to a target.
+    void start();
+
+    /// The caller has left: work behind it ends and nothing more is sent.
+    void cancel();
+
+    /// The caller took bytes of a streamed answer.
+    void onSinkDrained();
+
+    bool isOver() const { return m_over; }
+
+    void onSent() override;
+    void onHead(const http_response_head& head, const target_reply& reply) override;
+    void onBody(std::string bytes) override;
+    void onWhole(bool reusable) override;
+    void onFailure(link_failure failure) override;
+
+private:
+    // routing
+    bool decode();
+    bool admit();
+    std::chrono::milliseconds remaining() const;
+
+    // attempts
+    void dispatch();
+    void waitForTarget();
+    void send(const target_entry& target);
+    target_instruction instructionFor(const target_entry& target);
+    void endAttempt();
+    void repeatOrGiveUp(attempt_end end);
+    void recordTargetFault(target_fault fault, std::string_view what);
+
+    // streams
+    void forwardEvents();
+    bool forwardEvent(const stream_event& event);
+    void watchForStall();
+    void onStallCheck();
+
+    // answers
+    void onTimeout();
+    void refuse(error_kind kind, std::string_view why);
+    void deliver();
+    void finish(std::string_view outcome);
+
+    const gateway_parts& m_parts;
+    http_request m_request;
+    answer_sink* m_sink;
+    caller_request m_caller;
+    std::shared_ptr<const route_table> m_table; // keeps m_route and m_team alive
+    const route* m_route = nullptr;
+    const team_rules* m_team = nullptr;
+    service_name m_service;
+    instant m_startedAt;
+    instant m_deadline;
+    timer_handle m_deadlineTimer = 0;
+    timer_handle m_waitTimer = 0;
+    timer_handle m_stallTimer = 0;
+
+    // the attempt in progress
+    std::shared_ptr<target_link> m_link;
+    std::optional<target_entry> m_target;
+    std::optional<target_entry> m_copyHolder; // the run is copied there
+    bool m_continuesCopy = false;
+    bool m_sent = false;
+    http_response_head m_head;
+    target_reply m_reply;
+    bool m_streaming = false; // the response in progress is the stream
+    std::string m_body;
+    event_splitter m_events;
+    stall_detector m_stall;
+    instant m_attemptAt;
+
+    // the request as a whole
+    attempt_history m_history;
+    std::vector<target_name> m_tried;
+    std::optional<availability_zone> m_lostZone; // of the target that was lost last
+    std::optional<run_copy> m_copy;
+    std::optional<std::string> m_copyAddress;
+    bool m_answerBegun = false;
+    std::optional<std::uint64_t> m_lastEvent;
+    bool m_sinkPaused = false;
+    bool m_over = false;
+    bool m_waited = false;
+    std::uint32_t m_attempts = 0;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/exchange_attempts.cpp
@@ -0,0 +1,280 @@
+/// \file
+/// Attempts of an exchange: choosing targets, sending, and what follows when an attempt ends.
+#include "gateway/exchange.h"
+
+#include "gateway/answer_sink.h"
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/link_pool.h"
+#include "routing/retry_allowance.h"
+#include "routing/route_table.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+namespace {
+
+    /// Pause before targets are looked up again when there is none: a fraction of a crashed engine's second of absence.
+    constexpr std::chrono::milliseconds TargetWait { 50 };
+    /// Largest whole answer that is collected; beyond, the target's answer is taken as faulty.
+    constexpr std::size_t MaxWholeAnswerBytes = 16 * 1024 * 1024;
+
+} // namespace
+
+void exchange::dispatch()
+{
+    if (m_over)
+        return;
+    const auto now = m_parts.timers.now();
+    target_wish wish;
+    wish.service = m_service;
+    wish.zone = m_parts.settings.zone;
+    wish.excluded = m_tried;
+    wish.avoidedZone = m_lostZone;
+    std::optional<target_entry> target;
+    if (m_copy && m_copyHolder) {
+        const auto* holder = m_parts.board.find(m_copyHolder->name);
+        if (holder && holder->startedAt == m_copyHolder->startedAt)
+            target = *holder;
+        else
+            m_copy.reset();
+    }
+    if (!target)
+        target = m_parts.board.choose(wish, now);
+    if (!target && !m_tried.empty()) {
+        // Every target was tried. A request that may repeat goes on with those that may have recovered.
+        m_tried.clear();
+        if (m_history.mayRepeat)
+            target = m_parts.board.choose({ m_service, m_parts.settings.zone, {}, m_lostZone }, now);
+    }
+    if (!target) {
+        waitForTarget();
+        return;
+    }
+    send(*target);
+}
+
+void exchange::waitForTarget()
+{
+    const auto now = m_parts.timers.now();
+    const auto longest = m_answerBegun ? m_deadline : m_startedAt + m_route->objective / 2;
+    if (now + TargetWait >= std::min(longest, m_deadline)) {
+        refuse(m_history.mayHaveRun ? error_kind::TargetFailed : error_kind::NoTarget, "no target is in service");
+        return;
+    }
+    m_waitTimer = m_parts.timers.at(now + TargetWait, [self = weak_from_this()] {
+        if (const auto exchange = self.lock()) {
+            exchange->m_waitTimer = 0;
+            exchange->dispatch();
+        }
+    });
+}
+
+target_instruction exchange::instructionFor(const target_entry& target)
+{
+    target_instruction instruction;
+    instruction.expectedTarget = target.name;
+    instruction.patience = std::max(remaining(), std::chrono::milliseconds(1));
+    if (m_team)
+        instruction.team = m_team->name;
+    instruction.lastEvent = m_lastEvent;
+    instruction.goOnFrom = m_copy;
+    const auto* rules = m_table->rulesOf(m_service);
+    m_copyHolder.reset();
+    if (m_route->kind == route_kind::Stream && m_route->resumable && rules && rules->engine
+        && rules->engine->copiesRuns) {
+        target_wish wish { m_service, m_parts.settings.zone, m_tried, target.zone };
+        wish.excluded.push_back(target.name);
+        m_copyHolder = m_parts.board.choose(wish, m_parts.timers.now());
+        if (m_copyHolder)
+            instruction.copyTo = m_copyHolder->address;
+    }
+    return instruction;
+}
+
+void exchange::send(const target_entry& target)
+{
+    const auto now = m_parts.timers.now();
+    const auto instruction = instructionFor(target);
+    m_continuesCopy = m_copy.has_value();
+    m_copy.reset();
+    m_target = target;
+    m_sent = false;
+    m_streaming = false;
+    m_body.clear();
+    m_events.reset();
+    m_attemptAt = now;
+    ++m_attempts;
+    m_parts.board.attemptStarted(target.name);
+    m_link = m_parts.links.take(target.address, now);
+    if (m_route->kind == route_kind::Stream)
+        watchForStall();
+    m_link->send(m_parts.dialect.writeRequest(m_request, instruction), m_caller.attempt, weak_from_this());
+}
+
+void exchange::onSent()
+{
+    m_sent = true;
+}
+
+void exchange::endAttempt()
+{
+    m_parts.timers.cancel(m_stallTimer);
+    if (m_link) {
+        m_link->abandon();
+        m_link.reset();
+        m_parts.board.attemptEnded(m_target->name);
+    }
+    m_sent = false;
+}
+
+void exchange::onHead(const http_response_head& head, const target_reply& reply)
+{
+    m_head = head;
+    m_reply = reply;
+    m_streaming = m_route->kind == route_kind::Stream && head.status == 200 && reply.signedByTarget && !reply.encoded;
+}
+
+void exchange::onBody(std::string bytes)
+{
+    if (m_streaming) {
+        m_events.feed(bytes);
+        forwardEvents();
+        return;
+    }
+    m_body += bytes;
+    if (m_body.size() > MaxWholeAnswerBytes) {
+        recordTargetFault(target_fault::WrongAnswer, "answer_too_large");
+        m_history.mayHaveRun = true;
+        ++m_history.answered;
+        repeatOrGiveUp(attempt_end::Lost);
+    }
+}
+
+void exchange::onWhole(bool reusable)
+{
+    const auto now = m_parts.timers.now();
+    m_parts.timers.cancel(m_stallTimer);
+    auto link = std::move(m_link);
+    m_link.reset();
+    m_parts.board.attemptEnded(m_target->name);
+    if (reusable)
+        m_parts.links.giveBack(std::move(link));
+    m_sent = false;
+
+    if (m_streaming) {
+        if (m_events.pendingBytes()) {
+            recordTargetFault(target_fault::WrongAnswer, "stream_cut_in_event");
+            m_history.mayHaveRun = true;
+            ++m_history.lost;
+            repeatOrGiveUp(attempt_end::Lost);
+            return;
+        }
+        m_parts.board.recordSuccess(m_target->name);
+        if (!m_answerBegun)
+            m_sink->beginStream(m_head);
+        m_sink->endStream();
+        finish("answered");
+        return;
+    }
+    ++m_history.answered;
+    if (m_reply.notRun) {
+        const bool misaddressed = m_reply.actualTarget && *m_reply.actualTarget != m_target->name;
+        if (m_continuesCopy) {
+            --m_history.answered; // the target is fine, it only lacks the copy
+            m_parts.metrics.count("copies_missing");
+        } else {
+            recordTargetFault(
+                misaddressed ? target_fault::Misaddressed : target_fault::Full, misaddressed ? "misaddressed" : "full");
+            m_tried.push_back(m_target->name);
+        }
+        repeatOrGiveUp(m_continuesCopy ? attempt_end::NotSent : attempt_end::NotRun);
+        return;
+    }
+    m_history.mayHaveRun = true;
+    const bool success = m_head.status >= 200 && m_head.status < 300;
+    if (m_reply.encoded || (success && !m_reply.signedByTarget)) {
+        recordTargetFault(target_fault::WrongAnswer, "unsigned_answer");
+        m_tried.push_back(m_target->name);
+        repeatOrGiveUp(attempt_end::Lost);
+        return;
+    }
+    if (m_head.status >= 500) {
+        m_parts.metrics.count("target_errors");
+        m_tried.push_back(m_target->name);
+        const bool promisesNotRun = m_head.status == 503;
+        if (!m_answerBegun && !promisesNotRun && nextStep(m_history, attempt_end::TargetError) == next_step::Deliver) {
+            deliver();
+            return;
+        }
+        repeatOrGiveUp(promisesNotRun ? attempt_end::Lost : attempt_end::TargetError);
+        return;
+    }
+    m_parts.board.recordSuccess(m_target->name);
+    if (m_answerBegun) {
+        refuse(error_kind::GenerationLost, "the target did not go on with the stream");
+        return;
+    }
+    m_parts.metrics.countAnswer("attempt", "answered", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_attemptAt));
+    deliver();
+}
+
+void exchange::onFailure(link_failure failure)
+{
+    const bool sent = failure != link_failure::NotSent;
+    const bool wrong = failure == link_failure::Malformed;
+    recordTargetFault(wrong ? target_fault::WrongAnswer : target_fault::Unreachable,
+        !sent ? "not_connected" : wrong ? "malformed_response" : failure == link_failure::Reset ? "reset" : "closed");
+    if (sent) {
+        m_history.mayHaveRun = true;
+        ++(wrong ? m_history.answered : m_history.lost);
+    }
+    repeatOrGiveUp(sent ? attempt_end::Lost : attempt_end::NotSent);
+}
+
+void exchange::recordTargetFault(target_fault fault, std::string_view what)
+{
+    m_parts.board.recordFault(m_target->name, fault, m_parts.timers.now());
+    m_parts.metrics.count(what);
+    if (fault != target_fault::Full)
+        m_tried.push_back(m_target->name);
+    m_parts.log.write("attempt_failed",
+        { { "attempt", m_caller.attempt }, { "target", m_target->name.value() }, { "what", std::string(what) },
+            { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
+}
+
+void exchange::repeatOrGiveUp(attempt_end end)
+{
+    const auto now = m_parts.timers.now();
+    const bool lost = end == attempt_end::Lost;
+    endAttempt();
+    if (lost && m_target) {
+        m_lostZone = m_target->zone;
+        if (m_copyHolder && m_route->resumable)
+            m_copy = run_copy { m_copyHolder->address, m_caller.attempt };
+    }
+    auto step = nextStep(m_history, end);
+    if (step == next_step::TryAnotherWithin && !m_parts.allowance.take(m_service, now)) {
+        m_parts.metrics.count("repeats_denied");
+        step = end == attempt_end::TargetError ? next_step::Deliver : next_step::GiveUp;
+    }
+    switch (step) {
+    case next_step::TryAnother:
+    case next_step::TryAnotherWithin:
+        dispatch();
+        return;
+    case next_step::Deliver:
+        if (!m_answerBegun && m_head.status != 503) {
+            deliver();
+            return;
+        }
+        break;
+    case next_step::GiveUp:
+        break;
+    }
+    refuse(giveUpKind(m_history), "no further target may be tried");
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/exchange_stream.cpp
@@ -0,0 +1,101 @@
+/// \file
+/// Streams of an exchange: events go on as they come, and a silent target is replaced.
+#include "gateway/exchange.h"
+
+#include "gateway/answer_sink.h"
+#include "gateway/gateway_metrics.h"
+#include "routing/route_table.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+namespace {
+
+    /// Bytes that a caller may leave unread before its target is no longer read from.
+    constexpr std::size_t MaxUnsentBytes = 262'144;
+
+} // namespace
+
+void exchange::forwardEvents()
+{
+    while (!m_over && m_link) {
+        const auto event = m_events.next();
+        if (!event)
+            break;
+        if (!forwardEvent(*event))
+            return;
+    }
+    if (!m_over && m_link && m_sink->unsentBytes() > MaxUnsentBytes) {
+        m_sinkPaused = true;
+        m_link->pauseReading(true);
+    }
+}
+
+bool exchange::forwardEvent(const stream_event& event)
+{
+    m_stall.tokenArrived(m_parts.timers.now());
+    if (event.id) {
+        if (m_lastEvent && *event.id <= *m_lastEvent)
+            return true; // the caller has it
+        if (m_lastEvent && *event.id != *m_lastEvent + 1) {
+            recordTargetFault(target_fault::WrongAnswer, "event_missing");
+            m_history.mayHaveRun = true;
+            ++m_history.answered;
+            repeatOrGiveUp(attempt_end::Lost);
+            return false;
+        }
+        m_lastEvent = event.id;
+    }
+    if (!m_answerBegun) {
+        m_answerBegun = true;
+        m_sink->beginStream(m_head);
+    }
+    m_sink->sendPiece(event.bytes);
+    return true;
+}
+
+void exchange::onSinkDrained()
+{
+    if (!m_sinkPaused || !m_link)
+        return;
+    m_sinkPaused = false;
+    m_link->pauseReading(false);
+}
+
+void exchange::watchForStall()
+{
+    /// Until an engine's prefill rate is measured; a slower engine only lets a loss be noticed later.
+    constexpr double PrefillTokensPerMs = 8.0;
+    const auto prefill = std::chrono::microseconds(
+        static_cast<std::int64_t>(m_continuesCopy ? 0 : 1'000.0 * static_cast<double>(m_caller.promptTokens) / PrefillTokensPerMs));
+    m_stall.attemptStarted(m_parts.timers.now(), prefill);
+    onStallCheck();
+}
+
+// One timer follows the whole attempt: it is set again from the last event instead of at each event.
+void exchange::onStallCheck()
+{
+    const auto now = m_parts.timers.now();
+    const auto due = m_stall.suspectAt(std::nullopt);
+    if (now < due || m_sinkPaused) {
+        m_stallTimer = m_parts.timers.at(std::max(due, now + std::chrono::milliseconds(20)), [self = weak_from_this()] {
+            const auto exchange = self.lock();
+            if (exchange && !exchange->m_over && exchange->m_link) {
+                exchange->m_stallTimer = 0;
+                exchange->onStallCheck();
+            }
+        });
+        return;
+    }
+    if (!m_history.mayRepeat)
+        return;
+    recordTargetFault(target_fault::Silent, "silent");
+    if (m_sent) {
+        m_history.mayHaveRun = true;
+        ++m_history.lost;
+    }
+    repeatOrGiveUp(m_sent ? attempt_end::Lost : attempt_end::NotSent);
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/gateway.cpp
@@ -0,0 +1,123 @@
+#include "gateway/gateway.h"
+
+#include "gateway/caller_session.h"
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/http_endpoint.h"
+#include "gateway/link_pool.h"
+#include "gateway/socket_address.h"
+#include "gateway/timer_queue.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace oriolepick {
+
+namespace {
+
+    /// Between two rounds of closing expired connections and writing the log.
+    constexpr std::chrono::milliseconds HousekeepInterval { 500 };
+    /// A balancer that asks once a second and needs two refusals has taken this node out by then.
+    constexpr std::chrono::milliseconds ListenAfterStop { 2'600 };
+    /// Left of the grace when connections are closed in any case.
+    constexpr std::chrono::milliseconds StopReserve { 400 };
+    constexpr std::chrono::milliseconds StopCheckInterval { 50 }; ///< while the last answers end
+
+} // namespace
+
+gateway::gateway(boost::asio::io_context& loop, const gateway_parts& parts, std::function<bool()> isReady,
+    std::function<void()> onStopped)
+    : m_loop(loop)
+    , m_parts(parts)
+    , m_isReady(std::move(isReady))
+    , m_onStopped(std::move(onStopped))
+    , m_acceptor(loop, parseSocketAddress(parts.settings.callerAddress).value())
+{
+    m_readiness = std::make_unique<http_endpoint>(loop, parts.settings.readinessAddress, [this](std::string_view) {
+        const bool ready = !m_stopping && m_isReady();
+        return page_answer { ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n" };
+    });
+    if (!parts.settings.metricsAddress.empty()) {
+        m_metrics = std::make_unique<http_endpoint>(loop, parts.settings.metricsAddress, [this](std::string_view) {
+            return page_answer { 200, "text/plain; version=0.0.4", m_parts.metrics.text() };
+        });
+    }
+    accept();
+    housekeep();
+}
+
+gateway::~gateway() = default;
+
+void gateway::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (error) {
+            m_parts.metrics.count("accept_errors");
+        } else if (m_sessions.size() >= static_cast<std::size_t>(m_parts.settings.maxConnections)) {
+            m_parts.metrics.count("connections_refused");
+        } else {
+            auto session = std::make_shared<caller_session>(m_loop, m_parts,
+                std::make_shared<byte_channel>(std::move(socket), channel_settings {}),
+                [this](const std::shared_ptr<caller_session>& gone) { m_sessions.erase(gone); });
+            m_sessions.insert(session);
+            if (m_stopping)
+                session->announceClose();
+            session->start();
+        }
+        accept();
+    });
+}
+
+void gateway::housekeep()
+{
+    m_parts.links.expire(m_parts.timers.now());
+    m_parts.log.flush();
+    m_parts.timers.at(m_parts.timers.now() + HousekeepInterval, [this] { housekeep(); });
+}
+
+void gateway::stop()
+{
+    if (m_stopping)
+        return;
+    m_stopping = true;
+    const auto now = m_parts.timers.now();
+    m_stopBy = now + m_parts.settings.stopGrace - StopReserve;
+    m_parts.log.write("stopping", { { "connections", std::to_string(m_sessions.size()) } });
+    for (const auto& session : m_sessions)
+        session->announceClose();
+    const auto listen = std::min(ListenAfterStop, m_parts.settings.stopGrace / 3);
+    m_parts.timers.at(now + listen, [this] { closeListener(); });
+}
+
+void gateway::closeListener()
+{
+    boost::system::error_code ignored; // the listener goes away with the process in any case
+    m_acceptor.close(ignored);
+    checkStopped();
+}
+
+void gateway::checkStopped()
+{
+    const bool overdue = m_parts.timers.now() >= m_stopBy;
+    const std::vector<std::shared_ptr<caller_session>> sessions(m_sessions.begin(), m_sessions.end());
+    for (const auto& session : sessions) {
+        if (overdue)
+            session->close();
+        else
+            session->closeIfIdle();
+    }
+    if (m_sessions.empty() || overdue) {
+        m_parts.log.write("stopped", { { "cut_connections", std::to_string(overdue ? sessions.size() : 0) } });
+        m_parts.log.flush();
+        m_onStopped();
+        return;
+    }
+    m_parts.timers.at(m_parts.timers.now() + StopCheckInterval, [this] { checkStopped(); });
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/gateway_metrics.cpp
@@ -0,0 +1,63 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace oriolepick {
+
+namespace {
+
+    // Seconds; from a lookup's objective to the longest deadline of a generation.
+    const prometheus::Histogram::BucketBoundaries AnswerSeconds { 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25 };
+
+} // namespace
+
+struct gateway_metrics::families {
+    prometheus::Family<prometheus::Counter>& answers;
+    prometheus::Family<prometheus::Histogram>& seconds;
+    prometheus::Family<prometheus::Counter>& events;
+};
+
+gateway_metrics::gateway_metrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_families(new families { prometheus::BuildCounter()
+                                    .Name("oriolepick_gateway_answers_total")
+                                    .Help("Final answers by kind of route and outcome.")
+                                    .Register(*m_registry),
+          prometheus::BuildHistogram()
+              .Name("oriolepick_gateway_answer_seconds")
+              .Help("Time from the whole request to the end of its answer.")
+              .Register(*m_registry),
+          prometheus::BuildCounter()
+              .Name("oriolepick_gateway_events_total")
+              .Help("Repeats, resumes, faults of targets and other events by name.")
+              .Register(*m_registry) })
+{
+}
+
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::countAnswer(std::string_view kind, std::string_view outcome, std::chrono::milliseconds took)
+{
+    m_families->answers.Add({ { "kind", std::string(kind) }, { "outcome", std::string(outcome) } }).Increment();
+    m_families->seconds.Add({ { "kind", std::string(kind) } }, AnswerSeconds)
+        .Observe(std::chrono::duration<double>(took).count());
+}
+
+void gateway_metrics::count(std::string_view event)
+{
+    m_families->events.Add({ { "event", std::string(event) } }).Increment();
+}
+
+std::string gateway_metrics::text() const
+{
+    std::ostringstream page;
+    prometheus::TextSerializer().Serialize(page, m_registry->Collect());
+    return page.str();
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/gateway_parts.h
@@ -0,0 +1,32 @@
+/// \file
+/// What every request of a gateway works with.
+#pragma once
+
+namespace oriolepick {
+
+class config_in_force;
+class decision_log;
+class gateway_metrics;
+class link_pool;
+class request_dialect;
+class retry_allowance;
+class seeded_random;
+class target_board;
+class timer_queue;
+struct gateway_settings;
+
+/// References to the parts of one gateway; all outlive every request.
+struct gateway_parts {
+    const gateway_settings& settings;
+    const request_dialect& dialect;
+    timer_queue& timers;
+    link_pool& links;
+    target_board& board;
+    retry_allowance& allowance;
+    seeded_random& random;
+    config_in_force& config;
+    decision_log& log;
+    gateway_metrics& metrics;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/gateway_settings_json.cpp
@@ -0,0 +1,44 @@
+#include "gateway/gateway_settings_json.h"
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr field_rule RequiredAddress { presence::Required, text_form::Address };
+    constexpr field_rule OptionalAddress { presence::Optional, text_form::Address };
+
+    template <typename Visitor> void describe(Visitor& visit, gateway_settings& settings)
+    {
+        visit("node", settings.node, RequiredName);
+        visit("zone", settings.zone, RequiredName);
+        visit("caller_address", settings.callerAddress, RequiredAddress);
+        visit("readiness_address", settings.readinessAddress, RequiredAddress);
+        visit("metrics_address", settings.metricsAddress, OptionalAddress);
+        visit("registry_address", settings.registryAddress, RequiredAddress);
+        visit("max_connections", settings.maxConnections, numberRule(16, 65'536));
+        visit("stop_grace_ms", settings.stopGrace, numberRule(500, MaxTimeMs));
+        visit("registry_poll_ms", settings.registryPoll, numberRule(50, 60'000));
+        visit("repeat_ratio", settings.repeatRatio, numberRule(0, 10));
+        visit("repeat_slack", settings.repeatSlack, numberRule(0, 1e6));
+        visit("repeat_window_ms", settings.repeatWindow, numberRule(1'000, MaxTimeMs));
+        visit("log_lines_per_second", settings.logLinesPerSecond, numberRule(1, 100'000));
+    }
+
+} // namespace
+
+gateway_settings readGatewaySettings(std::string_view text, std::vector<field_error>& problems)
+{
+    gateway_settings settings;
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        problems.push_back({ "", "the settings are no JSON object" });
+        return settings;
+    }
+    const fleet_name noFleet;
+    field_reader reader(document, "", noFleet, problems);
+    describe(reader, settings);
+    reader.finish();
+    return settings;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/http_call.cpp
@@ -0,0 +1,104 @@
+#include "gateway/http_call.h"
+
+#include "core/text.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr std::uint32_t MaxHeaderBytes = 8'192; ///< the store sends a few fields
+
+} // namespace
+
+http_call::http_call(
+    boost::asio::io_context& loop, timer_queue& timers, std::string address, std::uint64_t maxBodyBytes)
+    : m_loop(loop)
+    , m_timers(timers)
+    , m_address(std::move(address))
+    , m_maxBodyBytes(maxBodyBytes)
+{
+}
+
+void http_call::get(const std::string& target, std::chrono::milliseconds timeout, callback done)
+{
+    if (m_done)
+        dropChannel(); // its answer would be taken for this call's
+    m_done = std::move(done);
+    m_body.clear();
+    m_reader = std::make_unique<response_reader>(MaxHeaderBytes);
+    m_request = concatenated("GET ", target, " HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n");
+    m_timers.cancel(m_timer);
+    m_timer = m_timers.at(m_timers.now() + timeout, [self = weak_from_this()] {
+        const auto call = self.lock();
+        if (!call)
+            return;
+        call->m_timer = 0;
+        call->dropChannel();
+        call->finish({ 0, {}, "no answer in time" });
+    });
+    if (m_channel && m_channel->isOpen()) {
+        if (m_connected)
+            m_channel->send(m_request);
+        return;
+    }
+    m_connected = false;
+    m_channel = std::make_shared<byte_channel>(boost::asio::ip::tcp::socket(m_loop), channel_settings {});
+    m_channel->setListener(weak_from_this());
+    m_channel->connect(m_address);
+}
+
+void http_call::onConnected()
+{
+    m_connected = true;
+    m_channel->send(m_request);
+}
+
+void http_call::onBytes(std::string_view bytes)
+{
+    if (!m_done) {
+        dropChannel();
+        return;
+    }
+    m_input.append(bytes);
+    m_input.erase(0, m_reader->put(m_input));
+    m_body += m_reader->takeBody();
+    if (m_reader->fault() != read_fault::None || m_body.size() > m_maxBodyBytes) {
+        dropChannel();
+        finish({ 0, {}, m_body.size() > m_maxBodyBytes ? "the answer is too large" : "the answer is malformed" });
+        return;
+    }
+    if (!m_reader->isDone())
+        return;
+    if (!m_reader->keepAlive() || !m_input.empty())
+        dropChannel();
+    finish({ m_reader->head().status, std::move(m_body), {} });
+}
+
+void http_call::onEnd(channel_end end)
+{
+    m_connected = false;
+    m_input.clear();
+    if (m_done)
+        finish({ 0, {}, end == channel_end::Refused ? "not connected" : "the connection was lost" });
+}
+
+void http_call::finish(call_answer answer)
+{
+    m_timers.cancel(m_timer);
+    auto done = std::move(m_done);
+    m_done = nullptr;
+    if (done)
+        done(std::move(answer));
+}
+
+void http_call::dropChannel()
+{
+    if (m_channel)
+        m_channel->close();
+    m_connected = false;
+    m_input.clear();
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/http_call.h
@@ -0,0 +1,56 @@
+/// \file
+/// A client for small whole HTTP exchanges, one at a time on one kept connection.
+#pragma once
+
+#include "gateway/byte_channel.h"
+#include "gateway/http_reader.h"
+#include "gateway/timer_queue.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oriolepick {
+
+/// The answer, or why there is none.
+struct call_answer {
+    int status = 0; ///< 0 when no whole answer came
+    std::string body;
+    std::string problem;
+};
+
+/// Used for the platform's store. Starting a call drops the one before.
+class http_call : public channel_listener, public std::enable_shared_from_this<http_call> {
+public:
+    using callback = std::function<void(call_answer)>;
+
+    http_call(boost::asio::io_context& loop, timer_queue& timers, std::string address, std::uint64_t maxBodyBytes);
+
+    /// Sends a request without body.
+    /// \param target path and query, already encoded
+    /// \param timeout until the whole answer
+    void get(const std::string& target, std::chrono::milliseconds timeout, callback done);
+
+    void onConnected() override;
+    void onBytes(std::string_view bytes) override;
+    void onEnd(channel_end end) override;
+
+private:
+    void finish(call_answer answer);
+    void dropChannel();
+
+    boost::asio::io_context& m_loop;
+    timer_queue& m_timers;
+    std::string m_address;
+    std::uint64_t m_maxBodyBytes;
+    std::shared_ptr<byte_channel> m_channel;
+    std::unique_ptr<response_reader> m_reader;
+    std::string m_request;
+    std::string m_input;
+    std::string m_body;
+    callback m_done;
+    timer_handle m_timer = 0;
+    bool m_connected = false;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/http_reader.cpp
@@ -0,0 +1,162 @@
+#include "gateway/http_reader.h"
+
+#include "core/text.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <limits>
+
+namespace oriolepick {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using view = boost::beast::string_view;
+
+namespace {
+
+    read_fault faultOf(const error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return read_fault::HeaderTooLarge;
+        if (error == http::error::body_limit)
+            return read_fault::BodyTooLarge;
+        if (error == http::error::partial_message || error == http::error::end_of_stream)
+            return read_fault::Truncated;
+        return read_fault::Malformed;
+    }
+
+    std::string text(view bytes)
+    {
+        return { bytes.data(), bytes.size() };
+    }
+
+    // Feeds a parser until it needs more bytes, is done or fails.
+    template <typename Parser> std::size_t feed(Parser& parser, std::string_view bytes, read_fault& fault)
+    {
+        std::size_t used = 0;
+        while (used < bytes.size() && !parser.is_done()) {
+            error_code error;
+            const auto count = parser.put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+            used += count;
+            if (error == http::error::need_more || (!error && !count))
+                break;
+            if (error) {
+                fault = faultOf(error);
+                break;
+            }
+        }
+        return used;
+    }
+
+} // namespace
+
+request_reader::request_reader(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
+{
+    eager(true);
+    header_limit(maxHeaderBytes);
+    body_limit(maxBodyBytes);
+}
+
+std::size_t request_reader::put(std::string_view bytes)
+{
+    m_started = m_started || !bytes.empty();
+    return feed(static_cast<basic_parser&>(*this), bytes, m_fault);
+}
+
+bool request_reader::expectsContinue() const
+{
+    const auto* expect = findField(m_request.fields, "Expect");
+    return expect && equalsIgnoringCase(*expect, "100-continue");
+}
+
+http_request request_reader::take()
+{
+    m_request.keepAlive = keep_alive();
+    return std::move(m_request);
+}
+
+void request_reader::on_request_impl(http::verb, view method, view target, int version, error_code&)
+{
+    m_request.method = text(method);
+    m_request.target = text(target);
+    m_request.version = version;
+}
+
+void request_reader::on_field_impl(http::field, view name, view value, error_code&)
+{
+    m_request.fields.push_back({ text(name), text(value) });
+}
+
+void request_reader::on_header_impl(error_code& error)
+{
+    // Any transfer coding but chunked alone leaves the length open, which two readers may take in two ways.
+    const auto* coding = findField(m_request.fields, "Transfer-Encoding");
+    if (coding && !equalsIgnoringCase(*coding, "chunked"))
+        error = http::error::bad_transfer_encoding;
+}
+
+std::size_t request_reader::on_body_impl(view body, error_code&)
+{
+    m_request.body.append(body.data(), body.size());
+    return body.size();
+}
+
+std::size_t request_reader::on_chunk_body_impl(std::uint64_t, view body, error_code& error)
+{
+    return on_body_impl(body, error);
+}
+
+response_reader::response_reader(std::uint32_t maxHeaderBytes)
+{
+    eager(true);
+    header_limit(maxHeaderBytes);
+    body_limit(std::numeric_limits<std::uint64_t>::max()); // the owner bounds what it collects
+}
+
+std::size_t response_reader::put(std::string_view bytes)
+{
+    m_started = m_started || !bytes.empty();
+    return feed(static_cast<basic_parser&>(*this), bytes, m_fault);
+}
+
+void response_reader::putEnd()
+{
+    if (isDone())
+        return;
+    error_code error;
+    put_eof(error);
+    if (error)
+        m_fault = faultOf(error);
+}
+
+std::string response_reader::takeBody()
+{
+    std::string body;
+    body.swap(m_body);
+    return body;
+}
+
+void response_reader::on_response_impl(int code, view reason, int, error_code&)
+{
+    m_head.status = code;
+    m_head.reason = text(reason);
+}
+
+void response_reader::on_field_impl(http::field, view name, view value, error_code&)
+{
+    m_head.fields.push_back({ text(name), text(value) });
+}
+
+std::size_t response_reader::on_body_impl(view body, error_code&)
+{
+    m_body.append(body.data(), body.size());
+    return body.size();
+}
+
+std::size_t response_reader::on_chunk_body_impl(std::uint64_t, view body, error_code& error)
+{
+    return on_body_impl(body, error);
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/http_reader.h
@@ -0,0 +1,112 @@
+/// \file
+/// Incremental, strict parsing of HTTP/1.1 requests and responses on top of Boost.Beast's parser.
+#pragma once
+
+#include "gateway/http_message.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace oriolepick {
+
+/// Why a message could not be read.
+enum class read_fault {
+    None,
+    Malformed, ///< not HTTP/1.1, or framed in more than one way
+    HeaderTooLarge,
+    BodyTooLarge,
+    Truncated, ///< the connection ended within the message
+};
+
+/// Reads one request.
+class request_reader : private boost::beast::http::basic_parser<true> {
+public:
+    request_reader(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes);
+
+    /// \return how many of \p bytes were used; the rest must be given again with more bytes
+    std::size_t put(std::string_view bytes);
+
+    bool isDone() const { return basic_parser::is_done(); }
+    bool headerDone() const { return basic_parser::is_header_done(); }
+    bool started() const { return m_started; }
+    read_fault fault() const { return m_fault; }
+
+    /// \return whether the caller waits for an interim answer before it sends its body
+    bool expectsContinue() const;
+
+    http_request take();
+
+private:
+    void on_request_impl(boost::beast::http::verb method, boost::beast::string_view methodText,
+        boost::beast::string_view target, int version, boost::beast::error_code& error) override;
+    void on_response_impl(int, boost::beast::string_view, int, boost::beast::error_code&) override { }
+    void on_field_impl(boost::beast::http::field field, boost::beast::string_view name,
+        boost::beast::string_view value, boost::beast::error_code& error) override;
+    void on_header_impl(boost::beast::error_code& error) override;
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, boost::beast::error_code&) override { }
+    std::size_t on_body_impl(boost::beast::string_view body, boost::beast::error_code& error) override;
+    void on_chunk_header_impl(std::uint64_t, boost::beast::string_view, boost::beast::error_code&) override { }
+    std::size_t on_chunk_body_impl(
+        std::uint64_t remain, boost::beast::string_view body, boost::beast::error_code& error) override;
+    void on_finish_impl(boost::beast::error_code&) override { }
+
+    http_request m_request;
+    read_fault m_fault = read_fault::None;
+    bool m_started = false;
+};
+
+/// Reads one response; body bytes are collected until they are taken.
+class response_reader : private boost::beast::http::basic_parser<false> {
+public:
+    /// \param maxHeaderBytes of the status line and the fields
+    explicit response_reader(std::uint32_t maxHeaderBytes);
+
+    /// \return how many of \p bytes were used; the rest must be given again with more bytes
+    std::size_t put(std::string_view bytes);
+
+    /// The connection ended in an orderly way.
+    void putEnd();
+
+    bool headDone() const { return basic_parser::is_header_done(); }
+    bool isDone() const { return basic_parser::is_done(); }
+    bool started() const { return m_started; }
+
+    /// \return whether the body has no length and ends with the connection
+    bool endsWithConnection() const { return headDone() && basic_parser::need_eof(); }
+
+    /// \return whether the connection may be used again
+    bool keepAlive() const { return basic_parser::keep_alive(); }
+    read_fault fault() const { return m_fault; }
+    const http_response_head& head() const { return m_head; }
+
+    /// \return the body bytes since the last call
+    std::string takeBody();
+
+    std::size_t pendingBody() const { return m_body.size(); }
+
+private:
+    void on_request_impl(boost::beast::http::verb, boost::beast::string_view, boost::beast::string_view, int,
+        boost::beast::error_code&) override
+    {
+    }
+    void on_response_impl(
+        int code, boost::beast::string_view reason, int version, boost::beast::error_code& error) override;
+    void on_field_impl(boost::beast::http::field field, boost::beast::string_view name,
+        boost::beast::string_view value, boost::beast::error_code& error) override;
+    void on_header_impl(boost::beast::error_code&) override { }
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, boost::beast::error_code&) override { }
+    std::size_t on_body_impl(boost::beast::string_view body, boost::beast::error_code& error) override;
+    void on_chunk_header_impl(std::uint64_t, boost::beast::string_view, boost::beast::error_code&) override { }
+    std::size_t on_chunk_body_impl(
+        std::uint64_t remain, boost::beast::string_view body, boost::beast::error_code& error) override;
+    void on_finish_impl(boost::beast::error_code&) override { }
+
+    http_response_head m_head;
+    std::string m_body;
+    read_fault m_fault = read_fault::None;
+    bool m_started = false;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/request_dialect.h
@@ -0,0 +1,67 @@
+/// \file
+/// The port between the gateway and the header names of one deployment: it translates and decides nothing.
+#pragma once
+
+#include "core/error.h"
+#include "gateway/http_message.h"
+#include "routing/routing_names.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace oriolepick {
+
+/// What a caller's request says about itself.
+struct caller_request {
+    std::string host;
+    std::string attempt; ///< identifies one send of one request by its caller
+    std::optional<std::chrono::milliseconds> patience; ///< how long the caller waits
+    std::optional<std::string> key; ///< names the caller's team
+    std::optional<std::uint64_t> lastEvent; ///< the caller has the stream up to this event
+    std::uint64_t promptTokens = 0;
+    std::uint64_t maxOutputTokens = 0;
+};
+
+/// Where the memory of a run is found.
+struct run_copy {
+    std::string holder; ///< address of the target that holds the copy, "IP:PORT"
+    std::string run; ///< attempt that the copy was made of
+};
+
+/// What the gateway tells a target beside the caller's own request.
+struct target_instruction {
+    target_name expectedTarget; ///< any other target must not run the request
+    std::optional<std::chrono::milliseconds> patience; ///< the target stops work after this time
+    std::optional<team_name> team;
+    std::optional<std::uint64_t> lastEvent; ///< the stream goes on after this event
+    std::optional<std::string> copyTo; ///< address of the target that the run is copied to as it grows
+    std::optional<run_copy> goOnFrom; ///< continue from this copy
+};
+
+/// What a target's response says beside status and body.
+struct target_reply {
+    std::string attempt; ///< the attempt that is answered, empty when not given
+    bool notRun = false; ///< the target did not run the request and will not
+    bool signedByTarget = false; ///< carries the receipt of a target that ran the request
+    bool encoded = false; ///< the body is not what the target made
+    std::optional<target_name> actualTarget; ///< who has the address, when it is not the expected target
+    std::optional<std::chrono::seconds> idleTimeout; ///< the target closes an idle connection after this time
+};
+
+/// Translates between header fields and the gateway's types.
+class request_dialect {
+public:
+    virtual ~request_dialect() = default;
+
+    /// \return the decoded request, or BadRequest naming the field
+    virtual result<caller_request> readRequest(const http_request& request) const = 0;
+
+    /// \return the bytes of the request for a target: method, target and body unchanged
+    virtual std::string writeRequest(const http_request& request, const target_instruction& instruction) const = 0;
+
+    virtual target_reply readReply(const http_response_head& head) const = 0;
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/timer_queue.cpp
@@ -0,0 +1,59 @@
+#include "gateway/timer_queue.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace oriolepick {
+
+timer_queue::timer_queue(boost::asio::io_context& loop)
+    : m_timer(loop)
+{
+}
+
+timer_handle timer_queue::at(instant due, std::function<void()> action)
+{
+    const auto handle = ++m_last;
+    m_actions.emplace(std::make_pair(due, handle), std::move(action));
+    m_due.emplace(handle, due);
+    arm();
+    return handle;
+}
+
+void timer_queue::cancel(timer_handle& timer)
+{
+    const auto due = m_due.find(timer);
+    if (due != m_due.end()) {
+        m_actions.erase({ due->second, timer });
+        m_due.erase(due);
+    }
+    timer = 0;
+}
+
+// The armed time is only ever moved forward: a cancelled timer costs one empty wake-up instead of a call.
+void timer_queue::arm()
+{
+    if (m_actions.empty() || m_actions.begin()->first.first >= m_armedFor)
+        return;
+    m_armedFor = m_actions.begin()->first.first;
+    m_timer.expires_at(m_armedFor);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        m_armedFor = instant::max();
+        fire();
+    });
+}
+
+void timer_queue::fire()
+{
+    const auto now = this->now();
+    while (!m_actions.empty() && m_actions.begin()->first.first <= now) {
+        const auto first = m_actions.begin();
+        auto action = std::move(first->second);
+        m_due.erase(first->first.second);
+        m_actions.erase(first);
+        action();
+    }
+    arm();
+}
+
+} // namespace oriolepick
--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -6,7 +6,7 @@
 #include "node/node_metrics.h"
 #include "node/peer_hub.h"
 #include "node/target_directory.h"
-#include "platform/table_service.h"
+#include "ports/table_service.h"
 #include "targets/engine_client.h"
 #include "wire/messages.pb.h"
 
--- a/node/node_metrics.cpp
+++ b/node/node_metrics.cpp
@@ -33,7 +33,7 @@
         { "oriolepick_state_changes_total", "Changes of state of targets, peers and this node" },
         { "oriolepick_peer_messages_total", "Messages between nodes" },
         { "oriolepick_peer_bytes_total", "Bytes of messages between nodes" },
-        { "oriolepick_platform_operations_total", "Operations on the platform by outcome" },
+        { "oriolepick_ports_operations_total", "Operations on the platform by outcome" },
     } };
 
     struct histogram_row {
--- a/node/order_driver.cpp
+++ b/node/order_driver.cpp
@@ -8,7 +8,7 @@
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
 #include "node/task_pool.h"
-#include "platform/table_service.h"
+#include "ports/table_service.h"
 #include "targets/engine_client.h"
 
 #include <algorithm>
--- a/node/target_poller.cpp
+++ b/node/target_poller.cpp
@@ -4,7 +4,7 @@
 #include "node/node_metrics.h"
 #include "node/target_directory.h"
 #include "node/task_pool.h"
-#include "platform/instance_list.h"
+#include "ports/instance_list.h"
 #include "targets/engine_client.h"
 
 namespace oriolepick {
--- a/node/test/node_fixture.h
+++ b/node/test/node_fixture.h
@@ -6,7 +6,7 @@
 #include "node/authenticator.h"
 #include "node/daemon.h"
 #include "node/node_log.h"
-#include "platform/http_table_service.h"
+#include "ports/http_table_service.h"
 #include "standins/engine_emulator.h"
 #include "standins/engine_settings.h"
 #include "standins/platform_emulator.h"
--- a/node/ticket_driver.cpp
+++ b/node/ticket_driver.cpp
@@ -11,7 +11,7 @@
 #include "node/peer_hub.h"
 #include "node/state_keeper.h"
 #include "node/task_pool.h"
-#include "platform/ticket_store.h"
+#include "ports/ticket_store.h"
 #include "wire/messages.pb.h"
 #include "wire/ticket_codec.h"
 
--- a/platform/http_exchange.cpp
+++ b/ports/http_exchange.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_exchange.h"
+#include "ports/http_exchange.h"
 
 #include <httplib.h>
 
--- a/platform/http_instance_list.cpp
+++ b/ports/http_instance_list.cpp
@@ -1,6 +1,6 @@
-#include "platform/http_instance_list.h"
+#include "ports/http_instance_list.h"
 
-#include "platform/instance_json.h"
+#include "ports/instance_json.h"
 
 namespace oriolepick {
 
--- a/platform/http_instance_list.h
+++ b/ports/http_instance_list.h
@@ -2,8 +2,8 @@
 /// The instance list over HTTP.
 #pragma once
 
-#include "platform/http_exchange.h"
-#include "platform/instance_list.h"
+#include "ports/http_exchange.h"
+#include "ports/instance_list.h"
 
 namespace oriolepick {
 
--- a/platform/http_object_store.cpp
+++ b/ports/http_object_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_object_store.h"
+#include "ports/http_object_store.h"
 
 namespace oriolepick {
 
--- a/platform/http_object_store.h
+++ b/ports/http_object_store.h
@@ -2,8 +2,8 @@
 /// The object store over HTTP.
 #pragma once
 
-#include "platform/http_exchange.h"
-#include "platform/object_store.h"
+#include "ports/http_exchange.h"
+#include "ports/object_store.h"
 
 namespace oriolepick {
 
--- a/platform/http_table_service.cpp
+++ b/ports/http_table_service.cpp
@@ -1,6 +1,6 @@
-#include "platform/http_table_service.h"
+#include "ports/http_table_service.h"
 
-#include "platform/table_json.h"
+#include "ports/table_json.h"
 
 namespace oriolepick {
 
--- a/platform/http_table_service.h
+++ b/ports/http_table_service.h
@@ -2,8 +2,8 @@
 /// The table service over HTTP.
 #pragma once
 
-#include "platform/http_exchange.h"
-#include "platform/table_service.h"
+#include "ports/http_exchange.h"
+#include "ports/table_service.h"
 
 namespace oriolepick {
 
--- a/platform/instance_json.cpp
+++ b/ports/instance_json.cpp
@@ -1,4 +1,4 @@
-#include "platform/instance_json.h"
+#include "ports/instance_json.h"
 
 #include <nlohmann/json.hpp>
 
--- a/platform/instance_json.h
+++ b/ports/instance_json.h
@@ -2,7 +2,7 @@
 /// The JSON form of the instance list: {"instances":[{"address","zone","kind","state":"live|leaving"}]}.
 #pragma once
 
-#include "platform/instance_list.h"
+#include "ports/instance_list.h"
 
 #include <string>
 #include <string_view>
--- a/platform/table_json.cpp
+++ b/ports/table_json.cpp
@@ -1,4 +1,4 @@
-#include "platform/table_json.h"
+#include "ports/table_json.h"
 
 #include <nlohmann/json.hpp>
 
--- a/platform/test/platform_json.cpp
+++ b/ports/test/platform_json.cpp
@@ -1,7 +1,7 @@
 // Guards the platform parsers against malformed input: no byte change may terminate the process, and what is accepted
 // survives a round trip.
-#include "platform/instance_json.h"
-#include "platform/table_json.h"
+#include "ports/instance_json.h"
+#include "ports/table_json.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/platform/ticket_store.cpp
+++ b/ports/ticket_store.cpp
@@ -1,9 +1,9 @@
-#include "platform/ticket_store.h"
+#include "ports/ticket_store.h"
 
 #include "core/ticket_compaction.h"
 #include "core/ticket_log.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "ports/object_store.h"
+#include "ports/table_service.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/routing/route_table.h
@@ -0,0 +1,38 @@
+/// \file
+/// Finds the route and the team of a request in one version of the configuration.
+#pragma once
+
+#include "routing/routing_config.h"
+
+#include <string_view>
+
+namespace oriolepick {
+
+/// An immutable, indexed configuration.
+class route_table {
+public:
+    explicit route_table(routing_config config);
+
+    /// \param host value of the request's host field; the port and letter case are ignored
+    /// \param path request target without its query
+    /// \return the route with the longest matching prefix, or null
+    const route* find(std::string_view host, std::string_view path) const;
+
+    /// \return the team that holds \p key, or null
+    const team_rules* teamOf(std::string_view key) const;
+
+    /// \return the rules of \p service, or null when the configuration does not declare it
+    const service_rules* rulesOf(const service_name& service) const;
+
+    /// \param draw a number in [0, 1)
+    /// \return the service for one request of \p route, by weight
+    static const service_name& chooseService(const route& route, double draw);
+
+    const routing_config& config() const { return m_config; }
+
+private:
+    routing_config m_config;
+    std::unordered_map<std::string, std::vector<const route*>> m_routesOfHost; ///< longest prefix first
+};
+
+} // namespace oriolepick
--- /dev/null
+++ b/routing/target_board.h
@@ -0,0 +1,121 @@
+/// \file
+/// What one node believes about targets: their registrations, its own work on them, and which of them failed lately.
+#pragma once
+
+#include "core/instant.h"
+#include "core/names.h"
+#include "routing/routing_names.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oriolepick {
+
+class seeded_random;
+
+/// A target as it registered itself.
+struct target_entry {
+    target_name name;
+    service_name service;
+    std::string address; ///< "IP:PORT"
+    availability_zone zone;
+    std::uint32_t slots = 1; ///< requests that it runs at once
+    bool draining = false; ///< takes no new requests
+    std::uint64_t startedAt = 0; ///< Unix milliseconds of this incarnation, 0 when not given
+};
+
+/// Thresholds of target_board.
+struct board_settings {
+    /// First time that a target which failed gets no requests; a crashed engine is back after about a second.
+    std::chrono::milliseconds firstAvoidance { 700 };
+    /// Longest such time: a target that fails again and again still gets a request this often.
+    std::chrono::milliseconds longestAvoidance { 5'000 };
+    /// Registrations that lapsed while the registry was away return within about two seconds of its own return.
+    std::chrono::milliseconds lapseGrace { 2'200 };
+    /// Load in slots that a target of another zone must be below a local one to be chosen. Crossing a zone costs a
+    /// millisecond and priced bytes, a queue place costs more.
+    double zoneBonus = 0.02;
+};
+
+/// What a new attempt asks for.
+struct target_wish {
+    service_name service;
+    availability_zone zone; ///< of this node; its targets win ties
+    std::vector<target_name> excluded; ///< tried before
+    std::optional<availability_zone> avoidedZone; ///< targets of other zones go first
+};
+
+/// Why a target is avoided.
+enum class target_fault {
+    Unreachable, ///< no connection, or it broke
+    Silent, ///< nothing was heard when something was due
+    WrongAnswer, ///< bytes that are no answer, or a failure of the target itself
+    Full, ///< it refused for lack of places
+    Misaddressed, ///< another incarnation has its address
+};
+
+/// Not synchronized: one per event loop.
+class target_board {
+public:
+    /// \param random breaks ties, so that nodes with equal views spread their requests; outlives this object
+    target_board(board_settings settings, seeded_random& random);
+
+    /// Adds or renews a registration.
+    void put(const target_entry& entry, instant now);
+
+    /// A registration is gone. Within the grace after the registry's return the target is kept until the grace ends.
+    void remove(const target_name& target, instant now);
+
+    /// The registry answers again after an outage.
+    void registryReturned(instant now);
+
+    /// Replaces all registrations by \p entries, as after a whole reading of the registry.
+    void replaceAll(const std::vector<target_entry>& entries, instant now);
+
+    void attemptStarted(const target_name& target);
+    void attemptEnded(const target_name& target);
+
+    /// Avoids \p target for a time that grows with failures in a row.
+    void recordFault(const target_name& target, target_fault fault, instant now);
+
+    /// \p target answered properly.
+    void recordSuccess(const target_name& target);
+
+    /// \return the target for a new attempt, or nothing when none is left
+    std::optional<target_entry> choose(const target_wish& wish, instant now);
+
+    /// \return the registration of \p target, or null
+    const target_entry* find(const target_name& target) const;
+
+    /// \return targets of \p service that take new requests, whether avoided or not
+    std::size_t usableTargets(const service_name& service, instant now) const;
+
+    /// \return requests of this node that run on \p target
+    std::uint32_t ownLoad(const target_name& target) const;
+
+    std::size_t size() const { return m_targets.size(); }
+
+private:
+    struct state {
+        target_entry entry;
+        std::uint32_t inFlight = 0;
+        std::uint32_t faultsInRow = 0;
+        instant avoidedUntil;
+        std::optional<instant> lapsesAt; // removed from the registry, kept until then
+    };
+
+    bool isUsable(const state& target, instant now) const;
+    static bool isExcluded(const target_wish& wish, const target_name& name);
+
+    board_settings m_settings;
+    seeded_random& m_random;
+    std::map<target_name, state> m_targets; // ordered, so that decisions do not depend on hash order
+    std::optional<instant> m_registryReturnedAt;
+};
+
+} // namespace oriolepick
--- a/standins/fake_table.h
+++ b/standins/fake_table.h
@@ -2,7 +2,7 @@
 /// In-process fake of the table service for unit tests, with the faults of the platform emulator but without sleeps.
 #pragma once
 
-#include "platform/table_service.h"
+#include "ports/table_service.h"
 #include "standins/fault_switch.h"
 #include "standins/memory_table.h"
 
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -1,7 +1,7 @@
 #include "standins/platform_emulator.h"
 
-#include "platform/instance_json.h"
-#include "platform/table_json.h"
+#include "ports/instance_json.h"
+#include "ports/table_json.h"
 #include "standins/fault_json.h"
 #include "standins/fault_switch.h"
 #include "standins/memory_table.h"
--- a/standins/test/platform_adapters.cpp
+++ b/standins/test/platform_adapters.cpp
@@ -1,8 +1,8 @@
 // Guards the mapping of platform faults to errors across HTTP: a refused write is surely without effect, a lost
 // response is reported as unknown although the write took effect, and the instance list lags.
-#include "platform/http_instance_list.h"
-#include "platform/http_object_store.h"
-#include "platform/http_table_service.h"
+#include "ports/http_instance_list.h"
+#include "ports/http_object_store.h"
+#include "ports/http_table_service.h"
 #include "standins/platform_emulator.h"
 
 #include <gtest/gtest.h>
--- a/tool/command.h
+++ b/tool/command.h
@@ -4,8 +4,8 @@
 
 #include "core/error.h"
 #include "core/instant.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "ports/object_store.h"
+#include "ports/table_service.h"
 
 #include <chrono>
 #include <functional>
--- a/tool/in_force_command.cpp
+++ b/tool/in_force_command.cpp
@@ -2,7 +2,7 @@
 
 #include "config/snapshot_json.h"
 #include "core/ticket_log.h"
-#include "platform/ticket_store.h"
+#include "ports/ticket_store.h"
 #include "tool/state_reader.h"
 
 #include <docopt/docopt.h>
--- a/tool/main.cpp
+++ b/tool/main.cpp
@@ -1,5 +1,5 @@
-#include "platform/http_object_store.h"
-#include "platform/http_table_service.h"
+#include "ports/http_object_store.h"
+#include "ports/http_table_service.h"
 #include "tool/command.h"
 #include "tool/http_node_reader.h"
 
--- a/tool/report_command.cpp
+++ b/tool/report_command.cpp
@@ -1,7 +1,7 @@
 #include "tool/report_command.h"
 
 #include "core/fleet_state.h"
-#include "platform/ticket_store.h"
+#include "ports/ticket_store.h"
 #include "tool/burn_html.h"
 #include "tool/burn_report.h"
 #include "tool/burn_text.h"
--- a/tool/state_reader.h
+++ b/tool/state_reader.h
@@ -4,7 +4,7 @@
 
 #include "core/error.h"
 #include "core/fleet_state.h"
-#include "platform/ticket_store.h"
+#include "ports/ticket_store.h"
 
 #include <memory>
 #include <optional>
--- a/tool/test/ticket_world.h
+++ b/tool/test/ticket_world.h
@@ -9,7 +9,7 @@
 #include "core/ticket_compaction.h"
 #include "core/ticket_distributor.h"
 #include "core/ticket_log.h"
-#include "platform/ticket_store.h"
+#include "ports/ticket_store.h"
 #include "standins/fake_table.h"
 #include "tool/test/racing_operators.h"
 #include "tool/test/ticket_world_parts.h"
--- a/tool/test/ticket_world_parts.h
+++ b/tool/test/ticket_world_parts.h
@@ -4,7 +4,7 @@
 
 #include "config/ticket_json.h"
 #include "core/fleet_state.h"
-#include "platform/object_store.h"
+#include "ports/object_store.h"
 
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
--- a/tool/ticket_command.cpp
+++ b/tool/ticket_command.cpp
@@ -5,7 +5,7 @@
 #include "core/fleet_state.h"
 #include "core/ticket_log.h"
 #include "core/ticket_validation.h"
-#include "platform/ticket_store.h"
+#include "ports/ticket_store.h"
 #include "tool/state_reader.h"
 #include "tool/ticket_diff.h"
 #include "tool/ticket_filing.h"
--- a/tool/ticket_filing.cpp
+++ b/tool/ticket_filing.cpp
@@ -3,7 +3,7 @@
 #include "config/snapshot_json.h"
 #include "config/ticket_json.h"
 #include "core/ticket_validation.h"
-#include "platform/ticket_store.h"
+#include "ports/ticket_store.h"
 #include "tool/state_reader.h"
 
 #include <nlohmann/json.hpp>
