Ask silent engines whether they live before a stream is moved

Ruled out: a fixed larger limit. Change: after 0.3 of the allowed gap the engine is asked for its report; no answer within 0.2 of it means that it is dead. A target that has another's address costs no try.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -70,6 +70,9 @@
     bool forwardEvent(const stream_event& event);
     void watchForStall();
     void onStallCheck();
+    void checkAgainAt(instant due);
+    void onProbe(std::uint32_t attempt, bool alive);
+    void loseSilentTarget(std::string_view what);
 
     // answers
     void onTimeout();
@@ -104,6 +107,7 @@
     event_splitter m_events;
     stall_detector m_stall;
     instant m_attemptAt;
+    bool m_probing = false;
 
     // the request as a whole
     attempt_history m_history;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -106,7 +106,13 @@
     m_body.clear();
     m_events.reset();
     m_attemptAt = now;
+    m_probing = false;
     ++m_attempts;
+    if (m_attempts > 1)
+        m_parts.log.write("attempt_repeated",
+            { { "attempt", m_caller.attempt }, { "target", target.name.value() }, { "zone", target.zone.value() },
+                { "try", std::to_string(m_attempts) }, { "copy", m_continuesCopy ? instruction.goOnFrom->holder : "" },
+                { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
     m_parts.board.attemptStarted(target.name);
     m_link = m_parts.links.take(target.address, now);
     if (m_route->kind == route_kind::Stream)
@@ -190,7 +196,11 @@
                 misaddressed ? target_fault::Misaddressed : target_fault::Full, misaddressed ? "misaddressed" : "full");
             m_tried.push_back(m_target->name);
         }
-        repeatOrGiveUp(m_continuesCopy ? attempt_end::NotSent : attempt_end::NotRun);
+        if (misaddressed) {
+            --m_history.answered; // the target that was meant has not seen the request
+            m_parts.targetsOutdated();
+        }
+        repeatOrGiveUp(m_continuesCopy || misaddressed ? attempt_end::NotSent : attempt_end::NotRun);
         return;
     }
     m_history.mayHaveRun = true;
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -3,7 +3,8 @@
 #include "gateway/exchange.h"
 
 #include "gateway/answer_sink.h"
-#include "gateway/gateway_metrics.h"
+#include "gateway/stream_stall_settings.h"
+#include "gateway/target_prober.h"
 #include "routing/route_table.h"
 
 #include <algorithm>
@@ -67,30 +68,63 @@
 {
     /// Until an engine's prefill rate is measured; a slower engine only lets a loss be noticed later.
     constexpr double PrefillTokensPerMs = 8.0;
-    const auto prefill = std::chrono::microseconds(
-        static_cast<std::int64_t>(m_continuesCopy ? 0 : 1'000.0 * static_cast<double>(m_caller.promptTokens) / PrefillTokensPerMs));
+    const auto prefill = std::chrono::microseconds(static_cast<std::int64_t>(
+        m_continuesCopy ? 0 : 1'000.0 * static_cast<double>(m_caller.promptTokens) / PrefillTokensPerMs));
     m_stall.attemptStarted(m_parts.timers.now(), prefill);
     onStallCheck();
 }
 
+void exchange::checkAgainAt(instant due)
+{
+    m_stallTimer = m_parts.timers.at(due, [self = weak_from_this()] {
+        const auto exchange = self.lock();
+        if (exchange && !exchange->m_over && exchange->m_link) {
+            exchange->m_stallTimer = 0;
+            exchange->onStallCheck();
+        }
+    });
+}
+
 // One timer follows the whole attempt: it is set again from the last event instead of at each event.
 void exchange::onStallCheck()
 {
     const auto now = m_parts.timers.now();
-    const auto due = m_stall.suspectAt(std::nullopt);
-    if (now < due || m_sinkPaused) {
-        m_stallTimer = m_parts.timers.at(std::max(due, now + std::chrono::milliseconds(20)), [self = weak_from_this()] {
-            const auto exchange = self.lock();
-            if (exchange && !exchange->m_over && exchange->m_link) {
-                exchange->m_stallTimer = 0;
-                exchange->onStallCheck();
-            }
-        });
+    const auto pause = quietBeforeProbe(m_route->longestGap);
+    const auto quietSince = m_stall.lastProgress();
+    if (!m_history.mayRepeat)
+        return;
+    if (m_sinkPaused || now < quietSince + pause) {
+        checkAgainAt(std::max(quietSince + pause, now + pause / 2));
         return;
     }
-    if (!m_history.mayRepeat)
+    if (now >= m_stall.suspectAt(std::nullopt)) {
+        loseSilentTarget("silent");
         return;
-    recordTargetFault(target_fault::Silent, "silent");
+    }
+    if (!m_probing) {
+        m_probing = true;
+        m_parts.prober.ask(
+            m_target->address, probePatience(m_route->longestGap), [self = weak_from_this(), attempt = m_attempts](bool alive) {
+                if (const auto exchange = self.lock())
+                    exchange->onProbe(attempt, alive);
+            });
+    }
+    checkAgainAt(now + pause);
+}
+
+void exchange::onProbe(std::uint32_t attempt, bool alive)
+{
+    if (m_over || !m_link || attempt != m_attempts)
+        return;
+    m_probing = false;
+    const auto now = m_parts.timers.now();
+    if (!alive && now >= m_stall.lastProgress() + quietBeforeProbe(m_route->longestGap))
+        loseSilentTarget("dead");
+}
+
+void exchange::loseSilentTarget(std::string_view what)
+{
+    recordTargetFault(target_fault::Silent, what);
     if (m_sent) {
         m_history.mayHaveRun = true;
         ++m_history.lost;
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -2,6 +2,8 @@
 /// What every request of a gateway works with.
 #pragma once
 
+#include <functional>
+
 namespace oriolepick {
 
 class config_in_force;
@@ -12,6 +14,7 @@
 class retry_allowance;
 class seeded_random;
 class target_board;
+class target_prober;
 class timer_queue;
 struct gateway_settings;
 
@@ -22,9 +25,11 @@
     timer_queue& timers;
     link_pool& links;
     target_board& board;
+    target_prober& prober;
     retry_allowance& allowance;
     seeded_random& random;
     config_in_force& config;
+    std::function<void()> targetsOutdated; ///< a target was found to be another than its registration says
     decision_log& log;
     gateway_metrics& metrics;
 };
--- a/gateway/http_call.cpp
+++ b/gateway/http_call.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr std::uint32_t MaxHeaderBytes = 8'192; ///< the store sends a few fields
+    /// A timer that fires this late shows a loop that was not running; a turn of a quarter core is half as long.
+    constexpr std::chrono::milliseconds LoopLag { 20 };
 
 } // namespace
 
@@ -30,14 +32,7 @@
     m_reader = std::make_unique<response_reader>(MaxHeaderBytes);
     m_request = concatenated("GET ", target, " HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n");
     m_timers.cancel(m_timer);
-    m_timer = m_timers.at(m_timers.now() + timeout, [self = weak_from_this()] {
-        const auto call = self.lock();
-        if (!call)
-            return;
-        call->m_timer = 0;
-        call->dropChannel();
-        call->finish({ 0, {}, "no answer in time" });
-    });
+    waitUntil(m_timers.now() + timeout);
     if (m_channel && m_channel->isOpen()) {
         if (m_connected)
             m_channel->send(m_request);
@@ -49,6 +44,24 @@
     m_channel->connect(m_address);
 }
 
+// When the loop itself is late, the answer may lie unread in the socket: it gets one more round.
+void http_call::waitUntil(instant due)
+{
+    m_timer = m_timers.at(due, [self = weak_from_this(), due] {
+        const auto call = self.lock();
+        if (!call)
+            return;
+        call->m_timer = 0;
+        const auto now = call->m_timers.now();
+        if (now - due > LoopLag) {
+            call->waitUntil(now + LoopLag);
+            return;
+        }
+        call->dropChannel();
+        call->finish({ 0, {}, "no answer in time" });
+    });
+}
+
 void http_call::onConnected()
 {
     m_connected = true;
--- a/gateway/http_call.h
+++ b/gateway/http_call.h
@@ -36,6 +36,7 @@
     void onEnd(channel_end end) override;
 
 private:
+    void waitUntil(instant due);
     void finish(call_answer answer);
     void dropChannel();
 
--- a/gateway/http_endpoint.cpp
+++ b/gateway/http_endpoint.cpp
@@ -32,8 +32,9 @@
 
     void onBytes(std::string_view bytes) override
     {
+        const auto self = shared_from_this(); // the last answer may drop this connection
         m_input.append(bytes);
-        while (!m_input.empty()) {
+        while (!m_input.empty() && m_channel->isOpen()) {
             m_input.erase(0, m_reader->put(m_input));
             if (m_reader->fault() != read_fault::None) {
                 m_channel->close();
@@ -56,8 +57,10 @@
         m_channel->send(concatenated("HTTP/1.1 ", page.status, " ", reasonOf(page.status),
             "\r\nContent-Type: ", page.contentType, "\r\nContent-Length: ", page.body.size(),
             request.keepAlive ? "" : "\r\nConnection: close", "\r\n\r\n", page.body));
-        if (!request.keepAlive)
+        if (!request.keepAlive) {
             m_channel->closeAfterSending();
+            onEnd(channel_end::Closed);
+        }
     }
 
     http_endpoint& m_owner;
--- a/gateway/stream_stall_settings.cpp
+++ b/gateway/stream_stall_settings.cpp
@@ -1,24 +1,52 @@
 #include "gateway/stream_stall_settings.h"
 
+#include <algorithm>
+
 namespace oriolepick {
 
 namespace {
 
-    /// Below this share of the allowed pause a silence is never a loss: batches stall that long behind long prompts.
-    constexpr double ShortestShare = 0.35;
-    /// Above this share a silence is always a loss: a resume from a copy takes about a quarter of a common pause.
-    constexpr double LongestShare = 0.6;
+    using std::chrono::milliseconds;
+
+    /// Shares of the allowed pause. Quiet time and the probe's patience together leave half of it for the resume, which
+    /// takes a connection and the first event from a copy.
+    constexpr double QuietShare = 0.3;
+    constexpr double PatienceShare = 0.2;
+    /// Lower bounds for routes that allow very short pauses: a probe needs a connection and may lose one packet.
+    constexpr milliseconds ShortestQuiet { 100 };
+    constexpr milliseconds ShortestPatience { 80 };
+    /// A live engine is given up only far beyond the allowed pause: its batch stalls behind long prompts, and a move reads
+    /// the prompt again.
+    constexpr double ShortestLoss = 2.0;
+    constexpr double LongestLoss = 4.0;
+    /// For routes that declare no pause.
+    constexpr milliseconds DefaultGap { 1'000 };
+
+    milliseconds share(milliseconds gap, double part)
+    {
+        return std::chrono::duration_cast<milliseconds>((gap.count() ? gap : DefaultGap) * part);
+    }
 
 } // namespace
 
-stall_settings streamStallSettings(std::chrono::milliseconds longestGap)
+stall_settings streamStallSettings(milliseconds longestGap)
 {
-    using std::chrono::duration_cast;
-    using std::chrono::microseconds;
     stall_settings settings;
-    settings.shortestGap = duration_cast<microseconds>(longestGap * ShortestShare);
-    settings.longestGap = duration_cast<microseconds>(longestGap * LongestShare);
+    settings.shortestGap = share(longestGap, ShortestLoss);
+    settings.longestGap = share(longestGap, LongestLoss);
+    settings.prefillFactor = 3;
+    settings.prefillSlack = std::chrono::seconds(2);
     return settings;
 }
 
+milliseconds quietBeforeProbe(milliseconds longestGap)
+{
+    return std::max(share(longestGap, QuietShare), ShortestQuiet);
+}
+
+milliseconds probePatience(milliseconds longestGap)
+{
+    return std::max(share(longestGap, PatienceShare), ShortestPatience);
+}
+
 } // namespace oriolepick
--- a/routing/retry_allowance.h
+++ b/routing/retry_allowance.h
@@ -27,6 +27,9 @@
 public:
     explicit retry_allowance(allowance_settings settings);
 
+    /// Changes the bounds; what was earned under the old ones is kept.
+    void apply(allowance_settings settings) { m_settings = settings; }
+
     /// Counts a request for \p service.
     void recordRequest(const service_name& service, instant now);
 
