--- a/gateway/error_answer_head.cpp
+++ b/gateway/error_answer_head.cpp
@@ -25,9 +25,9 @@
     if (row.run == run_state::NotRun && row.retryable)
         answer.head.fields.push_back(
             { "Retry-After", std::to_string(MinRetryAfter + RetryAfterSpread * random.unit()) });
-    answer.body = nlohmann::json { { "error",
-                                       { { "code", row.code }, { "message", why }, { "run", toString(row.run) } } } }
-                      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    answer.body = nlohmann::json {
+        { "error", { { "code", row.code }, { "message", why }, { "run", toString(row.run) } } }
+    }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return answer;
 }
 
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -141,8 +141,7 @@
     const auto answer = errorAnswer(kind, why, m_parts.random);
     m_parts.log.write("refused",
         { { "attempt", m_caller.attempt }, { "code", std::string(outcome) }, { "why", std::string(why) },
-            { "attempts", std::to_string(m_attempts) },
-            { "config_version", std::to_string(m_parts.config.version()) },
+            { "attempts", std::to_string(m_attempts) }, { "config_version", std::to_string(m_parts.config.version()) },
             { "usable_targets", std::to_string(m_parts.board.usableTargets(m_service, m_parts.timers.now())) } });
     m_sink->sendWhole(answer.head, answer.body);
     finish(outcome);
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -19,7 +19,7 @@
     /// Pause before targets are looked up again when there is none: a fraction of a crashed engine's second of absence.
     constexpr std::chrono::milliseconds TargetWait { 50 };
     /// Largest whole answer that is collected; beyond, the target's answer is taken as faulty.
-    constexpr std::size_t MaxWholeAnswerBytes = 16 * 1024 * 1024;
+    constexpr std::size_t MaxWholeAnswerBytes = 16'777'216;
 
 } // namespace
 
@@ -227,7 +227,8 @@
         refuse(error_kind::GenerationLost, "the target did not go on with the stream");
         return;
     }
-    m_parts.metrics.countAnswer("attempt", "answered", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_attemptAt));
+    m_parts.metrics.countAnswer(
+        "attempt", "answered", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_attemptAt));
     deliver();
 }
 
@@ -236,7 +237,10 @@
     const bool sent = failure != link_failure::NotSent;
     const bool wrong = failure == link_failure::Malformed;
     recordTargetFault(wrong ? target_fault::WrongAnswer : target_fault::Unreachable,
-        !sent ? "not_connected" : wrong ? "malformed_response" : failure == link_failure::Reset ? "reset" : "closed");
+        !sent                                ? "not_connected"
+            : wrong                          ? "malformed_response"
+            : failure == link_failure::Reset ? "reset"
+                                             : "closed");
     if (sent) {
         m_history.mayHaveRun = true;
         ++(wrong ? m_history.answered : m_history.lost);
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -103,8 +103,8 @@
     }
     if (!m_probing) {
         m_probing = true;
-        m_parts.prober.ask(
-            m_target->address, probePatience(m_route->longestGap), [self = weak_from_this(), attempt = m_attempts](bool alive) {
+        m_parts.prober.ask(m_target->address, probePatience(m_route->longestGap),
+            [self = weak_from_this(), attempt = m_attempts](bool alive) {
                 if (const auto exchange = self.lock())
                     exchange->onProbe(attempt, alive);
             });
--- a/gateway/link_pool.cpp
+++ b/gateway/link_pool.cpp
@@ -6,8 +6,7 @@
 
 namespace oriolepick {
 
-link_pool::link_pool(
-    boost::asio::io_context& loop, const request_dialect& dialect, const channel_settings& settings)
+link_pool::link_pool(boost::asio::io_context& loop, const request_dialect& dialect, const channel_settings& settings)
     : m_loop(loop)
     , m_dialect(dialect)
     , m_settings(settings)
--- a/gateway/stream_stall_settings.cpp
+++ b/gateway/stream_stall_settings.cpp
@@ -15,8 +15,8 @@
     /// Lower bounds for routes that allow very short pauses: a probe needs a connection and may lose one packet.
     constexpr milliseconds ShortestQuiet { 100 };
     constexpr milliseconds ShortestPatience { 80 };
-    /// A live engine is given up only far beyond the allowed pause: its batch stalls behind long prompts, and a move reads
-    /// the prompt again.
+    /// A live engine is given up only far beyond the allowed pause: its batch stalls behind long prompts, and a move
+    /// reads the prompt again.
     constexpr double ShortestLoss = 2.0;
     constexpr double LongestLoss = 4.0;
     /// For routes that declare no pause.
--- a/gateway/table_watch.cpp
+++ b/gateway/table_watch.cpp
@@ -38,14 +38,14 @@
 {
     m_reading = true;
     if (m_readWhole) {
-        m_source.readAll(m_table, [this](row_answer answer) { onAnswer(std::move(answer), true); });
+        m_source.readAll(m_table, [this](const row_answer& answer) { onAnswer(answer, true); });
         return;
     }
     m_source.readChanges(m_table, m_revision, m_failures ? std::chrono::milliseconds(0) : m_settings.wait,
-        [this](row_answer answer) { onAnswer(std::move(answer), false); });
+        [this](const row_answer& answer) { onAnswer(answer, false); });
 }
 
-void table_watch::onAnswer(row_answer answer, bool whole)
+void table_watch::onAnswer(const row_answer& answer, bool whole)
 {
     m_reading = false;
     if (answer.status == row_status::HistoryLost) {
--- a/gateway/table_watch.h
+++ b/gateway/table_watch.h
@@ -33,8 +33,8 @@
 /// Reads for ever once it is started.
 class table_watch {
 public:
-    table_watch(std::string table, row_source& source, timer_queue& timers, seeded_random& random,
-        decision_log& log, gateway_metrics& metrics, const watch_settings& settings, watch_events events);
+    table_watch(std::string table, row_source& source, timer_queue& timers, seeded_random& random, decision_log& log,
+        gateway_metrics& metrics, const watch_settings& settings, watch_events events);
 
     void start();
 
@@ -49,7 +49,7 @@
 
 private:
     void read();
-    void onAnswer(row_answer answer, bool whole);
+    void onAnswer(const row_answer& answer, bool whole);
     void onFailure(const row_answer& answer);
     void schedule(std::chrono::milliseconds pause);
 
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr std::uint64_t MaxAnswerBytes = 1024 * 1024; ///< a report lists each running request
+    constexpr std::uint64_t MaxAnswerBytes = 1'048'576; ///< a report lists each running request
 
 } // namespace
 
@@ -24,8 +24,8 @@
     if (entry.call)
         return;
     entry.call = std::make_shared<http_call>(m_loop, m_timers, address, MaxAnswerBytes);
-    entry.call->get(m_question, patience,
-        [this, address](const call_answer& given) { answer(address, given.status != 0); });
+    entry.call->get(
+        m_question, patience, [this, address](const call_answer& given) { answer(address, given.status != 0); });
 }
 
 void target_prober::answer(const std::string& address, bool alive)
--- /dev/null
+++ b/gateway/test/gateway_settings.cpp
@@ -0,0 +1,44 @@
+// Guards against settings that are misread or wrong without a word.
+#include "gateway/gateway_settings_json.h"
+
+#include <gtest/gtest.h>
+
+using namespace oriolepick;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Least = R"("node":"n1","zone":"z1","caller_address":"10.0.0.1:80","readiness_address":"10.0.0.1:81",
+ "registry_address":"10.0.0.2:82")";
+
+std::vector<field_error> problemsOf(const std::string& text)
+{
+    std::vector<field_error> problems;
+    readGatewaySettings(text, problems);
+    return problems;
+}
+
+TEST(GatewaySettings, TakesTheLeastAndItsDefaults)
+{
+    std::vector<field_error> problems;
+    const auto settings = readGatewaySettings("{" + Least + R"(,"stop_grace_ms":5000,"repeat_ratio":0.5})", problems);
+    EXPECT_TRUE(problems.empty());
+    EXPECT_EQ(settings.node.value(), "n1");
+    EXPECT_EQ(settings.stopGrace, 5s);
+    EXPECT_DOUBLE_EQ(settings.repeatRatio, 0.5);
+    EXPECT_EQ(settings.registryPoll, 1s);
+}
+
+TEST(GatewaySettings, NamesEveryProblem)
+{
+    EXPECT_EQ(problemsOf("[]").size(), 1U);
+    EXPECT_EQ(problemsOf("{").size(), 1U);
+    EXPECT_EQ(problemsOf("{}").size(), 5U) << "five fields are required";
+    const auto unknown = problemsOf("{" + Least + R"(,"registry_pol_ms":5})");
+    ASSERT_EQ(unknown.size(), 1U);
+    EXPECT_NE(unknown[0].problem.find("registry_poll_ms"), std::string::npos);
+    EXPECT_EQ(problemsOf("{" + Least + R"(,"stop_grace_ms":-1})").size(), 1U);
+    EXPECT_EQ(problemsOf("{" + Least + R"(,"metrics_address":"nowhere"})").size(), 1U);
+}
+
+} // namespace
--- /dev/null
+++ b/routing/test/route_table.cpp
@@ -0,0 +1,71 @@
+// Guards against requests that reach another service than their route names.
+#include "routing/route_table.h"
+
+#include <gtest/gtest.h>
+
+using namespace oriolepick;
+
+namespace {
+
+route routeOf(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    route result;
+    result.name = name;
+    result.host = host;
+    result.prefix = prefix;
+    result.services = { { service_name(name), 1 } };
+    return result;
+}
+
+route_table tableOf(std::vector<route> routes)
+{
+    routing_config config;
+    config.routes = std::move(routes);
+    return route_table(std::move(config));
+}
+
+TEST(RouteTable, LongestPrefixOfTheHostWins)
+{
+    const auto table = tableOf({ routeOf("short", "a.example", "/x/"), routeOf("long", "a.example", "/x/y/"),
+        routeOf("other", "b.example", "/x/y/z/") });
+    EXPECT_EQ(table.find("a.example", "/x/y/z/1")->name, "long");
+    EXPECT_EQ(table.find("a.example", "/x/1")->name, "short");
+    EXPECT_EQ(table.find("b.example", "/x/1"), nullptr);
+    EXPECT_EQ(table.find("c.example", "/x/1"), nullptr);
+}
+
+TEST(RouteTable, HostIgnoresCaseAndPort)
+{
+    const auto table = tableOf({ routeOf("r", "a.Example", "/x/") });
+    EXPECT_NE(table.find("A.example:8080", "/x/"), nullptr);
+}
+
+TEST(RouteTable, PrefixEndsAtASlash)
+{
+    const auto table = tableOf({ routeOf("r", "a", "/x/") });
+    EXPECT_EQ(table.find("a", "/xy"), nullptr);
+    EXPECT_EQ(table.find("a", "/x"), nullptr);
+}
+
+TEST(RouteTable, ServicesGetTheirShares)
+{
+    auto split = routeOf("r", "a", "/");
+    split.services = { { service_name("most"), 90 }, { service_name("few"), 10 } };
+    EXPECT_EQ(route_table::chooseService(split, 0.0).value(), "most");
+    EXPECT_EQ(route_table::chooseService(split, 0.899).value(), "most");
+    EXPECT_EQ(route_table::chooseService(split, 0.901).value(), "few");
+    EXPECT_EQ(route_table::chooseService(split, 0.999'999).value(), "few");
+}
+
+TEST(RouteTable, OnlyKnownKeysNameATeam)
+{
+    routing_config config;
+    config.teams.push_back({ team_name("red"), std::nullopt });
+    config.teamOfKey["k1"] = 0;
+    const route_table table(std::move(config));
+    EXPECT_EQ(table.teamOf("k1")->name.value(), "red");
+    EXPECT_EQ(table.teamOf("k"), nullptr);
+    EXPECT_EQ(table.teamOf(""), nullptr);
+}
+
+} // namespace
--- /dev/null
+++ b/routing/test/target_board.cpp
@@ -0,0 +1,140 @@
+// Guards against work that goes to leaving, failed or crowded targets while better ones are free.
+#include "routing/target_board.h"
+
+#include "core/seeded_random.h"
+
+#include <gtest/gtest.h>
+
+using namespace oriolepick;
+using namespace std::chrono_literals;
+
+namespace {
+
+class TargetBoard : public testing::Test {
+protected:
+    target_entry entry(const std::string& name, const std::string& zone = "z1", std::uint32_t slots = 4)
+    {
+        return { target_name(name), service_name("s"), "10.0.0.1:1", availability_zone(zone), slots, false, 1 };
+    }
+
+    std::string chosen(std::vector<target_name> excluded = {}, std::optional<availability_zone> avoided = {})
+    {
+        const auto target
+            = board.choose({ service_name("s"), availability_zone("z1"), std::move(excluded), avoided }, now);
+        return target ? target->name.value() : "";
+    }
+
+    seeded_random random { 1 };
+    target_board board { board_settings {}, random };
+    instant now { 1000s };
+};
+
+TEST_F(TargetBoard, ChoosesTheLeastLoaded)
+{
+    board.put(entry("a"), now);
+    board.put(entry("b"), now);
+    board.attemptStarted(target_name("a"));
+    EXPECT_EQ(chosen(), "b");
+    board.attemptStarted(target_name("b"));
+    board.attemptStarted(target_name("b"));
+    EXPECT_EQ(chosen(), "a");
+}
+
+TEST_F(TargetBoard, ADrainingTargetGetsNothing)
+{
+    auto leaving = entry("a");
+    leaving.draining = true;
+    board.put(leaving, now);
+    EXPECT_EQ(chosen(), "");
+    EXPECT_EQ(board.usableTargets(service_name("s"), now), 0U);
+}
+
+TEST_F(TargetBoard, OtherServicesAreNeverChosen)
+{
+    auto other = entry("a");
+    other.service = service_name("t");
+    board.put(other, now);
+    EXPECT_EQ(chosen(), "");
+}
+
+TEST_F(TargetBoard, AFailedTargetComesLastAndReturns)
+{
+    board.put(entry("a"), now);
+    board.put(entry("b"), now);
+    for (int load = 0; load < 3; ++load)
+        board.attemptStarted(target_name("b"));
+    board.recordFault(target_name("a"), target_fault::Unreachable, now);
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_EQ(chosen({ target_name("b") }), "a") << "an avoided target goes before a refusal";
+    now += 1s;
+    EXPECT_EQ(chosen(), "a");
+}
+
+TEST_F(TargetBoard, AvoidanceGrowsWithFailuresInARow)
+{
+    board.put(entry("a"), now);
+    board.put(entry("b"), now);
+    for (int load = 0; load < 3; ++load)
+        board.attemptStarted(target_name("b"));
+    for (int fault = 0; fault < 3; ++fault)
+        board.recordFault(target_name("a"), target_fault::Silent, now);
+    now += 1s;
+    EXPECT_EQ(chosen(), "b");
+    board.recordSuccess(target_name("a"));
+    EXPECT_EQ(chosen(), "a");
+}
+
+TEST_F(TargetBoard, ANewIncarnationStartsClean)
+{
+    board.put(entry("a"), now);
+    board.put(entry("b"), now);
+    for (int load = 0; load < 3; ++load)
+        board.attemptStarted(target_name("b"));
+    board.recordFault(target_name("a"), target_fault::Unreachable, now);
+    auto restarted = entry("a");
+    restarted.startedAt = 2;
+    board.put(restarted, now);
+    EXPECT_EQ(chosen(), "a");
+}
+
+TEST_F(TargetBoard, AnAvoidedZoneComesAfterTheOthers)
+{
+    board.put(entry("a", "z1"), now);
+    board.put(entry("b", "z2"), now);
+    EXPECT_EQ(chosen({}, availability_zone("z1")), "b");
+    EXPECT_EQ(chosen({ target_name("b") }, availability_zone("z1")), "a");
+}
+
+TEST_F(TargetBoard, ARemovedTargetIsGoneAtOnce)
+{
+    board.put(entry("a"), now);
+    board.remove(target_name("a"), now);
+    EXPECT_EQ(chosen(), "");
+}
+
+TEST_F(TargetBoard, ARegistrationThatLapsedInAnOutageIsKeptForAWhile)
+{
+    board.put(entry("a"), now);
+    board.registryReturned(now);
+    board.replaceAll({}, now);
+    EXPECT_EQ(chosen(), "a");
+    now += 2s;
+    EXPECT_EQ(chosen(), "a");
+    now += 1s;
+    EXPECT_EQ(chosen(), "");
+    EXPECT_EQ(board.size(), 0U);
+}
+
+TEST_F(TargetBoard, ARemovedTargetWithWorkIsForgottenWhenTheWorkEnds)
+{
+    board.put(entry("a"), now);
+    board.attemptStarted(target_name("a"));
+    board.remove(target_name("a"), now);
+    EXPECT_EQ(chosen(), "");
+    EXPECT_EQ(board.size(), 1U);
+    board.attemptEnded(target_name("a"));
+    EXPECT_EQ(chosen(), "");
+    EXPECT_EQ(board.size(), 0U);
+}
+
+} // namespace
