--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -6,6 +6,7 @@
 #include "core/seeded_random.h"
 #include "gateway/answer_sink.h"
 #include "gateway/config_in_force.h"
+#include "gateway/copy_orders.h"
 #include "gateway/decision_log.h"
 #include "gateway/error_answer_head.h"
 #include "gateway/gateway_metrics.h"
@@ -180,6 +181,9 @@
     }
     m_over = true;
     m_sink = nullptr;
+    if (m_orderedCopy)
+        m_parts.copies.release(m_orderedCopy->address, m_orderedCopy->name);
+    m_orderedCopy.reset();
     m_parts.timers.cancel(m_deadlineTimer);
     m_parts.timers.cancel(m_waitTimer);
     endAttempt();
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -9,8 +9,10 @@
 #include "gateway/http_message.h"
 #include "gateway/request_dialect.h"
 #include "gateway/target_link.h"
+#include "gateway/target_prober.h"
 #include "gateway/timer_queue.h"
 #include "routing/attempt_policy.h"
+#include "routing/engine_survey.h"
 #include "routing/event_splitter.h"
 #include "routing/target_board.h"
 
@@ -58,6 +60,10 @@
 
     // attempts
     void dispatch();
+    std::optional<target_entry> copyHolder();
+    bool survey();
+    void onSurveyAnswer(std::size_t index, const target_prober::answer& answer);
+    void onSurveyed();
     void waitForTarget();
     void send(const target_entry& target);
     target_instruction instructionFor(const target_entry& target);
@@ -66,6 +72,9 @@
     void recordTargetFault(target_fault fault, std::string_view what);
 
     // streams
+    void keepCopy();
+    void orderCopy();
+    void onCopyOrdered(const std::optional<std::string>& handle);
     void forwardEvents();
     bool forwardEvent(const stream_event& event);
     void watchForStall();
@@ -110,11 +119,15 @@
     bool m_probing = false;
 
     // the request as a whole
+    std::vector<surveyed_engine> m_survey;
+    std::size_t m_surveyPending = 0;
     attempt_history m_history;
     std::vector<target_name> m_tried;
     std::optional<availability_zone> m_lostZone; // of the target that was lost last
-    std::optional<run_copy> m_copy;
-    std::optional<std::string> m_copyAddress;
+    std::optional<run_copy> m_copy; // from which the next attempt goes on
+    std::optional<run_copy> m_orderedCopy; // made on order at the copy holder
+    instant m_orderedAt; // of the last copy order
+    bool m_ordering = false;
     bool m_answerBegun = false;
     std::optional<std::uint64_t> m_lastEvent;
     bool m_sinkPaused = false;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -7,6 +7,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/link_pool.h"
+#include "gateway/target_prober.h"
 #include "routing/retry_allowance.h"
 #include "routing/route_table.h"
 
@@ -18,6 +19,12 @@
 
     /// Pause before targets are looked up again when there is none: a fraction of a crashed engine's second of absence.
     constexpr std::chrono::milliseconds TargetWait { 50 };
+    /// Engines asked before a generation: three random ones are rarely all busy, each further one adds little.
+    constexpr std::size_t SurveyedEngines = 3;
+    /// A live engine answers within a round trip; a lost packet is not worth waiting for.
+    constexpr std::chrono::milliseconds SurveyPatience { 60 };
+    /// Age of what engines report.
+    constexpr std::chrono::milliseconds ReportLag { 300 };
     /// Largest whole answer that is collected; beyond, the target's answer is taken as faulty.
     constexpr std::size_t MaxWholeAnswerBytes = 16'777'216;
 
@@ -28,26 +35,20 @@
     if (m_over)
         return;
     const auto now = m_parts.timers.now();
-    target_wish wish;
-    wish.service = m_service;
-    wish.zone = m_parts.settings.zone;
-    wish.excluded = m_tried;
-    wish.avoidedZone = m_lostZone;
-    std::optional<target_entry> target;
-    if (m_copy && m_copyHolder) {
-        const auto* holder = m_parts.board.find(m_copyHolder->name);
-        if (holder && holder->startedAt == m_copyHolder->startedAt)
-            target = *holder;
-        else
-            m_copy.reset();
+    if (const auto holder = copyHolder()) {
+        send(*holder);
+        return;
     }
-    if (!target)
-        target = m_parts.board.choose(wish, now);
+    target_wish wish { m_service, m_parts.settings.zone, m_tried, m_lostZone };
+    if (survey())
+        return;
+    auto target = m_parts.board.choose(wish, now);
     if (!target && !m_tried.empty()) {
         // Every target was tried. A request that may repeat goes on with those that may have recovered.
         m_tried.clear();
+        wish.excluded.clear();
         if (m_history.mayRepeat)
-            target = m_parts.board.choose({ m_service, m_parts.settings.zone, {}, m_lostZone }, now);
+            target = m_parts.board.choose(wish, now);
     }
     if (!target) {
         waitForTarget();
@@ -56,6 +57,86 @@
     send(*target);
 }
 
+// The target that holds a copy of the run, if it is still the same one.
+std::optional<target_entry> exchange::copyHolder()
+{
+    if (!m_copy || !m_copyHolder)
+        return std::nullopt;
+    if (m_parts.board.isSame(*m_copyHolder))
+        return m_copyHolder;
+    m_copy.reset();
+    return std::nullopt;
+}
+
+// Asks a few engines for their load: other nodes send to them too, and prompts read side by side delay each other.
+// The zone of this node is not preferred: after the loss of a zone all its nodes would choose the one engine left
+// there.
+bool exchange::survey()
+{
+    const auto* rules = m_table->rulesOf(m_service);
+    if (!rules || !rules->engine)
+        return false;
+    const target_wish wish { m_service, std::nullopt, m_tried, m_lostZone };
+    const auto now = m_parts.timers.now();
+    m_survey.clear();
+    for (auto& target : m_parts.board.candidates(wish, SurveyedEngines, now)) {
+        const auto unreported = m_parts.board.startedSince(target.name, now - ReportLag);
+        m_survey.push_back({ std::move(target), false, std::nullopt, unreported });
+    }
+    if (m_survey.size() < 2)
+        return false;
+    m_surveyPending = m_survey.size();
+    for (std::size_t index = 0; index < m_survey.size(); ++index) {
+        m_parts.prober.ask(m_survey[index].target, SurveyPatience,
+            [self = weak_from_this(), index](const target_prober::answer& answer) {
+                if (const auto exchange = self.lock())
+                    exchange->onSurveyAnswer(index, answer);
+            });
+    }
+    return true;
+}
+
+void exchange::onSurveyAnswer(std::size_t index, const target_prober::answer& answer)
+{
+    if (m_over)
+        return;
+    auto& engine = m_survey[index];
+    engine.report = answer.report;
+    engine.alive = answer.alive;
+    const auto now = m_parts.timers.now();
+    if (answer.replaced || !answer.alive)
+        m_parts.log.write("target_failed_survey",
+            { { "attempt", m_caller.attempt }, { "target", engine.target.name.value() },
+                { "why", answer.replaced ? "replaced" : "no answer" } });
+    if (answer.replaced) {
+        m_parts.board.recordFault(engine.target.name, target_fault::Misaddressed, now);
+        m_parts.targetsOutdated();
+    } else if (!answer.alive) {
+        m_parts.board.recordFault(engine.target.name, target_fault::Unreachable, now);
+    }
+    if (!--m_surveyPending)
+        onSurveyed();
+}
+
+void exchange::onSurveyed()
+{
+    // The survey took a moment: targets may have left, begun to drain or turned out to be others.
+    const auto unusable = [this](const surveyed_engine& engine) {
+        const auto* target = m_parts.board.find(engine.target.name);
+        return !engine.alive || !target || target->draining || m_parts.board.isReplaced(engine.target.name);
+    };
+    for (const auto& engine : m_survey) {
+        if (unusable(engine))
+            m_tried.push_back(engine.target.name);
+    }
+    m_survey.erase(std::remove_if(m_survey.begin(), m_survey.end(), unusable), m_survey.end());
+    const auto chosen = chooseSurveyed(m_survey, m_caller.promptTokens + m_caller.maxOutputTokens, survey_settings {});
+    if (chosen)
+        send(target_entry(m_survey[*chosen].target));
+    else
+        dispatch();
+}
+
 void exchange::waitForTarget()
 {
     const auto now = m_parts.timers.now();
@@ -101,6 +182,9 @@
     m_continuesCopy = m_copy.has_value();
     m_copy.reset();
     m_target = target;
+    m_orderedCopy.reset();
+    m_orderedAt = {};
+    m_ordering = false;
     m_sent = false;
     m_streaming = false;
     m_body.clear();
@@ -111,9 +195,9 @@
     if (m_attempts > 1)
         m_parts.log.write("attempt_repeated",
             { { "attempt", m_caller.attempt }, { "target", target.name.value() }, { "zone", target.zone.value() },
-                { "try", std::to_string(m_attempts) }, { "copy", m_continuesCopy ? instruction.goOnFrom->holder : "" },
+                { "try", std::to_string(m_attempts) }, { "copy", m_continuesCopy ? instruction.goOnFrom->name : "" },
                 { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
-    m_parts.board.attemptStarted(target.name);
+    m_parts.board.attemptStarted(target.name, now);
     m_link = m_parts.links.take(target.address, now);
     if (m_route->kind == route_kind::Stream)
         watchForStall();
@@ -200,7 +284,7 @@
             --m_history.answered; // the target that was meant has not seen the request
             m_parts.targetsOutdated();
         }
-        repeatOrGiveUp(m_continuesCopy || misaddressed ? attempt_end::NotSent : attempt_end::NotRun);
+        repeatOrGiveUp(attempt_end::NotRun);
         return;
     }
     m_history.mayHaveRun = true;
@@ -267,7 +351,8 @@
     if (lost && m_target) {
         m_lostZone = m_target->zone;
         if (m_copyHolder && m_route->resumable)
-            m_copy = run_copy { m_copyHolder->address, m_caller.attempt };
+            m_copy = m_orderedCopy ? m_orderedCopy : run_copy { m_copyHolder->address, m_caller.attempt };
+        m_orderedCopy.reset();
     }
     auto step = nextStep(m_history, end);
     if (step == next_step::TryAnotherWithin && !m_parts.allowance.take(m_service, now)) {
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -3,6 +3,9 @@
 #include "gateway/exchange.h"
 
 #include "gateway/answer_sink.h"
+#include "gateway/copy_orders.h"
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/stream_stall_settings.h"
 #include "gateway/target_prober.h"
 #include "routing/route_table.h"
@@ -13,6 +16,10 @@
 
 namespace {
 
+    /// Between two orders for one run when the first found no room.
+    constexpr std::chrono::milliseconds CopyOrderPause { 400 };
+    /// Share of a copy's life after which it is ordered again; only what is new is then copied.
+    constexpr double CopyRenewal = 0.7;
     /// Bytes that a caller may leave unread before its target is no longer read from.
     constexpr std::size_t MaxUnsentBytes = 262'144;
 
@@ -53,9 +60,56 @@
         m_sink->beginStream(m_head);
     }
     m_sink->sendPiece(event.bytes);
+    keepCopy();
     return true;
 }
 
+// A copy holder that is lost is replaced while the run still lives: without a copy its loss reads the prompt again.
+void exchange::keepCopy()
+{
+    const auto* rules = m_table->rulesOf(m_service);
+    if (!m_route->resumable || !rules || !rules->engine || !rules->engine->copiesOnOrder || m_ordering)
+        return;
+    const auto now = m_parts.timers.now();
+    const bool lost = !m_copyHolder || !m_parts.board.isSame(*m_copyHolder);
+    if (lost && m_orderedCopy)
+        m_orderedCopy.reset();
+    const bool aging = m_orderedCopy && now >= m_orderedAt + rules->engine->copyLife * CopyRenewal;
+    if ((lost && now >= m_orderedAt + CopyOrderPause) || aging)
+        orderCopy();
+}
+
+void exchange::orderCopy()
+{
+    m_orderedAt = m_parts.timers.now();
+    if (!m_copyHolder || !m_parts.board.isSame(*m_copyHolder)) {
+        m_copyHolder
+            = m_parts.board.choose({ m_service, std::nullopt, { m_target->name }, m_target->zone }, m_orderedAt);
+        if (!m_copyHolder)
+            return;
+    }
+    m_parts.metrics.count("copy_orders");
+    m_ordering = true;
+    m_parts.copies.order(m_target->address, m_caller.attempt, m_copyHolder->address,
+        [self = weak_from_this(), attempt = m_attempts](const std::optional<std::string>& handle) {
+            const auto exchange = self.lock();
+            if (exchange && !exchange->m_over && attempt == exchange->m_attempts)
+                exchange->onCopyOrdered(handle);
+        });
+}
+
+void exchange::onCopyOrdered(const std::optional<std::string>& handle)
+{
+    m_ordering = false;
+    m_parts.log.write("copy_ordered",
+        { { "attempt", m_caller.attempt }, { "source", m_target->name.value() },
+            { "holder", m_copyHolder ? m_copyHolder->name.value() : "" }, { "made", handle ? "true" : "false" } });
+    if (handle)
+        m_orderedCopy = run_copy { m_target->address, *handle };
+    else
+        m_copyHolder.reset();
+}
+
 void exchange::onSinkDrained()
 {
     if (!m_sinkPaused || !m_link)
@@ -103,10 +157,10 @@
     }
     if (!m_probing) {
         m_probing = true;
-        m_parts.prober.ask(m_target->address, probePatience(m_route->longestGap),
-            [self = weak_from_this(), attempt = m_attempts](bool alive) {
+        m_parts.prober.ask(*m_target, probePatience(m_route->longestGap),
+            [self = weak_from_this(), attempt = m_attempts](const target_prober::answer& answer) {
                 if (const auto exchange = self.lock())
-                    exchange->onProbe(attempt, alive);
+                    exchange->onProbe(attempt, answer.alive);
             });
     }
     checkAgainAt(now + pause);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/http_endpoint.h"
 #include "gateway/link_pool.h"
 #include "gateway/socket_address.h"
+#include "gateway/target_prober.h"
 #include "gateway/timer_queue.h"
 
 #include <boost/asio/io_context.hpp>
@@ -76,6 +77,7 @@
 void gateway::housekeep()
 {
     m_parts.links.expire(m_parts.timers.now());
+    m_parts.prober.expire(m_parts.timers.now());
     m_parts.log.flush();
     m_parts.timers.at(m_parts.timers.now() + HousekeepInterval, [this] { housekeep(); });
 }
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -7,6 +7,7 @@
 namespace oriolepick {
 
 class config_in_force;
+class copy_orders;
 class decision_log;
 class gateway_metrics;
 class link_pool;
@@ -26,6 +27,7 @@
     link_pool& links;
     target_board& board;
     target_prober& prober;
+    copy_orders& copies;
     retry_allowance& allowance;
     seeded_random& random;
     config_in_force& config;
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -17,10 +17,12 @@
     std::string callerAddress; ///< "IP:PORT" where callers connect
     std::string readinessAddress; ///< "IP:PORT" of the readiness probe
     std::string metricsAddress; ///< "IP:PORT" of the metrics page, empty for none
+    std::string peerAddress; ///< "IP:PORT" where other nodes ask this one
     std::string registryAddress; ///< "IP:PORT" of the platform's store
     int maxConnections = 1'024; ///< of callers and targets together
     std::chrono::milliseconds stopGrace { 8'000 }; ///< from the stop signal to the forced end
-    std::chrono::milliseconds registryPoll { 1'000 }; ///< between two readings of target registrations
+    std::chrono::milliseconds registryPoll { 800 }; ///< between two readings of target registrations in the store
+    std::chrono::milliseconds relayPoll { 400 }; ///< between two readings through another node
     double repeatRatio = 0.8; ///< repeats to requests, over all nodes
     double repeatSlack = 150; ///< repeats over all nodes that need no requests
     std::chrono::milliseconds repeatWindow { 10'000 };
--- a/gateway/gateway_settings_json.cpp
+++ b/gateway/gateway_settings_json.cpp
@@ -14,10 +14,12 @@
         visit("caller_address", settings.callerAddress, RequiredAddress);
         visit("readiness_address", settings.readinessAddress, RequiredAddress);
         visit("metrics_address", settings.metricsAddress, OptionalAddress);
+        visit("peer_address", settings.peerAddress, RequiredAddress);
         visit("registry_address", settings.registryAddress, RequiredAddress);
         visit("max_connections", settings.maxConnections, numberRule(16, 65'536));
         visit("stop_grace_ms", settings.stopGrace, numberRule(500, MaxTimeMs));
         visit("registry_poll_ms", settings.registryPoll, numberRule(50, 60'000));
+        visit("relay_poll_ms", settings.relayPoll, numberRule(50, 60'000));
         visit("repeat_ratio", settings.repeatRatio, numberRule(0, 10));
         visit("repeat_slack", settings.repeatSlack, numberRule(0, 1e6));
         visit("repeat_window_ms", settings.repeatWindow, numberRule(1'000, MaxTimeMs));
--- a/gateway/http_call.cpp
+++ b/gateway/http_call.cpp
@@ -23,22 +23,37 @@
 {
 }
 
+http_call::~http_call()
+{
+    m_timers.cancel(m_timer);
+    dropChannel();
+}
+
 void http_call::get(const std::string& target, std::chrono::milliseconds timeout, callback done)
+{
+    send(concatenated("GET ", target, " HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n"), timeout, std::move(done));
+}
+
+void http_call::send(std::string request, std::chrono::milliseconds timeout, callback done)
 {
     if (m_done)
         dropChannel(); // its answer would be taken for this call's
     m_done = std::move(done);
     m_body.clear();
     m_reader = std::make_unique<response_reader>(MaxHeaderBytes);
-    m_request = concatenated("GET ", target, " HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n");
+    m_request = std::move(request);
     m_timers.cancel(m_timer);
     waitUntil(m_timers.now() + timeout);
-    if (m_channel && m_channel->isOpen()) {
-        if (m_connected)
-            m_channel->send(m_request);
-        return;
-    }
-    m_connected = false;
+    m_reused = m_channel && m_channel->isOpen() && m_connected;
+    if (m_reused)
+        m_channel->send(m_request);
+    else
+        connect();
+}
+
+void http_call::connect()
+{
+    dropChannel();
     m_channel = std::make_shared<byte_channel>(boost::asio::ip::tcp::socket(m_loop), channel_settings {});
     m_channel->setListener(weak_from_this());
     m_channel->connect(m_address);
@@ -93,6 +108,12 @@
 {
     m_connected = false;
     m_input.clear();
+    if (m_done && m_reused && !m_reader->started()) {
+        // The other side had closed the idle connection; a reading may be asked again.
+        m_reused = false;
+        connect();
+        return;
+    }
     if (m_done)
         finish({ 0, {}, end == channel_end::Refused ? "not connected" : "the connection was lost" });
 }
--- a/gateway/http_call.h
+++ b/gateway/http_call.h
@@ -25,12 +25,16 @@
     using callback = std::function<void(call_answer)>;
 
     http_call(boost::asio::io_context& loop, timer_queue& timers, std::string address, std::uint64_t maxBodyBytes);
+    ~http_call() override;
 
-    /// Sends a request without body.
+    /// Sends a reading request.
     /// \param target path and query, already encoded
     /// \param timeout until the whole answer
     void get(const std::string& target, std::chrono::milliseconds timeout, callback done);
 
+    /// Sends the bytes of a request that may be sent twice.
+    void send(std::string request, std::chrono::milliseconds timeout, callback done);
+
     void onConnected() override;
     void onBytes(std::string_view bytes) override;
     void onEnd(channel_end end) override;
@@ -38,6 +42,7 @@
 private:
     void waitUntil(instant due);
     void finish(call_answer answer);
+    void connect();
     void dropChannel();
 
     boost::asio::io_context& m_loop;
@@ -52,6 +57,7 @@
     callback m_done;
     timer_handle m_timer = 0;
     bool m_connected = false;
+    bool m_reused = false; ///< the connection served a call before
 };
 
 } // namespace oriolepick
--- a/gateway/http_endpoint.cpp
+++ b/gateway/http_endpoint.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr std::uint32_t MaxHeaderBytes = 8'192; ///< probes send a few fields
-    constexpr std::size_t MaxConnections = 32; ///< a probe a second and a scraper leave this far away
+    constexpr std::size_t MaxConnections = 256; ///< the nodes of a large zone, each with one connection
 
 } // namespace
 
@@ -53,7 +53,7 @@
 private:
     void answer(const http_request& request)
     {
-        const auto page = m_owner.m_answer(request.path());
+        const auto page = m_owner.m_answer(request.target);
         m_channel->send(concatenated("HTTP/1.1 ", page.status, " ", reasonOf(page.status),
             "\r\nContent-Type: ", page.contentType, "\r\nContent-Length: ", page.body.size(),
             request.keepAlive ? "" : "\r\nConnection: close", "\r\n\r\n", page.body));
--- a/gateway/http_endpoint.h
+++ b/gateway/http_endpoint.h
@@ -18,10 +18,10 @@
     std::string body;
 };
 
-/// Answers GET requests by their path.
+/// Answers GET requests by their target.
 class http_endpoint {
 public:
-    using handler = std::function<page_answer(std::string_view path)>;
+    using handler = std::function<page_answer(std::string_view target)>;
 
     /// \param address "IP:PORT"; throws boost::system::system_error when it cannot be bound
     http_endpoint(boost::asio::io_context& loop, const std::string& address, handler answer);
--- a/gateway/request_dialect.h
+++ b/gateway/request_dialect.h
@@ -4,12 +4,14 @@
 
 #include "core/error.h"
 #include "gateway/http_message.h"
+#include "routing/engine_report.h"
 #include "routing/routing_names.h"
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace oriolepick {
 
@@ -24,10 +26,10 @@
     std::uint64_t maxOutputTokens = 0;
 };
 
-/// Where the memory of a run is found.
+/// Names the copied memory of a run to the target that holds it.
 struct run_copy {
-    std::string holder; ///< address of the target that holds the copy, "IP:PORT"
-    std::string run; ///< attempt that the copy was made of
+    std::string address; ///< "IP:PORT": of the holder for a copy that grows, of the source for one made on order
+    std::string name; ///< the attempt for a copy that grows, a handle for one made on order
 };
 
 /// What the gateway tells a target beside the caller's own request.
@@ -55,12 +57,28 @@
 public:
     virtual ~request_dialect() = default;
 
+    /// \return the load in the answer to a probe, or nothing when it cannot be read
+    virtual std::optional<engine_report> readProbe(std::string_view body) const = 0;
+
     /// \return the decoded request, or BadRequest naming the field
     virtual result<caller_request> readRequest(const http_request& request) const = 0;
 
     /// \return the bytes of the request for a target: method, target and body unchanged
     virtual std::string writeRequest(const http_request& request, const target_instruction& instruction) const = 0;
 
+    /// \return a question about the load of \p target, which another target at its address refuses
+    virtual std::string writeProbe(const target_name& target, const std::string& address) const = 0;
+
+    /// \return an order to the target at \p address to copy the run of \p attempt to \p holder
+    virtual std::string writeCopyOrder(
+        const std::string& address, const std::string& attempt, const std::string& holder) const = 0;
+
+    /// \return the handle in the answer to a copy order, or nothing when it cannot be read
+    virtual std::optional<std::string> readCopyHandle(std::string_view body) const = 0;
+
+    /// \return an order to the source at \p address to free the copy that \p handle names
+    virtual std::string writeCopyRelease(const std::string& address, const std::string& handle) const = 0;
+
     virtual target_reply readReply(const http_response_head& head) const = 0;
 };
 
--- a/gateway/row_source.h
+++ b/gateway/row_source.h
@@ -30,6 +30,7 @@
     row_status status = row_status::Unavailable;
     std::vector<stored_row> rows;
     std::uint64_t revision = 0; ///< of the store; changes after it are read next
+    std::chrono::milliseconds age { 0 }; ///< since the store said so
     std::string problem; ///< what went wrong, for the log
 };
 
--- a/gateway/table_watch.cpp
+++ b/gateway/table_watch.cpp
@@ -28,7 +28,7 @@
 
 void table_watch::hurry()
 {
-    if (m_reading || m_failures)
+    if (m_reading || m_failures || m_timers.now() < m_lastAnswer + m_settings.hurryPause)
         return;
     m_timers.cancel(m_timer);
     read();
@@ -69,6 +69,11 @@
     m_revision = answer.revision;
     m_known = true;
     m_readWhole = false;
+    const auto asOf = m_lastAnswer - answer.age;
+    if (whole)
+        m_replica.restart(answer.revision, asOf);
+    else
+        m_replica.add(answer, asOf);
     if (whole)
         m_events.onAll(answer.rows);
     else if (!answer.rows.empty())
--- a/gateway/table_watch.h
+++ b/gateway/table_watch.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/instant.h"
+#include "gateway/row_replica.h"
 #include "gateway/row_source.h"
 #include "gateway/timer_queue.h"
 
@@ -19,6 +20,7 @@
 struct watch_settings {
     std::chrono::milliseconds wait { 0 }; ///< the store holds a reading this long when nothing changed
     std::chrono::milliseconds pause { 0 }; ///< between two readings
+    std::chrono::milliseconds hurryPause { 300 }; ///< least time between two readings, however urgent
     std::chrono::milliseconds retryPause { 250 }; ///< after a failed reading; doubled up to longestRetryPause
     std::chrono::milliseconds longestRetryPause { 1'000 }; ///< news may be this late after an outage
 };
@@ -26,7 +28,7 @@
 /// What a watch reports.
 struct watch_events {
     std::function<void(const std::vector<stored_row>&)> onAll; ///< the whole table
-    std::function<void(const std::vector<stored_row>&)> onChanges; ///< rows that changed since
+    std::function<void(const std::vector<stored_row>&)> onChanges; ///< rows that changed since, at least one
     std::function<void()> onReturned; ///< the store answers again after failures, before any rows are reported
 };
 
@@ -44,8 +46,11 @@
     /// \return whether the table has been read at least once
     bool isKnown() const { return m_known; }
 
-    /// \return when the store answered last
-    instant lastAnswer() const { return m_lastAnswer; }
+    /// \return what was read lately, for other nodes
+    const row_replica& replica() const { return m_replica; }
+
+    /// Changes the pause between two readings.
+    void setPause(std::chrono::milliseconds pause) { m_settings.pause = pause; }
 
 private:
     void read();
@@ -67,6 +72,7 @@
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0;
     instant m_lastAnswer;
+    row_replica m_replica;
     timer_handle m_timer = 0;
 };
 
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -1,40 +1,63 @@
 #include "gateway/target_prober.h"
 
 #include "gateway/http_call.h"
+#include "gateway/request_dialect.h"
+#include "routing/target_board.h"
 
 namespace oriolepick {
 
 namespace {
 
     constexpr std::uint64_t MaxAnswerBytes = 1'048'576; ///< a report lists each running request
+    /// Kept connections save a handshake for each question of a burst; targets close idle ones after a few seconds.
+    constexpr std::chrono::seconds IdleTime { 2 };
+    constexpr int Success = 200;
+    constexpr int Misdirected = 421;
 
 } // namespace
 
-target_prober::target_prober(boost::asio::io_context& loop, timer_queue& timers, std::string question)
+target_prober::target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect)
     : m_loop(loop)
     , m_timers(timers)
-    , m_question(std::move(question))
+    , m_dialect(dialect)
 {
 }
 
-void target_prober::ask(const std::string& address, std::chrono::milliseconds patience, callback done)
+void target_prober::ask(const target_entry& target, std::chrono::milliseconds patience, callback done)
 {
-    auto& entry = m_pending[address];
-    entry.waiting.push_back(std::move(done));
-    if (entry.call)
+    auto& line = m_lines[target.name];
+    line.lastUse = m_timers.now();
+    line.startedAt = target.startedAt;
+    line.waiting.push_back(std::move(done));
+    if (line.waiting.size() > 1)
         return;
-    entry.call = std::make_shared<http_call>(m_loop, m_timers, address, MaxAnswerBytes);
-    entry.call->get(
-        m_question, patience, [this, address](const call_answer& given) { answer(address, given.status != 0); });
+    if (!line.call)
+        line.call = std::make_shared<http_call>(m_loop, m_timers, target.address, MaxAnswerBytes);
+    line.call->send(m_dialect.writeProbe(target.name, target.address), patience,
+        [this, name = target.name](const call_answer& given) { finish(name, given); });
 }
 
-void target_prober::answer(const std::string& address, bool alive)
+void target_prober::finish(const target_name& target, const call_answer& given)
 {
-    auto entry = m_pending.extract(address);
-    // The call is in its own callback: it is released by the loop.
-    m_timers.at(m_timers.now(), [call = entry.mapped().call] {});
-    for (auto& waiting : entry.mapped().waiting)
-        waiting(alive);
+    answer heard;
+    if (given.status == Success)
+        heard.report = m_dialect.readProbe(given.body);
+    auto& line = m_lines[target];
+    heard.replaced = given.status == Misdirected
+        || (heard.report && heard.report->startedAt && line.startedAt && heard.report->startedAt != line.startedAt);
+    heard.alive = given.status != 0 && !heard.replaced;
+    std::vector<callback> waiting;
+    waiting.swap(line.waiting);
+    for (const auto& done : waiting)
+        done(heard);
+}
+
+void target_prober::expire(instant now)
+{
+    for (auto entry = m_lines.begin(); entry != m_lines.end();) {
+        const bool idle = entry->second.waiting.empty() && now >= entry->second.lastUse + IdleTime;
+        entry = idle ? m_lines.erase(entry) : std::next(entry);
+    }
 }
 
 } // namespace oriolepick
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -5,42 +5,56 @@
 #include "core/instant.h"
 #include "gateway/byte_channel.h"
 #include "gateway/timer_queue.h"
+#include "routing/engine_report.h"
+#include "routing/routing_names.h"
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <string>
+#include <optional>
 #include <vector>
 
 namespace oriolepick {
 
 class http_call;
+class request_dialect;
+struct call_answer;
+struct target_entry;
 
 /// Questions about one target at the same time are asked once.
 class target_prober {
 public:
-    /// Receives whether the target answered in time.
-    using callback = std::function<void(bool alive)>;
+    /// What a target answered.
+    struct answer {
+        bool alive = false; ///< an answer came in time
+        bool replaced = false; ///< another target has the address
+        std::optional<engine_report> report; ///< nothing when the answer could not be read
+    };
+    using callback = std::function<void(const answer&)>;
 
-    /// \param question path of a page that any live target answers at once
-    target_prober(boost::asio::io_context& loop, timer_queue& timers, std::string question);
+    /// \param dialect writes the question and reads the answer; outlives this object
+    target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect);
 
-    /// \param address "IP:PORT" of the target
     /// \param patience time for the answer
-    void ask(const std::string& address, std::chrono::milliseconds patience, callback done);
+    void ask(const target_entry& target, std::chrono::milliseconds patience, callback done);
+
+    /// Closes connections that were not used lately. Call about once a second.
+    void expire(instant now);
 
 private:
-    struct pending {
+    struct line {
         std::shared_ptr<http_call> call;
-        std::vector<callback> waiting;
+        std::vector<callback> waiting; // one question is under way when it is not empty
+        instant lastUse;
+        std::uint64_t startedAt = 0; // of the target that was meant
     };
 
-    void answer(const std::string& address, bool alive);
+    void finish(const target_name& target, const call_answer& given);
 
     boost::asio::io_context& m_loop;
     timer_queue& m_timers;
-    std::string m_question;
-    std::map<std::string, pending> m_pending;
+    const request_dialect& m_dialect;
+    std::map<target_name, line> m_lines;
 };
 
 } // namespace oriolepick
--- a/gateway/test/gateway_settings.cpp
+++ b/gateway/test/gateway_settings.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 const std::string Least = R"("node":"n1","zone":"z1","caller_address":"10.0.0.1:80","readiness_address":"10.0.0.1:81",
+ "peer_address":"10.0.0.1:83",
  "registry_address":"10.0.0.2:82")";
 
 std::vector<field_error> problemsOf(const std::string& text)
@@ -26,14 +27,14 @@
     EXPECT_EQ(settings.node.value(), "n1");
     EXPECT_EQ(settings.stopGrace, 5s);
     EXPECT_DOUBLE_EQ(settings.repeatRatio, 0.5);
-    EXPECT_EQ(settings.registryPoll, 1s);
+    EXPECT_EQ(settings.registryPoll, 800ms);
 }
 
 TEST(GatewaySettings, NamesEveryProblem)
 {
     EXPECT_EQ(problemsOf("[]").size(), 1U);
     EXPECT_EQ(problemsOf("{").size(), 1U);
-    EXPECT_EQ(problemsOf("{}").size(), 5U) << "five fields are required";
+    EXPECT_EQ(problemsOf("{}").size(), 6U) << "six fields are required";
     const auto unknown = problemsOf("{" + Least + R"(,"registry_pol_ms":5})");
     ASSERT_EQ(unknown.size(), 1U);
     EXPECT_NE(unknown[0].problem.find("registry_poll_ms"), std::string::npos);
--- a/gateway/test/table_watch.cpp
+++ b/gateway/test/table_watch.cpp
@@ -54,9 +54,18 @@
 protected:
     static row_answer done(std::uint64_t revision, std::vector<stored_row> rows)
     {
-        return { row_status::Done, std::move(rows), revision, {} };
+        row_answer answer;
+        answer.status = row_status::Done;
+        answer.rows = std::move(rows);
+        answer.revision = revision;
+        return answer;
+    }
+    static row_answer failed(row_status status)
+    {
+        row_answer answer;
+        answer.status = status;
+        return answer;
     }
-    static row_answer failed(row_status status) { return { status, {}, 0, "test" }; }
 
     void play(std::vector<row_answer> script)
     {
--- a/routing/retry_allowance.cpp
+++ b/routing/retry_allowance.cpp
@@ -1,5 +1,6 @@
 #include "routing/retry_allowance.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace oriolepick {
@@ -9,16 +10,42 @@
 {
 }
 
-retry_account& retry_allowance::accountOf(const service_name& service, instant now)
+double retry_allowance::share() const
+{
+    return m_settings.slack / m_nodes.value_or(m_settings.assumedNodes);
+}
+
+void retry_allowance::setNodes(std::size_t nodes, instant now)
+{
+    const auto count = static_cast<double>(std::max<std::size_t>(nodes, 1));
+    if (m_nodes == count)
+        return;
+    m_nodes = count;
+    for (auto& [service, account] : m_accounts) {
+        // What was spent stays spent: a share that grows must not be filled anew at each change.
+        auto changed = newAccount(now);
+        const double before = account.balance(now);
+        while (changed.balance(now) > std::max(before, 0.0) + 1)
+            changed.take(now);
+        account = changed;
+    }
+}
+
+retry_account retry_allowance::newAccount(instant now) const
 {
-    const double share = m_settings.slack / m_settings.assumedNodes;
+    // Half of the share is saved up, a quarter comes back within a window; the last quarter stays unused.
     const double windowSeconds = std::chrono::duration<double>(m_settings.window).count();
-    return m_accounts.try_emplace(service, retry_account(share, share / 2 / windowSeconds, now)).first->second;
+    return retry_account(std::max(share() / 2, m_settings.burst), share() / 4 / windowSeconds, now);
+}
+
+retry_account& retry_allowance::accountOf(const service_name& service, instant now)
+{
+    return m_accounts.try_emplace(service, newAccount(now)).first->second;
 }
 
 void retry_allowance::recordRequest(const service_name& service, instant now)
 {
-    accountOf(service, now).earn(m_settings.ratio * m_settings.safety, now);
+    accountOf(service, now).earn(m_settings.ratio * m_settings.earnedPart, now);
 }
 
 bool retry_allowance::take(const service_name& service, instant now)
--- a/routing/retry_allowance.h
+++ b/routing/retry_allowance.h
@@ -7,6 +7,7 @@
 #include "routing/routing_names.h"
 
 #include <map>
+#include <optional>
 
 namespace oriolepick {
 
@@ -15,10 +16,13 @@
     double ratio = 0.8; ///< repeats to requests, over all nodes
     double slack = 150; ///< repeats over all nodes that are allowed without requests in one window
     std::chrono::milliseconds window { 10'000 };
-    /// Part of the ratio that is spent: windows of requests and repeats do not line up exactly.
-    double safety = 0.85;
+    /// Part of the ratio that requests earn; the rest of it covers what nodes have saved up.
+    double earnedPart = 0.7;
+    /// A node may always save up this many: an engine that crashes takes several of its streams at once. Nodes with few
+    /// requests seldom use them, so that the sum over many nodes stays within the rest of the ratio.
+    double burst = 3;
     /// Nodes that may share the slack when their number is not known.
-    double assumedNodes = 12;
+    double assumedNodes = 100;
 };
 
 /// Each node earns repeats in proportion to its own requests, so that the sum over all nodes keeps the ratio without a
@@ -30,6 +34,9 @@
     /// Changes the bounds; what was earned under the old ones is kept.
     void apply(allowance_settings settings) { m_settings = settings; }
 
+    /// Sets how many nodes share the slack.
+    void setNodes(std::size_t nodes, instant now);
+
     /// Counts a request for \p service.
     void recordRequest(const service_name& service, instant now);
 
@@ -43,7 +50,11 @@
 private:
     retry_account& accountOf(const service_name& service, instant now);
 
+    double share() const;
+    retry_account newAccount(instant now) const;
+
     allowance_settings m_settings;
+    std::optional<double> m_nodes;
     std::map<service_name, retry_account> m_accounts;
     std::uint64_t m_denied = 0;
 };
--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -7,6 +7,15 @@
 
 namespace oriolepick {
 
+namespace {
+
+    /// Scores are loads in slots, so these put a target behind all others of its group but before a refusal.
+    constexpr double AvoidedZoneScore = 1'000;
+    constexpr double AvoidedTargetScore = 1'000'000;
+    constexpr std::size_t MaxStarts = 16; ///< a node sends fewer requests to one target before it reports them
+
+} // namespace
+
 target_board::target_board(board_settings settings, seeded_random& random)
     : m_settings(settings)
     , m_random(random)
@@ -15,10 +24,16 @@
 
 void target_board::put(const target_entry& entry, instant)
 {
+    for (auto& [name, other] : m_targets) {
+        const bool older = other.entry.startedAt < entry.startedAt;
+        if (older && other.entry.address == entry.address && name != entry.name)
+            other.replaced = true; // it ended without a word: its own registration lapses only later
+    }
     auto& target = m_targets[entry.name];
     if (target.entry.startedAt != entry.startedAt || target.entry.address != entry.address) {
         target.faultsInRow = 0;
         target.avoidedUntil = {};
+        target.replaced = false;
     }
     target.entry = entry;
     target.lapsesAt.reset();
@@ -58,11 +73,16 @@
         remove(name, now);
 }
 
-void target_board::attemptStarted(const target_name& target)
+void target_board::attemptStarted(const target_name& target, instant now)
 {
     const auto found = m_targets.find(target);
-    if (found != m_targets.end())
-        ++found->second.inFlight;
+    if (found == m_targets.end())
+        return;
+    ++found->second.inFlight;
+    auto& starts = found->second.starts;
+    starts.push_back(now);
+    if (starts.size() > MaxStarts)
+        starts.pop_front();
 }
 
 void target_board::attemptEnded(const target_name& target)
@@ -78,6 +98,10 @@
     if (found == m_targets.end())
         return;
     auto& state = found->second;
+    if (fault == target_fault::Misaddressed) {
+        state.replaced = true;
+        return;
+    }
     if (fault == target_fault::Full) {
         // A full target is healthy: it only gets nothing until a place may be free again.
         state.avoidedUntil = std::max(state.avoidedUntil, now + m_settings.firstAvoidance / 10);
@@ -99,7 +123,7 @@
 
 bool target_board::isUsable(const state& target, instant now) const
 {
-    return !target.entry.draining && (!target.lapsesAt || now < *target.lapsesAt);
+    return !target.entry.draining && !target.replaced && (!target.lapsesAt || now < *target.lapsesAt);
 }
 
 bool target_board::isExcluded(const target_wish& wish, const target_name& name)
@@ -107,34 +131,76 @@
     return std::find(wish.excluded.begin(), wish.excluded.end(), name) != wish.excluded.end();
 }
 
-std::optional<target_entry> target_board::choose(const target_wish& wish, instant now)
+void target_board::forgetLapsed(instant now)
 {
-    const state* best = nullptr;
-    double bestScore = 0;
     for (auto candidate = m_targets.begin(); candidate != m_targets.end();) {
-        const auto& [name, target] = *candidate;
-        if (target.lapsesAt && now >= *target.lapsesAt && !target.inFlight) {
-            candidate = m_targets.erase(candidate);
-            continue;
-        }
-        ++candidate;
-        if (target.entry.service != wish.service || !isUsable(target, now) || isExcluded(wish, name))
-            continue;
-        double score = (target.inFlight + 0.5 * m_random.unit()) / std::max<std::uint32_t>(target.entry.slots, 1);
-        if (target.entry.zone != wish.zone)
-            score += m_settings.zoneBonus;
-        if (wish.avoidedZone && target.entry.zone == *wish.avoidedZone)
-            score += 1'000; // after all targets of other zones
-        if (now < target.avoidedUntil)
-            score += 1'000'000; // after all healthy ones, but before a refusal
-        if (!best || score < bestScore) {
-            best = &target;
-            bestScore = score;
-        }
+        const auto& target = candidate->second;
+        const bool gone = target.lapsesAt && now >= *target.lapsesAt && !target.inFlight;
+        candidate = gone ? m_targets.erase(candidate) : std::next(candidate);
+    }
+}
+
+std::optional<double> target_board::scoreOf(
+    const target_wish& wish, const target_name& name, const state& target, instant now)
+{
+    if (target.entry.service != wish.service || !isUsable(target, now) || isExcluded(wish, name))
+        return std::nullopt;
+    double score = (target.inFlight + 0.5 * m_random.unit()) / std::max<std::uint32_t>(target.entry.slots, 1);
+    if (wish.zone && target.entry.zone != *wish.zone)
+        score += m_settings.zoneBonus;
+    if (wish.avoidedZone && target.entry.zone == *wish.avoidedZone)
+        score += AvoidedZoneScore;
+    if (now < target.avoidedUntil)
+        score += AvoidedTargetScore;
+    return score;
+}
+
+std::vector<target_entry> target_board::candidates(const target_wish& wish, std::size_t count, instant now)
+{
+    forgetLapsed(now);
+    std::vector<std::pair<double, const state*>> scored;
+    for (const auto& [name, target] : m_targets) {
+        if (const auto score = scoreOf(wish, name, target, now))
+            scored.emplace_back(*score, &target);
     }
-    if (!best)
+    count = std::min(count, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(),
+        [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::vector<target_entry> best;
+    for (std::size_t index = 0; index < count; ++index)
+        best.push_back(scored[index].second->entry);
+    return best;
+}
+
+std::optional<target_entry> target_board::choose(const target_wish& wish, instant now)
+{
+    auto best = candidates(wish, 1, now);
+    if (best.empty())
         return std::nullopt;
-    return best->entry;
+    return std::move(best.front());
+}
+
+std::uint32_t target_board::startedSince(const target_name& target, instant since) const
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return 0;
+    const auto& starts = found->second.starts;
+    return static_cast<std::uint32_t>(
+        std::count_if(starts.begin(), starts.end(), [since](instant start) { return start > since; }));
+}
+
+bool target_board::isReplaced(const target_name& target) const
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && found->second.replaced;
+}
+
+bool target_board::isSame(const target_entry& target) const
+{
+    const auto found = m_targets.find(target.name);
+    return found != m_targets.end() && found->second.entry.startedAt == target.startedAt && !found->second.replaced
+        && !found->second.lapsesAt && !found->second.faultsInRow;
 }
 
 const target_entry* target_board::find(const target_name& target) const
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -45,7 +46,7 @@
 /// What a new attempt asks for.
 struct target_wish {
     service_name service;
-    availability_zone zone; ///< of this node; its targets win ties
+    std::optional<availability_zone> zone; ///< whose targets win ties
     std::vector<target_name> excluded; ///< tried before
     std::optional<availability_zone> avoidedZone; ///< targets of other zones go first
 };
@@ -77,7 +78,7 @@
     /// Replaces all registrations by \p entries, as after a whole reading of the registry.
     void replaceAll(const std::vector<target_entry>& entries, instant now);
 
-    void attemptStarted(const target_name& target);
+    void attemptStarted(const target_name& target, instant now);
     void attemptEnded(const target_name& target);
 
     /// Avoids \p target for a time that grows with failures in a row.
@@ -89,6 +90,18 @@
     /// \return the target for a new attempt, or nothing when none is left
     std::optional<target_entry> choose(const target_wish& wish, instant now);
 
+    /// \return up to \p count targets for a new attempt, the best first
+    std::vector<target_entry> candidates(const target_wish& wish, std::size_t count, instant now);
+
+    /// \return attempts of this node at \p target that began after \p since and still run
+    std::uint32_t startedSince(const target_name& target, instant since) const;
+
+    /// \return whether another target was found at the address of \p target
+    bool isReplaced(const target_name& target) const;
+
+    /// \return whether the incarnation of \p target is still registered and nothing speaks against it
+    bool isSame(const target_entry& target) const;
+
     /// \return the registration of \p target, or null
     const target_entry* find(const target_name& target) const;
 
@@ -104,11 +117,15 @@
     struct state {
         target_entry entry;
         std::uint32_t inFlight = 0;
+        std::deque<instant> starts; // of the last attempts, the oldest first
         std::uint32_t faultsInRow = 0;
         instant avoidedUntil;
+        bool replaced = false; // another target has the address: no use until it registers anew
         std::optional<instant> lapsesAt; // removed from the registry, kept until then
     };
 
+    std::optional<double> scoreOf(const target_wish& wish, const target_name& name, const state& target, instant now);
+    void forgetLapsed(instant now);
     bool isUsable(const state& target, instant now) const;
     static bool isExcluded(const target_wish& wish, const target_name& name);
 
--- a/routing/test/retry_allowance.cpp
+++ b/routing/test/retry_allowance.cpp
@@ -12,8 +12,8 @@
 TEST(RetryAllowance, AllNodesTogetherKeepTheRatio)
 {
     const allowance_settings settings;
-    constexpr int Nodes = 6;
-    constexpr int RequestsPerNode = 300;
+    constexpr int Nodes = 84;
+    constexpr int RequestsPerNode = 4;
     const service_name service("s");
     instant now { 1000s };
     int repeats = 0;
--- a/routing/test/target_board.cpp
+++ b/routing/test/target_board.cpp
@@ -14,7 +14,7 @@
 protected:
     target_entry entry(const std::string& name, const std::string& zone = "z1", std::uint32_t slots = 4)
     {
-        return { target_name(name), service_name("s"), "10.0.0.1:1", availability_zone(zone), slots, false, 1 };
+        return { target_name(name), service_name("s"), "10.0.0.1:" + name, availability_zone(zone), slots, false, 1 };
     }
 
     std::string chosen(std::vector<target_name> excluded = {}, std::optional<availability_zone> avoided = {})
@@ -33,10 +33,10 @@
 {
     board.put(entry("a"), now);
     board.put(entry("b"), now);
-    board.attemptStarted(target_name("a"));
+    board.attemptStarted(target_name("a"), now);
     EXPECT_EQ(chosen(), "b");
-    board.attemptStarted(target_name("b"));
-    board.attemptStarted(target_name("b"));
+    board.attemptStarted(target_name("b"), now);
+    board.attemptStarted(target_name("b"), now);
     EXPECT_EQ(chosen(), "a");
 }
 
@@ -62,7 +62,7 @@
     board.put(entry("a"), now);
     board.put(entry("b"), now);
     for (int load = 0; load < 3; ++load)
-        board.attemptStarted(target_name("b"));
+        board.attemptStarted(target_name("b"), now);
     board.recordFault(target_name("a"), target_fault::Unreachable, now);
     EXPECT_EQ(chosen(), "b");
     EXPECT_EQ(chosen({ target_name("b") }), "a") << "an avoided target goes before a refusal";
@@ -75,7 +75,7 @@
     board.put(entry("a"), now);
     board.put(entry("b"), now);
     for (int load = 0; load < 3; ++load)
-        board.attemptStarted(target_name("b"));
+        board.attemptStarted(target_name("b"), now);
     for (int fault = 0; fault < 3; ++fault)
         board.recordFault(target_name("a"), target_fault::Silent, now);
     now += 1s;
@@ -89,7 +89,7 @@
     board.put(entry("a"), now);
     board.put(entry("b"), now);
     for (int load = 0; load < 3; ++load)
-        board.attemptStarted(target_name("b"));
+        board.attemptStarted(target_name("b"), now);
     board.recordFault(target_name("a"), target_fault::Unreachable, now);
     auto restarted = entry("a");
     restarted.startedAt = 2;
@@ -105,6 +105,32 @@
     EXPECT_EQ(chosen({ target_name("b") }, availability_zone("z1")), "a");
 }
 
+TEST_F(TargetBoard, ANewerTargetAtTheSameAddressReplacesTheOlder)
+{
+    board.put(entry("a"), now);
+    auto restarted = entry("b");
+    restarted.address = entry("a").address;
+    restarted.startedAt = 2;
+    board.put(restarted, now);
+    EXPECT_TRUE(board.isReplaced(target_name("a")));
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_FALSE(board.isSame(entry("a")));
+    EXPECT_TRUE(board.isSame(restarted));
+}
+
+TEST_F(TargetBoard, AReplacedTargetGetsNothingUntilItRegistersAnew)
+{
+    board.put(entry("a"), now);
+    board.recordFault(target_name("a"), target_fault::Misaddressed, now);
+    EXPECT_EQ(chosen(), "");
+    board.put(entry("a"), now);
+    EXPECT_EQ(chosen(), "") << "a heartbeat of the old registration changes nothing";
+    auto restarted = entry("a");
+    restarted.startedAt = 2;
+    board.put(restarted, now);
+    EXPECT_EQ(chosen(), "a");
+}
+
 TEST_F(TargetBoard, ARemovedTargetIsGoneAtOnce)
 {
     board.put(entry("a"), now);
@@ -128,7 +154,7 @@
 TEST_F(TargetBoard, ARemovedTargetWithWorkIsForgottenWhenTheWorkEnds)
 {
     board.put(entry("a"), now);
-    board.attemptStarted(target_name("a"));
+    board.attemptStarted(target_name("a"), now);
     board.remove(target_name("a"), now);
     EXPECT_EQ(chosen(), "");
     EXPECT_EQ(board.size(), 1U);
