Find replaced engines without the registry; ask copy holders before a resume

Change: an engine whose report shows another start is asked for its name on its health page, when the configuration has a single service with engines. Copy holders are probed before a resume; a run younger than 350 ms has no copy. Refused callers are told to come back after the usual time of the remedy (seconds where nothing is known yet).

--- a/gateway/error_answer_head.cpp
+++ b/gateway/error_answer_head.cpp
@@ -8,10 +8,24 @@
 
 namespace {
 
-    /// Shortest time to come back, in seconds: a place in a short queue is free again by then.
-    constexpr double MinRetryAfter = 0.1;
-    /// Refused callers return over this many seconds, so that they do not come together again.
-    constexpr double RetryAfterSpread = 0.3;
+    /// Seconds until callers come back: the least, and over how long they are spread so as not to come together.
+    struct return_time {
+        double least;
+        double spread;
+    };
+
+    /// Callers seldom come back twice, so the time is that of the usual remedy.
+    return_time returnTimeOf(error_kind kind)
+    {
+        switch (kind) {
+        case error_kind::NodeNotReady:
+            return { 1.0, 2.0 }; // the store's outages last seconds, and it is asked each second
+        case error_kind::NoTarget:
+            return { 0.7, 1.0 }; // crashed targets are back after about a second
+        default:
+            return { 0.1, 0.3 }; // a place in a short queue is free again by then
+        }
+    }
 
 } // namespace
 
@@ -22,9 +36,10 @@
     answer.head.status = row.status;
     answer.head.reason = reasonOf(row.status);
     answer.head.fields.push_back({ "Content-Type", "application/json" });
-    if (row.run == run_state::NotRun && row.retryable)
-        answer.head.fields.push_back(
-            { "Retry-After", std::to_string(MinRetryAfter + RetryAfterSpread * random.unit()) });
+    if (row.run == run_state::NotRun && row.retryable) {
+        const auto time = returnTimeOf(kind);
+        answer.head.fields.push_back({ "Retry-After", std::to_string(time.least + time.spread * random.unit()) });
+    }
     answer.body = nlohmann::json {
         { "error", { { "code", row.code }, { "message", why }, { "run", toString(row.run) } } }
     }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -61,6 +61,7 @@
     // attempts
     void dispatch();
     std::optional<target_entry> copyHolder();
+    void askCopyHolder(const target_entry& holder);
     bool survey();
     void onSurveyAnswer(std::size_t index, const target_prober::answer& answer);
     void onSurveyed();
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -7,6 +7,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/link_pool.h"
+#include "gateway/replacement_finder.h"
 #include "gateway/target_prober.h"
 #include "routing/retry_allowance.h"
 #include "routing/route_table.h"
@@ -23,6 +24,8 @@
     constexpr std::size_t SurveyedEngines = 3;
     /// A live engine answers within a round trip; a lost packet is not worth waiting for.
     constexpr std::chrono::milliseconds SurveyPatience { 60 };
+    /// A copy is begun with the first part of the prompt and sent several times a second.
+    constexpr std::chrono::milliseconds CopyDelay { 350 };
     /// Age of what engines report.
     constexpr std::chrono::milliseconds ReportLag { 300 };
     /// Largest whole answer that is collected; beyond, the target's answer is taken as faulty.
@@ -36,7 +39,7 @@
         return;
     const auto now = m_parts.timers.now();
     if (const auto holder = copyHolder()) {
-        send(*holder);
+        askCopyHolder(*holder);
         return;
     }
     target_wish wish { m_service, m_parts.settings.zone, m_tried, m_lostZone };
@@ -68,6 +71,24 @@
     return std::nullopt;
 }
 
+// A holder that crashed meanwhile would refuse the request: that is known sooner and costs no repeat when it is asked.
+void exchange::askCopyHolder(const target_entry& holder)
+{
+    m_parts.prober.ask(holder, SurveyPatience, [self = weak_from_this(), holder](const target_prober::answer& answer) {
+        const auto exchange = self.lock();
+        if (!exchange || exchange->m_over)
+            return;
+        if (answer.alive) {
+            exchange->send(holder);
+            return;
+        }
+        exchange->m_parts.board.recordFault(holder.name,
+            answer.replaced ? target_fault::Misaddressed : target_fault::Unreachable, exchange->m_parts.timers.now());
+        exchange->m_copy.reset();
+        exchange->dispatch();
+    });
+}
+
 // Asks a few engines for their load: other nodes send to them too, and prompts read side by side delay each other.
 // The zone of this node is not preferred: after the loss of a zone all its nodes would choose the one engine left
 // there.
@@ -111,6 +132,8 @@
     if (answer.replaced) {
         m_parts.board.recordFault(engine.target.name, target_fault::Misaddressed, now);
         m_parts.targetsOutdated();
+        if (answer.report)
+            m_parts.replacements.find(engine.target, answer.report->startedAt);
     } else if (!answer.alive) {
         m_parts.board.recordFault(engine.target.name, target_fault::Unreachable, now);
     }
@@ -350,7 +373,8 @@
     endAttempt();
     if (lost && m_target) {
         m_lostZone = m_target->zone;
-        if (m_copyHolder && m_route->resumable)
+        const bool hasMemory = m_streaming || now >= m_attemptAt + CopyDelay;
+        if (m_copyHolder && m_route->resumable && hasMemory)
             m_copy = m_orderedCopy ? m_orderedCopy : run_copy { m_copyHolder->address, m_caller.attempt };
         m_orderedCopy.reset();
     }
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -11,6 +11,7 @@
 class decision_log;
 class gateway_metrics;
 class link_pool;
+class replacement_finder;
 class request_dialect;
 class retry_allowance;
 class seeded_random;
@@ -28,6 +29,7 @@
     target_board& board;
     target_prober& prober;
     copy_orders& copies;
+    replacement_finder& replacements;
     retry_allowance& allowance;
     seeded_random& random;
     config_in_force& config;
--- a/gateway/http_call.cpp
+++ b/gateway/http_call.cpp
@@ -73,7 +73,7 @@
             return;
         }
         call->dropChannel();
-        call->finish({ 0, {}, "no answer in time" });
+        call->fail("no answer in time");
     });
 }
 
@@ -94,14 +94,14 @@
     m_body += m_reader->takeBody();
     if (m_reader->fault() != read_fault::None || m_body.size() > m_maxBodyBytes) {
         dropChannel();
-        finish({ 0, {}, m_body.size() > m_maxBodyBytes ? "the answer is too large" : "the answer is malformed" });
+        fail(m_body.size() > m_maxBodyBytes ? "the answer is too large" : "the answer is malformed");
         return;
     }
     if (!m_reader->isDone())
         return;
     if (!m_reader->keepAlive() || !m_input.empty())
         dropChannel();
-    finish({ m_reader->head().status, std::move(m_body), {} });
+    finish({ m_reader->head().status, m_reader->head(), std::move(m_body), {} });
 }
 
 void http_call::onEnd(channel_end end)
@@ -115,7 +115,12 @@
         return;
     }
     if (m_done)
-        finish({ 0, {}, end == channel_end::Refused ? "not connected" : "the connection was lost" });
+        fail(end == channel_end::Refused ? "not connected" : "the connection was lost");
+}
+
+void http_call::fail(const std::string& problem)
+{
+    finish({ 0, {}, {}, problem });
 }
 
 void http_call::finish(call_answer answer)
--- a/gateway/http_call.h
+++ b/gateway/http_call.h
@@ -15,6 +15,7 @@
 /// The answer, or why there is none.
 struct call_answer {
     int status = 0; ///< 0 when no whole answer came
+    http_response_head head; ///< empty when no whole answer came
     std::string body;
     std::string problem;
 };
@@ -41,6 +42,7 @@
 
 private:
     void waitUntil(instant due);
+    void fail(const std::string& problem);
     void finish(call_answer answer);
     void connect();
     void dropChannel();
--- /dev/null
+++ b/gateway/replacement_finder.cpp
@@ -0,0 +1,75 @@
+#include "gateway/replacement_finder.h"
+
+#include "gateway/config_in_force.h"
+#include "gateway/decision_log.h"
+#include "gateway/http_call.h"
+#include "gateway/request_dialect.h"
+#include "routing/route_table.h"
+#include "routing/target_board.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr int Success = 200;
+    constexpr std::uint64_t MaxAnswerBytes = 65'536; ///< a health page is short
+    /// The page waits for a place like a request; a full engine may take this long.
+    constexpr std::chrono::milliseconds Patience { 500 };
+
+} // namespace
+
+replacement_finder::replacement_finder(boost::asio::io_context& loop, timer_queue& timers,
+    const request_dialect& dialect, const config_in_force& config, target_board& board, decision_log& log)
+    : m_loop(loop)
+    , m_timers(timers)
+    , m_dialect(dialect)
+    , m_config(config)
+    , m_board(board)
+    , m_log(log)
+{
+}
+
+bool replacement_finder::isOnlyEngineService(const target_entry& replaced) const
+{
+    const auto& services = m_config.table()->config().services;
+    const auto engines = std::count_if(
+        services.begin(), services.end(), [](const auto& service) { return service.second.engine.has_value(); });
+    const auto* own = m_config.table()->rulesOf(replaced.service);
+    return engines == 1 && own && own->engine;
+}
+
+void replacement_finder::find(const target_entry& replaced, std::uint64_t startedAt)
+{
+    if (!m_config.table() || !isOnlyEngineService(replaced) || m_calls.count(replaced.address))
+        return;
+    const auto path = m_config.table()->rulesOf(replaced.service)->healthPath;
+    auto& call = m_calls[replaced.address];
+    call = std::make_shared<http_call>(m_loop, m_timers, replaced.address, MaxAnswerBytes);
+    call->get(path, Patience, [this, replaced, startedAt](const call_answer& answer) {
+        const auto finished = m_calls.extract(replaced.address); // released when this callback returns
+        onAnswer(replaced, startedAt, answer);
+    });
+}
+
+void replacement_finder::onAnswer(const target_entry& replaced, std::uint64_t startedAt, const call_answer& answer)
+{
+    const auto name = m_dialect.readReply(answer.head).actualTarget;
+    const bool usable = answer.status == Success && name && *name != replaced.name;
+    m_log.write("replacement_asked",
+        { { "replaced", replaced.name.value() }, { "address", replaced.address },
+            { "found", usable ? name->value() : "" }, { "status", std::to_string(answer.status) } });
+    if (!usable) {
+        m_board.recordReplacementUnknown(replaced.name, m_timers.now());
+        return;
+    }
+    auto found = replaced;
+    found.name = *name;
+    found.startedAt = startedAt;
+    found.draining = false;
+    if (!m_board.find(found.name))
+        m_board.put(found, m_timers.now());
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/replacement_finder.h
@@ -0,0 +1,48 @@
+/// \file
+/// Finds out who has the address of an engine that was replaced while the registry is away or late.
+#pragma once
+
+#include "gateway/timer_queue.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace oriolepick {
+
+class config_in_force;
+class decision_log;
+class http_call;
+class request_dialect;
+class target_board;
+struct call_answer;
+struct target_entry;
+
+/// Engines restart within seconds under a new name at their old address. Without the registry nobody tells that name,
+/// and a service loses one engine after the other although all of them run.
+class replacement_finder {
+public:
+    /// All references outlive this object.
+    replacement_finder(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
+        const config_in_force& config, target_board& board, decision_log& log);
+
+    /// Asks the health page at the address of \p replaced for the name of the engine there.
+    /// Does nothing when the configuration has more than one service with engines: the address may be another one's.
+    /// \param startedAt start of the new engine as it reported it, Unix milliseconds
+    void find(const target_entry& replaced, std::uint64_t startedAt);
+
+private:
+    bool isOnlyEngineService(const target_entry& replaced) const;
+    void onAnswer(const target_entry& replaced, std::uint64_t startedAt, const call_answer& answer);
+
+    boost::asio::io_context& m_loop;
+    timer_queue& m_timers;
+    const request_dialect& m_dialect;
+    const config_in_force& m_config;
+    target_board& m_board;
+    decision_log& m_log;
+    std::map<std::string, std::shared_ptr<http_call>> m_calls; // by address
+};
+
+} // namespace oriolepick
--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -112,6 +112,15 @@
     ++state.faultsInRow;
 }
 
+void target_board::recordReplacementUnknown(const target_name& target, instant now)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    found->second.replaced = false;
+    found->second.avoidedUntil = now + m_settings.firstAvoidance;
+}
+
 void target_board::recordSuccess(const target_name& target)
 {
     const auto found = m_targets.find(target);
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -84,6 +84,9 @@
     /// Avoids \p target for a time that grows with failures in a row.
     void recordFault(const target_name& target, target_fault fault, instant now);
 
+    /// Who replaced \p target could not be found out: it is asked again after a while.
+    void recordReplacementUnknown(const target_name& target, instant now);
+
     /// \p target answered properly.
     void recordSuccess(const target_name& target);
 
