--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,105 @@
+"""Callers that keep connections open, and the promises that they check."""
+
+import asyncio
+import random
+import time
+
+from stand_ins import Target
+
+
+class Callers:
+    """Sends requests of three kinds and judges each answer when it ends."""
+
+    PATIENCE_S = 3.0
+
+    def __init__(self, ports, ledger, seed):
+        self.ports, self.ledger = ports, ledger
+        self.random = random.Random(seed)
+        self.broken = []  # promises that were broken, with the attempt
+        self.refused = []  # attempts that were told "not run"
+        self.counts = {}
+        self.last_success = {}
+
+    def fail(self, attempt, promise):
+        self.broken.append(f"{promise}: {attempt}")
+
+    async def run_one(self, caller, until):
+        connection = None
+        number = 0
+        while time.monotonic() < until:
+            kind = self.random.choice(["safe", "once", "stream"])
+            attempt = f"{caller}-{number}"
+            number += 1
+            try:
+                if connection is None:
+                    connection = await asyncio.wait_for(
+                        asyncio.open_connection("127.0.0.1", self.random.choice(self.ports)), 1)
+                alive = await asyncio.wait_for(self._exchange(connection, kind, attempt), self.PATIENCE_S)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                self._count(kind, "no answer")
+                alive = False
+            if not alive and connection is not None:
+                connection[1].close()
+                connection = None
+            await asyncio.sleep(0.02 + 0.08 * self.random.random())
+        if connection is not None:
+            connection[1].close()
+
+    def _count(self, kind, outcome):
+        self.counts[(kind, outcome)] = self.counts.get((kind, outcome), 0) + 1
+
+    async def _exchange(self, connection, kind, attempt):
+        reader, writer = connection
+        method = "POST" if kind == "once" else "GET"
+        body = attempt if kind == "once" else ""
+        writer.write(f"{method} /{kind}/{attempt} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
+                     f"Deadline-Ms: 3000\r\nToken-Counts: 100,50\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        status = int(head.split(" ", 2)[1])
+        fields = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip()
+                  for line in head.split("\r\n")[1:] if ":" in line}
+        if fields.get("transfer-encoding") == "chunked":
+            await self._read_stream(reader, kind, attempt)
+        else:
+            answer = (await reader.readexactly(int(fields["content-length"]))).decode()
+            self._judge_whole(kind, attempt, status, fields, answer)
+        return fields.get("connection") != "close"
+
+    def _judge_whole(self, kind, attempt, status, fields, answer):
+        self._count(kind, status)
+        if status == 200:
+            self.last_success[kind] = time.monotonic()
+            if answer != f"answer to {attempt}" or not fields.get("server-stamp", "").endswith("." + attempt):
+                self.fail(attempt, "an answer belongs to another request")
+        if status in (429, 503):
+            self.refused.append(attempt)
+        if status in (401, 403, 404):
+            self.fail(attempt, "a proper request was denied")
+
+    async def _read_stream(self, reader, kind, attempt):
+        text = ""
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).decode(), 16)
+            data = await reader.readexactly(size + 2)
+            if size == 0:
+                break
+            text += data[:-2].decode()
+        expected = "".join(f"id: {event}\ndata: {attempt} {event}\n\n" for event in range(1, Target.EVENTS + 1))
+        self._count(kind, 200)
+        self.last_success[kind] = time.monotonic()
+        if text != expected:
+            self.fail(attempt, "a stream that looks complete lacks, repeats or mixes events")
+
+    def judge_runs(self):
+        """Checks the targets' ledger against what callers were told."""
+        for attempt, runs in self.ledger.runs.items():
+            target, body = runs[0]
+            if target.startswith("/once/"):
+                if len(runs) > 1:
+                    self.fail(attempt, "a request that runs once ran again")
+                if body.decode() != attempt:
+                    self.fail(attempt, "a body was changed")
+        for attempt in self.refused:
+            runs = self.ledger.runs.get(attempt, [])
+            if runs and runs[0][0].startswith("/once/"):
+                self.fail(attempt, "a request was refused as not run, but it ran")
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,58 @@
+"""A loopback proxy that harms connections from outside the programs."""
+
+import asyncio
+import random
+
+
+class Proxy:
+    """Forwards bytes to one address. Modes: "" (as it is), "delay", "silent" (both ways), "one_way" (nothing returns),
+    "reset" (each connection breaks at once), "drop" (some connections break while in use)."""
+
+    def __init__(self, target_port, seed):
+        self.target_port = target_port
+        self.mode = ""
+        self.random = random.Random(seed)
+        self.pairs = set()
+        self.port = 0
+
+    async def listen(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def reset_all(self):
+        for pair in list(self.pairs):
+            for writer in pair:
+                writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, far_writer)
+        self.pairs.add(pair)
+        await asyncio.gather(self._pump(reader, far_writer, False), self._pump(far_reader, writer, True))
+        self.pairs.discard(pair)
+
+    async def _pump(self, reader, writer, returning):
+        try:
+            while True:
+                data = await reader.read(65536)
+                while self.mode == "silent" or (self.mode == "one_way" and returning):
+                    await asyncio.sleep(0.05)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.02 + 0.1 * self.random.random())
+                if self.mode == "drop" and self.random.random() < 0.05:
+                    writer.transport.abort()
+                    return
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        writer.close()
--- /dev/null
+++ b/soak/stand_ins.py
@@ -0,0 +1,207 @@
+"""Stand-ins for the platform's store, model engines and a plain service, as far as the soak needs them."""
+
+import asyncio
+import base64
+import json
+import random
+import time
+
+
+async def read_request(reader):
+    """Reads one HTTP request; returns (method, target, headers, body) or None at the end of the connection."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return method, target, headers, body
+
+
+def whole(status, body, headers=""):
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{headers}\r\n".encode() + body
+
+
+class Server:
+    """A listener whose connections can all be cut, as by a crash."""
+
+    def __init__(self):
+        self.writers = set()
+        self.server = None
+        self.port = 0
+
+    async def listen(self, port=0):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                if request is None or not await self.answer(writer, *request):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def crash(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store(Server):
+    """Tables with a change feed. Faults: mode "down" (503), "silent" (no answer), "lost" (writes done, not answered)."""
+
+    def __init__(self):
+        super().__init__()
+        self.rows = {}  # (table, key) -> (value, revision, removed)
+        self.revision = 0
+        self.oldest = 0  # changes up to it are forgotten
+        self.mode = ""
+        self.changed = asyncio.Event()
+
+    def put(self, table, key, document):
+        self.revision += 1
+        self.rows[(table, key)] = (base64.b64encode(json.dumps(document).encode()).decode(), self.revision, False)
+        self._wake()
+
+    def remove(self, table, key):
+        self.revision += 1
+        self.rows[(table, key)] = ("", self.revision, True)
+        self._wake()
+
+    def forget_history(self):
+        self.oldest = self.revision
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _answer_rows(self, table, after):
+        rows = [
+            {"table": table, "part": "", "key": key, "value": value, "rowVersion": revision, "tombstone": removed}
+            for (own, key), (value, revision, removed) in sorted(self.rows.items())
+            if own == table and revision > after and (after or not removed)
+        ]
+        return rows, json.dumps({"rows": rows, "morePages": False, "rowVersion": self.revision, "nowMs": 1}).encode()
+
+    async def answer(self, writer, method, target, headers, body):
+        if self.mode == "silent":
+            return True
+        if self.mode == "down":
+            writer.write(whole(503, b"{}"))
+            return True
+        path, _, query = target.partition("?")
+        fields = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
+        if path == "/v1/rows-get":
+            writer.write(whole(200, self._answer_rows(fields["table"], 0)[1]))
+        elif path == "/v1/rows-feed":
+            after = int(fields["afterRev"])
+            if after < self.oldest:
+                writer.write(whole(410, b"{}"))
+                return True
+            end = time.monotonic() + min(int(fields["waitMs"]), 30000) / 1000
+            rows, page = self._answer_rows(fields["table"], after)
+            while not rows and time.monotonic() < end:
+                try:
+                    await asyncio.wait_for(asyncio.shield(self.changed.wait()), end - time.monotonic())
+                except asyncio.TimeoutError:
+                    break
+                rows, page = self._answer_rows(fields["table"], after)
+            writer.write(whole(200, page))
+        elif path == "/v1/rows-tx":
+            for row in json.loads(body)["writes"]:
+                self.put(row["table"], row["key"], json.loads(base64.b64decode(row["value"])))
+            if self.mode == "lost":
+                return False
+            writer.write(whole(200, json.dumps({"rowVersion": self.revision, "nowMs": 1}).encode()))
+        else:
+            writer.write(whole(404, b"{}"))
+        return True
+
+
+class Target(Server):
+    """A plain service or an engine. What it runs is recorded in the ledger that all targets share."""
+
+    EVENTS = 12
+    EVENT_PAUSE_S = 0.03
+
+    def __init__(self, name, service, zone, ledger, is_engine):
+        super().__init__()
+        self.name, self.service, self.zone, self.ledger, self.is_engine = name, service, zone, ledger, is_engine
+        self.born = int(time.time() * 1000)
+        self.fault = ""  # "cut", "mute", "extra", "refuse", "error"
+        self.random = random.Random(name)
+
+    def entry(self, address, draining=False):
+        return {"service": self.service, "address": address, "zone": self.zone, "version": "v1", "slots": 16,
+                "state": "draining" if draining else "ready", "coldLeftMs": 0, "seq": 1, "born": self.born}
+
+    async def answer(self, writer, method, target, headers, body):
+        if target == "/v1/report":
+            writer.write(whole(200, json.dumps({"queued": 0, "active": 0, "born": self.born, "runs": []}).encode()))
+            return True
+        if target == "/healthz":
+            writer.write(whole(200, b"", f"Instance: {self.name}\r\n"))
+            return True
+        attempt = headers.get("attempt-id", "")
+        echo = f"Attempt-Id: {attempt}\r\n"
+        if headers.get("expect-instance", self.name) != self.name:
+            writer.write(whole(421, b"", echo + f"Instance: {self.name}\r\n"))
+            return True
+        if target.startswith("/v1/") or "kv-from" in headers:
+            writer.write(whole(503, b"", echo + "Not-Executed: 1\r\n"))  # no copies here: streams are read anew
+            return True
+        if self.fault == "refuse":
+            writer.write(whole(503, b"", echo + "Not-Executed: 1\r\n"))
+            return True
+        self.ledger.ran(attempt, target, body)
+        stamp = f"Server-Stamp: {self.name}.{attempt}\r\n"
+        if target.startswith("/stream/"):
+            return await self._stream(writer, headers, attempt, echo + stamp)
+        await asyncio.sleep(0.005 + 0.02 * self.random.random())
+        fault = self.fault if self.random.random() < 0.3 else ""
+        answer = whole(500 if fault == "error" else 200, f"answer to {attempt}".encode(), echo + stamp)
+        if fault == "cut":
+            writer.write(answer[:-3])
+            return False
+        if fault == "mute":
+            return True
+        writer.write(answer)
+        if fault == "extra":
+            writer.write(answer)
+        return True
+
+    async def _stream(self, writer, headers, attempt, fields):
+        writer.write(f"HTTP/1.1 200 OK\r\n{fields}Content-Type: text/event-stream\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n".encode())
+        for event in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
+            await asyncio.sleep(self.EVENT_PAUSE_S)
+            piece = f"id: {event}\ndata: {attempt} {event}\n\n".encode()
+            if self.fault == "cut" and self.random.random() < 0.1:
+                writer.write(f"{len(piece):x}\r\n".encode() + piece[:-4])
+                return False
+            writer.write(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class Ledger:
+    """What ran, seen from the targets."""
+
+    def __init__(self):
+        self.runs = {}
+
+    def ran(self, attempt, target, body):
+        self.runs.setdefault(attempt, []).append((target, body))
