--- a/gateway/table_watch.cpp
+++ b/gateway/table_watch.cpp
@@ -73,7 +73,7 @@
     if (whole)
         m_replica.restart(answer.revision, asOf);
     else
-        m_replica.add(answer, asOf);
+        m_replica.add(newsOf(answer), asOf);
     if (whole)
         m_events.onAll(answer.rows);
     else if (!answer.rows.empty())
@@ -81,6 +81,17 @@
     schedule(m_settings.pause);
 }
 
+row_answer table_watch::newsOf(const row_answer& answer) const
+{
+    row_answer news;
+    news.revision = answer.revision;
+    for (const auto& row : answer.rows) {
+        if (!m_events.isNews || m_events.isNews(row))
+            news.rows.push_back(row);
+    }
+    return news;
+}
+
 void table_watch::onFailure(const row_answer& answer)
 {
     m_metrics.count("registry_errors");
--- a/gateway/table_watch.h
+++ b/gateway/table_watch.h
@@ -29,6 +29,9 @@
 struct watch_events {
     std::function<void(const std::vector<stored_row>&)> onAll; ///< the whole table
     std::function<void(const std::vector<stored_row>&)> onChanges; ///< rows that changed since, at least one
+    /// Whether a changed row says anything new; others are not handed on to other nodes. All are news without it.
+    /// Called before onChanges.
+    std::function<bool(const stored_row&)> isNews;
     std::function<void()> onReturned; ///< the store answers again after failures, before any rows are reported
 };
 
@@ -55,6 +58,7 @@
 private:
     void read();
     void onAnswer(const row_answer& answer, bool whole);
+    row_answer newsOf(const row_answer& answer) const;
     void onFailure(const row_answer& answer);
     void schedule(std::chrono::milliseconds pause);
 
--- a/routing/node_roster.cpp
+++ b/routing/node_roster.cpp
@@ -36,13 +36,18 @@
 
 std::optional<node_entry> node_roster::reader(instant now) const
 {
+    const state* firstOfAll = nullptr;
     for (const auto& [name, known] : m_nodes) {
         if (!(name < m_self.node))
             break;
         const bool live = now < known.renewedAt + m_settings.lifetime && now >= known.avoidedUntil;
         if (live && known.entry.zone == m_self.zone)
             return known.entry;
+        if (live && !firstOfAll)
+            firstOfAll = &known;
     }
+    if (firstOfAll && liveNodes(now) >= m_settings.largeDeployment)
+        return firstOfAll->entry;
     return std::nullopt;
 }
 
--- a/routing/node_roster.h
+++ b/routing/node_roster.h
@@ -27,6 +27,9 @@
     std::chrono::milliseconds lifetime { 38'000 };
     /// A node that did not answer is not asked for this long.
     std::chrono::milliseconds avoidance { 8'000 };
+    /// From this many nodes on, one node reads the store for all zones. Below, the news of a reader in each zone are
+    /// fresher and its few calls cost little.
+    std::size_t largeDeployment = 24;
 };
 
 /// Not synchronized: one per event loop.
@@ -44,7 +47,8 @@
     /// \p node did not answer.
     void avoid(const node_id& node, instant now);
 
-    /// \return the node that reads the store for this zone: the first by name that answers; nothing when it is this one
+    /// \return the node to ask: the first by name of this zone that answers; for that one, in a large deployment, the
+    /// first of all zones; nothing for the node that reads the store itself
     std::optional<node_entry> reader(instant now) const;
 
     /// \return nodes of all zones, at least 1
--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -22,6 +22,16 @@
 {
 }
 
+bool target_board::isNews(const target_entry& entry) const
+{
+    const auto found = m_targets.find(entry.name);
+    if (found == m_targets.end() || found->second.lapsesAt)
+        return true;
+    const auto& known = found->second.entry;
+    return known.service != entry.service || known.address != entry.address || known.zone != entry.zone
+        || known.slots != entry.slots || known.draining != entry.draining || known.startedAt != entry.startedAt;
+}
+
 void target_board::put(const target_entry& entry, instant)
 {
     for (auto& [name, other] : m_targets) {
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -66,6 +66,9 @@
     /// \param random breaks ties, so that nodes with equal views spread their requests; outlives this object
     target_board(board_settings settings, seeded_random& random);
 
+    /// \return whether \p entry says anything that is not known, beside that the target still lives
+    bool isNews(const target_entry& entry) const;
+
     /// Adds or renews a registration.
     void put(const target_entry& entry, instant now);
 
--- a/routing/test/node_roster.cpp
+++ b/routing/test/node_roster.cpp
@@ -28,6 +28,25 @@
     EXPECT_EQ(second.reader(now)->node.value(), "a");
 }
 
+TEST(NodeRoster, InALargeDeploymentOneNodeReadsForAllZones)
+{
+    const instant now { 100s };
+    roster_settings settings;
+    settings.largeDeployment = 4;
+    node_roster zoneFirst(settings, entry("b", "z2"));
+    node_roster zoneSecond(settings, entry("c", "z2"));
+    for (auto* roster : { &zoneFirst, &zoneSecond }) {
+        roster->put(entry("a", "z1"), now);
+        roster->put(entry("b", "z2"), now);
+        roster->put(entry("c", "z2"), now);
+    }
+    EXPECT_FALSE(zoneFirst.reader(now)) << "three nodes are few";
+    for (auto* roster : { &zoneFirst, &zoneSecond })
+        roster->put(entry("d", "z1"), now);
+    EXPECT_EQ(zoneFirst.reader(now)->node.value(), "a");
+    EXPECT_EQ(zoneSecond.reader(now)->node.value(), "b") << "within the zone where there is one";
+}
+
 TEST(NodeRoster, AReaderThatDoesNotAnswerIsPassedOver)
 {
     const instant now { 100s };
