--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -69,6 +69,8 @@
     void send(const target_entry& target);
     target_instruction instructionFor(const target_entry& target);
     void endAttempt();
+    void watchForLateness();
+    void onAnswerLate();
     void repeatOrGiveUp(attempt_end end);
     void recordTargetFault(target_fault fault, std::string_view what);
 
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -9,6 +9,7 @@
 #include "gateway/link_pool.h"
 #include "gateway/replacement_finder.h"
 #include "gateway/target_prober.h"
+#include "routing/answer_pace.h"
 #include "routing/retry_allowance.h"
 #include "routing/route_table.h"
 
@@ -224,6 +225,8 @@
     m_link = m_parts.links.take(target.address, now);
     if (m_route->kind == route_kind::Stream)
         watchForStall();
+    else if (m_route->kind == route_kind::Repeatable)
+        watchForLateness();
     m_link->send(m_parts.dialect.writeRequest(m_request, instruction), m_caller.attempt, weak_from_this());
 }
 
@@ -243,6 +246,36 @@
     m_sent = false;
 }
 
+void exchange::watchForLateness()
+{
+    const auto due = m_attemptAt + m_parts.pace.patience(m_service, m_route->objective);
+    m_stallTimer = m_parts.timers.at(due, [self = weak_from_this()] {
+        if (const auto exchange = self.lock()) {
+            exchange->m_stallTimer = 0;
+            exchange->onAnswerLate();
+        }
+    });
+}
+
+// A target that hangs is left for another one while the caller can still be served in time. Without a target or an
+// allowance for it, waiting on is the better chance.
+void exchange::onAnswerLate()
+{
+    if (m_over || !m_link || m_history.answered + 1 >= m_history.maxTargets)
+        return;
+    const auto now = m_parts.timers.now();
+    auto tried = m_tried;
+    tried.push_back(m_target->name);
+    if (!m_parts.board.choose({ m_service, m_parts.settings.zone, tried, std::nullopt }, now)
+        || !m_parts.allowance.take(m_service, now))
+        return;
+    recordTargetFault(target_fault::Silent, "late");
+    m_history.mayHaveRun = m_history.mayHaveRun || m_sent;
+    ++m_history.answered;
+    endAttempt();
+    dispatch();
+}
+
 void exchange::onHead(const http_response_head& head, const target_reply& reply)
 {
     m_head = head;
@@ -334,8 +367,8 @@
         refuse(error_kind::GenerationLost, "the target did not go on with the stream");
         return;
     }
-    m_parts.metrics.countAnswer(
-        "attempt", "answered", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_attemptAt));
+    if (m_route->kind != route_kind::Stream)
+        m_parts.pace.record(m_service, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_attemptAt));
     deliver();
 }
 
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -6,6 +6,7 @@
 
 namespace oriolepick {
 
+class answer_pace;
 class config_in_force;
 class copy_orders;
 class decision_log;
@@ -31,6 +32,7 @@
     copy_orders& copies;
     replacement_finder& replacements;
     retry_allowance& allowance;
+    answer_pace& pace;
     seeded_random& random;
     config_in_force& config;
     std::function<void()> targetsOutdated; ///< a target was found to be another than its registration says
