Go on reading from a target when a slow caller has caught up; split the survey from the attempts

Cause: onSinkDrained() had no caller: a stream whose caller left more than 256 KB unread stood still for good. Found by reading. Change: a connection tells when its queue is sent.

--- a/gateway/byte_channel.cpp
+++ b/gateway/byte_channel.cpp
@@ -128,8 +128,12 @@
                 return;
             }
             self->write();
-            if (self->m_closing && !self->m_writeActive)
+            if (self->m_writeActive)
+                return;
+            if (self->m_closing)
                 self->close();
+            else if (const auto listener = self->m_listener.lock())
+                listener->onDrained();
         });
 }
 
--- a/gateway/byte_channel.h
+++ b/gateway/byte_channel.h
@@ -30,6 +30,9 @@
 
     virtual void onBytes(std::string_view bytes) = 0;
 
+    /// All that was queued has been sent.
+    virtual void onDrained() { }
+
     /// The last call for a connection, unless it was closed by this side.
     virtual void onEnd(channel_end end) = 0;
 };
@@ -71,7 +74,7 @@
     void close();
 
     bool isOpen() const { return m_open; }
-    std::size_t queuedBytes() const { return m_output.size(); }
+    std::size_t queuedBytes() const { return m_output.size() + m_writing.size(); }
 
 private:
     void configure();
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -18,6 +18,9 @@
     /// Input read ahead while a request is in progress; a caller that sends more waits.
     constexpr std::size_t MaxReadAhead = 65'536;
 
+    /// A caller reads the refusal within a round trip and closes.
+    constexpr std::chrono::milliseconds RejectedLinger { 500 };
+
     caller_limits limitsOf(const config_in_force& config)
     {
         return config.table() ? config.table()->config().limits : caller_limits {};
@@ -74,6 +77,8 @@
 void caller_session::onBytes(std::string_view bytes)
 {
     const auto self = shared_from_this();
+    if (m_rejected)
+        return;
     m_input.append(bytes);
     if (m_exchange) {
         m_channel->pauseReading(m_input.size() > MaxReadAhead);
@@ -96,6 +101,12 @@
     watchInput();
 }
 
+void caller_session::onDrained()
+{
+    if (m_exchange)
+        m_exchange->onSinkDrained();
+}
+
 // Bounds how long a caller may stay idle and how long it may take to send its header.
 void caller_session::watchInput()
 {
@@ -133,9 +144,15 @@
     m_parts.metrics.count("unreadable_requests");
     m_keepAlive = false;
     const auto answer = errorAnswer(kindOf(m_reader->fault()), "the request cannot be read", m_parts.random);
-    sendWhole(answer.head, answer.body);
-    m_channel->closeAfterSending();
-    gone();
+    m_channel->send(wholeText(answer.head, answer.body));
+    m_rejected = true;
+    // Closing with bytes unread would reset the connection and could take the answer with it.
+    m_inputTimer = m_parts.timers.at(m_parts.timers.now() + RejectedLinger, [self = weak_from_this()] {
+        if (const auto session = self.lock()) {
+            session->m_inputTimer = 0;
+            session->close();
+        }
+    });
 }
 
 std::string caller_session::headText(const http_response_head& head, std::string_view framing)
@@ -150,13 +167,18 @@
     return text;
 }
 
+std::string caller_session::wholeText(const http_response_head& head, std::string_view body)
+{
+    auto text = headText(head, concatenated("Content-Length: ", body.size(), "\r\n"));
+    text.append(body);
+    return text;
+}
+
 void caller_session::sendWhole(const http_response_head& head, std::string_view body)
 {
     if (m_closing)
         m_keepAlive = false;
-    auto text = headText(head, concatenated("Content-Length: ", body.size(), "\r\n"));
-    text.append(body);
-    m_channel->send(text);
+    m_channel->send(wholeText(head, body));
     answerDone();
 }
 
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -43,6 +43,7 @@
     bool isIdle() const { return !m_exchange && !m_reader->started(); }
 
     void onBytes(std::string_view bytes) override;
+    void onDrained() override;
     void onEnd(channel_end end) override;
 
     void sendWhole(const http_response_head& head, std::string_view body) override;
@@ -59,6 +60,7 @@
     void answerDone();
     void watchInput();
     void gone();
+    std::string wholeText(const http_response_head& head, std::string_view body);
     std::string headText(const http_response_head& head, std::string_view framing);
 
     boost::asio::io_context& m_loop;
@@ -74,6 +76,7 @@
     bool m_closing = false;
     bool m_streaming = false;
     bool m_continueSent = false;
+    bool m_rejected = false; ///< the last answer is sent; what still arrives is dropped
 };
 
 } // namespace oriolepick
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -67,7 +67,8 @@
     void onSurveyed();
     void waitForTarget();
     void send(const target_entry& target);
-    target_instruction instructionFor(const target_entry& target);
+    void chooseCopyHolder(const target_entry& target);
+    target_instruction instructionFor(const target_entry& target) const;
     void endAttempt();
     void watchForLateness();
     void onAnswerLate();
@@ -104,7 +105,7 @@
     instant m_deadline;
     timer_handle m_deadlineTimer = 0;
     timer_handle m_waitTimer = 0;
-    timer_handle m_stallTimer = 0;
+    timer_handle m_watchTimer = 0; // for silence of a stream or lateness of a whole answer
 
     // the attempt in progress
     std::shared_ptr<target_link> m_link;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -7,8 +7,6 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/link_pool.h"
-#include "gateway/replacement_finder.h"
-#include "gateway/target_prober.h"
 #include "routing/answer_pace.h"
 #include "routing/retry_allowance.h"
 #include "routing/route_table.h"
@@ -21,14 +19,8 @@
 
     /// Pause before targets are looked up again when there is none: a fraction of a crashed engine's second of absence.
     constexpr std::chrono::milliseconds TargetWait { 50 };
-    /// Engines asked before a generation: three random ones are rarely all busy, each further one adds little.
-    constexpr std::size_t SurveyedEngines = 3;
-    /// A live engine answers within a round trip; a lost packet is not worth waiting for.
-    constexpr std::chrono::milliseconds SurveyPatience { 60 };
     /// A copy is begun with the first part of the prompt and sent several times a second.
     constexpr std::chrono::milliseconds CopyDelay { 350 };
-    /// Age of what engines report.
-    constexpr std::chrono::milliseconds ReportLag { 300 };
     /// Largest whole answer that is collected; beyond, the target's answer is taken as faulty.
     constexpr std::size_t MaxWholeAnswerBytes = 16'777'216;
 
@@ -61,106 +53,6 @@
     send(*target);
 }
 
-// The target that holds a copy of the run, if it is still the same one.
-std::optional<target_entry> exchange::copyHolder()
-{
-    if (!m_copy || !m_copyHolder)
-        return std::nullopt;
-    if (m_parts.board.isSame(*m_copyHolder))
-        return m_copyHolder;
-    m_copy.reset();
-    return std::nullopt;
-}
-
-// A holder that crashed meanwhile would refuse the request: that is known sooner and costs no repeat when it is asked.
-void exchange::askCopyHolder(const target_entry& holder)
-{
-    m_parts.prober.ask(holder, SurveyPatience, [self = weak_from_this(), holder](const target_prober::answer& answer) {
-        const auto exchange = self.lock();
-        if (!exchange || exchange->m_over)
-            return;
-        if (answer.alive) {
-            exchange->send(holder);
-            return;
-        }
-        exchange->m_parts.board.recordFault(holder.name,
-            answer.replaced ? target_fault::Misaddressed : target_fault::Unreachable, exchange->m_parts.timers.now());
-        exchange->m_copy.reset();
-        exchange->dispatch();
-    });
-}
-
-// Asks a few engines for their load: other nodes send to them too, and prompts read side by side delay each other.
-// The zone of this node is not preferred: after the loss of a zone all its nodes would choose the one engine left
-// there.
-bool exchange::survey()
-{
-    const auto* rules = m_table->rulesOf(m_service);
-    if (!rules || !rules->engine)
-        return false;
-    const target_wish wish { m_service, std::nullopt, m_tried, m_lostZone };
-    const auto now = m_parts.timers.now();
-    m_survey.clear();
-    for (auto& target : m_parts.board.candidates(wish, SurveyedEngines, now)) {
-        const auto unreported = m_parts.board.startedSince(target.name, now - ReportLag);
-        m_survey.push_back({ std::move(target), false, std::nullopt, unreported });
-    }
-    if (m_survey.size() < 2)
-        return false;
-    m_surveyPending = m_survey.size();
-    for (std::size_t index = 0; index < m_survey.size(); ++index) {
-        m_parts.prober.ask(m_survey[index].target, SurveyPatience,
-            [self = weak_from_this(), index](const target_prober::answer& answer) {
-                if (const auto exchange = self.lock())
-                    exchange->onSurveyAnswer(index, answer);
-            });
-    }
-    return true;
-}
-
-void exchange::onSurveyAnswer(std::size_t index, const target_prober::answer& answer)
-{
-    if (m_over)
-        return;
-    auto& engine = m_survey[index];
-    engine.report = answer.report;
-    engine.alive = answer.alive;
-    const auto now = m_parts.timers.now();
-    if (answer.replaced || !answer.alive)
-        m_parts.log.write("target_failed_survey",
-            { { "attempt", m_caller.attempt }, { "target", engine.target.name.value() },
-                { "why", answer.replaced ? "replaced" : "no answer" } });
-    if (answer.replaced) {
-        m_parts.board.recordFault(engine.target.name, target_fault::Misaddressed, now);
-        m_parts.targetsOutdated();
-        if (answer.report)
-            m_parts.replacements.find(engine.target, answer.report->startedAt);
-    } else if (!answer.alive) {
-        m_parts.board.recordFault(engine.target.name, target_fault::Unreachable, now);
-    }
-    if (!--m_surveyPending)
-        onSurveyed();
-}
-
-void exchange::onSurveyed()
-{
-    // The survey took a moment: targets may have left, begun to drain or turned out to be others.
-    const auto unusable = [this](const surveyed_engine& engine) {
-        const auto* target = m_parts.board.find(engine.target.name);
-        return !engine.alive || !target || target->draining || m_parts.board.isReplaced(engine.target.name);
-    };
-    for (const auto& engine : m_survey) {
-        if (unusable(engine))
-            m_tried.push_back(engine.target.name);
-    }
-    m_survey.erase(std::remove_if(m_survey.begin(), m_survey.end(), unusable), m_survey.end());
-    const auto chosen = chooseSurveyed(m_survey, m_caller.promptTokens + m_caller.maxOutputTokens, survey_settings {});
-    if (chosen)
-        send(target_entry(m_survey[*chosen].target));
-    else
-        dispatch();
-}
-
 void exchange::waitForTarget()
 {
     const auto now = m_parts.timers.now();
@@ -177,7 +69,7 @@
     });
 }
 
-target_instruction exchange::instructionFor(const target_entry& target)
+target_instruction exchange::instructionFor(const target_entry& target) const
 {
     target_instruction instruction;
     instruction.expectedTarget = target.name;
@@ -186,22 +78,27 @@
         instruction.team = m_team->name;
     instruction.lastEvent = m_lastEvent;
     instruction.goOnFrom = m_copy;
-    const auto* rules = m_table->rulesOf(m_service);
-    m_copyHolder.reset();
-    if (m_route->kind == route_kind::Stream && m_route->resumable && rules && rules->engine
-        && rules->engine->copiesRuns) {
-        target_wish wish { m_service, m_parts.settings.zone, m_tried, target.zone };
-        wish.excluded.push_back(target.name);
-        m_copyHolder = m_parts.board.choose(wish, m_parts.timers.now());
-        if (m_copyHolder)
-            instruction.copyTo = m_copyHolder->address;
-    }
+    if (m_copyHolder)
+        instruction.copyTo = m_copyHolder->address;
     return instruction;
 }
 
+// The run is copied to an engine of another zone as it grows: zones fail as a whole.
+void exchange::chooseCopyHolder(const target_entry& target)
+{
+    m_copyHolder.reset();
+    const auto* rules = m_table->rulesOf(m_service);
+    if (!m_route->resumable || !rules || !rules->engine || !rules->engine->copiesRuns)
+        return;
+    target_wish wish { m_service, m_parts.settings.zone, m_tried, target.zone };
+    wish.excluded.push_back(target.name);
+    m_copyHolder = m_parts.board.choose(wish, m_parts.timers.now());
+}
+
 void exchange::send(const target_entry& target)
 {
     const auto now = m_parts.timers.now();
+    chooseCopyHolder(target);
     const auto instruction = instructionFor(target);
     m_continuesCopy = m_copy.has_value();
     m_copy.reset();
@@ -237,7 +134,7 @@
 
 void exchange::endAttempt()
 {
-    m_parts.timers.cancel(m_stallTimer);
+    m_parts.timers.cancel(m_watchTimer);
     if (m_link) {
         m_link->abandon();
         m_link.reset();
@@ -249,9 +146,9 @@
 void exchange::watchForLateness()
 {
     const auto due = m_attemptAt + m_parts.pace.patience(m_service, m_route->objective);
-    m_stallTimer = m_parts.timers.at(due, [self = weak_from_this()] {
+    m_watchTimer = m_parts.timers.at(due, [self = weak_from_this()] {
         if (const auto exchange = self.lock()) {
-            exchange->m_stallTimer = 0;
+            exchange->m_watchTimer = 0;
             exchange->onAnswerLate();
         }
     });
@@ -302,7 +199,7 @@
 void exchange::onWhole(bool reusable)
 {
     const auto now = m_parts.timers.now();
-    m_parts.timers.cancel(m_stallTimer);
+    m_parts.timers.cancel(m_watchTimer);
     auto link = std::move(m_link);
     m_link.reset();
     m_parts.board.attemptEnded(m_target->name);
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -130,10 +130,10 @@
 
 void exchange::checkAgainAt(instant due)
 {
-    m_stallTimer = m_parts.timers.at(due, [self = weak_from_this()] {
+    m_watchTimer = m_parts.timers.at(due, [self = weak_from_this()] {
         const auto exchange = self.lock();
         if (exchange && !exchange->m_over && exchange->m_link) {
-            exchange->m_stallTimer = 0;
+            exchange->m_watchTimer = 0;
             exchange->onStallCheck();
         }
     });
