--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -34,10 +34,14 @@
 
 void target_board::put(const target_entry& entry, instant)
 {
-    for (auto& [name, other] : m_targets) {
-        const bool older = other.entry.startedAt < entry.startedAt;
-        if (older && other.entry.address == entry.address && name != entry.name)
-            other.replaced = true; // it ended without a word: its own registration lapses only later
+    auto& atAddress = m_newestAt[entry.address];
+    if (atAddress != entry.name) {
+        const auto other = m_targets.find(atAddress);
+        const bool isNewest = other == m_targets.end() || other->second.entry.startedAt <= entry.startedAt;
+        if (isNewest && other != m_targets.end() && other->second.entry.startedAt < entry.startedAt)
+            other->second.replaced = true; // it ended without a word: its own registration lapses only later
+        if (isNewest)
+            atAddress = entry.name;
     }
     auto& target = m_targets[entry.name];
     if (target.entry.startedAt != entry.startedAt || target.entry.address != entry.address) {
@@ -56,7 +60,7 @@
         return;
     const bool inGrace = m_registryReturnedAt && now < *m_registryReturnedAt + m_settings.lapseGrace;
     if (!inGrace && !found->second.inFlight) {
-        m_targets.erase(found);
+        erase(found);
         return;
     }
     found->second.lapsesAt = inGrace ? *m_registryReturnedAt + m_settings.lapseGrace : now;
@@ -150,12 +154,20 @@
     return std::find(wish.excluded.begin(), wish.excluded.end(), name) != wish.excluded.end();
 }
 
+target_board::target_map::iterator target_board::erase(target_map::iterator target)
+{
+    const auto newest = m_newestAt.find(target->second.entry.address);
+    if (newest != m_newestAt.end() && newest->second == target->first)
+        m_newestAt.erase(newest);
+    return m_targets.erase(target);
+}
+
 void target_board::forgetLapsed(instant now)
 {
     for (auto candidate = m_targets.begin(); candidate != m_targets.end();) {
         const auto& target = candidate->second;
         const bool gone = target.lapsesAt && now >= *target.lapsesAt && !target.inFlight;
-        candidate = gone ? m_targets.erase(candidate) : std::next(candidate);
+        candidate = gone ? erase(candidate) : std::next(candidate);
     }
 }
 
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -130,6 +130,9 @@
         std::optional<instant> lapsesAt; // removed from the registry, kept until then
     };
 
+    using target_map = std::map<target_name, state>; // ordered, so that decisions do not depend on hash order
+
+    target_map::iterator erase(target_map::iterator target);
     std::optional<double> scoreOf(const target_wish& wish, const target_name& name, const state& target, instant now);
     void forgetLapsed(instant now);
     bool isUsable(const state& target, instant now) const;
@@ -137,7 +140,8 @@
 
     board_settings m_settings;
     seeded_random& m_random;
-    std::map<target_name, state> m_targets; // ordered, so that decisions do not depend on hash order
+    target_map m_targets;
+    absl::flat_hash_map<std::string, target_name> m_newestAt; // by address
     std::optional<instant> m_registryReturnedAt;
 };
 
