Ignore renewals of registrations that reach the store late

Ruled out: the relay and the search for replaced engines; the node had learned of the draining within 0.8 s. Change: renewals older than the last known of the same incarnation change nothing, draining is final for an incarnation, and what is gone comes back only with a newer renewal or a new start. The two tests in target_board fail without the change.

--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -32,8 +32,19 @@
         || known.slots != entry.slots || known.draining != entry.draining || known.startedAt != entry.startedAt;
 }
 
+bool target_board::isOutdated(const target_entry& entry) const
+{
+    const auto known = m_targets.find(entry.name);
+    if (known != m_targets.end())
+        return known->second.entry.startedAt == entry.startedAt && entry.beat < known->second.entry.beat;
+    const auto gone = m_departed.find(entry.name);
+    return gone != m_departed.end() && gone->second.startedAt == entry.startedAt && entry.beat <= gone->second.beat;
+}
+
 void target_board::put(const target_entry& entry, instant)
 {
+    if (isOutdated(entry))
+        return;
     auto& atAddress = m_newestAt[entry.address];
     if (atAddress != entry.name) {
         const auto other = m_targets.find(atAddress);
@@ -49,7 +60,9 @@
         target.avoidedUntil = {};
         target.replaced = false;
     }
+    const bool drains = target.entry.draining && target.entry.startedAt == entry.startedAt;
     target.entry = entry;
+    target.entry.draining = entry.draining || drains;
     target.lapsesAt.reset();
 }
 
@@ -58,6 +71,7 @@
     const auto found = m_targets.find(target);
     if (found == m_targets.end())
         return;
+    m_departed[target] = { found->second.entry.startedAt, found->second.entry.beat, now };
     const bool inGrace = m_registryReturnedAt && now < *m_registryReturnedAt + m_settings.lapseGrace;
     if (!inGrace && !found->second.inFlight) {
         erase(found);
@@ -164,6 +178,8 @@
 
 void target_board::forgetLapsed(instant now)
 {
+    for (auto gone = m_departed.begin(); gone != m_departed.end();)
+        gone = now >= gone->second.at + m_settings.departureMemory ? m_departed.erase(gone) : std::next(gone);
     for (auto candidate = m_targets.begin(); candidate != m_targets.end();) {
         const auto& target = candidate->second;
         const bool gone = target.lapsesAt && now >= *target.lapsesAt && !target.inFlight;
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -28,6 +28,7 @@
     std::uint32_t slots = 1; ///< requests that it runs at once
     bool draining = false; ///< takes no new requests
     std::uint64_t startedAt = 0; ///< Unix milliseconds of this incarnation, 0 when not given
+    std::uint64_t beat = 0; ///< grows with each renewal of one incarnation
 };
 
 /// Thresholds of target_board.
@@ -38,6 +39,8 @@
     std::chrono::milliseconds longestAvoidance { 5'000 };
     /// Registrations that lapsed while the registry was away return within about two seconds of its own return.
     std::chrono::milliseconds lapseGrace { 2'200 };
+    /// How long the last renewal of a target that is gone is remembered.
+    std::chrono::milliseconds departureMemory { 30'000 };
     /// Load in slots that a target of another zone must be below a local one to be chosen. Crossing a zone costs a
     /// millisecond and priced bytes, a queue place costs more.
     double zoneBonus = 0.02;
@@ -69,7 +72,8 @@
     /// \return whether \p entry says anything that is not known, beside that the target still lives
     bool isNews(const target_entry& entry) const;
 
-    /// Adds or renews a registration.
+    /// Adds or renews a registration. One that is older than what is known of the same incarnation changes nothing, and
+    /// a target that drains does so until it is gone: renewals may reach the registry late.
     void put(const target_entry& entry, instant now);
 
     /// A registration is gone. Within the grace after the registry's return the target is kept until the grace ends.
@@ -140,6 +144,16 @@
 
     board_settings m_settings;
     seeded_random& m_random;
+    /// What was last known of a target that is gone.
+    struct departure {
+        std::uint64_t startedAt;
+        std::uint64_t beat;
+        instant at;
+    };
+
+    bool isOutdated(const target_entry& entry) const;
+
+    std::map<target_name, departure> m_departed;
     target_map m_targets;
     absl::flat_hash_map<std::string, target_name> m_newestAt; // by address
     std::optional<instant> m_registryReturnedAt;
--- a/routing/test/target_board.cpp
+++ b/routing/test/target_board.cpp
@@ -14,7 +14,8 @@
 protected:
     target_entry entry(const std::string& name, const std::string& zone = "z1", std::uint32_t slots = 4)
     {
-        return { target_name(name), service_name("s"), "10.0.0.1:" + name, availability_zone(zone), slots, false, 1 };
+        return { target_name(name), service_name("s"), "10.0.0.1:" + name, availability_zone(zone), slots, false, 1,
+            0 };
     }
 
     std::string chosen(std::vector<target_name> excluded = {}, std::optional<availability_zone> avoided = {})
@@ -131,6 +132,42 @@
     EXPECT_EQ(chosen(), "a");
 }
 
+TEST_F(TargetBoard, ALateRenewalDoesNotUndoDrainingOrDeparture)
+{
+    auto ready = entry("a");
+    ready.beat = 4;
+    auto draining = ready;
+    draining.beat = 5;
+    draining.draining = true;
+    board.put(ready, now);
+    board.put(draining, now);
+    board.put(ready, now);
+    EXPECT_EQ(chosen(), "") << "an older renewal";
+    auto later = ready;
+    later.beat = 6;
+    board.put(later, now);
+    EXPECT_EQ(chosen(), "") << "a target that drains does not come back";
+    board.remove(target_name("a"), now);
+    board.put(ready, now);
+    EXPECT_EQ(chosen(), "") << "an older renewal after it has left";
+    auto restarted = ready;
+    restarted.startedAt = 2;
+    restarted.beat = 1;
+    board.put(restarted, now);
+    EXPECT_EQ(chosen(), "a");
+}
+
+TEST_F(TargetBoard, ATargetThatLapsedReturnsWithANewerRenewal)
+{
+    auto ready = entry("a");
+    ready.beat = 4;
+    board.put(ready, now);
+    board.remove(target_name("a"), now);
+    ready.beat = 9;
+    board.put(ready, now);
+    EXPECT_EQ(chosen(), "a");
+}
+
 TEST_F(TargetBoard, ARemovedTargetIsGoneAtOnce)
 {
     board.put(entry("a"), now);
