Let engines that were found without the registry take its renewals

Change: such an engine has no renewal number until the registry tells one, and its first registration is news.

--- a/gateway/replacement_finder.cpp
+++ b/gateway/replacement_finder.cpp
@@ -67,7 +67,7 @@
     auto found = replaced;
     found.name = *name;
     found.startedAt = startedAt;
-    found.draining = false;
+    found.beat = 0; // older than any renewal: an engine that has left is not taken back
     if (!m_board.find(found.name))
         m_board.put(found, m_timers.now());
 }
--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -28,8 +28,10 @@
     if (found == m_targets.end() || found->second.lapsesAt)
         return true;
     const auto& known = found->second.entry;
-    return known.service != entry.service || known.address != entry.address || known.zone != entry.zone
-        || known.slots != entry.slots || known.draining != entry.draining || known.startedAt != entry.startedAt;
+    const bool wasUnregistered = !known.beat && entry.beat; // found without the registry
+    return wasUnregistered || known.service != entry.service || known.address != entry.address
+        || known.zone != entry.zone || known.slots != entry.slots || known.draining != entry.draining
+        || known.startedAt != entry.startedAt;
 }
 
 bool target_board::isOutdated(const target_entry& entry) const
--- a/routing/test/target_board.cpp
+++ b/routing/test/target_board.cpp
@@ -157,6 +157,21 @@
     EXPECT_EQ(chosen(), "a");
 }
 
+TEST_F(TargetBoard, ATargetFoundWithoutTheRegistryIsRegisteredLater)
+{
+    board.put(entry("a"), now); // found by asking its address: no renewal is known
+    auto registered = entry("a");
+    registered.beat = 1;
+    EXPECT_TRUE(board.isNews(registered)) << "other nodes have not heard of it";
+    board.put(registered, now);
+    registered.beat = 2;
+    EXPECT_FALSE(board.isNews(registered));
+    registered.draining = true;
+    EXPECT_TRUE(board.isNews(registered));
+    board.put(registered, now);
+    EXPECT_EQ(chosen(), "");
+}
+
 TEST_F(TargetBoard, ATargetThatLapsedReturnsWithANewerRenewal)
 {
     auto ready = entry("a");
