Do not take back targets that were gone before they were known

Ruled out: the relay; all nodes heard the same rows at 20.5 s, within 0.9 s. Change: a removal of an unknown target is remembered and handed on; a row of that name counts again after 10 s.

--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -34,18 +34,20 @@
         || known.startedAt != entry.startedAt;
 }
 
-bool target_board::isOutdated(const target_entry& entry) const
+bool target_board::isOutdated(const target_entry& entry, instant now) const
 {
     const auto known = m_targets.find(entry.name);
     if (known != m_targets.end())
         return known->second.entry.startedAt == entry.startedAt && entry.beat < known->second.entry.beat;
     const auto gone = m_departed.find(entry.name);
+    if (gone != m_departed.end() && !gone->second.wasKnown)
+        return now < gone->second.at + m_settings.unknownDeparture;
     return gone != m_departed.end() && gone->second.startedAt == entry.startedAt && entry.beat <= gone->second.beat;
 }
 
-void target_board::put(const target_entry& entry, instant)
+void target_board::put(const target_entry& entry, instant now)
 {
-    if (isOutdated(entry))
+    if (isOutdated(entry, now))
         return;
     auto& atAddress = m_newestAt[entry.address];
     if (atAddress != entry.name) {
@@ -71,9 +73,11 @@
 void target_board::remove(const target_name& target, instant now)
 {
     const auto found = m_targets.find(target);
-    if (found == m_targets.end())
+    if (found == m_targets.end()) {
+        m_departed.try_emplace(target, departure { 0, 0, now, false });
         return;
-    m_departed[target] = { found->second.entry.startedAt, found->second.entry.beat, now };
+    }
+    m_departed[target] = { found->second.entry.startedAt, found->second.entry.beat, now, true };
     const bool inGrace = m_registryReturnedAt && now < *m_registryReturnedAt + m_settings.lapseGrace;
     if (!inGrace && !found->second.inFlight) {
         erase(found);
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -41,6 +41,9 @@
     std::chrono::milliseconds lapseGrace { 2'200 };
     /// How long the last renewal of a target that is gone is remembered.
     std::chrono::milliseconds departureMemory { 30'000 };
+    /// How long a target that was gone before it was known is not taken back: late renewals come within seconds, and
+    /// hardly any target starts again under its name.
+    std::chrono::milliseconds unknownDeparture { 10'000 };
     /// Load in slots that a target of another zone must be below a local one to be chosen. Crossing a zone costs a
     /// millisecond and priced bytes, a queue place costs more.
     double zoneBonus = 0.02;
@@ -149,9 +152,10 @@
         std::uint64_t startedAt;
         std::uint64_t beat;
         instant at;
+        bool wasKnown; // otherwise the two above are not
     };
 
-    bool isOutdated(const target_entry& entry) const;
+    bool isOutdated(const target_entry& entry, instant now) const;
 
     std::map<target_name, departure> m_departed;
     target_map m_targets;
--- a/routing/test/target_board.cpp
+++ b/routing/test/target_board.cpp
@@ -172,6 +172,16 @@
     EXPECT_EQ(chosen(), "");
 }
 
+TEST_F(TargetBoard, ATargetThatWasGoneBeforeItWasKnownIsNotTakenBackByALateRenewal)
+{
+    board.remove(target_name("a"), now);
+    board.put(entry("a"), now);
+    EXPECT_EQ(chosen(), "");
+    now += 11s;
+    board.put(entry("a"), now);
+    EXPECT_EQ(chosen(), "a") << "it renews on, so it lives";
+}
+
 TEST_F(TargetBoard, ATargetThatLapsedReturnsWithANewerRenewal)
 {
     auto ready = entry("a");
