--- a/routing/test/event_splitter.cpp
+++ b/routing/test/event_splitter.cpp
@@ -40,6 +40,22 @@
     EXPECT_EQ(splitter.pendingBytes(), 0U);
 }
 
+TEST(EventSplitter, FindsABlankLineThatIsSplitBetweenReads)
+{
+    for (const std::string end : { "\n\n", "\r\n\r\n" }) {
+        const std::string event = "id: 7" + end;
+        for (std::size_t cut = 1; cut < event.size(); ++cut) {
+            event_splitter splitter;
+            splitter.feed(event.substr(0, cut));
+            EXPECT_FALSE(splitter.next());
+            splitter.feed(event.substr(cut) + event);
+            EXPECT_EQ(splitter.next()->bytes, event) << "cut at " << cut;
+            EXPECT_EQ(splitter.next()->bytes, event);
+            EXPECT_FALSE(splitter.next());
+        }
+    }
+}
+
 TEST(EventSplitter, AnUnreadableNumberIsNone)
 {
     event_splitter splitter;
