Send no resume to a copy holder that drains

Cause: a copy holder counted as usable while its incarnation was registered, whether it drained or not; a resume is a request, and may reach it past the time that leaving targets have. Change: mayGoOnAt() asks for a target that takes requests, so a draining holder is also replaced by an ordered copy. hasUsableCopy() is a query now; its predecessor changed state.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -60,7 +60,7 @@
 
     // attempts
     void dispatch();
-    std::optional<target_entry> copyHolder();
+    bool hasUsableCopy() const;
     void askCopyHolder(const target_entry& holder);
     bool survey();
     void onSurveyAnswer(std::size_t index, const target_prober::answer& answer);
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -31,10 +31,11 @@
     if (m_over)
         return;
     const auto now = m_parts.timers.now();
-    if (const auto holder = copyHolder()) {
-        askCopyHolder(*holder);
+    if (hasUsableCopy()) {
+        askCopyHolder(*m_copyHolder);
         return;
     }
+    m_copy.reset();
     target_wish wish { m_service, m_parts.settings.zone, m_tried, m_lostZone };
     if (survey())
         return;
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -71,7 +71,7 @@
     if (!m_route->resumable || !rules || !rules->engine || !rules->engine->copiesOnOrder || m_ordering)
         return;
     const auto now = m_parts.timers.now();
-    const bool lost = !m_copyHolder || !m_parts.board.isSame(*m_copyHolder);
+    const bool lost = !m_copyHolder || !m_parts.board.mayGoOnAt(*m_copyHolder);
     if (lost && m_orderedCopy)
         m_orderedCopy.reset();
     const bool aging = m_orderedCopy && now >= m_orderedAt + rules->engine->copyLife * CopyRenewal;
@@ -82,7 +82,7 @@
 void exchange::orderCopy()
 {
     m_orderedAt = m_parts.timers.now();
-    if (!m_copyHolder || !m_parts.board.isSame(*m_copyHolder)) {
+    if (!m_copyHolder || !m_parts.board.mayGoOnAt(*m_copyHolder)) {
         m_copyHolder
             = m_parts.board.choose({ m_service, std::nullopt, { m_target->name }, m_target->zone }, m_orderedAt);
         if (!m_copyHolder)
--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -22,15 +22,9 @@
 
 } // namespace
 
-// The target that holds a copy of the run, if it is still the same one.
-std::optional<target_entry> exchange::copyHolder()
+bool exchange::hasUsableCopy() const
 {
-    if (!m_copy || !m_copyHolder)
-        return std::nullopt;
-    if (m_parts.board.isSame(*m_copyHolder))
-        return m_copyHolder;
-    m_copy.reset();
-    return std::nullopt;
+    return m_copy && m_copyHolder && m_parts.board.mayGoOnAt(*m_copyHolder);
 }
 
 // A holder that crashed meanwhile would refuse the request: that is known sooner and costs no repeat when it is asked.
--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -249,11 +249,11 @@
     return found != m_targets.end() && found->second.replaced;
 }
 
-bool target_board::isSame(const target_entry& target) const
+bool target_board::mayGoOnAt(const target_entry& target) const
 {
     const auto found = m_targets.find(target.name);
     return found != m_targets.end() && found->second.entry.startedAt == target.startedAt && !found->second.replaced
-        && !found->second.lapsesAt && !found->second.faultsInRow;
+        && !found->second.entry.draining && !found->second.lapsesAt && !found->second.faultsInRow;
 }
 
 const target_entry* target_board::find(const target_name& target) const
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -112,8 +112,8 @@
     /// \return whether another target was found at the address of \p target
     bool isReplaced(const target_name& target) const;
 
-    /// \return whether the incarnation of \p target is still registered and nothing speaks against it
-    bool isSame(const target_entry& target) const;
+    /// \return whether the incarnation of \p target is still registered, takes requests, and nothing speaks against it
+    bool mayGoOnAt(const target_entry& target) const;
 
     /// \return the registration of \p target, or null
     const target_entry* find(const target_name& target) const;
--- a/routing/test/target_board.cpp
+++ b/routing/test/target_board.cpp
@@ -115,8 +115,8 @@
     board.put(restarted, now);
     EXPECT_TRUE(board.isReplaced(target_name("a")));
     EXPECT_EQ(chosen(), "b");
-    EXPECT_FALSE(board.isSame(entry("a")));
-    EXPECT_TRUE(board.isSame(restarted));
+    EXPECT_FALSE(board.mayGoOnAt(entry("a")));
+    EXPECT_TRUE(board.mayGoOnAt(restarted));
 }
 
 TEST_F(TargetBoard, AReplacedTargetGetsNothingUntilItRegistersAnew)
