Leave prompts that wait at a live engine where they are

Cause: an engine with more work than it can do at once says nothing for a request until its prompt is read. After three times the expected prefill plus two seconds the gateway took that for silence, cut the request off and sent it to another engine, where it was the last in the queue again. Change: a probe's answer names the runs of an engine; while the engine lives and may hold the request, and no copy is at hand to go on from, the request stays there, up to three objectives. Probes before the first event become rarer.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -84,7 +84,9 @@
     void watchForStall();
     void onStallCheck();
     void checkAgainAt(instant due);
-    void onProbe(std::uint32_t attempt, bool alive);
+    void onProbe(std::uint32_t attempt, const target_prober::answer& answer);
+    std::chrono::milliseconds pauseBeforeProbe() const;
+    bool isWorthWaitingFor(instant now) const;
     void loseSilentTarget(std::string_view what);
 
     // answers
@@ -121,6 +123,8 @@
     stall_detector m_stall;
     instant m_attemptAt;
     bool m_probing = false;
+    std::uint32_t m_probesInSilence = 0; // since the last event
+    std::optional<instant> m_heldAt; // when the target last said that it may hold the run
 
     // the request as a whole
     std::vector<surveyed_engine> m_survey;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -113,6 +113,8 @@
     m_events.reset();
     m_attemptAt = now;
     m_probing = false;
+    m_probesInSilence = 0;
+    m_heldAt.reset();
     ++m_attempts;
     if (m_attempts > 1)
         m_parts.log.write("attempt_repeated",
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -20,6 +20,11 @@
     constexpr std::chrono::milliseconds CopyOrderPause { 400 };
     /// Share of a copy's life after which it is ordered again; only what is new is then copied.
     constexpr double CopyRenewal = 0.7;
+    /// Probes within the objective of a first event: a dead engine leaves most of the time for another one.
+    constexpr int FirstEventProbes = 4;
+    constexpr std::uint32_t MaxProbeDoublings = 8; ///< far beyond any objective
+    /// Objectives after which a run that its engine holds is taken for stuck: the caller is far too late by then.
+    constexpr int HeldPatience = 3;
     /// Bytes that a caller may leave unread before its target is no longer read from.
     constexpr std::size_t MaxUnsentBytes = 262'144;
 
@@ -43,6 +48,7 @@
 bool exchange::forwardEvent(const stream_event& event)
 {
     m_stall.tokenArrived(m_parts.timers.now());
+    m_probesInSilence = 0;
     if (event.id) {
         if (m_lastEvent && *event.id <= *m_lastEvent)
             return true; // the caller has it
@@ -143,7 +149,7 @@
 void exchange::onStallCheck()
 {
     const auto now = m_parts.timers.now();
-    const auto pause = quietBeforeProbe(m_route->longestGap);
+    const auto pause = pauseBeforeProbe();
     const auto quietSince = m_stall.lastProgress();
     if (!m_history.mayRepeat)
         return;
@@ -151,31 +157,53 @@
         checkAgainAt(std::max(quietSince + pause, now + pause / 2));
         return;
     }
-    if (now >= m_stall.suspectAt(std::nullopt)) {
+    if (now >= m_stall.suspectAt(std::nullopt) && !isWorthWaitingFor(now)) {
         loseSilentTarget("silent");
         return;
     }
     if (!m_probing) {
         m_probing = true;
+        ++m_probesInSilence;
         m_parts.prober.ask(*m_target, probePatience(m_route->longestGap),
             [self = weak_from_this(), attempt = m_attempts](const target_prober::answer& answer) {
                 if (const auto exchange = self.lock())
-                    exchange->onProbe(attempt, answer.alive);
+                    exchange->onProbe(attempt, answer);
             });
     }
     checkAgainAt(now + pause);
 }
 
-void exchange::onProbe(std::uint32_t attempt, bool alive)
+void exchange::onProbe(std::uint32_t attempt, const target_prober::answer& answer)
 {
     if (m_over || !m_link || attempt != m_attempts)
         return;
     m_probing = false;
     const auto now = m_parts.timers.now();
-    if (!alive && now >= m_stall.lastProgress() + quietBeforeProbe(m_route->longestGap))
+    if (answer.report && answer.report->mayHold(m_caller.attempt))
+        m_heldAt = now;
+    if (!answer.alive && now >= m_stall.lastProgress() + quietBeforeProbe(m_route->longestGap))
         loseSilentTarget("dead");
 }
 
+// Before the first event a loss costs only time, so a target that has answered is asked less and less often.
+std::chrono::milliseconds exchange::pauseBeforeProbe() const
+{
+    const auto pause = quietBeforeProbe(m_route->longestGap);
+    if (m_answerBegun)
+        return pause;
+    const auto longest = std::max(pause, m_route->objective / FirstEventProbes);
+    return std::min(pause * (1 << std::min(m_probesInSilence, MaxProbeDoublings)), longest);
+}
+
+// An engine that has more work than it can do at once reads prompts one after another and puts runs back. Elsewhere the
+// prompt would have to be read again, unless a copy is at hand.
+bool exchange::isWorthWaitingFor(instant now) const
+{
+    const bool held = m_heldAt && now < *m_heldAt + 2 * pauseBeforeProbe();
+    const bool copyAtHand = m_answerBegun && m_copyHolder && m_parts.board.mayGoOnAt(*m_copyHolder);
+    return held && !copyAtHand && now < m_stall.lastProgress() + HeldPatience * m_route->objective;
+}
+
 void exchange::loseSilentTarget(std::string_view what)
 {
     recordTargetFault(target_fault::Silent, what);
--- a/routing/engine_report.h
+++ b/routing/engine_report.h
@@ -5,18 +5,33 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace oriolepick {
 
+/// A generation that an engine has admitted.
+struct engine_run {
+    std::string attempt; ///< identifier of the request
+    std::uint64_t eventsMade = 0;
+};
+
 /// As of some hundred milliseconds before it was asked for.
 struct engine_report {
     std::uint32_t queued = 0; ///< requests that wait for a place
     std::uint32_t running = 0;
-    std::uint32_t prefilling = 0; ///< of the running ones, those that have made nothing yet
+    std::vector<engine_run> runs;
     std::uint64_t usedTokens = 0; ///< memory that running requests and copies hold
     std::uint64_t startedAt = 0; ///< Unix milliseconds of the engine's start, 0 when not given
     std::uint64_t totalTokens = 0; ///< memory as a whole, 0 when not known
     std::optional<std::chrono::milliseconds> leavesIn; ///< when it is known to leave
+
+    /// \return the running requests whose prompts are still being read
+    std::uint32_t prefilling() const;
+
+    /// \return whether the request \p attempt may be waiting or running there; waiting ones are not named
+    bool mayHold(std::string_view attempt) const;
 };
 
 } // namespace oriolepick
