Do not count a request that is put back as a dispatch

Cause: request_queue::putBack took back the number of dispatches but not the mean interval between them, which take() had shortened. A queue whose head finds no place again and again promised short waits. Change: take_outcome carries the interval and the busy time from before, and putBack restores both. Test: core/test/request_queue a_request_that_is_put_back_does_not_shorten_the_expected_wait, failed before.

--- a/core/request_queue.cpp
+++ b/core/request_queue.cpp
@@ -62,6 +62,8 @@
     noteWait(removed, now);
     outcome.arrived = removed.arrived;
     outcome.request = std::move(removed.request);
+    outcome.meanInterval = m_interval;
+    outcome.busySince = m_busySince;
     if (m_busySince) {
         const std::chrono::duration<double> interval = now - *m_busySince;
         m_interval += IntervalWeight * (interval - m_interval);
@@ -73,6 +75,8 @@
 void request_queue::putBack(const take_outcome& outcome)
 {
     --m_dispatches;
+    m_interval = outcome.meanInterval;
+    m_busySince = outcome.busySince;
     enqueue(outcome.number, *outcome.request, outcome.arrived, true);
 }
 
--- a/core/request_queue.h
+++ b/core/request_queue.h
@@ -51,6 +51,8 @@
     std::optional<queued_request> request;
     instant arrived; ///< when the request was offered
     std::vector<queue_refusal> refused;
+    std::chrono::duration<double> meanInterval { 0 }; ///< between dispatches before this one, for putBack
+    std::optional<instant> busySince; ///< before this dispatch, for putBack
 };
 
 /// Settings of request_queue.
--- a/core/test/request_queue.cpp
+++ b/core/test/request_queue.cpp
@@ -212,3 +212,18 @@
     // An empty queue accepts whatever it believed before.
     EXPECT_NE(queue.offer(request(0, request_priority::Normal, at(11'000)), at(10'100)).number, 0u);
 }
+
+// Failure: requests that find no place again and again look like fast dispatches, and callers are promised short waits.
+TEST(request_queue, a_request_that_is_put_back_does_not_shorten_the_expected_wait)
+{
+    auto queue = queueOf(100);
+    for (int count = 0; count < 50; ++count)
+        queue.offer(request(1, request_priority::Normal, instant::max()), at(0));
+    int now = 0;
+    for (int dispatch = 0; dispatch < 20; ++dispatch)
+        queue.take(at(now += 1'000));
+    const auto before = queue.expectedWait(team(1), request_priority::Normal, at(now));
+    for (int attempt = 0; attempt < 9; ++attempt)
+        queue.putBack(queue.take(at(now += 100)));
+    EXPECT_GE(queue.expectedWait(team(1), request_priority::Normal, at(now)), before * 9 / 10);
+}
