Let generations wait in line for an engine with room, or refuse them in time

Cause: generations were sent to the best of three engines however full it was. Under a burst engines held more than their memory, put back their newest runs and read those prompts again (54 times on a burst of four, 307,000 tokens for nothing), and the copies of runs took memory from the same engines. Change: routing/engine_room says from a report whether an engine has a place, memory with a reserve, and reads the prompt in time (routing/prompt_pace learns the speed, which was a constant). Without room a new generation waits in gateway/place_line, which drives core's request_queue: priorities, shares of teams, deadlines, refusal at once when the wait is known to be too long. One request at a time looks for a place. Streams that go on do not wait. Copies go to a surveyed engine of another zone that has memory; where memory is scarce the run begins without one and orders it later.

--- a/gateway/error_answer_head.cpp
+++ b/gateway/error_answer_head.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-whole_answer errorAnswer(error_kind kind, std::string_view why, seeded_random& random)
+whole_answer errorAnswer(
+    error_kind kind, std::string_view why, seeded_random& random, std::optional<std::chrono::milliseconds> returnAfter)
 {
     const auto& row = answerFor(kind);
     whole_answer answer;
@@ -37,8 +38,10 @@
     answer.head.reason = reasonOf(row.status);
     answer.head.fields.push_back({ "Content-Type", "application/json" });
     if (row.run == run_state::NotRun && row.retryable) {
-        const auto time = returnTimeOf(kind);
-        answer.head.fields.push_back({ "Retry-After", std::to_string(time.least + time.spread * random.unit()) });
+        const auto usual = returnTimeOf(kind);
+        const double seconds = returnAfter ? std::chrono::duration<double>(*returnAfter).count()
+                                           : usual.least + usual.spread * random.unit();
+        answer.head.fields.push_back({ "Retry-After", std::to_string(seconds) });
     }
     answer.body = nlohmann::json {
         { "error", { { "code", row.code }, { "message", why }, { "run", toString(row.run) } } }
--- a/gateway/error_answer_head.h
+++ b/gateway/error_answer_head.h
@@ -5,6 +5,8 @@
 #include "core/error_kind.h"
 #include "gateway/http_message.h"
 
+#include <chrono>
+#include <optional>
 #include <string>
 
 namespace oriolepick {
@@ -18,8 +20,10 @@
 };
 
 /// \param random spreads the time at which refused callers return
+/// \param returnAfter when to return, already spread; nothing for the usual time of \p kind
 /// \return the answer for \p kind with a JSON body and, where the request did not run and may be sent again, the time
 /// to come back
-whole_answer errorAnswer(error_kind kind, std::string_view why, seeded_random& random);
+whole_answer errorAnswer(error_kind kind, std::string_view why, seeded_random& random,
+    std::optional<std::chrono::milliseconds> returnAfter = {});
 
 } // namespace oriolepick
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -126,7 +126,7 @@
     refuse(sent ? error_kind::DeadlineExceeded : error_kind::Overloaded, "the time for an answer is over");
 }
 
-void exchange::refuse(error_kind kind, std::string_view why)
+void exchange::refuse(error_kind kind, std::string_view why, std::optional<std::chrono::milliseconds> returnAfter)
 {
     if (m_over)
         return;
@@ -139,7 +139,7 @@
         finish(outcome);
         return;
     }
-    const auto answer = errorAnswer(kind, why, m_parts.random);
+    const auto answer = errorAnswer(kind, why, m_parts.random, returnAfter);
     m_parts.log.write("refused",
         { { "attempt", m_caller.attempt }, { "code", std::string(outcome) }, { "why", std::string(why) },
             { "attempts", std::to_string(m_attempts) }, { "config_version", std::to_string(m_parts.config.version()) },
@@ -188,6 +188,7 @@
     m_orderedCopy.reset();
     m_parts.timers.cancel(m_deadlineTimer);
     m_parts.timers.cancel(m_waitTimer);
+    leaveLine();
     endAttempt();
 }
 
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -4,6 +4,7 @@
 
 #include "core/error_kind.h"
 #include "core/instant.h"
+#include "core/request_queue.h"
 #include "core/stall_detector.h"
 #include "gateway/gateway_parts.h"
 #include "gateway/http_message.h"
@@ -12,6 +13,7 @@
 #include "gateway/target_prober.h"
 #include "gateway/timer_queue.h"
 #include "routing/attempt_policy.h"
+#include "routing/engine_room.h"
 #include "routing/engine_survey.h"
 #include "routing/event_splitter.h"
 #include "routing/target_board.h"
@@ -63,6 +65,11 @@
     bool hasUsableCopy() const;
     void askCopyHolder(const target_entry& holder);
     bool survey();
+    generation_need generationNeed() const;
+    void logChoice(const surveyed_engine& engine, const generation_need& need);
+    bool choosesFreely() const;
+    void waitForPlace();
+    void leaveLine();
     void onSurveyAnswer(std::size_t index, const target_prober::answer& answer);
     void onSurveyed();
     void waitForTarget();
@@ -91,7 +98,7 @@
 
     // answers
     void onTimeout();
-    void refuse(error_kind kind, std::string_view why);
+    void refuse(error_kind kind, std::string_view why, std::optional<std::chrono::milliseconds> returnAfter = {});
     void deliver();
     void finish(std::string_view outcome);
 
@@ -129,6 +136,9 @@
     // the request as a whole
     std::vector<surveyed_engine> m_survey;
     std::size_t m_surveyPending = 0;
+    queue_number m_placeInLine = 0; // while it waits for a place
+    bool m_hasTurn = false; // it alone looks for a place
+    bool m_readAlone = false; // the engine had no other prompts to read
     attempt_history m_history;
     std::vector<target_name> m_tried;
     std::optional<availability_zone> m_lostZone; // of the target that was lost last
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -21,6 +21,8 @@
     constexpr std::chrono::milliseconds TargetWait { 50 };
     /// A copy is begun with the first part of the prompt and sent several times a second.
     constexpr std::chrono::milliseconds CopyDelay { 350 };
+    /// A run that began without a copy for lack of memory orders one after this time: a third of a usual generation.
+    constexpr std::chrono::milliseconds ScarcityPause { 2'000 };
     /// Largest whole answer that is collected; beyond, the target's answer is taken as faulty.
     constexpr std::size_t MaxWholeAnswerBytes = 16'777'216;
 
@@ -91,6 +93,22 @@
     const auto* rules = m_table->rulesOf(m_service);
     if (!m_route->resumable || !rules || !rules->engine || !rules->engine->copiesRuns)
         return;
+    const auto surveyed = std::move(m_survey);
+    m_survey.clear();
+    const auto need = generationNeed();
+    bool scarce = false;
+    for (const auto& engine : surveyed) {
+        const bool roomy = hasMemory(engine, need);
+        scarce = scarce || !roomy;
+        if (roomy && engine.target.zone != target.zone) {
+            m_copyHolder = engine.target;
+            return;
+        }
+    }
+    if (scarce) {
+        m_orderedAt = m_parts.timers.now() + ScarcityPause;
+        return;
+    }
     target_wish wish { m_service, m_parts.settings.zone, m_tried, target.zone };
     wish.excluded.push_back(target.name);
     m_copyHolder = m_parts.board.choose(wish, m_parts.timers.now());
@@ -99,13 +117,14 @@
 void exchange::send(const target_entry& target)
 {
     const auto now = m_parts.timers.now();
+    leaveLine();
+    m_orderedAt = {};
     chooseCopyHolder(target);
     const auto instruction = instructionFor(target);
     m_continuesCopy = m_copy.has_value();
     m_copy.reset();
     m_target = target;
     m_orderedCopy.reset();
-    m_orderedAt = {};
     m_ordering = false;
     m_sent = false;
     m_streaming = false;
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -8,6 +8,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/stream_stall_settings.h"
 #include "gateway/target_prober.h"
+#include "routing/prompt_pace.h"
 #include "routing/route_table.h"
 
 #include <algorithm>
@@ -63,6 +64,9 @@
     }
     if (!m_answerBegun) {
         m_answerBegun = true;
+        if (m_readAlone && !m_continuesCopy)
+            m_parts.promptPace.record(m_service, m_caller.promptTokens,
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_parts.timers.now() - m_attemptAt));
         m_sink->beginStream(m_head);
     }
     m_sink->sendPiece(event.bytes);
@@ -126,11 +130,8 @@
 
 void exchange::watchForStall()
 {
-    /// Until an engine's prefill rate is measured; a slower engine only lets a loss be noticed later.
-    constexpr double PrefillTokensPerMs = 8.0;
-    const auto prefill = std::chrono::microseconds(static_cast<std::int64_t>(
-        m_continuesCopy ? 0 : 1'000.0 * static_cast<double>(m_caller.promptTokens) / PrefillTokensPerMs));
-    m_stall.attemptStarted(m_parts.timers.now(), prefill);
+    const auto reading = m_parts.promptPace.timeFor(m_service, m_continuesCopy ? 0 : m_caller.promptTokens);
+    m_stall.attemptStarted(m_parts.timers.now(), reading);
     onStallCheck();
 }
 
--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -3,8 +3,11 @@
 #include "gateway/exchange.h"
 
 #include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/place_line.h"
 #include "gateway/replacement_finder.h"
+#include "routing/prompt_pace.h"
 #include "routing/route_table.h"
 
 #include <algorithm>
@@ -19,6 +22,22 @@
     constexpr std::chrono::milliseconds SurveyPatience { 60 };
     /// Age of what engines report.
     constexpr std::chrono::milliseconds ReportLag { 300 };
+    /// Of the time until a first event is late, how much may pass before its prompt has been read.
+    constexpr double LongestWaitShare = 0.8;
+    /// Team of requests that need no key.
+    constexpr std::string_view AnonymousTeam = "anonymous";
+
+    request_priority priorityOf(std::uint32_t rank)
+    {
+        switch (rank) {
+        case 0:
+            return request_priority::Urgent;
+        case 1:
+            return request_priority::Normal;
+        default:
+            return request_priority::Bulk;
+        }
+    }
 
 } // namespace
 
@@ -53,6 +72,10 @@
     const auto* rules = m_table->rulesOf(m_service);
     if (!rules || !rules->engine)
         return false;
+    if (choosesFreely() && !m_hasTurn && m_parts.places.hasWaiting(m_service)) {
+        waitForPlace();
+        return true;
+    }
     const target_wish wish { m_service, std::nullopt, m_tried, m_lostZone };
     const auto now = m_parts.timers.now();
     m_survey.clear();
@@ -109,11 +132,96 @@
             m_tried.push_back(engine.target.name);
     }
     m_survey.erase(std::remove_if(m_survey.begin(), m_survey.end(), unusable), m_survey.end());
-    const auto chosen = chooseSurveyed(m_survey, m_caller.promptTokens + m_caller.maxOutputTokens, survey_settings {});
-    if (chosen)
-        send(target_entry(m_survey[*chosen].target));
-    else
+    const auto need = generationNeed();
+    const auto full = [&need](const surveyed_engine& engine) { return !hasRoom(engine, need); };
+    if (choosesFreely() && !m_survey.empty() && std::all_of(m_survey.begin(), m_survey.end(), full)) {
+        m_parts.metrics.count("surveys_without_room");
+        waitForPlace();
+        return;
+    }
+    const auto chosen = chooseSurveyed(m_survey, need.total(), survey_settings {});
+    if (!chosen) {
         dispatch();
+        return;
+    }
+    const auto engine = m_survey[*chosen];
+    m_readAlone = expectedStart(engine, need) == need.reading;
+    logChoice(engine, need);
+    send(engine.target);
+}
+
+void exchange::logChoice(const surveyed_engine& engine, const generation_need& need)
+{
+    if (!engine.report)
+        return; // the answer's line names the target
+    m_parts.log.write("engine_chosen",
+        { { "attempt", m_caller.attempt }, { "target", engine.target.name.value() },
+            { "surveyed", std::to_string(m_survey.size()) }, { "running", std::to_string(engine.report->running) },
+            { "reading", std::to_string(engine.report->prefilling()) },
+            { "queued", std::to_string(engine.report->queued) }, { "unreported", std::to_string(engine.ownUnreported) },
+            { "committed_tokens", std::to_string(committedTokens(engine, need)) },
+            { "expected_start_ms", std::to_string(expectedStart(engine, need).count()) } });
+}
+
+generation_need exchange::generationNeed() const
+{
+    generation_need need;
+    need.promptTokens = m_caller.promptTokens;
+    need.outputTokens = m_caller.maxOutputTokens;
+    need.reading = m_parts.promptPace.timeFor(m_service, m_caller.promptTokens);
+    need.startsWithin = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::min(m_deadline, m_startedAt + m_route->objective) - m_parts.timers.now());
+    return need;
+}
+
+// A generation that was begun elsewhere goes on before new ones: work was done for it, and its caller is waiting.
+bool exchange::choosesFreely() const
+{
+    return !m_attempts && !m_caller.lastEvent;
+}
+
+void exchange::waitForPlace()
+{
+    if (m_hasTurn) {
+        m_hasTurn = false;
+        m_parts.places.foundNone(m_service);
+        return;
+    }
+    const auto need = generationNeed();
+    const auto patience
+        = std::chrono::duration_cast<std::chrono::milliseconds>(need.startsWithin * LongestWaitShare) - need.reading;
+    const auto team = m_team ? m_team->name.value() : std::string(AnonymousTeam);
+    const auto rank = m_team && m_team->priority ? *m_team->priority : m_route->priority;
+    queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, priorityOf(rank),
+        static_cast<std::uint32_t>(need.total()), m_parts.timers.now() + patience };
+    m_parts.metrics.count("waits_for_place");
+    m_parts.log.write("waits_for_place",
+        { { "attempt", m_caller.attempt }, { "surveyed", std::to_string(m_survey.size()) },
+            { "patience_ms", std::to_string(patience.count()) } });
+    const auto self = weak_from_this();
+    m_placeInLine = m_parts.places.join(m_service, std::move(waiting),
+        { [self] {
+             if (const auto exchange = self.lock()) {
+                 exchange->m_hasTurn = true;
+                 exchange->dispatch();
+             }
+         },
+            [self](const queue_refusal& refusal) {
+                if (const auto exchange = self.lock()) {
+                    exchange->m_placeInLine = 0;
+                    exchange->refuse(error_kind::Overloaded, "no engine has a place in time", refusal.retryAfter);
+                }
+            } });
+}
+
+void exchange::leaveLine()
+{
+    if (m_hasTurn)
+        m_parts.places.placed(m_service);
+    else if (m_placeInLine)
+        m_parts.places.leave(m_service, m_placeInLine);
+    m_hasTurn = false;
+    m_placeInLine = 0;
 }
 
 } // namespace oriolepick
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -12,6 +12,8 @@
 class decision_log;
 class gateway_metrics;
 class link_pool;
+class place_line;
+class prompt_pace;
 class replacement_finder;
 class request_dialect;
 class retry_allowance;
@@ -33,6 +35,8 @@
     replacement_finder& replacements;
     retry_allowance& allowance;
     answer_pace& pace;
+    prompt_pace& promptPace;
+    place_line& places;
     seeded_random& random;
     config_in_force& config;
     std::function<void()> targetsOutdated; ///< a target was found to be another than its registration says
--- a/routing/engine_report.h
+++ b/routing/engine_report.h
@@ -14,6 +14,7 @@
 /// A generation that an engine has admitted.
 struct engine_run {
     std::string attempt; ///< identifier of the request
+    std::uint64_t tokens = 0; ///< in memory so far
     std::uint64_t eventsMade = 0;
 };
 
--- /dev/null
+++ b/routing/engine_room.cpp
@@ -0,0 +1,59 @@
+#include "routing/engine_room.h"
+
+#include "routing/engine_survey.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+namespace {
+
+    /// Largest part of an engine's memory that is kept for what its report does not show yet: other nodes' requests and
+    /// growing copies. Engines hold about ten generations, so it is one of each.
+    constexpr std::uint64_t ReserveShare = 5;
+
+    // Generations that were sent there and hold no memory yet.
+    std::uint32_t unread(const surveyed_engine& engine)
+    {
+        return engine.ownUnreported + (engine.report ? engine.report->queued : 0);
+    }
+
+} // namespace
+
+std::uint64_t committedTokens(const surveyed_engine& engine, const generation_need& need)
+{
+    if (!engine.report)
+        return 0;
+    auto tokens = engine.report->usedTokens + unread(engine) * need.total();
+    for (const auto& run : engine.report->runs)
+        tokens += run.eventsMade ? need.outputTokens : need.total() - std::min(need.total(), run.tokens);
+    return tokens;
+}
+
+std::chrono::milliseconds expectedStart(const surveyed_engine& engine, const generation_need& need)
+{
+    const auto ahead = unread(engine) + (engine.report ? engine.report->prefilling() : 0);
+    return need.reading * (ahead + 1);
+}
+
+bool hasMemory(const surveyed_engine& engine, const generation_need& need)
+{
+    if (!engine.report || !engine.report->totalTokens)
+        return true;
+    const auto committed = committedTokens(engine, need);
+    const auto total = engine.report->totalTokens;
+    const auto reserve = std::min(need.total(), total / ReserveShare);
+    return !committed || committed + need.total() + reserve <= total;
+}
+
+bool hasRoom(const surveyed_engine& engine, const generation_need& need)
+{
+    if (!engine.report)
+        return true;
+    const auto& report = *engine.report;
+    if (report.running + unread(engine) >= engine.target.slots)
+        return false;
+    return hasMemory(engine, need) && expectedStart(engine, need) <= need.startsWithin;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/routing/engine_room.h
@@ -0,0 +1,38 @@
+/// \file
+/// Whether an engine can take one more generation without making it late or putting others back.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace oriolepick {
+
+struct surveyed_engine;
+
+/// What one generation asks of an engine.
+struct generation_need {
+    std::uint64_t promptTokens = 0;
+    std::uint64_t outputTokens = 0; ///< at most
+    std::chrono::milliseconds reading { 0 }; ///< time to read its prompt when nothing else is read
+    std::chrono::milliseconds startsWithin { 0 }; ///< time that is left until its first event is late
+
+    /// \return the memory at its end
+    std::uint64_t total() const { return promptTokens + outputTokens; }
+};
+
+/// \return the memory that \p engine will need for what it has and for what was sent there and is not reported yet.
+/// Runs that make events may make as many as this one; prompts of unknown length are as long as this one.
+std::uint64_t committedTokens(const surveyed_engine& engine, const generation_need& need);
+
+/// \return the expected time to the first event at \p engine: prompts are read one after another
+std::chrono::milliseconds expectedStart(const surveyed_engine& engine, const generation_need& need);
+
+/// \return whether \p engine has memory for this generation beside a reserve; an engine that holds nothing has, since
+/// it refuses what is larger than all of its memory
+bool hasMemory(const surveyed_engine& engine, const generation_need& need);
+
+/// \return whether \p engine has a place and memory, and the first event comes in time. An engine whose report could
+/// not be read has room: it refuses what it cannot take.
+bool hasRoom(const surveyed_engine& engine, const generation_need& need);
+
+} // namespace oriolepick
--- /dev/null
+++ b/routing/test/engine_room.cpp
@@ -0,0 +1,88 @@
+// Guards against engines that get more than they can hold: their newest runs are put back and their prompts read again.
+#include "routing/engine_room.h"
+#include "routing/engine_survey.h"
+
+#include <gtest/gtest.h>
+
+using namespace oriolepick;
+using namespace std::chrono_literals;
+
+namespace {
+
+// An engine for ten generations of 9,000 tokens, with \p running ones that have \p tokens each.
+surveyed_engine engineWith(std::uint32_t running, std::uint64_t tokens, std::uint64_t eventsMade = 10)
+{
+    surveyed_engine engine;
+    engine.alive = true;
+    engine.target.slots = 64;
+    engine.report.emplace();
+    engine.report->totalTokens = 90'000;
+    engine.report->running = running;
+    for (std::uint32_t run = 0; run < running; ++run)
+        engine.report->runs.push_back({ std::to_string(run), tokens, eventsMade });
+    engine.report->usedTokens = running * tokens;
+    return engine;
+}
+
+generation_need need()
+{
+    return { 8'000, 1'000, 1'000ms, 4'500ms };
+}
+
+} // namespace
+
+TEST(EngineRoom, AnIdleEngineHasRoom)
+{
+    EXPECT_TRUE(hasRoom(engineWith(0, 0), need()));
+}
+
+TEST(EngineRoom, ABurstIsCountedByWhatItsRunsWillNeed)
+{
+    EXPECT_TRUE(hasRoom(engineWith(7, 8'100), need()));
+    EXPECT_FALSE(hasRoom(engineWith(8, 8'100), need())) << "they grow by 1,000 each, and another node may send one too";
+    EXPECT_FALSE(hasRoom(engineWith(3, 0, 0), { 29'000, 1'000, 1'000ms, 4'500ms })) << "their prompts take room too";
+}
+
+TEST(EngineRoom, ALargePromptFitsAnIdleEngine)
+{
+    EXPECT_TRUE(hasRoom(engineWith(0, 0), { 84'000, 1'000, 1'000ms, 4'500ms }));
+    EXPECT_TRUE(hasRoom(engineWith(1, 9'000), { 59'000, 1'000, 1'000ms, 4'500ms }));
+    EXPECT_FALSE(hasRoom(engineWith(3, 9'000), { 59'000, 1'000, 1'000ms, 4'500ms }));
+}
+
+TEST(EngineRoom, CopiesOfOtherRunsTakeRoom)
+{
+    auto engine = engineWith(4, 8'500);
+    engine.report->usedTokens += 5 * 9'000;
+    EXPECT_FALSE(hasRoom(engine, need()));
+}
+
+TEST(EngineRoom, ABurstOfThisNodeIsSeenBeforeTheEngineReportsIt)
+{
+    auto engine = engineWith(0, 0);
+    engine.ownUnreported = 4;
+    EXPECT_FALSE(hasRoom(engine, need())) << "the fifth prompt would be read after 4 s";
+    engine.ownUnreported = 3;
+    EXPECT_TRUE(hasRoom(engine, need()));
+}
+
+TEST(EngineRoom, PromptsThatAreBeingReadDelayTheNext)
+{
+    EXPECT_TRUE(hasRoom(engineWith(3, 2'000, 0), need()));
+    EXPECT_FALSE(hasRoom(engineWith(4, 2'000, 0), need()));
+    EXPECT_EQ(expectedStart(engineWith(4, 2'000, 0), need()), 5'000ms);
+}
+
+TEST(EngineRoom, AQueueAtAnEngineMeansNoPlaces)
+{
+    auto engine = engineWith(2, 100, 5);
+    engine.target.slots = 2;
+    EXPECT_FALSE(hasRoom(engine, need()));
+}
+
+TEST(EngineRoom, AnEngineWithoutAReadableReportIsTried)
+{
+    surveyed_engine engine;
+    engine.alive = true;
+    EXPECT_TRUE(hasRoom(engine, need()));
+}
