Tell prompts that are being read from running generations

Cause: the survey counted runs without events as prompts being read. Change: the number is that of admitted requests that are not listed as started; their memory is counted already, so that committed memory is what is used and what admitted ones may still make. A request that is being read counts as held.

--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -156,7 +156,7 @@
         return; // the answer's line names the target
     m_parts.log.write("engine_chosen",
         { { "attempt", m_caller.attempt }, { "target", engine.target.name.value() },
-            { "surveyed", std::to_string(m_survey.size()) }, { "running", std::to_string(engine.report->running) },
+            { "surveyed", std::to_string(m_survey.size()) }, { "admitted", std::to_string(engine.report->admitted) },
             { "reading", std::to_string(engine.report->prefilling()) },
             { "queued", std::to_string(engine.report->queued) }, { "unreported", std::to_string(engine.ownUnreported) },
             { "committed_tokens", std::to_string(committedTokens(engine, need)) },
--- a/routing/engine_report.cpp
+++ b/routing/engine_report.cpp
@@ -6,13 +6,14 @@
 
 std::uint32_t engine_report::prefilling() const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(runs.begin(), runs.end(), [](const engine_run& run) { return !run.eventsMade; }));
+    const auto started = static_cast<std::uint32_t>(
+        std::count_if(runs.begin(), runs.end(), [](const engine_run& run) { return run.eventsMade > 0; }));
+    return admitted - std::min(admitted, started);
 }
 
 bool engine_report::mayHold(std::string_view attempt) const
 {
-    return queued
+    return queued || prefilling()
         || std::any_of(runs.begin(), runs.end(), [attempt](const engine_run& run) { return run.attempt == attempt; });
 }
 
--- a/routing/engine_room.cpp
+++ b/routing/engine_room.cpp
@@ -24,10 +24,7 @@
 {
     if (!engine.report)
         return 0;
-    auto tokens = engine.report->usedTokens + unread(engine) * need.total();
-    for (const auto& run : engine.report->runs)
-        tokens += run.eventsMade ? need.outputTokens : need.total() - std::min(need.total(), run.tokens);
-    return tokens;
+    return engine.report->usedTokens + engine.report->admitted * need.outputTokens + unread(engine) * need.total();
 }
 
 std::chrono::milliseconds expectedStart(const surveyed_engine& engine, const generation_need& need)
@@ -51,7 +48,7 @@
     if (!engine.report)
         return true;
     const auto& report = *engine.report;
-    if (report.running + unread(engine) >= engine.target.slots)
+    if (report.admitted + unread(engine) >= engine.target.slots)
         return false;
     return hasMemory(engine, need) && expectedStart(engine, need) <= need.startsWithin;
 }
--- a/routing/engine_room.h
+++ b/routing/engine_room.h
@@ -21,7 +21,8 @@
 };
 
 /// \return the memory that \p engine will need for what it has and for what was sent there and is not reported yet.
-/// Runs that make events may make as many as this one; prompts of unknown length are as long as this one.
+/// Admitted generations have the memory of their prompts and may make as many events as this one; others are as large
+/// as this one.
 std::uint64_t committedTokens(const surveyed_engine& engine, const generation_need& need);
 
 /// \return the expected time to the first event at \p engine: prompts are read one after another
--- a/routing/engine_survey.cpp
+++ b/routing/engine_survey.cpp
@@ -8,7 +8,7 @@
         return settings.unknownReport + engine.ownUnreported;
     const auto& report = *engine.report;
     const auto prefilling = report.prefilling() + engine.ownUnreported;
-    double score = report.running + settings.prefillWeight * prefilling + settings.queuedWeight * report.queued;
+    double score = report.admitted + settings.prefillWeight * prefilling + settings.queuedWeight * report.queued;
     const auto promised = report.usedTokens + engine.ownUnreported * tokens;
     if (report.totalTokens && promised + tokens > report.totalTokens)
         score += settings.fullMemory;
