Ask the holders of copies while the registry is away

Cause: while the store was down a node heard of no target that was gone. Ruled out: runs that began without a copy (4), orders that were not made (2). Change: while readings of the registry fail, a stream asks its copy holder once a second whether it lives; an absent one is replaced by an ordered copy as before. Absent targets are recorded in one place (log line target_absent). A run begins without a copy only if none of the surveyed engines has memory, not if one lacks it. The line engine_chosen names the holder. Test: platform_gateway_streams WithoutTheRegistryALostCopyHolderIsNoticedInTime, failed before.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -65,8 +65,9 @@
     bool hasUsableCopy() const;
     void askCopyHolder(const target_entry& holder);
     bool survey();
+    void recordAbsence(const target_entry& target, const target_prober::answer& answer);
     generation_need generationNeed() const;
-    void logChoice(const surveyed_engine& engine, const generation_need& need);
+    void logChoice(const surveyed_engine& engine, const generation_need& need, std::size_t surveyed);
     bool choosesFreely() const;
     void waitForPlace();
     void leaveLine();
@@ -84,6 +85,7 @@
 
     // streams
     void keepCopy();
+    void checkCopyHolder();
     void orderCopy();
     void onCopyOrdered(const std::optional<std::string>& handle);
     void forwardEvents();
@@ -145,6 +147,7 @@
     std::optional<run_copy> m_copy; // from which the next attempt goes on
     std::optional<run_copy> m_orderedCopy; // made on order at the copy holder
     instant m_orderedAt; // of the last copy order
+    instant m_holderCheckedAt; // when the copy holder was last asked whether it lives
     bool m_ordering = false;
     bool m_answerBegun = false;
     std::optional<std::uint64_t> m_lastEvent;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -96,11 +96,12 @@
     const auto surveyed = std::move(m_survey);
     m_survey.clear();
     const auto need = generationNeed();
-    bool scarce = false;
+    bool scarce = !surveyed.empty();
     for (const auto& engine : surveyed) {
-        const bool roomy = hasMemory(engine, need);
-        scarce = scarce || !roomy;
-        if (roomy && engine.target.zone != target.zone) {
+        if (!hasMemory(engine, need))
+            continue;
+        scarce = false;
+        if (engine.target.zone != target.zone) {
             m_copyHolder = engine.target;
             return;
         }
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -19,6 +19,8 @@
 
     /// Between two orders for one run when the first found no room.
     constexpr std::chrono::milliseconds CopyOrderPause { 400 };
+    /// Between two questions to a copy holder: a tenth to a fifth of a usual generation, at the price of a probe each.
+    constexpr std::chrono::milliseconds HolderCheckPause { 1'000 };
     /// Share of a copy's life after which it is ordered again; only what is new is then copied.
     constexpr double CopyRenewal = 0.7;
     /// Probes within the objective of a first event: a dead engine leaves most of the time for another one.
@@ -82,6 +84,8 @@
         return;
     const auto now = m_parts.timers.now();
     const bool lost = !m_copyHolder || !m_parts.board.mayGoOnAt(*m_copyHolder);
+    if (!lost && m_parts.registryIsAway() && now >= m_holderCheckedAt + HolderCheckPause)
+        checkCopyHolder();
     if (lost && m_orderedCopy)
         m_orderedCopy.reset();
     const bool aging = m_orderedCopy && now >= m_orderedAt + rules->engine->copyLife * CopyRenewal;
@@ -89,6 +93,18 @@
         orderCopy();
 }
 
+// While nothing is heard of targets that are gone, the loss of a holder would be noticed when its copy is needed.
+void exchange::checkCopyHolder()
+{
+    m_holderCheckedAt = m_parts.timers.now();
+    m_parts.prober.ask(*m_copyHolder, probePatience(m_route->longestGap),
+        [self = weak_from_this(), holder = *m_copyHolder](const target_prober::answer& answer) {
+            const auto exchange = self.lock();
+            if (exchange && !exchange->m_over && !answer.alive)
+                exchange->recordAbsence(holder, answer);
+        });
+}
+
 void exchange::orderCopy()
 {
     m_orderedAt = m_parts.timers.now();
--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -57,8 +57,7 @@
             exchange->send(holder);
             return;
         }
-        exchange->m_parts.board.recordFault(holder.name,
-            answer.replaced ? target_fault::Misaddressed : target_fault::Unreachable, exchange->m_parts.timers.now());
+        exchange->recordAbsence(holder, answer);
         exchange->m_copy.reset();
         exchange->dispatch();
     });
@@ -103,23 +102,28 @@
     auto& engine = m_survey[index];
     engine.report = answer.report;
     engine.alive = answer.alive;
-    const auto now = m_parts.timers.now();
-    if (answer.replaced || !answer.alive)
-        m_parts.log.write("target_failed_survey",
-            { { "attempt", m_caller.attempt }, { "target", engine.target.name.value() },
-                { "why", answer.replaced ? "replaced" : "no answer" } });
-    if (answer.replaced) {
-        m_parts.board.recordFault(engine.target.name, target_fault::Misaddressed, now);
-        m_parts.targetsOutdated();
-        if (answer.report)
-            m_parts.replacements.find(engine.target, answer.report->startedAt);
-    } else if (!answer.alive) {
-        m_parts.board.recordFault(engine.target.name, target_fault::Unreachable, now);
-    }
+    if (!answer.alive)
+        recordAbsence(engine.target, answer);
     if (!--m_surveyPending)
         onSurveyed();
 }
 
+void exchange::recordAbsence(const target_entry& target, const target_prober::answer& answer)
+{
+    const auto now = m_parts.timers.now();
+    m_parts.log.write("target_absent",
+        { { "attempt", m_caller.attempt }, { "target", target.name.value() },
+            { "why", answer.replaced ? "replaced" : "no answer" } });
+    if (!answer.replaced) {
+        m_parts.board.recordFault(target.name, target_fault::Unreachable, now);
+        return;
+    }
+    m_parts.board.recordFault(target.name, target_fault::Misaddressed, now);
+    m_parts.targetsOutdated();
+    if (answer.report)
+        m_parts.replacements.find(target, answer.report->startedAt);
+}
+
 void exchange::onSurveyed()
 {
     // The survey took a moment: targets may have left, begun to drain or turned out to be others.
@@ -146,19 +150,21 @@
     }
     const auto engine = m_survey[*chosen];
     m_readAlone = expectedStart(engine, need) == need.reading;
-    logChoice(engine, need);
+    const auto surveyed = m_survey.size();
     send(engine.target);
+    logChoice(engine, need, surveyed);
 }
 
-void exchange::logChoice(const surveyed_engine& engine, const generation_need& need)
+void exchange::logChoice(const surveyed_engine& engine, const generation_need& need, std::size_t surveyed)
 {
     if (!engine.report)
         return; // the answer's line names the target
     m_parts.log.write("engine_chosen",
         { { "attempt", m_caller.attempt }, { "target", engine.target.name.value() },
-            { "surveyed", std::to_string(m_survey.size()) }, { "admitted", std::to_string(engine.report->admitted) },
+            { "surveyed", std::to_string(surveyed) }, { "admitted", std::to_string(engine.report->admitted) },
             { "reading", std::to_string(engine.report->prefilling()) },
             { "queued", std::to_string(engine.report->queued) }, { "unreported", std::to_string(engine.ownUnreported) },
+            { "copy_holder", m_copyHolder ? m_copyHolder->name.value() : "" },
             { "committed_tokens", std::to_string(committedTokens(engine, need)) },
             { "expected_start_ms", std::to_string(expectedStart(engine, need).count()) } });
 }
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -39,6 +39,7 @@
     place_line& places;
     seeded_random& random;
     config_in_force& config;
+    std::function<bool()> registryIsAway; ///< targets that are gone are not reported
     std::function<void()> targetsOutdated; ///< a target was found to be another than its registration says
     decision_log& log;
     gateway_metrics& metrics;
--- a/gateway/table_watch.h
+++ b/gateway/table_watch.h
@@ -49,6 +49,9 @@
     /// \return whether the table has been read at least once
     bool isKnown() const { return m_known; }
 
+    /// \return whether the last reading failed
+    bool isFailing() const { return m_failures > 0; }
+
     /// \return what was read lately, for other nodes
     const row_replica& replica() const { return m_replica; }
 
