Tell engines the priority of a generation

Cause: engines admit the more urgent first and put back the least urgent when memory runs out, but were told no priority; the configuration's ranks of routes and teams were read and not used for streams. Change: the team's rank, else the route's, goes to the engine with each stream; the line for places uses the same one. Test: platform_gateway_streams EnginesAreToldThePriorityOfTheTeamOrTheRoute (without the change the field is missing).

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -117,6 +117,11 @@
     return since(m_parts.timers.now(), m_deadline);
 }
 
+std::uint32_t exchange::priority() const
+{
+    return m_team && m_team->priority ? *m_team->priority : m_route->priority;
+}
+
 void exchange::onTimeout()
 {
     if (m_over)
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -59,6 +59,7 @@
     bool decode();
     bool admit();
     std::chrono::milliseconds remaining() const;
+    std::uint32_t priority() const;
 
     // attempts
     void dispatch();
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -79,6 +79,8 @@
     instruction.patience = std::max(remaining(), std::chrono::milliseconds(1));
     if (m_team)
         instruction.team = m_team->name;
+    if (m_route->kind == route_kind::Stream)
+        instruction.priority = priority();
     instruction.lastEvent = m_lastEvent;
     instruction.goOnFrom = m_copy;
     if (m_copyHolder)
--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -197,8 +197,7 @@
     const auto patience
         = std::chrono::duration_cast<std::chrono::milliseconds>(need.startsWithin * LongestWaitShare) - need.reading;
     const auto team = m_team ? m_team->name.value() : std::string(AnonymousTeam);
-    const auto rank = m_team && m_team->priority ? *m_team->priority : m_route->priority;
-    queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, priorityOf(rank),
+    queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, priorityOf(priority()),
         static_cast<std::uint32_t>(need.total()), m_parts.timers.now() + patience };
     m_parts.metrics.count("waits_for_place");
     m_parts.log.write("waits_for_place",
--- a/gateway/request_dialect.h
+++ b/gateway/request_dialect.h
@@ -37,6 +37,7 @@
     target_name expectedTarget; ///< any other target must not run the request
     std::optional<std::chrono::milliseconds> patience; ///< the target stops work after this time
     std::optional<team_name> team;
+    std::optional<std::uint32_t> priority; ///< among the target's requests, 0 is the most urgent
     std::optional<std::uint64_t> lastEvent; ///< the stream goes on after this event
     std::optional<std::string> copyTo; ///< address of the target that the run is copied to as it grows
     std::optional<run_copy> goOnFrom; ///< continue from this copy
