Survey a single candidate too, and group the methods of an exchange by file

Cause: with one engine left to choose from none was asked, so the line for places was passed by just when it is needed; a survey's knowledge that an engine read nothing else could outlive that attempt. Change: one candidate is asked as well; the knowledge ends with each dispatch; names (mayBeMadeToWait), headings and one constant in place of a bare factor.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -55,25 +55,29 @@
     void onFailure(link_failure failure) override;
 
 private:
-    // routing
+    // routing, in exchange.cpp
     bool decode();
     bool admit();
     std::chrono::milliseconds remaining() const;
     std::uint32_t priority() const;
 
-    // attempts
-    void dispatch();
+    // choice of an engine, in exchange_survey.cpp
     bool hasUsableCopy() const;
     void askCopyHolder(const target_entry& holder);
     bool survey();
+    void onSurveyAnswer(std::size_t index, const target_prober::answer& answer);
+    void onSurveyed();
     void recordAbsence(const target_entry& target, const target_prober::answer& answer);
     generation_need generationNeed() const;
     void logChoice(const surveyed_engine& engine, const generation_need& need, std::size_t surveyed);
-    bool choosesFreely() const;
+
+    // the line for places, in exchange_survey.cpp
+    bool mayBeMadeToWait() const;
     void waitForPlace();
     void leaveLine();
-    void onSurveyAnswer(std::size_t index, const target_prober::answer& answer);
-    void onSurveyed();
+
+    // attempts, in exchange_attempts.cpp
+    void dispatch();
     void waitForTarget();
     void send(const target_entry& target);
     void chooseCopyHolder(const target_entry& target);
@@ -84,7 +88,7 @@
     void repeatOrGiveUp(attempt_end end);
     void recordTargetFault(target_fault fault, std::string_view what);
 
-    // streams
+    // streams, in exchange_stream.cpp
     void keepCopy();
     void checkCopyHolder();
     void orderCopy();
@@ -99,7 +103,7 @@
     bool isWorthWaitingFor(instant now) const;
     void loseSilentTarget(std::string_view what);
 
-    // answers
+    // answers, in exchange.cpp
     void onTimeout();
     void refuse(error_kind kind, std::string_view why, std::optional<std::chrono::milliseconds> returnAfter = {});
     void deliver();
@@ -154,7 +158,6 @@
     std::optional<std::uint64_t> m_lastEvent;
     bool m_sinkPaused = false;
     bool m_over = false;
-    bool m_waited = false;
     std::uint32_t m_attempts = 0;
 };
 
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -12,6 +12,7 @@
 #include "routing/route_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolepick {
 
@@ -38,6 +39,7 @@
         return;
     }
     m_copy.reset();
+    m_readAlone = false;
     target_wish wish { m_service, m_parts.settings.zone, m_tried, m_lostZone };
     if (survey())
         return;
@@ -95,8 +97,7 @@
     const auto* rules = m_table->rulesOf(m_service);
     if (!m_route->resumable || !rules || !rules->engine || !rules->engine->copiesRuns)
         return;
-    const auto surveyed = std::move(m_survey);
-    m_survey.clear();
+    const auto surveyed = std::exchange(m_survey, {});
     const auto need = generationNeed();
     bool scarce = !surveyed.empty();
     for (const auto& engine : surveyed) {
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -26,6 +26,7 @@
     /// Probes within the objective of a first event: a dead engine leaves most of the time for another one.
     constexpr int FirstEventProbes = 4;
     constexpr std::uint32_t MaxProbeDoublings = 8; ///< far beyond any objective
+    constexpr int HeldAnswers = 2; ///< pauses for which an answer that the run is held counts: one probe may be lost
     /// Objectives after which a run that its engine holds is taken for stuck: the caller is far too late by then.
     constexpr int HeldPatience = 3;
     /// Bytes that a caller may leave unread before its target is no longer read from.
@@ -216,7 +217,7 @@
 // prompt would have to be read again, unless a copy is at hand.
 bool exchange::isWorthWaitingFor(instant now) const
 {
-    const bool held = m_heldAt && now < *m_heldAt + 2 * pauseBeforeProbe();
+    const bool held = m_heldAt && now < *m_heldAt + HeldAnswers * pauseBeforeProbe();
     const bool copyAtHand = m_answerBegun && m_copyHolder && m_parts.board.mayGoOnAt(*m_copyHolder);
     return held && !copyAtHand && now < m_stall.lastProgress() + HeldPatience * m_route->objective;
 }
--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -71,7 +71,7 @@
     const auto* rules = m_table->rulesOf(m_service);
     if (!rules || !rules->engine)
         return false;
-    if (choosesFreely() && !m_hasTurn && m_parts.places.hasWaiting(m_service)) {
+    if (mayBeMadeToWait() && !m_hasTurn && m_parts.places.hasWaiting(m_service)) {
         waitForPlace();
         return true;
     }
@@ -82,7 +82,7 @@
         const auto unreported = m_parts.board.startedSince(target.name, now - ReportLag);
         m_survey.push_back({ std::move(target), false, std::nullopt, unreported });
     }
-    if (m_survey.size() < 2)
+    if (m_survey.empty())
         return false;
     m_surveyPending = m_survey.size();
     for (std::size_t index = 0; index < m_survey.size(); ++index) {
@@ -138,7 +138,7 @@
     m_survey.erase(std::remove_if(m_survey.begin(), m_survey.end(), unusable), m_survey.end());
     const auto need = generationNeed();
     const auto full = [&need](const surveyed_engine& engine) { return !hasRoom(engine, need); };
-    if (choosesFreely() && !m_survey.empty() && std::all_of(m_survey.begin(), m_survey.end(), full)) {
+    if (mayBeMadeToWait() && !m_survey.empty() && std::all_of(m_survey.begin(), m_survey.end(), full)) {
         m_parts.metrics.count("surveys_without_room");
         waitForPlace();
         return;
@@ -180,8 +180,8 @@
     return need;
 }
 
-// A generation that was begun elsewhere goes on before new ones: work was done for it, and its caller is waiting.
-bool exchange::choosesFreely() const
+// A generation that was begun goes on before new ones: work was done for it, and its caller may have a part already.
+bool exchange::mayBeMadeToWait() const
 {
     return !m_attempts && !m_caller.lastEvent;
 }
