Use engines that read nothing however slow engines are

Cause: room was denied when the expected first event came after the objective. With engines slower than the objective allows no engine had room, every generation was refused, and without generations the learned speed could not recover. Change: an engine with no prompt ahead has room whatever the time; a request waits at least an eighth of its objective. Test: routing/test/engine_room AnEngineThatReadsNothingIsUsedHoweverSlowEnginesAre, failed before.

--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -24,6 +24,8 @@
     constexpr std::chrono::milliseconds ReportLag { 300 };
     /// Of the time until a first event is late, how much may pass before its prompt has been read.
     constexpr double LongestWaitShare = 0.8;
+    /// Part of the objective for which a request waits at least, when engines are too slow for the objective anyway.
+    constexpr int ShortestWaitPart = 8;
     /// Team of requests that need no key.
     constexpr std::string_view AnonymousTeam = "anonymous";
 
@@ -194,8 +196,9 @@
         return;
     }
     const auto need = generationNeed();
-    const auto patience
+    const auto inTime
         = std::chrono::duration_cast<std::chrono::milliseconds>(need.startsWithin * LongestWaitShare) - need.reading;
+    const auto patience = std::max(inTime, m_route->objective / ShortestWaitPart);
     const auto team = m_team ? m_team->name.value() : std::string(AnonymousTeam);
     queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, priorityOf(priority()),
         static_cast<std::uint32_t>(need.total()), m_parts.timers.now() + patience };
--- a/routing/engine_room.cpp
+++ b/routing/engine_room.cpp
@@ -50,7 +50,10 @@
     const auto& report = *engine.report;
     if (report.admitted + unread(engine) >= engine.target.slots)
         return false;
-    return hasMemory(engine, need) && expectedStart(engine, need) <= need.startsWithin;
+    // An engine that reads nothing is used even if the speed learned so far says that the event will be late: engines
+    // may have recovered, and only prompts show it.
+    const auto start = expectedStart(engine, need);
+    return hasMemory(engine, need) && (start == need.reading || start <= need.startsWithin);
 }
 
 } // namespace oriolepick
--- a/routing/engine_room.h
+++ b/routing/engine_room.h
@@ -32,8 +32,8 @@
 /// it refuses what is larger than all of its memory
 bool hasMemory(const surveyed_engine& engine, const generation_need& need);
 
-/// \return whether \p engine has a place and memory, and the first event comes in time. An engine whose report could
-/// not be read has room: it refuses what it cannot take.
+/// \return whether \p engine has a place and memory, and the first event comes in time or as soon as an engine of its
+/// kind can make it. An engine whose report could not be read has room: it refuses what it cannot take.
 bool hasRoom(const surveyed_engine& engine, const generation_need& need);
 
 } // namespace oriolepick
--- a/routing/test/engine_room.cpp
+++ b/routing/test/engine_room.cpp
@@ -76,6 +76,16 @@
     EXPECT_FALSE(hasRoom(engine, need()));
 }
 
+TEST(EngineRoom, AnEngineThatReadsNothingIsUsedHoweverSlowEnginesAre)
+{
+    auto engine = engineWith(2, 8'100);
+    EXPECT_TRUE(hasRoom(engine, { 8'000, 1'000, 9'000ms, 4'500ms }))
+        << "otherwise nothing would show that they recovered";
+    EXPECT_TRUE(hasRoom(engine, { 8'000, 1'000, 1'000ms, -100ms }));
+    engine.report->queued = 1;
+    EXPECT_FALSE(hasRoom(engine, { 8'000, 1'000, 9'000ms, 4'500ms }));
+}
+
 TEST(EngineRoom, AQueueAtAnEngineMeansNoPlaces)
 {
     auto engine = engineWith(2, 100);
