--- a/gateway/test/place_line.cpp
+++ b/gateway/test/place_line.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
