--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -4,6 +4,7 @@
 Usage: bench/capacity.py [--results DIRECTORY] (--write | --check | --print)
 """
 import json
+import math
 import pathlib
 import sys
 
@@ -125,7 +126,52 @@
     return f"{value / 1e6:.1f} MB"
 
 
-def page(f):
+GATEWAY_NODES, GATEWAY_TARGETS = 366, 12_000
+
+
+def gateway_growth(rows, site, figure):
+    """Exponent of a figure over the number of nodes, from the least and the greatest size, and its value at the design size.
+
+    Targets grow with nodes in the sweeps, ten to one; at the design size there are 33 a node.
+    """
+    points = sorted((row["parameters"]["nodes"], row["figures"][figure]) for row in rows
+                    if row["name"] == "gateway_sweep" and row["parameters"]["site"] == site)
+    (least, low), (greatest, high) = points[0], points[-1]
+    power = math.log(high / low) / math.log(greatest / least) if low and high else 0.0
+    return [value for _, value in points], power, high * (GATEWAY_NODES / greatest) ** power
+
+
+def gateway_page(rows, add):
+    sites = sorted({row["parameters"]["site"] for row in rows if row["name"] == "gateway_sweep"})
+    add("## Gateways on the users' instances")
+    add("")
+    add(f"From the users' sweep (`fleetbench sweep`, `bench/read_sweep.py`): the busiest node, by number of nodes, with ten times as many targets; the exponent of growth from the least to the greatest size and what it gives at {GATEWAY_NODES} nodes. The whole table of registrations grows with the targets: at {GATEWAY_TARGETS:,} targets memory and start-up traffic are {GATEWAY_TARGETS / GATEWAY_NODES / 10:.1f} times the column's, unless a node knows a part of the targets only, which is not built.")
+    add("")
+    for site in sites:
+        nodes = sorted(row["parameters"]["nodes"] for row in rows
+                       if row["name"] == "gateway_sweep" and row["parameters"]["site"] == site)
+        add(f"| {site} | " + " | ".join(f"{count} nodes" for count in nodes) + f" | exponent | at {GATEWAY_NODES} |")
+        add("| --- |" + " --- |" * (len(nodes) + 2))
+        for label, figure in GATEWAY_FIGURES:
+            values, power, design = gateway_growth(rows, site, figure)
+            add(f"| {label} | " + " | ".join(f"{value:g}" for value in values) + f" | {power:.2f} | {design:.4g} |")
+        worth, _, _ = gateway_growth(rows, site, "worth")
+        add("| worth of the day | " + " | ".join(f"{value:g}" for value in worth) + " | | |")
+        add("")
+
+
+GATEWAY_FIGURES = [
+    ("processor, %", "processor_percent_busiest"),
+    ("memory, MB", "memory_mb_busiest"),
+    ("traffic, KB/s", "traffic_kb_s_busiest"),
+    ("wake-ups a second", "wakeups_s_busiest"),
+    ("connections", "connections_busiest"),
+    ("draining in force, ms", "drain_in_force_ms_busiest"),
+    ("serving after all were killed, ms", "recovery_ms_busiest"),
+]
+
+
+def page(f, rows):
     lines = []
     add = lines.append
     add("# Capacity at the design size")
@@ -194,6 +240,7 @@
     add("")
     add("Node, engine emulator and readers share one machine in this run, so these figures are a lower bound of what a node alone carries.")
     add("")
+    gateway_page(rows, add)
     return "\n".join(lines)
 
 
@@ -201,7 +248,8 @@
     directory = ROOT / "bench" / "results"
     if "--results" in arguments:
         directory = arguments[arguments.index("--results") + 1]
-    text = page(compute(load(directory)))
+    rows = load(directory)
+    text = page(compute(rows), rows)
     if "--write" in arguments:
         PAGE.write_text(text)
     elif "--check" in arguments:
