Split the ZeroMQ transport from the codecs of messages

Cause: gateways will send protobuf messages too, and must not link ZeroMQ: memory is scarce on their instances. Change: package transport holds the transport of oriolepickd; wire holds messages and codecs. No behaviour changes.

--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -33,7 +33,7 @@
 #include "ports/ticket_store.h"
 #include "targets/http_engine_client.h"
 #include "targets/http_service_client.h"
-#include "wire/zmq_peer_transport.h"
+#include "transport/zmq_peer_transport.h"
 
 #include <csignal>
 #include <optional>
--- a/node/peer_hub.cpp
+++ b/node/peer_hub.cpp
@@ -5,8 +5,8 @@
 #include "node/node_metrics.h"
 #include "node/process_usage.h"
 #include "node/state_keeper.h"
+#include "transport/transport_counters.h"
 #include "wire/messages.pb.h"
-#include "wire/transport_counters.h"
 
 namespace oriolepick {
 
--- a/node/peer_hub.h
+++ b/node/peer_hub.h
@@ -5,7 +5,7 @@
 
 #include "core/instant.h"
 #include "core/names.h"
-#include "wire/peer_transport.h"
+#include "transport/peer_transport.h"
 
 #include <cstdint>
 #include <functional>
--- a/wire/test/peer_transport.cpp
+++ b/transport/test/peer_transport.cpp
@@ -1,6 +1,6 @@
 // Guards the nodes' port: messages arrive, and garbage from a stranger is counted without ending reception.
+#include "transport/zmq_peer_transport.h"
 #include "wire/messages.pb.h"
-#include "wire/zmq_peer_transport.h"
 
 #include <gtest/gtest.h>
 #include <zmq.hpp>
--- a/wire/zmq_peer_transport.cpp
+++ b/transport/zmq_peer_transport.cpp
@@ -1,4 +1,4 @@
-#include "wire/zmq_peer_transport.h"
+#include "transport/zmq_peer_transport.h"
 
 #include "wire/messages.pb.h"
 
--- a/wire/zmq_peer_transport.h
+++ b/transport/zmq_peer_transport.h
@@ -2,8 +2,8 @@
 /// ZeroMQ implementation of the port between nodes: one PULL socket that receives, one PUSH socket per peer.
 #pragma once
 
-#include "wire/peer_transport.h"
-#include "wire/transport_counters.h"
+#include "transport/peer_transport.h"
+#include "transport/transport_counters.h"
 
 #include <atomic>
 #include <cstdint>
