Let many nodes join at once

Cause: a common start of 295 gateways. Messages other than pages are still limited to 8 updates. Tests: core/test/membership, two new ones, failed before.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -25,6 +25,7 @@
 {
     actions out;
     m_joining = true;
+    m_joinSource = {};
     for (const auto& seed : seeds) {
         if (seed == m_self.node)
             continue;
@@ -32,7 +33,7 @@
             m_seeds.push_back(seed);
         send(out, seed, sync_request_message {});
     }
-    m_nextSync = std::min(m_nextSync, now + m_settings.probeInterval);
+    m_nextSync = std::min(m_nextSync, now + m_settings.joinRetry);
     return out;
 }
 
@@ -52,7 +53,7 @@
     }
     if (now >= m_nextSync) {
         const bool retryJoin = !m_seeds.empty() && m_members.size() == 1;
-        m_nextSync = now + (retryJoin ? m_settings.probeInterval : m_settings.syncInterval);
+        m_nextSync = now + (retryJoin ? m_settings.joinRetry : m_settings.syncInterval);
         synchronise(out);
         forgetOld(now);
     }
@@ -64,7 +65,7 @@
 {
     actions out;
     const auto& from = message.sender.node;
-    if (from == m_self.node || from.empty() || message.updates.size() > MaxUpdatesPerMessage)
+    if (from == m_self.node || from.empty() || message.updates.size() > maxUpdates(message.body))
         return out;
     apply(out, message.sender, now);
     for (const auto& update : message.updates)
@@ -137,7 +138,7 @@
     if (asker != m_members.end() && !isReachable(asker->second.update.state))
         message.updates.push_back(asker->second.update);
     auto position = m_members.upper_bound(request.after);
-    for (; position != m_members.end() && message.updates.size() < MaxUpdatesPerMessage; ++position)
+    for (; position != m_members.end() && message.updates.size() < m_settings.pageMembers; ++position)
         message.updates.push_back(position->second.update);
     sync_page_message page;
     page.more = position != m_members.end();
--- a/core/membership.h
+++ b/core/membership.h
@@ -50,7 +50,9 @@
     std::uint32_t indirectProbes = 3;
     std::uint32_t suspicionPeriods = 2; ///< times probeInterval and log2 of the node count, at least twice the interval
     std::uint32_t sendFactor = 3; ///< times log2 of the node count: how often an update is sent
+    std::chrono::milliseconds joinRetry { 1'000 }; ///< between contacts of the seeds while no other node is known
     std::chrono::milliseconds syncInterval { 5'000 }; ///< page exchange with a live node, ping of an absent one
+    std::size_t pageMembers = MaxUpdatesPerMessage; ///< in one answer to a joining node, at most MaxMembersPerPage
     std::chrono::milliseconds forgetDead { 7'200'000 }; ///< longer than a region's partition of an hour
     std::chrono::milliseconds forgetLeft { 60'000 };
 };
@@ -77,7 +79,7 @@
     /// Does what is due. Call at least every 100 ms.
     std::vector<membership_action> tick(instant now);
 
-    /// Processes a message. Messages with more than MaxUpdatesPerMessage updates are ignored.
+    /// Processes a message. Messages with more updates than maxUpdates() are ignored.
     std::vector<membership_action> receive(const membership_message& message, instant now);
 
     /// Announces the planned stop of this node.
@@ -156,6 +158,7 @@
     instant m_nextProbe;
     instant m_nextSync;
     node_id m_syncCursor;
+    node_id m_joinSource; // whose pages are read on; the first that answered
     bool m_joining = false;
 };
 
--- a/core/membership_events.cpp
+++ b/core/membership_events.cpp
@@ -68,7 +68,9 @@
 void membership::handle(actions& out, const node_id& from, const sync_page_message& body, instant)
 {
     m_syncCursor = body.more ? body.last : node_id();
-    if (!m_joining)
+    if (m_joinSource.empty())
+        m_joinSource = from;
+    if (!m_joining || from != m_joinSource)
         return;
     if (body.more)
         send(out, from, sync_request_message { body.last });
--- a/core/membership_messages.h
+++ b/core/membership_messages.h
@@ -48,9 +48,12 @@
     return update.state > known.state;
 }
 
-/// Most updates in one message, the sender's own statement not counted.
+/// Most updates that travel with a message, the sender's own statement not counted.
 inline constexpr std::size_t MaxUpdatesPerMessage = 8;
 
+/// Most members in one page: they fit into one datagram.
+inline constexpr std::size_t MaxMembersPerPage = 24;
+
 /// Are you alive?
 struct ping_message {
     std::uint64_t sequence = 0;
@@ -82,11 +85,17 @@
 using membership_body
     = std::variant<ping_message, ack_message, ping_request_message, sync_request_message, sync_page_message>;
 
+/// \return how many updates may travel with \p body
+inline std::size_t maxUpdates(const membership_body& body)
+{
+    return std::holds_alternative<sync_page_message>(body) ? MaxMembersPerPage : MaxUpdatesPerMessage;
+}
+
 /// A message with its piggybacked updates.
 struct membership_message {
     member_update sender; ///< the sender's statement about itself
     membership_body body;
-    std::vector<member_update> updates; ///< at most MaxUpdatesPerMessage
+    std::vector<member_update> updates; ///< at most maxUpdates(body)
 };
 
 } // namespace oriolepick
--- a/core/test/membership.cpp
+++ b/core/test/membership.cpp
@@ -182,3 +182,34 @@
     EXPECT_TRUE(state.receive(message, instant()).empty());
     EXPECT_EQ(state.members().size(), 1u);
 }
+
+// A start of hundreds of nodes: each reads the list of members once, in few messages, although it asks several seeds.
+TEST(membership, joining_node_reads_the_pages_of_the_first_seed_that_answers)
+{
+    membership_settings settings;
+    settings.pageMembers = MaxMembersPerPage;
+    membership joining({ node_id("j"), {}, {}, member_state::Alive, 1 }, settings, seeded_random(1), instant());
+    EXPECT_EQ(joining.join({ node_id("s1"), node_id("s2") }, instant()).size(), 2u);
+    membership_message page { { node_id("s2"), {}, {}, member_state::Alive, 1 },
+        sync_page_message { node_id("m"), true }, {} };
+    for (std::size_t index = 0; index < MaxMembersPerPage; ++index)
+        page.updates.push_back({ node_id("n" + std::to_string(index)), {}, {}, member_state::Alive, 1 });
+    const auto asked = joining.receive(page, instant());
+    EXPECT_EQ(countOf<send_membership_message>(asked), 1) << "the next page";
+    EXPECT_EQ(joining.members().size(), MaxMembersPerPage + 2);
+    page.sender.node = node_id("s1");
+    EXPECT_EQ(countOf<send_membership_message>(joining.receive(page, instant())), 0);
+}
+
+TEST(membership, node_that_knows_nobody_contacts_the_seeds_again_soon)
+{
+    membership_settings settings;
+    settings.joinRetry = milliseconds(200);
+    membership alone({ node_id("j"), {}, {}, member_state::Alive, 1 }, settings, seeded_random(1), instant());
+    alone.join({ node_id("s") }, instant());
+    int contacts = 0;
+    for (int tick = 1; tick <= 10; ++tick)
+        contacts += countOf<send_membership_message>(alone.tick(instant() + milliseconds(100) * tick));
+    EXPECT_GE(contacts, 4);
+    EXPECT_LE(contacts, 6);
+}
--- a/wire/membership_codec.cpp
+++ b/wire/membership_codec.cpp
@@ -94,7 +94,7 @@
 {
     const auto sender = decodeUpdate(in.sender());
     auto body = decodeBody(in);
-    if (!sender || !body || static_cast<std::size_t>(in.updates_size()) > MaxUpdatesPerMessage)
+    if (!sender || !body || static_cast<std::size_t>(in.updates_size()) > maxUpdates(*body))
         return std::nullopt;
     membership_message message { *sender, std::move(*body), {} };
     for (const auto& encoded : in.updates()) {
