Spread news of the store between nodes

Ruled out: a tree of long polls over zones (each level adds its period to the age of what leaves know, and the loss of an inner node blinds its children until they find another parent); waits at the store by each node (the calls above). Change: routing/news_gossip tells other nodes by datagram what this one knows and how old it is, what they lack they pull; routing/reader_turn lets the node that read last go on, others take over by rank when they hear nothing; members are known by core's failure detector, found by the platform's seeds or rows in the store. Renewals that reach the store after their target is gone are no longer handed on. Conclusion: calls no longer grow with the number of nodes.

--- /dev/null
+++ b/gateway/datagram_socket.cpp
@@ -0,0 +1,51 @@
+#include "gateway/datagram_socket.h"
+
+#include "gateway/socket_address.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace oriolepick {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    asio::ip::udp::endpoint datagramEndpoint(const asio::ip::tcp::endpoint& endpoint)
+    {
+        return { endpoint.address(), endpoint.port() };
+    }
+
+} // namespace
+
+datagram_socket::datagram_socket(asio::io_context& loop, const std::string& address, receiver onReceived)
+    : m_socket(loop, datagramEndpoint(parseSocketAddress(address).value()))
+    , m_onReceived(std::move(onReceived))
+{
+    m_socket.non_blocking(true);
+    receive();
+}
+
+bool datagram_socket::send(const std::string& address, std::string_view bytes)
+{
+    const auto endpoint = parseSocketAddress(address);
+    if (!endpoint)
+        return false;
+    boost::system::error_code error;
+    m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), datagramEndpoint(*endpoint), 0, error);
+    return !error;
+}
+
+void datagram_socket::receive()
+{
+    m_socket.async_receive_from(
+        asio::buffer(m_input), m_sender, [this](const boost::system::error_code& error, std::size_t size) {
+            if (error == asio::error::operation_aborted)
+                return;
+            // Other errors report that an earlier datagram could not be delivered.
+            if (!error)
+                m_onReceived({ m_input.data(), size });
+            receive();
+        });
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/fleet_news.cpp
@@ -0,0 +1,277 @@
+#include "gateway/fleet_news.h"
+
+#include "core/text.h"
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/http_call.h"
+#include "gateway/news_codec.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+namespace {
+
+    /// A node answers within milliseconds when it is not short of processor time; a whole table takes longer.
+    constexpr std::chrono::milliseconds PullTimeout { 400 };
+    constexpr std::chrono::milliseconds WholePullTimeout { 1'500 };
+    constexpr std::uint64_t MaxPullBytes = 16'777'216; ///< the registrations of 12,000 targets are 4 MB
+    constexpr int Success = 200;
+    /// Knowledge older than this part of the bound means that nobody could read the store for two turns.
+    constexpr int AwayPart = 2;
+
+    constexpr std::string_view Everything = "all"; ///< in place of a revision, for a node that knows nothing
+    constexpr std::array<std::string_view, NewsTopics> TopicNames { "configuration", "targets" };
+
+    std::string_view nameOf(news_topic topic)
+    {
+        return TopicNames[static_cast<std::size_t>(topic)];
+    }
+
+} // namespace
+
+fleet_news::fleet_news(boost::asio::io_context& loop, timer_queue& timers,
+    std::array<followed_table, NewsTopics> tables, links links, const node_id& self, std::chrono::milliseconds bound,
+    bool readsFirst, std::uint64_t seed, decision_log& log, gateway_metrics& metrics)
+    : m_loop(loop)
+    , m_timers(timers)
+    , m_links(std::move(links))
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_bound(bound)
+    , m_gossip(self, news_gossip_settings {}, bound, readsFirst, seeded_random(seed), timers.now())
+{
+    for (auto& table : tables) {
+        table_replica replica(table.isNews);
+        m_tables.push_back({ std::move(table), std::move(replica), nullptr });
+    }
+}
+
+fleet_news::~fleet_news()
+{
+    m_timers.cancel(m_timer);
+}
+
+void fleet_news::start()
+{
+    perform(m_gossip.tick(m_timers.now()));
+}
+
+void fleet_news::setNodes(std::vector<node_id> sameZone, std::vector<node_id> others)
+{
+    m_gossip.setNodes(std::move(sameZone), std::move(others));
+    schedule();
+}
+
+void fleet_news::receive(const node_id& from, const news_digest& digest)
+{
+    perform(m_gossip.receive(from, digest, m_timers.now()));
+}
+
+void fleet_news::hurry()
+{
+    perform(m_gossip.hurry(m_timers.now()));
+}
+
+void fleet_news::perform(const news_gossip::actions& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* tell = std::get_if<tell_node>(&action))
+            m_links.send(tell->to, tell->digest);
+        else if (const auto* wanted = std::get_if<pull_news>(&action))
+            pull(wanted->topic, wanted->from);
+        else if (const auto* reading = std::get_if<read_store>(&action))
+            readStore(reading->topic);
+        else
+            m_links.onStoreReturned();
+    }
+    schedule();
+}
+
+void fleet_news::schedule()
+{
+    const auto due = m_gossip.nextDue();
+    if (due >= m_timerAt)
+        return;
+    m_timers.cancel(m_timer);
+    m_timerAt = due;
+    m_timer = m_timers.at(due, [this] {
+        m_timer = 0;
+        m_timerAt = instant::max();
+        perform(m_gossip.tick(m_timers.now()));
+    });
+}
+
+void fleet_news::pull(news_topic topic, const node_id& from)
+{
+    auto& state = stateOf(topic);
+    m_metrics.count("news_pulls");
+    const auto revision = state.replica.newsRevision();
+    const auto after = state.replica.isKnown() ? std::to_string(revision) : std::string(Everything);
+    state.pull = std::make_shared<http_call>(m_loop, m_timers, from.value(), MaxPullBytes);
+    state.pull->get(concatenated("/news/", nameOf(topic), "/", after),
+        state.replica.isKnown() ? PullTimeout : WholePullTimeout,
+        [this, topic, from, revision](const call_answer& given) { onPulled(topic, from, revision, given); });
+}
+
+void fleet_news::onPulled(news_topic topic, const node_id& from, std::uint64_t askedFor, const call_answer& given)
+{
+    const auto now = m_timers.now();
+    auto& replica = stateOf(topic).replica;
+    auto batch = given.status == Success ? decodeBatch(given.body) : std::nullopt;
+    if (!batch) {
+        m_metrics.count("news_pulls_failed");
+        m_log.write("news_not_given",
+            { { "topic", std::string(nameOf(topic)) }, { "from", from.value() },
+                { "status", std::to_string(given.status) }, { "problem", given.problem } });
+        perform(m_gossip.pulled(topic, std::nullopt, now));
+        return;
+    }
+    // News that came another way meanwhile may be newer than this answer.
+    const bool isNewer = !replica.isKnown() ? batch->whole
+                                            : (replica.newsRevision() == askedFor && batch->newsRevision > askedFor
+                                                && batch->readRevision >= replica.readRevision());
+    if (!isNewer) {
+        perform(m_gossip.pulled(topic, std::nullopt, now));
+        return;
+    }
+    const bool first = !replica.isKnown();
+    if (batch->whole)
+        replica.replaceAll(batch->rows, batch->readRevision, batch->newsRevision);
+    else
+        replica.add(batch->rows, batch->readRevision, batch->newsRevision);
+    if (first)
+        m_log.write("news_taken_over",
+            { { "topic", std::string(nameOf(topic)) }, { "from", from.value() },
+                { "rows", std::to_string(batch->rows.size()) }, { "age_ms", std::to_string(batch->age.count()) } });
+    perform(m_gossip.pulled(topic, versionOf(topic, now - batch->age), now));
+    report(topic, batch->rows, batch->whole);
+}
+
+// The gossip is told before the rows are reported: what lapsed in an outage is kept a while, so its end must be known.
+void fleet_news::report(news_topic topic, const std::vector<stored_row>& rows, bool whole)
+{
+    const auto& table = stateOf(topic).table;
+    if (whole)
+        table.onAll(rows);
+    else if (!rows.empty())
+        table.onChanges(rows);
+}
+
+topic_version fleet_news::versionOf(news_topic topic, instant asOf) const
+{
+    const auto& replica = stateOf(topic).replica;
+    return { replica.newsRevision(), replica.readRevision(), asOf };
+}
+
+void fleet_news::readStore(news_topic topic)
+{
+    const auto startedAt = m_timers.now();
+    auto& state = stateOf(topic);
+    if (!state.replica.isKnown()) {
+        readWhole(topic, startedAt);
+        return;
+    }
+    m_metrics.count("store_readings");
+    state.table.store.readChanges(state.table.name, state.replica.readRevision(), std::chrono::milliseconds(0),
+        [this, topic, startedAt](const row_answer& answer) { onRead(topic, startedAt, false, answer); });
+}
+
+void fleet_news::readWhole(news_topic topic, instant startedAt)
+{
+    auto& state = stateOf(topic);
+    m_metrics.count("store_whole_readings");
+    state.table.store.readAll(state.table.name,
+        [this, topic, startedAt](const row_answer& answer) { onRead(topic, startedAt, true, answer); });
+}
+
+void fleet_news::onRead(news_topic topic, instant startedAt, bool whole, const row_answer& answer)
+{
+    const auto now = m_timers.now();
+    auto& state = stateOf(topic);
+    if (answer.status == row_status::HistoryLost && !whole) {
+        m_log.write("history_lost",
+            { { "table", state.table.name }, { "revision", std::to_string(state.replica.readRevision()) } });
+        m_metrics.count("registry_history_lost");
+        readWhole(topic, startedAt);
+        return;
+    }
+    if (answer.status != row_status::Done) {
+        m_metrics.count("registry_errors");
+        if (!m_failures++)
+            m_log.write("store_lost", { { "table", state.table.name }, { "problem", answer.problem } });
+        perform(m_gossip.readingEnded(topic, std::nullopt, now));
+        noteReader();
+        return;
+    }
+    if (m_failures) {
+        m_log.write("store_regained", { { "table", state.table.name }, { "failures", std::to_string(m_failures) } });
+        m_failures = 0;
+    }
+    if (state.replica.isKnown() && answer.revision < state.replica.readRevision()) {
+        // Other nodes told of newer changes while this reading was under way, or the store shows an old state.
+        m_metrics.count("outdated_readings");
+        const topic_version old { state.replica.newsRevision(), answer.revision, startedAt };
+        perform(m_gossip.readingEnded(topic, old, now));
+        return;
+    }
+    if (whole)
+        state.replica.replaceAll(answer.rows, answer.revision);
+    else
+        state.replica.add(answer.rows, answer.revision);
+    perform(m_gossip.readingEnded(topic, versionOf(topic, startedAt), now));
+    noteReader();
+    report(topic, answer.rows, whole);
+}
+
+void fleet_news::noteReader()
+{
+    const bool isReader = m_gossip.turn().isReader();
+    if (isReader != m_wasReader)
+        m_log.write(isReader ? "reads_store" : "reads_store_no_more", { { "failures", std::to_string(m_failures) } });
+    m_wasReader = isReader;
+}
+
+std::optional<std::string> fleet_news::answer(std::string_view target) const
+{
+    takeUntil(target, '/');
+    const auto page = takeUntil(target, '/');
+    const auto name = takeUntil(target, '/');
+    const auto revision = parseNumber<std::uint64_t>(target);
+    const auto found = std::find(TopicNames.begin(), TopicNames.end(), name);
+    if (page != "news" || found == TopicNames.end() || (!revision && target != Everything))
+        return std::nullopt;
+    const auto topic = static_cast<news_topic>(found - TopicNames.begin());
+    const auto asOf = m_gossip.asOf(topic);
+    if (!asOf)
+        return std::nullopt;
+    auto batch = stateOf(topic).replica.changesAfter(revision);
+    batch.age = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - *asOf);
+    return encodeBatch(batch);
+}
+
+bool fleet_news::isKnown() const
+{
+    return std::all_of(
+        m_tables.begin(), m_tables.end(), [](const table_state& state) { return state.replica.isKnown(); });
+}
+
+bool fleet_news::storeIsAway() const
+{
+    return m_gossip.storeIsAway() || age() > m_bound / AwayPart;
+}
+
+std::chrono::milliseconds fleet_news::age() const
+{
+    const auto now = m_timers.now();
+    auto oldest = std::chrono::milliseconds(0);
+    for (const auto topic : { news_topic::Configuration, news_topic::Targets }) {
+        const auto asOf = m_gossip.asOf(topic);
+        if (!asOf)
+            return std::chrono::milliseconds::max();
+        oldest = std::max(oldest, std::chrono::duration_cast<std::chrono::milliseconds>(now - *asOf));
+    }
+    return oldest;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/fleet_news.h
@@ -0,0 +1,116 @@
+/// \file
+/// Keeps this node's tables up to date: by news of other nodes, and by the store when it is this node's turn to read.
+#pragma once
+
+#include "core/names.h"
+#include "gateway/row_source.h"
+#include "gateway/table_replica.h"
+#include "gateway/timer_queue.h"
+#include "routing/news_gossip.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace oriolepick {
+
+class decision_log;
+class gateway_metrics;
+class http_call;
+struct call_answer;
+
+/// One table that is followed.
+struct followed_table {
+    std::string name; ///< in the store
+    row_source& store;
+    table_replica::news_check isNews; ///< see table_replica
+    std::function<void(const std::vector<stored_row>&)> onAll; ///< the whole table was read
+    std::function<void(const std::vector<stored_row>&)> onChanges; ///< rows that say something new, at least one
+};
+
+/// Drives news_gossip: sends its digests, pulls from other nodes and reads the store.
+class fleet_news {
+public:
+    /// What the news are sent by.
+    struct links {
+        std::function<void(const node_id& to, const news_digest& digest)> send;
+        std::function<void()> onStoreReturned; ///< after an outage, before any rows of it are reported
+    };
+
+    /// \param tables by topic; their sources outlive this object
+    /// \param bound how late any news may be
+    fleet_news(boost::asio::io_context& loop, timer_queue& timers, std::array<followed_table, NewsTopics> tables,
+        links links, const node_id& self, std::chrono::milliseconds bound, bool readsFirst, std::uint64_t seed,
+        decision_log& log, gateway_metrics& metrics);
+    ~fleet_news();
+
+    void start();
+
+    /// Sets the nodes that are believed alive, without this one.
+    void setNodes(std::vector<node_id> sameZone, std::vector<node_id> others);
+
+    void receive(const node_id& from, const news_digest& digest);
+
+    /// Something is amiss that news may explain.
+    void hurry();
+
+    /// Answers the pull of another node.
+    /// \param target "/news/TOPIC/REVISION"
+    /// \return the encoded news, or nothing when \p target names none or they are not known here
+    std::optional<std::string> answer(std::string_view target) const;
+
+    /// \return whether every table was read at least once
+    bool isKnown() const;
+
+    /// \return whether this node reads the store for all
+    bool isReader() const { return m_gossip.turn().isReader(); }
+
+    /// \return whether the store could not be read lately, so that leaving targets may go unnoticed
+    bool storeIsAway() const;
+
+    /// \return how long ago the store was known to have nothing newer than this node, over all tables
+    std::chrono::milliseconds age() const;
+
+private:
+    struct table_state {
+        followed_table table;
+        table_replica replica;
+        std::shared_ptr<http_call> pull;
+    };
+
+    table_state& stateOf(news_topic topic) { return m_tables[static_cast<std::size_t>(topic)]; }
+    const table_state& stateOf(news_topic topic) const { return m_tables[static_cast<std::size_t>(topic)]; }
+    void perform(const news_gossip::actions& actions);
+    void schedule();
+    void pull(news_topic topic, const node_id& from);
+    void onPulled(news_topic topic, const node_id& from, std::uint64_t askedFor, const call_answer& given);
+    void readStore(news_topic topic);
+    void readWhole(news_topic topic, instant startedAt);
+    void onRead(news_topic topic, instant startedAt, bool whole, const row_answer& answer);
+    void report(news_topic topic, const std::vector<stored_row>& rows, bool whole);
+    topic_version versionOf(news_topic topic, instant asOf) const;
+    void noteReader();
+
+    boost::asio::io_context& m_loop;
+    timer_queue& m_timers;
+    std::vector<table_state> m_tables; // by topic
+    links m_links;
+    decision_log& m_log;
+    gateway_metrics& m_metrics;
+    std::chrono::milliseconds m_bound;
+    news_gossip m_gossip;
+    timer_handle m_timer = 0;
+    instant m_timerAt = instant::max();
+    bool m_wasReader = false;
+    std::uint32_t m_failures = 0; // readings in a row that this node did in vain
+};
+
+} // namespace oriolepick
--- a/gateway/gateway_settings_json.cpp
+++ b/gateway/gateway_settings_json.cpp
@@ -11,15 +11,17 @@
     {
         visit("node", settings.node, RequiredName);
         visit("zone", settings.zone, RequiredName);
+        visit("region", settings.region, field_rule { presence::Optional, text_form::Name });
         visit("caller_address", settings.callerAddress, RequiredAddress);
         visit("readiness_address", settings.readinessAddress, RequiredAddress);
         visit("metrics_address", settings.metricsAddress, OptionalAddress);
         visit("peer_address", settings.peerAddress, RequiredAddress);
+        visit("seeds", settings.seeds, OptionalAddress);
         visit("registry_address", settings.registryAddress, RequiredAddress);
         visit("max_connections", settings.maxConnections, numberRule(16, 65'536));
         visit("stop_grace_ms", settings.stopGrace, numberRule(500, MaxTimeMs));
-        visit("registry_poll_ms", settings.registryPoll, numberRule(50, 60'000));
-        visit("relay_poll_ms", settings.relayPoll, numberRule(50, 60'000));
+        visit("leaving_bound_ms", settings.leavingBound, numberRule(200, MaxTimeMs));
+        visit("configuration_bound_ms", settings.configurationBound, numberRule(200, MaxTimeMs));
         visit("repeat_ratio", settings.repeatRatio, numberRule(0, 10));
         visit("repeat_slack", settings.repeatSlack, numberRule(0, 1e6));
         visit("repeat_window_ms", settings.repeatWindow, numberRule(1'000, MaxTimeMs));
--- /dev/null
+++ b/gateway/news_codec.cpp
@@ -0,0 +1,169 @@
+#include "gateway/news_codec.h"
+
+#include "gateway/socket_address.h"
+#include "wire/membership_codec.h"
+#include "wire/messages.pb.h"
+
+#include <zlib.h>
+
+#include <limits>
+
+namespace oriolepick {
+
+namespace {
+
+    /// The registrations of 12,000 targets are 4 MB.
+    constexpr std::size_t MaxBatchBytes = 16'777'216;
+    constexpr std::size_t LeastDeflated = 1'024; ///< smaller batches fit into one packet
+    constexpr char Plain = 0; ///< first byte of a batch: how the rest is encoded
+    constexpr char Deflated = 1; ///< four bytes of the plain size, least first, and the deflated bytes follow
+    constexpr std::size_t SizeBytes = 4;
+    constexpr std::uint32_t MaxAgeMs = 3'600'000; ///< an hour; anything above is no age
+
+    std::uint32_t limited(std::chrono::milliseconds age)
+    {
+        return static_cast<std::uint32_t>(std::min<std::int64_t>(std::max<std::int64_t>(age.count(), 0), MaxAgeMs));
+    }
+
+    void encodeDigest(const news_digest& digest, wire::news_digest& out)
+    {
+        for (const auto& topic : digest.topics) {
+            auto& encoded = *out.add_topics();
+            encoded.set_known(topic.known);
+            encoded.set_news_revision(topic.newsRevision);
+            encoded.set_read_revision(topic.readRevision);
+            encoded.set_age_ms(limited(topic.age));
+        }
+        out.set_attempted(digest.sinceAttempt.has_value());
+        out.set_since_attempt_ms(limited(digest.sinceAttempt.value_or(std::chrono::milliseconds(0))));
+        out.set_reader(digest.reader);
+        out.set_reply(digest.isReply);
+    }
+
+    std::optional<news_digest> decodeDigest(const wire::news_digest& in)
+    {
+        if (static_cast<std::size_t>(in.topics_size()) != NewsTopics || in.since_attempt_ms() > MaxAgeMs)
+            return std::nullopt;
+        news_digest digest;
+        for (std::size_t index = 0; index < NewsTopics; ++index) {
+            const auto& topic = in.topics(static_cast<int>(index));
+            if (topic.age_ms() > MaxAgeMs || topic.read_revision() < topic.news_revision())
+                return std::nullopt;
+            digest.topics[index] = { topic.known(), topic.news_revision(), topic.read_revision(),
+                std::chrono::milliseconds(topic.age_ms()) };
+        }
+        if (in.attempted())
+            digest.sinceAttempt = std::chrono::milliseconds(in.since_attempt_ms());
+        digest.reader = in.reader();
+        digest.isReply = in.reply();
+        return digest;
+    }
+
+    std::string deflated(const std::string& plain)
+    {
+        auto size = compressBound(static_cast<uLong>(plain.size()));
+        std::string bytes(1 + SizeBytes + size, Deflated);
+        for (std::size_t index = 0; index < SizeBytes; ++index)
+            bytes[1 + index] = static_cast<char>(plain.size() >> (8 * index) & 0xff);
+        compress2(reinterpret_cast<Bytef*>(bytes.data() + 1 + SizeBytes), &size,
+            reinterpret_cast<const Bytef*>(plain.data()), static_cast<uLong>(plain.size()), Z_BEST_SPEED);
+        bytes.resize(1 + SizeBytes + size);
+        return bytes;
+    }
+
+    std::optional<std::string> inflated(std::string_view bytes)
+    {
+        if (bytes.size() < SizeBytes)
+            return std::nullopt;
+        std::size_t size = 0;
+        for (std::size_t index = 0; index < SizeBytes; ++index)
+            size |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[index])) << (8 * index);
+        if (size > MaxBatchBytes)
+            return std::nullopt;
+        bytes.remove_prefix(SizeBytes);
+        std::string plain(size, '\0');
+        auto written = static_cast<uLongf>(size);
+        const auto status = uncompress(reinterpret_cast<Bytef*>(plain.data()), &written,
+            reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uLong>(bytes.size()));
+        if (status != Z_OK || written != size)
+            return std::nullopt;
+        return plain;
+    }
+
+} // namespace
+
+std::string encodeDatagram(const node_datagram& datagram)
+{
+    wire::gateway_datagram encoded;
+    encoded.set_sender(datagram.sender.value());
+    if (const auto* message = std::get_if<membership_message>(&datagram.body))
+        encode(*message, *encoded.mutable_membership());
+    else
+        encodeDigest(std::get<news_digest>(datagram.body), *encoded.mutable_news());
+    return encoded.SerializeAsString();
+}
+
+std::optional<node_datagram> decodeDatagram(std::string_view bytes)
+{
+    wire::gateway_datagram encoded;
+    if (!encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !parseSocketAddress(encoded.sender()))
+        return std::nullopt;
+    node_datagram datagram;
+    datagram.sender = node_id(encoded.sender());
+    if (encoded.has_membership()) {
+        auto message = decode(encoded.membership());
+        if (!message)
+            return std::nullopt;
+        datagram.body = std::move(*message);
+        return datagram;
+    }
+    const auto digest = encoded.has_news() ? decodeDigest(encoded.news()) : std::nullopt;
+    if (!digest)
+        return std::nullopt;
+    datagram.body = *digest;
+    return datagram;
+}
+
+std::string encodeBatch(const news_batch& batch)
+{
+    wire::news_batch encoded;
+    encoded.set_news_revision(batch.newsRevision);
+    encoded.set_read_revision(batch.readRevision);
+    encoded.set_age_ms(limited(batch.age));
+    encoded.set_whole(batch.whole);
+    for (const auto& row : batch.rows) {
+        auto& added = *encoded.add_rows();
+        added.set_key(row.key);
+        added.set_value(row.value);
+        added.set_removed(row.removed);
+    }
+    const auto plain = encoded.SerializeAsString();
+    return plain.size() < LeastDeflated ? Plain + plain : deflated(plain);
+}
+
+std::optional<news_batch> decodeBatch(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.size() > MaxBatchBytes || (bytes[0] != Plain && bytes[0] != Deflated))
+        return std::nullopt;
+    std::optional<std::string> unpacked;
+    if (bytes[0] == Deflated) {
+        unpacked = inflated(bytes.substr(1));
+        if (!unpacked)
+            return std::nullopt;
+    }
+    const auto plain = unpacked ? std::string_view(*unpacked) : bytes.substr(1);
+    wire::news_batch encoded;
+    if (!encoded.ParseFromArray(plain.data(), static_cast<int>(plain.size())) || encoded.age_ms() > MaxAgeMs
+        || encoded.read_revision() < encoded.news_revision())
+        return std::nullopt;
+    news_batch batch;
+    batch.newsRevision = encoded.news_revision();
+    batch.readRevision = encoded.read_revision();
+    batch.age = std::chrono::milliseconds(encoded.age_ms());
+    batch.whole = encoded.whole();
+    for (auto& row : *encoded.mutable_rows())
+        batch.rows.push_back({ std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed() });
+    return batch;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/table_replica.cpp
@@ -0,0 +1,130 @@
+#include "gateway/table_replica.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+
+namespace oriolepick {
+
+namespace {
+
+    // The last row of each key: a row that was removed and came back has changed at most once.
+    std::vector<stored_row> lastOfEachKey(const std::vector<stored_row>& rows)
+    {
+        std::set<std::string_view> seen;
+        std::vector<stored_row> last;
+        for (auto row = rows.rbegin(); row != rows.rend(); ++row) {
+            if (seen.insert(row->key).second)
+                last.push_back(*row);
+        }
+        std::reverse(last.begin(), last.end());
+        return last;
+    }
+
+} // namespace
+
+table_replica::table_replica(news_check isNews)
+    : m_isNews(std::move(isNews))
+{
+}
+
+bool table_replica::isNews(const stored_row& row) const
+{
+    const auto known = m_rows.find(row.key);
+    if (row.removed && known == m_rows.end())
+        return !m_isNews || m_isNews(row);
+    if (m_isNews && m_known)
+        return m_isNews(row);
+    return known == m_rows.end() || row.removed || known->second != row.value;
+}
+
+std::vector<stored_row> table_replica::replaceAll(
+    const std::vector<stored_row>& rows, std::uint64_t readRevision, std::uint64_t newsRevision)
+{
+    std::set<std::string> present;
+    std::vector<stored_row> news;
+    for (const auto& row : rows) {
+        present.insert(row.key);
+        if (isNews(row))
+            news.push_back(row);
+    }
+    for (const auto& [key, value] : m_rows) {
+        if (!present.count(key))
+            news.push_back({ key, {}, true });
+    }
+    const bool first = !m_known;
+    m_known = true;
+    m_readRevision = std::max(m_readRevision, readRevision);
+    if (first) {
+        m_rows.clear();
+        for (const auto& row : rows)
+            m_rows[row.key] = row.value;
+        m_newsRevision = newsRevision ? newsRevision : readRevision;
+        m_historyFrom = m_newsRevision;
+        return news;
+    }
+    recordIfAny(news, newsRevision);
+    return news;
+}
+
+std::vector<stored_row> table_replica::add(
+    const std::vector<stored_row>& rows, std::uint64_t readRevision, std::uint64_t newsRevision)
+{
+    auto news = lastOfEachKey(rows);
+    news.erase(std::remove_if(news.begin(), news.end(), [this](const auto& row) { return !isNews(row); }), news.end());
+    m_readRevision = std::max(m_readRevision, readRevision);
+    recordIfAny(news, newsRevision);
+    return news;
+}
+
+void table_replica::recordIfAny(const std::vector<stored_row>& news, std::uint64_t newsRevision)
+{
+    if (!news.empty())
+        record(news, newsRevision ? newsRevision : m_readRevision);
+    else
+        m_newsRevision = std::max(m_newsRevision, newsRevision); // the same changes, read at another revision
+}
+
+void table_replica::confirm(std::uint64_t readRevision)
+{
+    m_readRevision = std::max(m_readRevision, readRevision);
+}
+
+void table_replica::record(std::vector<stored_row> rows, std::uint64_t revision)
+{
+    for (const auto& row : rows) {
+        if (row.removed)
+            m_rows.erase(row.key);
+        else
+            m_rows[row.key] = row.value;
+    }
+    m_newsRevision = std::max(m_newsRevision, revision);
+    m_historyRows += rows.size();
+    m_history.push_back({ m_newsRevision, std::move(rows) });
+    while (m_historyRows > std::max(m_rows.size(), LeastHistory)) {
+        m_historyFrom = m_history.front().revision;
+        m_historyRows -= m_history.front().rows.size();
+        m_history.pop_front();
+    }
+}
+
+news_batch table_replica::changesAfter(std::optional<std::uint64_t> newsRevision) const
+{
+    news_batch answer;
+    answer.newsRevision = m_newsRevision;
+    answer.readRevision = m_readRevision;
+    if (newsRevision && *newsRevision >= m_historyFrom) {
+        for (const auto& batch : m_history) {
+            if (batch.revision > *newsRevision)
+                answer.rows.insert(answer.rows.end(), batch.rows.begin(), batch.rows.end());
+        }
+        answer.rows = lastOfEachKey(answer.rows);
+        return answer;
+    }
+    answer.whole = true;
+    for (const auto& [key, value] : m_rows)
+        answer.rows.push_back({ key, value, false });
+    return answer;
+}
+
+} // namespace oriolepick
--- a/gateway/test/gateway_settings.cpp
+++ b/gateway/test/gateway_settings.cpp
@@ -27,7 +27,8 @@
     EXPECT_EQ(settings.node.value(), "n1");
     EXPECT_EQ(settings.stopGrace, 5s);
     EXPECT_DOUBLE_EQ(settings.repeatRatio, 0.5);
-    EXPECT_EQ(settings.registryPoll, 800ms);
+    EXPECT_EQ(settings.leavingBound, 4s);
+    EXPECT_TRUE(settings.seeds.empty());
 }
 
 TEST(GatewaySettings, NamesEveryProblem)
@@ -35,9 +36,10 @@
     EXPECT_EQ(problemsOf("[]").size(), 1U);
     EXPECT_EQ(problemsOf("{").size(), 1U);
     EXPECT_EQ(problemsOf("{}").size(), 6U) << "six fields are required";
-    const auto unknown = problemsOf("{" + Least + R"(,"registry_pol_ms":5})");
+    const auto unknown = problemsOf("{" + Least + R"(,"leaving_bond_ms":500})");
     ASSERT_EQ(unknown.size(), 1U);
-    EXPECT_NE(unknown[0].problem.find("registry_poll_ms"), std::string::npos);
+    EXPECT_NE(unknown[0].problem.find("leaving_bound_ms"), std::string::npos);
+    EXPECT_EQ(problemsOf("{" + Least + R"(,"seeds":["10.0.0.1:80","nowhere"]})").size(), 1U);
     EXPECT_EQ(problemsOf("{" + Least + R"(,"stop_grace_ms":-1})").size(), 1U);
     EXPECT_EQ(problemsOf("{" + Least + R"(,"metrics_address":"nowhere"})").size(), 1U);
 }
--- /dev/null
+++ b/gateway/test/news_codec.cpp
@@ -0,0 +1,109 @@
+// Guards against messages between nodes that arrive changed, or that end the process when they are no messages.
+#include "gateway/news_codec.h"
+
+#include "gateway/node_row.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace oriolepick;
+using namespace std::chrono_literals;
+
+namespace {
+
+news_digest sampleDigest()
+{
+    news_digest digest;
+    digest.of(news_topic::Configuration) = { true, 7, 12, 30ms };
+    digest.of(news_topic::Targets) = { true, 9, 12, 40ms };
+    digest.sinceAttempt = 2s;
+    digest.reader = 4'000'000'000;
+    return digest;
+}
+
+TEST(NewsCodec, DigestsSurviveTheWay)
+{
+    const auto decoded = decodeDatagram(encodeDatagram({ node_id("10.0.0.1:7200"), sampleDigest() }));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->sender.value(), "10.0.0.1:7200");
+    const auto& digest = std::get<news_digest>(decoded->body);
+    EXPECT_EQ(digest.of(news_topic::Targets).newsRevision, 9U);
+    EXPECT_EQ(digest.of(news_topic::Targets).readRevision, 12U);
+    EXPECT_EQ(digest.of(news_topic::Configuration).age, 30ms);
+    EXPECT_EQ(digest.sinceAttempt, 2s);
+    EXPECT_EQ(digest.reader, 4'000'000'000U);
+    EXPECT_FALSE(digest.isReply);
+}
+
+TEST(NewsCodec, ImpossibleDigestsAreRejected)
+{
+    EXPECT_FALSE(decodeDatagram(encodeDatagram({ node_id("nobody"), sampleDigest() }))) << "no address to answer to";
+    auto digest = sampleDigest();
+    digest.of(news_topic::Targets).newsRevision = 99;
+    EXPECT_FALSE(decodeDatagram(encodeDatagram({ node_id("10.0.0.1:7200"), digest })))
+        << "read up to less than its news";
+    EXPECT_FALSE(decodeDatagram(""));
+}
+
+TEST(NewsCodec, LargeBatchesAreDeflatedAndBounded)
+{
+    news_batch batch;
+    batch.newsRevision = batch.readRevision = 3;
+    batch.whole = true;
+    for (int number = 0; number < 300; ++number)
+        batch.rows.push_back({ "target-" + std::to_string(number), std::string(200, 'x'), false });
+    const auto bytes = encodeBatch(batch);
+    EXPECT_LT(bytes.size(), 60'000U / 5);
+    const auto decoded = decodeBatch(bytes);
+    ASSERT_TRUE(decoded);
+    EXPECT_TRUE(decoded->whole);
+    ASSERT_EQ(decoded->rows.size(), 300U);
+    EXPECT_EQ(decoded->rows[299].value, batch.rows[299].value);
+    EXPECT_FALSE(decodeBatch(bytes.substr(0, bytes.size() - 1)));
+    auto bomb = bytes;
+    bomb[4] = '\x7f'; // claims 2 GB
+    EXPECT_FALSE(decodeBatch(bomb));
+}
+
+RC_GTEST_PROP(NewsCodec, RowsSurviveTheWay,
+    (const std::vector<std::pair<std::string, std::string>>& rows, std::uint32_t revision))
+{
+    news_batch batch;
+    batch.newsRevision = revision;
+    batch.readRevision = revision + std::uint64_t { 1 };
+    for (const auto& [key, value] : rows)
+        batch.rows.push_back({ key, value, value.empty() });
+    const auto decoded = decodeBatch(encodeBatch(batch));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded->newsRevision == batch.newsRevision && decoded->readRevision == batch.readRevision);
+    RC_ASSERT(decoded->rows.size() == rows.size());
+    for (std::size_t index = 0; index < rows.size(); ++index) {
+        RC_ASSERT(decoded->rows[index].key == rows[index].first);
+        RC_ASSERT(decoded->rows[index].value == rows[index].second);
+        RC_ASSERT(decoded->rows[index].removed == rows[index].second.empty());
+    }
+}
+
+RC_GTEST_PROP(
+    NewsCodec, MutatedMessagesAreDecodedOrDropped, (const std::vector<std::pair<std::uint16_t, char>>& changed))
+{
+    news_batch small { 7, 8, 5ms, false, { { "key", "value", false } } };
+    news_batch large { 7, 8, 5ms, true, { { "key", std::string(5'000, 'v'), false } } };
+    membership_message message { { node_id("n"), availability_zone("z"), region_name("r"), member_state::Alive, 1 },
+        sync_page_message { node_id("m"), true }, {} };
+    std::vector<std::string> texts { encodeBatch(small), encodeBatch(large),
+        encodeDatagram({ node_id("10.0.0.1:80"), sampleDigest() }), encodeDatagram({ node_id("10.0.0.1:80"), message }),
+        encodeNodeRow({ availability_zone("z"), node_id("10.0.0.1:80") }) };
+    for (auto& text : texts) {
+        for (const auto& [position, byte] : changed)
+            text[position % text.size()] = byte;
+        const auto batch = decodeBatch(text);
+        RC_ASSERT(!batch || batch->readRevision >= batch->newsRevision);
+        const auto datagram = decodeDatagram(text);
+        RC_ASSERT(!datagram || !datagram->sender.empty());
+        const auto row = decodeNodeRow(text);
+        RC_ASSERT(!row || !row->node.empty());
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/gateway/test/table_replica.cpp
@@ -0,0 +1,117 @@
+// Guards against nodes that are fed old, partial or needless news by another node.
+#include "gateway/table_replica.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace oriolepick;
+
+namespace {
+
+stored_row row(const std::string& key, const std::string& value)
+{
+    return { key, value, false };
+}
+
+stored_row removed(const std::string& key)
+{
+    return { key, {}, true };
+}
+
+TEST(TableReplica, HandsOnWhatCameAfterARevision)
+{
+    table_replica replica;
+    EXPECT_FALSE(replica.isKnown());
+    replica.replaceAll({ row("a", "1") }, 10);
+    replica.add({ row("a", "2") }, 12);
+    replica.add({ row("b", "1") }, 15);
+    replica.add({}, 18);
+    EXPECT_EQ(replica.newsRevision(), 15U);
+    EXPECT_EQ(replica.readRevision(), 18U);
+    const auto all = replica.changesAfter(10);
+    EXPECT_FALSE(all.whole);
+    EXPECT_EQ(all.rows.size(), 2U);
+    EXPECT_EQ(all.newsRevision, 15U);
+    EXPECT_EQ(replica.changesAfter(12).rows.front().key, "b");
+    EXPECT_TRUE(replica.changesAfter(15).rows.empty());
+}
+
+TEST(TableReplica, ANodeThatKnowsNothingGetsAllRows)
+{
+    table_replica replica;
+    replica.replaceAll({}, 0);
+    EXPECT_TRUE(replica.changesAfter(std::nullopt).whole) << "also when the table is empty";
+    replica.add({ row("a", "1"), row("b", "1") }, 5);
+    replica.add({ removed("a") }, 6);
+    const auto all = replica.changesAfter(std::nullopt);
+    ASSERT_EQ(all.rows.size(), 1U);
+    EXPECT_EQ(all.rows.front().key, "b");
+}
+
+TEST(TableReplica, ANodeThatIsFarBehindGetsAllRows)
+{
+    table_replica replica;
+    replica.replaceAll({ row("a", "1") }, 10);
+    EXPECT_TRUE(replica.changesAfter(9).whole);
+    for (std::uint64_t revision = 11; revision < 500; ++revision)
+        replica.add({ row("k", std::to_string(revision)) }, revision);
+    EXPECT_TRUE(replica.changesAfter(10).whole);
+    EXPECT_EQ(replica.changesAfter(10).rows.size(), 2U);
+    EXPECT_FALSE(replica.changesAfter(490).whole);
+}
+
+TEST(TableReplica, KeepsOnlyNews)
+{
+    table_replica replica([](const stored_row& each) { return each.removed || each.value != "renewed"; });
+    replica.replaceAll({ row("a", "1"), row("b", "1") }, 10);
+    EXPECT_TRUE(replica.add({ row("a", "renewed") }, 11).empty());
+    EXPECT_EQ(replica.newsRevision(), 10U);
+    EXPECT_EQ(replica.add({ row("a", "renewed"), row("b", "2") }, 12).size(), 1U);
+    EXPECT_EQ(replica.changesAfter(10).rows.size(), 1U);
+}
+
+TEST(TableReplica, AWholeReadingTellsOthersOnlyTheDifference)
+{
+    table_replica replica;
+    replica.replaceAll({ row("a", "1"), row("b", "1"), row("c", "1") }, 10);
+    const auto news = replica.replaceAll({ row("a", "1"), row("b", "2"), row("d", "1") }, 30);
+    EXPECT_EQ(news.size(), 3U) << "b changed, d is new, c is gone";
+    const auto handed = replica.changesAfter(10);
+    EXPECT_FALSE(handed.whole);
+    EXPECT_EQ(handed.rows.size(), 3U);
+    EXPECT_EQ(handed.newsRevision, 30U);
+    replica.replaceAll({ row("a", "1"), row("b", "2"), row("d", "1") }, 40);
+    EXPECT_EQ(replica.newsRevision(), 30U) << "nothing has changed";
+    EXPECT_EQ(replica.readRevision(), 40U);
+}
+
+// However a node follows the table, it ends with the same rows as the node that read the store.
+RC_GTEST_PROP(TableReplica, FollowersEndWithTheSameRows, (const std::vector<std::vector<std::uint8_t>>& rounds))
+{
+    table_replica reader;
+    table_replica follower;
+    reader.replaceAll({}, 1);
+    std::uint64_t revision = 1;
+    for (std::size_t round = 0; round < rounds.size(); ++round) {
+        std::vector<stored_row> rows;
+        for (const auto number : rounds[round])
+            rows.push_back({ "k" + std::to_string(number % 8), std::to_string(number), number % 3 == 0 });
+        reader.add(rows, revision += 3);
+        if (round % 3 == 2)
+            continue; // the follower misses a round
+        const auto known = follower.isKnown() ? std::optional<std::uint64_t>(follower.newsRevision()) : std::nullopt;
+        const auto batch = reader.changesAfter(known);
+        if (batch.whole)
+            follower.replaceAll(batch.rows, batch.readRevision, batch.newsRevision);
+        else
+            follower.add(batch.rows, batch.readRevision, batch.newsRevision);
+        RC_ASSERT(follower.newsRevision() == reader.newsRevision());
+        const auto left = reader.changesAfter(std::nullopt).rows;
+        const auto right = follower.changesAfter(std::nullopt).rows;
+        RC_ASSERT(left.size() == right.size());
+        for (std::size_t index = 0; index < left.size(); ++index)
+            RC_ASSERT(left[index].key == right[index].key && left[index].value == right[index].value);
+    }
+}
+
+} // namespace
--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -22,8 +22,10 @@
 {
 }
 
-bool target_board::isNews(const target_entry& entry) const
+bool target_board::isNews(const target_entry& entry, instant now) const
 {
+    if (isOutdated(entry, now))
+        return false;
     const auto found = m_targets.find(entry.name);
     if (found == m_targets.end() || found->second.lapsesAt)
         return true;
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -72,8 +72,9 @@
     /// \param random breaks ties, so that nodes with equal views spread their requests; outlives this object
     target_board(board_settings settings, seeded_random& random);
 
-    /// \return whether \p entry says anything that is not known, beside that the target still lives
-    bool isNews(const target_entry& entry) const;
+    /// \return whether \p entry says anything that is not known, beside that the target still lives. A renewal that
+    /// reached the registry after its target was gone says nothing.
+    bool isNews(const target_entry& entry, instant now) const;
 
     /// Adds or renews a registration. One that is older than what is known of the same incarnation changes nothing, and
     /// a target that drains does so until it is gone: renewals may reach the registry late.
--- /dev/null
+++ b/routing/test/news_spread.cpp
@@ -0,0 +1,254 @@
+// Guards against nodes that are left blind beyond the bounds, and against a store that is called by all nodes: news
+// spread over 300 nodes in virtual time, with loss, cuts, freezes, refusals and restarts.
+#include "routing/test/news_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+using namespace oriolepick;
+using namespace std::chrono_literals;
+
+namespace {
+
+using ms = std::chrono::milliseconds;
+
+// The users' sheet of the largest deployment: news of configurations, keys and leaving targets.
+constexpr ms Bound { 4'000 };
+// Nodes count as undisturbed after this time, by the same sheet.
+constexpr ms Calm { 5'000 };
+constexpr std::size_t Nodes = 300;
+constexpr int Zones = 6;
+
+class NewsSpread : public testing::Test {
+protected:
+    void startCalm()
+    {
+        fleet.startAll();
+        fleet.renew();
+        fleet.run(10s);
+        fleet.judgeFromNow();
+        fleet.resetCounts();
+    }
+
+    // Changes of both topics, at uneven times.
+    void changes(int count, ms gap)
+    {
+        for (int number = 0; number < count; ++number)
+            fleet.at(gap * number + ms(number % 7),
+                [this, number] { fleet.change(number % 3 ? news_topic::Targets : news_topic::Configuration); });
+    }
+
+    void judge(const char* what, std::uint64_t maxCalls)
+    {
+        const auto late = fleet.lateness(Calm);
+        ASSERT_FALSE(late.empty());
+        const auto at = [&late](double share) {
+            return late[static_cast<std::size_t>(share * static_cast<double>(late.size() - 1))].count();
+        };
+        std::cout << what << ": lateness ms p50 " << at(0.5) << ", p99 " << at(0.99) << ", p99.9 " << at(0.999)
+                  << ", most " << late.back().count() << " of " << late.size() << "; store calls " << fleet.calls()
+                  << ", datagrams " << fleet.datagrams() << ", pulls " << fleet.pulls() << ", readers "
+                  << fleet.readers() << "\n";
+        EXPECT_LE(late.back(), Bound);
+        EXPECT_EQ(fleet.missing(Bound, Calm), 0U);
+        EXPECT_LE(fleet.calls(), maxCalls);
+    }
+
+    template <typename Action> void forShare(double share, Action action)
+    {
+        for (std::size_t index = 0; index < Nodes; ++index) {
+            if (random.unit() < share)
+                action(index);
+        }
+    }
+
+    std::size_t reader()
+    {
+        for (std::size_t index = 0; index < Nodes; ++index) {
+            if (fleet.nodes()[index].running && fleet.nodes()[index].gossip->turn().isReader())
+                return index;
+        }
+        return 0;
+    }
+
+    seeded_random random { 11 };
+    news_fleet fleet { Nodes, Zones, Bound, 7 };
+};
+
+TEST_F(NewsSpread, OneNodeReadsForAllAndNewsAreFresh)
+{
+    startCalm();
+    fleet.setLoss(0.02);
+    changes(60, 500ms);
+    fleet.run(40s);
+    judge("calm, 2% of datagrams lost", 40 * 2 * 2 + 40);
+    EXPECT_EQ(fleet.readers(), 1U);
+}
+
+TEST_F(NewsSpread, AStormOfConfigurationsCostsNoMoreCalls)
+{
+    startCalm();
+    changes(100, 40ms);
+    fleet.run(10s);
+    judge("100 changes in 4 s", 10 * 2 * 2 + 20);
+}
+
+TEST_F(NewsSpread, TheLossOfTheReaderIsMadeUpFor)
+{
+    startCalm();
+    changes(60, 400ms);
+    for (int loss = 0; loss < 8; ++loss)
+        fleet.at(3s * loss + 1s, [this] { fleet.kill(reader()); });
+    fleet.run(30s);
+    judge("the reader killed eight times", 500);
+}
+
+TEST_F(NewsSpread, FrozenNodesLeaveNobodyBlind)
+{
+    startCalm();
+    changes(60, 400ms);
+    fleet.at(2s, [this] { fleet.freeze(reader(), 6s); });
+    fleet.at(4s, [this] { forShare(0.3, [this](std::size_t index) { fleet.freeze(index, 5s); }); });
+    fleet.run(30s);
+    judge("the reader and then 30% frozen", 400);
+    EXPECT_EQ(fleet.readers(), 1U);
+}
+
+TEST_F(NewsSpread, NodesThatTheStoreTurnsAwayHearFromTheOthers)
+{
+    startCalm();
+    changes(60, 400ms);
+    for (const auto mood : { store_mood::Refuses, store_mood::Silent }) {
+        const auto begin = mood == store_mood::Refuses ? 1s : 14s;
+        fleet.at(begin, [this, mood] {
+            fleet.nodes()[reader()].mood = mood;
+            forShare(0.35, [this, mood](std::size_t index) { fleet.nodes()[index].mood = mood; });
+        });
+        fleet.at(begin + 9s, [this] {
+            for (auto& node : fleet.nodes())
+                node.mood = store_mood::Answers;
+        });
+    }
+    fleet.run(30s);
+    judge("35% turned away, then 35% not answered", 600);
+}
+
+TEST_F(NewsSpread, AStoreThatIsAwayIsAskedByFewAndItsReturnIsNoticedByAll)
+{
+    startCalm();
+    fleet.at(1s, [this] {
+        for (auto& node : fleet.nodes())
+            node.mood = store_mood::Refuses;
+    });
+    fleet.run(9s);
+    EXPECT_LE(fleet.calls(), 60U) << "calls to a store that is away";
+    for (auto& node : fleet.nodes()) {
+        EXPECT_TRUE(node.gossip->storeIsAway());
+        node.mood = store_mood::Answers;
+    }
+    fleet.resetCounts();
+    const auto returned = fleet.now();
+    changes(20, 100ms);
+    fleet.run(8s);
+    for (const auto& node : fleet.nodes())
+        EXPECT_GT(*node.gossip->asOf(news_topic::Targets), returned + 5s);
+    judge("after an outage of 8 s", 100);
+}
+
+TEST_F(NewsSpread, NodesThatAreCutOffReadForThemselvesAndCatchUp)
+{
+    startCalm();
+    changes(60, 400ms);
+    fleet.at(2s, [this] {
+        forShare(0.3, [this](std::size_t index) {
+            fleet.nodes()[index].cut = true;
+            fleet.nodes()[index].disturbedAt = fleet.now() + 8s;
+        });
+    });
+    fleet.at(10s, [this] {
+        for (auto& node : fleet.nodes())
+            node.cut = false;
+    });
+    fleet.run(30s);
+    judge("30% cut off from all nodes for 8 s, with a way to the store", 2'000);
+    EXPECT_EQ(fleet.readers(), 1U);
+}
+
+TEST_F(NewsSpread, ACommonStartCallsTheStoreSeldomAndIsShort)
+{
+    startCalm();
+    for (std::size_t index = 0; index < Nodes; ++index)
+        fleet.kill(index);
+    fleet.run(1s);
+    fleet.startAll();
+    fleet.run(1'500ms);
+    EXPECT_TRUE(fleet.allKnow());
+    changes(20, 100ms);
+    fleet.run(10s);
+    std::cout << "common start: store calls " << fleet.calls() << "\n";
+    EXPECT_LE(fleet.calls(), 100U);
+    EXPECT_EQ(fleet.missing(Bound, Calm), 0U);
+}
+
+TEST_F(NewsSpread, ACommonStartWithoutTheSeedsIsShortToo)
+{
+    startCalm();
+    for (std::size_t index = 0; index < Nodes; ++index)
+        fleet.kill(index);
+    fleet.run(1s);
+    for (std::size_t index = 3; index < Nodes; ++index)
+        fleet.at(ms(random.below(300)), [this, index] { fleet.start(index); });
+    fleet.run(2'500ms);
+    EXPECT_TRUE(fleet.allKnow());
+    std::cout << "common start without seeds: store calls " << fleet.calls() << "\n";
+    EXPECT_LE(fleet.calls(), 600U);
+}
+
+TEST_F(NewsSpread, RollingRestartsDisturbNobodyElse)
+{
+    startCalm();
+    fleet.setLoss(0.02);
+    changes(100, 300ms);
+    for (std::size_t index = 0; index < Nodes; ++index) {
+        fleet.at(100ms * index, [this, index] { fleet.kill(index); });
+        fleet.at(100ms * index + 900ms, [this, index] { fleet.start(index); });
+    }
+    fleet.run(40s);
+    judge("all nodes restarted one after another in 30 s", 600);
+}
+
+TEST_F(NewsSpread, TroublesTogether)
+{
+    startCalm();
+    fleet.setLoss(0.03);
+    changes(150, 200ms);
+    for (int second = 0; second < 28; ++second) {
+        fleet.at(1s * second, [this] {
+            const auto index = random.below(Nodes);
+            switch (random.below(4)) {
+            case 0:
+                fleet.kill(index);
+                fleet.at(1s, [this, index] { fleet.start(index); });
+                break;
+            case 1:
+                fleet.freeze(reader(), 3s);
+                break;
+            case 2:
+                forShare(0.2, [this](std::size_t each) { fleet.nodes()[each].mood = store_mood::Refuses; });
+                fleet.at(4s, [this] {
+                    for (auto& node : fleet.nodes())
+                        node.mood = store_mood::Answers;
+                });
+                break;
+            default:
+                fleet.kill(reader());
+                break;
+            }
+        });
+    }
+    fleet.run(40s);
+    judge("troubles together", 1'000);
+}
+
+} // namespace
--- a/routing/test/target_board.cpp
+++ b/routing/test/target_board.cpp
@@ -162,12 +162,12 @@
     board.put(entry("a"), now); // found by asking its address: no renewal is known
     auto registered = entry("a");
     registered.beat = 1;
-    EXPECT_TRUE(board.isNews(registered)) << "other nodes have not heard of it";
+    EXPECT_TRUE(board.isNews(registered, now)) << "other nodes have not heard of it";
     board.put(registered, now);
     registered.beat = 2;
-    EXPECT_FALSE(board.isNews(registered));
+    EXPECT_FALSE(board.isNews(registered, now));
     registered.draining = true;
-    EXPECT_TRUE(board.isNews(registered));
+    EXPECT_TRUE(board.isNews(registered, now));
     board.put(registered, now);
     EXPECT_EQ(chosen(), "");
 }
@@ -182,6 +182,19 @@
     EXPECT_EQ(chosen(), "a") << "it renews on, so it lives";
 }
 
+// Other nodes know no renewals, so they would take a target back that the node which reads the store does not.
+TEST_F(TargetBoard, ALateRenewalOfATargetThatIsGoneIsNotHandedOn)
+{
+    auto known = entry("a");
+    known.beat = 7;
+    board.put(known, now);
+    board.remove(target_name("a"), now);
+    known.beat = 6;
+    EXPECT_FALSE(board.isNews(known, now));
+    known.beat = 8;
+    EXPECT_TRUE(board.isNews(known, now)) << "it lives: its registration had lapsed";
+}
+
 TEST_F(TargetBoard, ATargetThatLapsedReturnsWithANewerRenewal)
 {
     auto ready = entry("a");
