Hear targets that leave or want a pause from their answers

Change: target_notices applies what any answer says, of requests and of probes alike, to the board: a leaving incarnation gets nothing new (requests, waiting ones, copies, resumes), its idle connections are closed, what runs there goes on, a new start is free again. During a pause nothing is sent, also no question and no order. When all targets of a service pause, callers are refused at once with the time of the first end, spread over as long again; generations wait in line where that ends in time. Pauses: seconds with fractions; above an hour an hour, counted; dates, negative values and others none, counted. A target that drains is no longer news at each renewal of its registration.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -13,6 +13,7 @@
 #include "gateway/stream_stall_settings.h"
 #include "routing/retry_allowance.h"
 #include "routing/route_table.h"
+#include "routing/target_board.h"
 
 #include <algorithm>
 
@@ -188,7 +189,8 @@
     }
     m_over = true;
     m_sink = nullptr;
-    if (m_orderedCopy)
+    // A copy that is not freed lapses by itself.
+    if (m_orderedCopy && !(m_target && m_parts.board.isPaused(m_target->name, m_parts.timers.now())))
         m_parts.copies.release(m_orderedCopy->address, m_orderedCopy->name);
     m_orderedCopy.reset();
     m_parts.timers.cancel(m_deadlineTimer);
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -79,6 +79,9 @@
     // attempts, in exchange_attempts.cpp
     void dispatch();
     void waitForTarget();
+    std::chrono::milliseconds spread(std::chrono::milliseconds range);
+    std::chrono::milliseconds returnAfterPause(instant pauseEnd);
+    bool isGeneration() const;
     void send(const target_entry& target);
     void chooseCopyHolder(const target_entry& target);
     target_instruction instructionFor(const target_entry& target) const;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -7,6 +7,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/link_pool.h"
+#include "gateway/target_notices.h"
 #include "routing/answer_pace.h"
 #include "routing/retry_allowance.h"
 #include "routing/route_table.h"
@@ -20,6 +21,8 @@
 
     /// Pause before targets are looked up again when there is none: a fraction of a crashed engine's second of absence.
     constexpr std::chrono::milliseconds TargetWait { 50 };
+    /// Callers that are told to return after a pause do so over at least this time.
+    constexpr std::chrono::milliseconds ShortestReturnSpread { 300 };
     /// A copy is begun with the first part of the prompt and sent several times a second.
     constexpr std::chrono::milliseconds CopyDelay { 350 };
     /// A run that began without a copy for lack of memory orders one after this time: a third of a usual generation.
@@ -62,11 +65,23 @@
 {
     const auto now = m_parts.timers.now();
     const auto longest = m_answerBegun ? m_deadline : m_startedAt + m_route->objective / 2;
-    if (now + TargetWait >= std::min(longest, m_deadline)) {
-        refuse(m_history.mayHaveRun ? error_kind::TargetFailed : error_kind::NoTarget, "no target is in service");
+    const auto latest = std::min(longest, m_deadline);
+    const auto pauseEnd = m_parts.board.allPausedUntil(m_service, now);
+    if (now + TargetWait >= latest || (pauseEnd && *pauseEnd >= latest)) {
+        const auto kind = m_history.mayHaveRun ? error_kind::TargetFailed : error_kind::NoTarget;
+        if (pauseEnd)
+            refuse(kind, "all targets ask for a pause", returnAfterPause(*pauseEnd));
+        else
+            refuse(kind, "no target is in service");
         return;
     }
-    m_waitTimer = m_parts.timers.at(now + TargetWait, [self = weak_from_this()] {
+    if (pauseEnd && isGeneration() && mayBeMadeToWait()) {
+        waitForPlace(); // the line wakes one request at a time
+        return;
+    }
+    // Requests that wait for the same pause do not end it together.
+    const auto due = pauseEnd ? *pauseEnd + spread(TargetWait) : now + TargetWait;
+    m_waitTimer = m_parts.timers.at(due, [self = weak_from_this()] {
         if (const auto exchange = self.lock()) {
             exchange->m_waitTimer = 0;
             exchange->dispatch();
@@ -74,6 +89,24 @@
     });
 }
 
+std::chrono::milliseconds exchange::spread(std::chrono::milliseconds range)
+{
+    return std::chrono::milliseconds(m_parts.random.below(static_cast<std::uint64_t>(range.count()) + 1));
+}
+
+// Callers return over a time as long as the pause itself, so that the targets are not overrun at its end.
+std::chrono::milliseconds exchange::returnAfterPause(instant pauseEnd)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(pauseEnd - m_parts.timers.now());
+    return left + spread(std::max(left, ShortestReturnSpread));
+}
+
+bool exchange::isGeneration() const
+{
+    const auto* rules = m_table->rulesOf(m_service);
+    return rules && rules->engine;
+}
+
 target_instruction exchange::instructionFor(const target_entry& target) const
 {
     target_instruction instruction;
@@ -203,6 +236,9 @@
 {
     m_head = head;
     m_reply = reply;
+    const bool misaddressed = reply.actualTarget && *reply.actualTarget != m_target->name;
+    if (!misaddressed)
+        m_parts.notices.note(m_target->name, m_target->address, reply);
     m_streaming = m_route->kind == route_kind::Stream && head.status == 200 && reply.signedByTarget && !reply.encoded;
 }
 
@@ -229,8 +265,10 @@
     auto link = std::move(m_link);
     m_link.reset();
     m_parts.board.attemptEnded(m_target->name);
-    if (reusable)
+    if (reusable && !m_reply.leaving)
         m_parts.links.giveBack(std::move(link));
+    else
+        link->abandon();
     m_sent = false;
 
     if (m_streaming) {
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -84,7 +84,9 @@
     if (!m_route->resumable || !rules || !rules->engine || !rules->engine->copiesOnOrder || m_ordering)
         return;
     const auto now = m_parts.timers.now();
-    const bool lost = !m_copyHolder || !m_parts.board.mayGoOnAt(*m_copyHolder);
+    if (m_parts.board.isPaused(m_target->name, now))
+        return; // an order is a request too
+    const bool lost = !m_copyHolder || !m_parts.board.mayGoOnAt(*m_copyHolder, m_parts.timers.now());
     if (!lost && m_parts.registryIsAway() && now >= m_holderCheckedAt + HolderCheckPause)
         checkCopyHolder();
     if (lost && m_orderedCopy)
@@ -109,7 +111,7 @@
 void exchange::orderCopy()
 {
     m_orderedAt = m_parts.timers.now();
-    if (!m_copyHolder || !m_parts.board.mayGoOnAt(*m_copyHolder)) {
+    if (!m_copyHolder || !m_parts.board.mayGoOnAt(*m_copyHolder, m_parts.timers.now())) {
         m_copyHolder
             = m_parts.board.choose({ m_service, std::nullopt, { m_target->name }, m_target->zone }, m_orderedAt);
         if (!m_copyHolder)
@@ -218,7 +220,8 @@
 bool exchange::isWorthWaitingFor(instant now) const
 {
     const bool held = m_heldAt && now < *m_heldAt + HeldAnswers * pauseBeforeProbe();
-    const bool copyAtHand = m_answerBegun && m_copyHolder && m_parts.board.mayGoOnAt(*m_copyHolder);
+    const bool copyAtHand
+        = m_answerBegun && m_copyHolder && m_parts.board.mayGoOnAt(*m_copyHolder, m_parts.timers.now());
     return held && !copyAtHand && now < m_stall.lastProgress() + HeldPatience * m_route->objective;
 }
 
--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -45,7 +45,7 @@
 
 bool exchange::hasUsableCopy() const
 {
-    return m_copy && m_copyHolder && m_parts.board.mayGoOnAt(*m_copyHolder);
+    return m_copy && m_copyHolder && m_parts.board.mayGoOnAt(*m_copyHolder, m_parts.timers.now());
 }
 
 // A holder that crashed meanwhile would refuse the request: that is known sooner and costs no repeat when it is asked.
@@ -55,11 +55,12 @@
         const auto exchange = self.lock();
         if (!exchange || exchange->m_over)
             return;
-        if (answer.alive) {
+        if (answer.alive && exchange->hasUsableCopy()) {
             exchange->send(holder);
             return;
         }
-        exchange->recordAbsence(holder, answer);
+        if (!answer.alive)
+            exchange->recordAbsence(holder, answer);
         exchange->m_copy.reset();
         exchange->dispatch();
     });
@@ -70,8 +71,7 @@
 // there.
 bool exchange::survey()
 {
-    const auto* rules = m_table->rulesOf(m_service);
-    if (!rules || !rules->engine)
+    if (!isGeneration())
         return false;
     if (mayBeMadeToWait() && !m_hasTurn && m_parts.places.hasWaiting(m_service)) {
         waitForPlace();
@@ -130,8 +130,7 @@
 {
     // The survey took a moment: targets may have left, begun to drain or turned out to be others.
     const auto unusable = [this](const surveyed_engine& engine) {
-        const auto* target = m_parts.board.find(engine.target.name);
-        return !engine.alive || !target || target->draining || m_parts.board.isReplaced(engine.target.name);
+        return !engine.alive || !m_parts.board.takesRequests(engine.target.name, m_parts.timers.now());
     };
     for (const auto& engine : m_survey) {
         if (unusable(engine))
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -19,6 +19,7 @@
 class retry_allowance;
 class seeded_random;
 class target_board;
+class target_notices;
 class target_prober;
 class timer_queue;
 struct gateway_settings;
@@ -31,6 +32,7 @@
     link_pool& links;
     target_board& board;
     target_prober& prober;
+    target_notices& notices;
     copy_orders& copies;
     replacement_finder& replacements;
     retry_allowance& allowance;
--- a/gateway/request_dialect.h
+++ b/gateway/request_dialect.h
@@ -50,6 +50,11 @@
     bool signedByTarget = false; ///< carries the receipt of a target that ran the request
     bool encoded = false; ///< the body is not what the target made
     std::optional<target_name> actualTarget; ///< who has the address, when it is not the expected target
+    bool leaving = false; ///< the target leaves soon and takes nothing new
+    /// The target wants no request of this node for so long; nothing when it does not say, or not in a way that is
+    /// understood.
+    std::optional<std::chrono::milliseconds> pause;
+    bool pauseUnreadable = false; ///< it says something about a pause that is no time, negative or absurdly long
     std::optional<std::chrono::seconds> idleTimeout; ///< the target closes an idle connection after this time
 };
 
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -2,8 +2,12 @@
 
 #include "gateway/http_call.h"
 #include "gateway/request_dialect.h"
+#include "gateway/target_notices.h"
 #include "routing/target_board.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
 namespace oriolepick {
 
 namespace {
@@ -16,16 +20,24 @@
 
 } // namespace
 
-target_prober::target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect)
+target_prober::target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
+    const target_board& board, target_notices& notices)
     : m_loop(loop)
     , m_timers(timers)
     , m_dialect(dialect)
+    , m_board(board)
+    , m_notices(notices)
 {
 }
 
 void target_prober::ask(const target_entry& target, std::chrono::milliseconds patience, callback done)
 {
+    if (m_board.isPaused(target.name, m_timers.now())) {
+        boost::asio::post(m_loop, [done = std::move(done)] { done({ true, false, std::nullopt }); });
+        return;
+    }
     auto& line = m_lines[target.name];
+    line.address = target.address;
     line.lastUse = m_timers.now();
     line.startedAt = target.startedAt;
     line.waiting.push_back(std::move(done));
@@ -43,6 +55,9 @@
     if (given.status == Success)
         heard.report = m_dialect.readProbe(given.body);
     auto& line = m_lines[target];
+    const auto reply = m_dialect.readReply(given.head);
+    if (given.status && given.status != Misdirected)
+        m_notices.note(target, line.address, reply);
     heard.replaced = given.status == Misdirected
         || (heard.report && heard.report->startedAt && line.startedAt && heard.report->startedAt != line.startedAt);
     heard.alive = given.status != 0 && !heard.replaced;
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -12,12 +12,15 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace oriolepick {
 
 class http_call;
 class request_dialect;
+class target_board;
+class target_notices;
 struct call_answer;
 struct target_entry;
 
@@ -32,9 +35,13 @@
     };
     using callback = std::function<void(const answer&)>;
 
-    /// \param dialect writes the question and reads the answer; outlives this object
-    target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect);
+    /// \param dialect writes the question and reads the answer
+    /// \param board tells which targets want no question
+    /// \param notices is told of every answer; all references outlive this object
+    target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
+        const target_board& board, target_notices& notices);
 
+    /// Asks \p target, unless it wants a pause: it then counts as alive.
     /// \param patience time for the answer
     void ask(const target_entry& target, std::chrono::milliseconds patience, callback done);
 
@@ -47,6 +54,7 @@
         std::vector<callback> waiting; // one question is under way when it is not empty
         instant lastUse;
         std::uint64_t startedAt = 0; // of the target that was meant
+        std::string address;
     };
 
     void finish(const target_name& target, const call_answer& given);
@@ -54,6 +62,8 @@
     boost::asio::io_context& m_loop;
     timer_queue& m_timers;
     const request_dialect& m_dialect;
+    const target_board& m_board;
+    target_notices& m_notices;
     std::map<target_name, line> m_lines;
 };
 
--- a/routing/target_board.cpp
+++ b/routing/target_board.cpp
@@ -32,7 +32,7 @@
     const auto& known = found->second.entry;
     const bool wasUnregistered = !known.beat && entry.beat; // found without the registry
     return wasUnregistered || known.service != entry.service || known.address != entry.address
-        || known.zone != entry.zone || known.slots != entry.slots || known.draining != entry.draining
+        || known.zone != entry.zone || known.slots != entry.slots || (entry.draining && !known.draining)
         || known.startedAt != entry.startedAt;
 }
 
@@ -65,6 +65,8 @@
         target.faultsInRow = 0;
         target.avoidedUntil = {};
         target.replaced = false;
+        target.saidLeaving = false;
+        target.pausedUntil = {};
     }
     const bool drains = target.entry.draining && target.entry.startedAt == entry.startedAt;
     target.entry = entry;
@@ -128,6 +130,20 @@
         --found->second.inFlight;
 }
 
+void target_board::recordLeaving(const target_name& target)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.saidLeaving = true;
+}
+
+void target_board::recordPause(const target_name& target, instant until)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.pausedUntil = std::max(found->second.pausedUntil, until);
+}
+
 void target_board::recordFault(const target_name& target, target_fault fault, instant now)
 {
     const auto found = m_targets.find(target);
@@ -166,9 +182,15 @@
     found->second.avoidedUntil = {};
 }
 
-bool target_board::isUsable(const state& target, instant now) const
+bool target_board::isInService(const state& target, instant now)
+{
+    return !target.entry.draining && !target.saidLeaving && !target.replaced
+        && (!target.lapsesAt || now < *target.lapsesAt);
+}
+
+bool target_board::isUsable(const state& target, instant now)
 {
-    return !target.entry.draining && !target.replaced && (!target.lapsesAt || now < *target.lapsesAt);
+    return isInService(target, now) && now >= target.pausedUntil;
 }
 
 bool target_board::isExcluded(const target_wish& wish, const target_name& name)
@@ -245,17 +267,36 @@
         std::count_if(starts.begin(), starts.end(), [since](instant start) { return start > since; }));
 }
 
-bool target_board::isReplaced(const target_name& target) const
+bool target_board::takesRequests(const target_name& target, instant now) const
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && isUsable(found->second, now);
+}
+
+bool target_board::isPaused(const target_name& target, instant now) const
 {
     const auto found = m_targets.find(target);
-    return found != m_targets.end() && found->second.replaced;
+    return found != m_targets.end() && now < found->second.pausedUntil;
+}
+
+std::optional<instant> target_board::allPausedUntil(const service_name& service, instant now) const
+{
+    std::optional<instant> first;
+    for (const auto& [name, target] : m_targets) {
+        if (target.entry.service != service || !isInService(target, now))
+            continue;
+        if (now >= target.pausedUntil)
+            return std::nullopt;
+        first = first ? std::min(*first, target.pausedUntil) : target.pausedUntil;
+    }
+    return first;
 }
 
-bool target_board::mayGoOnAt(const target_entry& target) const
+bool target_board::mayGoOnAt(const target_entry& target, instant now) const
 {
     const auto found = m_targets.find(target.name);
-    return found != m_targets.end() && found->second.entry.startedAt == target.startedAt && !found->second.replaced
-        && !found->second.entry.draining && !found->second.lapsesAt && !found->second.faultsInRow;
+    return found != m_targets.end() && found->second.entry.startedAt == target.startedAt && !found->second.lapsesAt
+        && !found->second.faultsInRow && isUsable(found->second, now);
 }
 
 const target_entry* target_board::find(const target_name& target) const
--- a/routing/target_board.h
+++ b/routing/target_board.h
@@ -92,6 +92,13 @@
     void attemptStarted(const target_name& target, instant now);
     void attemptEnded(const target_name& target);
 
+    /// \p target has said in an answer that it leaves: this incarnation gets nothing new any more, whatever the
+    /// registry says of it.
+    void recordLeaving(const target_name& target);
+
+    /// \p target has asked in an answer for no request of this node until \p until.
+    void recordPause(const target_name& target, instant until);
+
     /// Avoids \p target for a time that grows with failures in a row.
     void recordFault(const target_name& target, target_fault fault, instant now);
 
@@ -110,11 +117,17 @@
     /// \return attempts of this node at \p target that began after \p since and still run
     std::uint32_t startedSince(const target_name& target, instant since) const;
 
-    /// \return whether another target was found at the address of \p target
-    bool isReplaced(const target_name& target) const;
+    /// \return whether \p target takes new requests now, whether avoided or not
+    bool takesRequests(const target_name& target, instant now) const;
+
+    /// \return whether \p target has asked for no request of any kind at \p now
+    bool isPaused(const target_name& target, instant now) const;
+
+    /// \return when the first pause ends, if all targets of \p service that would take requests have asked for one
+    std::optional<instant> allPausedUntil(const service_name& service, instant now) const;
 
     /// \return whether the incarnation of \p target is still registered, takes requests, and nothing speaks against it
-    bool mayGoOnAt(const target_entry& target) const;
+    bool mayGoOnAt(const target_entry& target, instant now) const;
 
     /// \return the registration of \p target, or null
     const target_entry* find(const target_name& target) const;
@@ -135,6 +148,8 @@
         std::uint32_t faultsInRow = 0;
         instant avoidedUntil;
         bool replaced = false; // another target has the address: no use until it registers anew
+        bool saidLeaving = false; // in an answer; the registry may not say so yet, or never
+        instant pausedUntil; // asked for in an answer
         std::optional<instant> lapsesAt; // removed from the registry, kept until then
     };
 
@@ -143,7 +158,8 @@
     target_map::iterator erase(target_map::iterator target);
     std::optional<double> scoreOf(const target_wish& wish, const target_name& name, const state& target, instant now);
     void forgetLapsed(instant now);
-    bool isUsable(const state& target, instant now) const;
+    static bool isInService(const state& target, instant now);
+    static bool isUsable(const state& target, instant now);
     static bool isExcluded(const target_wish& wish, const target_name& name);
 
     board_settings m_settings;
--- a/routing/test/target_board.cpp
+++ b/routing/test/target_board.cpp
@@ -113,10 +113,10 @@
     restarted.address = entry("a").address;
     restarted.startedAt = 2;
     board.put(restarted, now);
-    EXPECT_TRUE(board.isReplaced(target_name("a")));
+    EXPECT_FALSE(board.takesRequests(target_name("a"), now));
     EXPECT_EQ(chosen(), "b");
-    EXPECT_FALSE(board.mayGoOnAt(entry("a")));
-    EXPECT_TRUE(board.mayGoOnAt(restarted));
+    EXPECT_FALSE(board.mayGoOnAt(entry("a"), now));
+    EXPECT_TRUE(board.mayGoOnAt(restarted, now));
 }
 
 TEST_F(TargetBoard, AReplacedTargetGetsNothingUntilItRegistersAnew)
@@ -206,6 +206,34 @@
     EXPECT_EQ(chosen(), "a");
 }
 
+TEST_F(TargetBoard, ATargetThatSaidItLeavesIsNoNewsAtEachRenewal)
+{
+    board.put(entry("a"), now);
+    board.recordLeaving(target_name("a"));
+    EXPECT_EQ(chosen(), "");
+    EXPECT_FALSE(board.isNews(entry("a"), now));
+    EXPECT_FALSE(board.mayGoOnAt(entry("a"), now));
+    board.put(entry("a"), now);
+    EXPECT_EQ(chosen(), "");
+}
+
+TEST_F(TargetBoard, APauseEndsByItself)
+{
+    board.put(entry("a"), now);
+    board.put(entry("b", "z2"), now);
+    board.recordPause(target_name("a"), now + 3s);
+    board.recordPause(target_name("a"), now + 1s);
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_FALSE(board.allPausedUntil(service_name("s"), now)) << "another target takes requests";
+    board.recordPause(target_name("b"), now + 5s);
+    EXPECT_EQ(chosen(), "");
+    EXPECT_EQ(board.allPausedUntil(service_name("s"), now), now + 3s);
+    EXPECT_TRUE(board.isPaused(target_name("a"), now + 2'999ms));
+    now += 3s;
+    EXPECT_EQ(chosen(), "a");
+    EXPECT_FALSE(board.allPausedUntil(service_name("s"), now));
+}
+
 TEST_F(TargetBoard, ARemovedTargetIsGoneAtOnce)
 {
     board.put(entry("a"), now);
