--- a/routing/news_gossip.cpp
+++ b/routing/news_gossip.cpp
@@ -51,6 +51,11 @@
 news_gossip::actions news_gossip::tick(instant now)
 {
     actions out;
+    if (m_slowAt && now >= *m_slowAt) {
+        m_slowAt.reset();
+        m_turn.heardAttempt(now);
+        scheduleTelling(true, now);
+    }
     m_turn.setLonely(m_lastHeard && now > *m_lastHeard + m_settings.lonely);
     if (!m_readingsLeft && now >= readingDue())
         startReading(out, now);
@@ -79,6 +84,8 @@
         due = std::min(due, readingDue());
     if (m_tellAt)
         due = std::min(due, *m_tellAt);
+    if (m_slowAt)
+        due = std::min(due, *m_slowAt);
     for (const auto& state : m_topics) {
         if (!state.pulling && !state.tellers.empty())
             due = std::min(due, state.pullAt);
@@ -219,6 +226,7 @@
 {
     m_turn.readingStarted(now);
     m_readingsLeft = NewsTopics;
+    m_slowAt = now + m_settings.slowReading;
     m_readingFailed = false;
     for (const auto topic : AllTopics) {
         const auto& held = stateOf(topic).held;
@@ -238,6 +246,7 @@
         accept(out, topic, *version, true, now);
     if (--m_readingsLeft)
         return out;
+    m_slowAt.reset();
     m_turn.readingEnded(!m_readingFailed, now);
     scheduleTelling(true, now);
     return out;
--- a/routing/news_gossip.h
+++ b/routing/news_gossip.h
@@ -60,6 +60,8 @@
     std::chrono::milliseconds lonely { 1'500 };
     /// Without word of the store for so long, registrations may have lapsed because nobody could renew them.
     std::chrono::milliseconds outage { 1'500 };
+    /// A reading that takes longer is told to the others like one in vain, or each of them would begin one meanwhile.
+    std::chrono::milliseconds slowReading { 150 };
     std::size_t tellers = 4; ///< nodes remembered that know more than this one
 };
 
@@ -153,6 +155,7 @@
     std::optional<instant> m_lastHeard; // any digest
     instant m_exchangeAt;
     std::size_t m_readingsLeft = 0;
+    std::optional<instant> m_slowAt; // when the reading in progress is slow
     bool m_readingFailed = false;
 };
 
--- a/routing/test/news_spread.cpp
+++ b/routing/test/news_spread.cpp
@@ -156,6 +156,25 @@
     judge("after an outage of 8 s", 100);
 }
 
+// A node that asks a silent store learns so only after a second and a half; the others do not ask meanwhile.
+TEST_F(NewsSpread, ASilentStoreIsAskedByFewToo)
+{
+    startCalm();
+    fleet.at(1s, [this] {
+        for (auto& node : fleet.nodes())
+            node.mood = store_mood::Silent;
+    });
+    fleet.run(9s);
+    std::cout << "silent store: calls in 9 s " << fleet.calls() << "\n";
+    EXPECT_LE(fleet.calls(), 60U);
+    for (auto& node : fleet.nodes())
+        node.mood = store_mood::Answers;
+    fleet.resetCounts();
+    changes(20, 100ms);
+    fleet.run(8s);
+    judge("after a silence of 8 s", 100);
+}
+
 TEST_F(NewsSpread, NodesThatAreCutOffReadForThemselvesAndCatchUp)
 {
     startCalm();
