--- a/gateway/http_call.cpp
+++ b/gateway/http_call.cpp
@@ -29,12 +29,12 @@
     dropChannel();
 }
 
-void http_call::get(const std::string& target, std::chrono::milliseconds timeout, callback done)
+void http_call::get(const std::string& target, const call_patience& patience, callback done)
 {
-    send(concatenated("GET ", target, " HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n"), timeout, std::move(done));
+    send(concatenated("GET ", target, " HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n"), patience, std::move(done));
 }
 
-void http_call::send(std::string request, std::chrono::milliseconds timeout, callback done)
+void http_call::send(std::string request, const call_patience& patience, callback done)
 {
     if (m_done)
         dropChannel(); // its answer would be taken for this call's
@@ -43,7 +43,10 @@
     m_reader = std::make_unique<response_reader>(MaxHeaderBytes);
     m_request = std::move(request);
     m_timers.cancel(m_timer);
-    waitUntil(m_timers.now() + timeout);
+    m_patience = patience;
+    m_startedAt = m_lastByteAt = m_timers.now();
+    m_firstByteAt.reset();
+    waitUntil(dueAt());
     m_reused = m_channel && m_channel->isOpen() && m_connected;
     if (m_reused)
         m_channel->send(m_request);
@@ -59,6 +62,11 @@
     m_channel->connect(m_address);
 }
 
+instant http_call::dueAt() const
+{
+    return std::min(m_startedAt + m_patience.whole, m_lastByteAt + m_patience.silence);
+}
+
 // When the loop itself is late, the answer may lie unread in the socket: it gets one more round.
 void http_call::waitUntil(instant due)
 {
@@ -72,6 +80,10 @@
             call->waitUntil(now + LoopLag);
             return;
         }
+        if (now < call->dueAt()) {
+            call->waitUntil(call->dueAt()); // bytes have arrived since the timer was set
+            return;
+        }
         call->dropChannel();
         call->fail("no answer in time");
     });
@@ -89,6 +101,9 @@
         dropChannel();
         return;
     }
+    m_lastByteAt = m_timers.now();
+    if (!m_firstByteAt)
+        m_firstByteAt = m_lastByteAt;
     m_input.append(bytes);
     m_input.erase(0, m_reader->put(m_input));
     m_body += m_reader->takeBody();
@@ -101,7 +116,7 @@
         return;
     if (!m_reader->keepAlive() || !m_input.empty())
         dropChannel();
-    finish({ m_reader->head().status, m_reader->head(), std::move(m_body), {} });
+    finish({ m_reader->head().status, m_reader->head(), std::move(m_body), {}, {} });
 }
 
 void http_call::onEnd(channel_end end)
@@ -120,12 +135,14 @@
 
 void http_call::fail(const std::string& problem)
 {
-    finish({ 0, {}, {}, problem });
+    finish({ 0, {}, {}, problem, {} });
 }
 
 void http_call::finish(call_answer answer)
 {
     m_timers.cancel(m_timer);
+    answer.took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_firstByteAt.value_or(m_timers.now()) - m_startedAt);
     auto done = std::move(m_done);
     m_done = nullptr;
     if (done)
--- a/gateway/http_call.h
+++ b/gateway/http_call.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace oriolepick {
@@ -18,6 +19,23 @@
     http_response_head head; ///< empty when no whole answer came
     std::string body;
     std::string problem;
+    std::chrono::milliseconds took { 0 }; ///< until its first byte, or until it was given up
+};
+
+/// How long an answer is waited for.
+struct call_patience {
+    call_patience(std::chrono::milliseconds whole)
+        : call_patience(whole, whole)
+    {
+    }
+    call_patience(std::chrono::milliseconds whole, std::chrono::milliseconds silence)
+        : whole(whole)
+        , silence(silence)
+    {
+    }
+
+    std::chrono::milliseconds whole; ///< until the last byte
+    std::chrono::milliseconds silence; ///< until the first byte, and between two
 };
 
 /// Used for the platform's store. Starting a call drops the one before.
@@ -30,11 +48,10 @@
 
     /// Sends a reading request.
     /// \param target path and query, already encoded
-    /// \param timeout until the whole answer
-    void get(const std::string& target, std::chrono::milliseconds timeout, callback done);
+    void get(const std::string& target, const call_patience& patience, callback done);
 
     /// Sends the bytes of a request that may be sent twice.
-    void send(std::string request, std::chrono::milliseconds timeout, callback done);
+    void send(std::string request, const call_patience& patience, callback done);
 
     void onConnected() override;
     void onBytes(std::string_view bytes) override;
@@ -42,6 +59,7 @@
 
 private:
     void waitUntil(instant due);
+    instant dueAt() const;
     void fail(const std::string& problem);
     void finish(call_answer answer);
     void connect();
@@ -57,6 +75,10 @@
     std::string m_input;
     std::string m_body;
     callback m_done;
+    call_patience m_patience { std::chrono::milliseconds(0) };
+    instant m_startedAt;
+    instant m_lastByteAt;
+    std::optional<instant> m_firstByteAt;
     timer_handle m_timer = 0;
     bool m_connected = false;
     bool m_reused = false; ///< the connection served a call before
