Let callers go on with their streams at another node from the copy of the run

Change: a run's node reports the run's copy to two nodes that are responsible for the request by rendezvous hashing (run_handover, run_records; two datagrams a stream). A node to which a caller returns asks them within 30 ms, goes on from the copy, and tells the former node. Requests are recognised by all that they say but their attempt's own fields; two equal requests that run at once are never taken for each other. A generation whose deadline is nearer than it can end is refused at once (generation_pace; new kind no_time_left, which did not run); a node that stops sends elsewhere what cannot be resumed. At the end of the grace streams break off one after another over a tenth of it, other requests get a final answer in place of a closed connection.

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::array<error_answer, 34> Answers { {
+    constexpr std::array<error_answer, 35> Answers { {
         { error_kind::BadRequest, 400, "bad_request", run_state::NotRun, false },
         { error_kind::UnsupportedMediaType, 415, "unsupported_media_type", run_state::NotRun, false },
         { error_kind::BodyTooLarge, 413, "body_too_large", run_state::NotRun, false },
@@ -24,6 +24,7 @@
         { error_kind::Overloaded, 503, "overloaded", run_state::NotRun, true },
         { error_kind::NoTarget, 503, "no_target", run_state::NotRun, true },
         { error_kind::QueueTimeout, 504, "queue_timeout", run_state::NotRun, true },
+        { error_kind::NoTimeLeft, 503, "no_time_left", run_state::NotRun, false },
         { error_kind::DeadlineExceeded, 504, "deadline_exceeded", run_state::MayHaveRun, false },
         { error_kind::NodeDraining, 503, "node_draining", run_state::NotRun, true },
         { error_kind::NodeNotReady, 503, "node_not_ready", run_state::NotRun, true },
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -25,6 +25,7 @@
     Overloaded, ///< The queue is full or the request was shed.
     NoTarget, ///< No live target has what the request needs.
     QueueTimeout, ///< The deadline passed before any dispatch.
+    NoTimeLeft, ///< The work cannot end before its deadline, so it was not begun.
     DeadlineExceeded, ///< The deadline passed after a dispatch.
     NodeDraining, ///< This node is leaving and takes no new work.
     NodeNotReady, ///< This node does not know the state in force yet.
--- a/core/grant_owner.cpp
+++ b/core/grant_owner.cpp
@@ -1,5 +1,6 @@
 #include "core/grant_owner.h"
 
+#include "core/rendezvous.h"
 #include "core/stable_hash.h"
 
 #include <algorithm>
@@ -9,17 +10,8 @@
 
 node_id grantOwnerOf(const team_id& team, const std::vector<node_id>& nodes)
 {
-    const std::uint64_t seed = stableHash(team.text());
-    const node_id* best = nullptr;
-    std::uint64_t bestScore = 0;
-    for (const auto& node : nodes) {
-        const auto score = stableHash(node.value(), seed);
-        if (!best || score > bestScore || (score == bestScore && node < *best)) {
-            best = &node;
-            bestScore = score;
-        }
-    }
-    return best ? *best : node_id();
+    const auto owners = responsibleNodes(stableHash(team.text()), nodes, 1);
+    return owners.empty() ? node_id() : owners.front();
 }
 
 grant_owner::grant_owner(node_id self, grant_owner_settings settings)
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -241,6 +241,14 @@
         close();
 }
 
+void caller_session::endForStop()
+{
+    if (m_exchange)
+        m_exchange->endForStop(); // closes the connection behind the answer
+    else
+        close();
+}
+
 void caller_session::close()
 {
     m_channel->close();
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -37,6 +37,9 @@
     /// Closes the connection if no request is in progress.
     void closeIfIdle();
 
+    /// Ends what is in progress and closes the connection.
+    void endForStop();
+
     /// Closes the connection in any case.
     void close();
 
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -10,6 +10,7 @@
 #include "gateway/decision_log.h"
 #include "gateway/error_answer_head.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/run_handover.h"
 #include "gateway/stream_stall_settings.h"
 #include "routing/retry_allowance.h"
 #include "routing/route_table.h"
@@ -59,7 +60,7 @@
 
 void exchange::start()
 {
-    if (!decode() || !admit())
+    if (!decode() || !admit() || refuseWhileStopping())
         return;
     m_parts.allowance.recordRequest(m_service, m_startedAt);
     m_deadlineTimer = m_parts.timers.at(m_deadline, [self = weak_from_this()] {
@@ -68,7 +69,10 @@
             exchange->onTimeout();
         }
     });
-    dispatch();
+    if (m_caller.lastEvent && m_route->resumable && isGeneration())
+        findCopy();
+    else
+        dispatch();
 }
 
 bool exchange::decode()
@@ -178,6 +182,22 @@
     cancel();
 }
 
+void exchange::endForStop()
+{
+    if (m_over)
+        return;
+    if (!m_answerBegun) {
+        const bool sent = m_history.mayHaveRun || m_sent;
+        refuse(sent ? error_kind::OutcomeUnknown : error_kind::NodeDraining, "this node stops");
+        return;
+    }
+    m_parts.log.write("cut_by_stop",
+        { { "attempt", m_caller.attempt }, { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" },
+            { "copy_holder", m_copyHolder ? m_copyHolder->name.value() : "" } });
+    m_sink->breakOff();
+    finish("cut_by_stop");
+}
+
 void exchange::cancel()
 {
     if (!m_over && m_sink) {
@@ -195,6 +215,8 @@
     m_orderedCopy.reset();
     m_parts.timers.cancel(m_deadlineTimer);
     m_parts.timers.cancel(m_waitTimer);
+    if (m_publishedAttempt)
+        m_parts.handover.withdraw(m_caller.attempt);
     leaveLine();
     endAttempt();
 }
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -43,6 +43,9 @@
     /// The caller has left: work behind it ends and nothing more is sent.
     void cancel();
 
+    /// The node stops now: the caller gets a final answer, or its stream breaks off so that it can go on elsewhere.
+    void endForStop();
+
     /// The caller took bytes of a streamed answer.
     void onSinkDrained();
 
@@ -69,6 +72,9 @@
     void onSurveyed();
     void recordAbsence(const target_entry& target, const target_prober::answer& answer);
     generation_need generationNeed() const;
+    std::uint64_t likelyEventsLeft() const;
+    bool refuseHopeless();
+    bool refuseWhileStopping();
     void logChoice(const surveyed_engine& engine, const generation_need& need, std::size_t surveyed);
 
     // the line for places, in exchange_survey.cpp
@@ -76,6 +82,10 @@
     void waitForPlace();
     void leaveLine();
 
+    // going on with a stream of another node, in exchange_survey.cpp
+    void findCopy();
+    void publishRun();
+
     // attempts, in exchange_attempts.cpp
     void dispatch();
     void waitForTarget();
@@ -157,8 +167,11 @@
     instant m_orderedAt; // of the last copy order
     instant m_holderCheckedAt; // when the copy holder was last asked whether it lives
     bool m_ordering = false;
+    std::uint32_t m_publishedAttempt = 0; // other nodes know the copy of this attempt
     bool m_answerBegun = false;
     std::optional<std::uint64_t> m_lastEvent;
+    instant m_firstEventAt;
+    std::uint64_t m_eventsForwarded = 0;
     bool m_sinkPaused = false;
     bool m_over = false;
     std::uint32_t m_attempts = 0;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -9,6 +9,7 @@
 #include "gateway/link_pool.h"
 #include "gateway/target_notices.h"
 #include "routing/answer_pace.h"
+#include "routing/generation_pace.h"
 #include "routing/retry_allowance.h"
 #include "routing/route_table.h"
 
@@ -37,6 +38,8 @@
     if (m_over)
         return;
     const auto now = m_parts.timers.now();
+    if (refuseHopeless())
+        return;
     if (hasUsableCopy()) {
         askCopyHolder(*m_copyHolder);
         return;
@@ -280,6 +283,9 @@
             return;
         }
         m_parts.board.recordSuccess(m_target->name);
+        if (m_eventsForwarded && m_attempts == 1)
+            m_parts.generationPace.record(m_service, m_eventsForwarded - 1,
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - m_firstEventAt));
         if (!m_answerBegun)
             m_sink->beginStream(m_head);
         m_sink->endStream();
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -65,14 +65,18 @@
         }
         m_lastEvent = event.id;
     }
+    ++m_eventsForwarded;
     if (!m_answerBegun) {
         m_answerBegun = true;
+        m_firstEventAt = m_parts.timers.now();
         if (m_readAlone && !m_continuesCopy)
             m_parts.promptPace.record(m_service, m_caller.promptTokens,
                 std::chrono::duration_cast<std::chrono::milliseconds>(m_parts.timers.now() - m_attemptAt));
         m_sink->beginStream(m_head);
     }
     m_sink->sendPiece(event.bytes);
+    if (m_route->resumable && m_publishedAttempt != m_attempts)
+        publishRun();
     keepCopy();
     return true;
 }
@@ -133,10 +137,12 @@
     m_parts.log.write("copy_ordered",
         { { "attempt", m_caller.attempt }, { "source", m_target->name.value() },
             { "holder", m_copyHolder ? m_copyHolder->name.value() : "" }, { "made", handle ? "true" : "false" } });
-    if (handle)
+    if (handle) {
         m_orderedCopy = run_copy { m_target->address, *handle };
-    else
+        publishRun();
+    } else {
         m_copyHolder.reset();
+    }
 }
 
 void exchange::onSinkDrained()
--- a/gateway/exchange_survey.cpp
+++ b/gateway/exchange_survey.cpp
@@ -2,11 +2,14 @@
 /// Choice of an engine for a generation: the holder of its copy, or the best of a few that are asked for their load.
 #include "gateway/exchange.h"
 
+#include "gateway/answer_sink.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/place_line.h"
 #include "gateway/replacement_finder.h"
+#include "gateway/run_handover.h"
+#include "routing/generation_pace.h"
 #include "routing/prompt_pace.h"
 #include "routing/route_table.h"
 
@@ -26,6 +29,10 @@
     constexpr double LongestWaitShare = 0.8;
     /// Part of the objective for which a request waits at least, when engines are too slow for the objective anyway.
     constexpr int ShortestWaitPart = 8;
+    /// Part of the usual time for a prompt that none falls below: half of it may be cached, or the engine be fast.
+    constexpr int ReadingPart = 3;
+    /// Callers that this node sends elsewhere return at once, only not all together.
+    constexpr std::chrono::milliseconds LongestReturnElsewhere { 100 };
     /// Team of requests that need no key.
     constexpr std::string_view AnonymousTeam = "anonymous";
 
@@ -48,6 +55,42 @@
     return m_copy && m_copyHolder && m_parts.board.mayGoOnAt(*m_copyHolder, m_parts.timers.now());
 }
 
+// The caller had a part of the stream at another node, which may be gone: its run may go on from its copy.
+void exchange::findCopy()
+{
+    m_parts.handover.find(
+        m_parts.dialect.printOf(m_request), [self = weak_from_this()](const std::optional<run_record>& record) {
+            const auto exchange = self.lock();
+            if (!exchange || exchange->m_over)
+                return;
+            const auto* holder = record ? exchange->m_parts.board.find(record->holder) : nullptr;
+            if (holder) {
+                exchange->m_copyHolder = *holder;
+                exchange->m_copy = record->copy;
+                exchange->m_parts.handover.take(*record);
+            }
+            exchange->dispatch();
+        });
+}
+
+// Other nodes learn where the copy lies as soon as the caller has anything to go on from.
+void exchange::publishRun()
+{
+    if (!m_copyHolder)
+        return;
+    m_publishedAttempt = m_attempts;
+    const auto copy = m_orderedCopy ? *m_orderedCopy : run_copy { m_copyHolder->address, m_caller.attempt };
+    m_parts.handover.publish({ m_parts.dialect.printOf(m_request), {}, m_caller.attempt, m_copyHolder->name, copy,
+                                 m_caller.lastEvent.has_value() },
+        [self = weak_from_this()] {
+            const auto exchange = self.lock();
+            if (!exchange || exchange->m_over)
+                return;
+            exchange->m_sink->breakOff();
+            exchange->finish("taken_over");
+        });
+}
+
 // A holder that crashed meanwhile would refuse the request: that is known sooner and costs no repeat when it is asked.
 void exchange::askCopyHolder(const target_entry& holder)
 {
@@ -181,6 +224,46 @@
     return need;
 }
 
+std::uint64_t exchange::likelyEventsLeft() const
+{
+    const auto tokens = m_caller.likelyOutputTokens.value_or(m_caller.maxOutputTokens / 2);
+    const auto events = tokens / m_table->rulesOf(m_service)->engine->tokensPerEvent;
+    return events - std::min(events, m_lastEvent.value_or(0));
+}
+
+// A generation that cannot end in time only delays those that can, and its caller can do something else meanwhile.
+bool exchange::refuseHopeless()
+{
+    if (!isGeneration() || m_answerBegun)
+        return false;
+    const auto reading = hasUsableCopy() ? std::chrono::milliseconds(0)
+                                         : m_parts.promptPace.timeFor(m_service, m_caller.promptTokens) / ReadingPart;
+    if (remaining() >= reading + m_parts.generationPace.least(m_service, likelyEventsLeft()))
+        return false;
+    m_parts.metrics.count("hopeless_generations");
+    refuse(m_history.mayHaveRun ? error_kind::TargetFailed : error_kind::NoTimeLeft,
+        "the generation cannot end before its deadline");
+    return true;
+}
+
+// Another node can bring it to its end; here it would be cut off halfway. One that another node can go on with is begun
+// here: that costs its caller no return.
+bool exchange::refuseWhileStopping()
+{
+    const auto stopsAt = m_parts.stopsAt();
+    if (!stopsAt || !isGeneration())
+        return false;
+    if (m_route->resumable && m_table->rulesOf(m_service)->engine->copiesRuns)
+        return false;
+    const auto expected = m_parts.promptPace.timeFor(m_service, m_caller.promptTokens)
+        + m_parts.generationPace.expected(m_service, likelyEventsLeft());
+    if (m_parts.timers.now() + expected <= *stopsAt)
+        return false;
+    m_parts.metrics.count("generations_sent_elsewhere");
+    refuse(error_kind::NodeDraining, "this node stops before the generation can end", spread(LongestReturnElsewhere));
+    return true;
+}
+
 // A generation that was begun goes on before new ones: work was done for it, and its caller may have a part already.
 bool exchange::mayBeMadeToWait() const
 {
@@ -197,7 +280,8 @@
     const auto need = generationNeed();
     const auto inTime
         = std::chrono::duration_cast<std::chrono::milliseconds>(need.startsWithin * LongestWaitShare) - need.reading;
-    const auto patience = std::max(inTime, m_route->objective / ShortestWaitPart);
+    const auto least = m_parts.generationPace.least(m_service, likelyEventsLeft());
+    const auto patience = std::min(std::max(inTime, m_route->objective / ShortestWaitPart), remaining() - least);
     const auto team = m_team ? m_team->name.value() : std::string(AnonymousTeam);
     queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, priorityOf(priority()),
         static_cast<std::uint32_t>(need.total()), m_parts.timers.now() + patience };
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -26,6 +26,9 @@
     /// Left of the grace when connections are closed in any case.
     constexpr std::chrono::milliseconds StopReserve { 400 };
     constexpr std::chrono::milliseconds StopCheckInterval { 50 }; ///< while the last answers end
+    /// Part of the grace over which the last streams are broken off: their callers return to other nodes, and not all
+    /// at once.
+    constexpr int HandoverPart = 10;
 
 } // namespace
 
@@ -105,21 +108,35 @@
 
 void gateway::checkStopped()
 {
-    const bool overdue = m_parts.timers.now() >= m_stopBy;
+    const auto now = m_parts.timers.now();
     const std::vector<std::shared_ptr<caller_session>> sessions(m_sessions.begin(), m_sessions.end());
-    for (const auto& session : sessions) {
-        if (overdue)
-            session->close();
-        else
-            session->closeIfIdle();
+    for (const auto& session : sessions)
+        session->closeIfIdle();
+    const auto busy = m_sessions.size();
+    const auto window = m_parts.settings.stopGrace / HandoverPart;
+    const double timeLeft = std::chrono::duration<double>(m_stopBy - now) / window;
+    const auto mayStay
+        = static_cast<std::size_t>(static_cast<double>(m_busyAtHandover.value_or(busy)) * std::max(timeLeft, 0.0));
+    if (timeLeft < 1) {
+        m_busyAtHandover = m_busyAtHandover.value_or(busy);
+        m_cut += endSessions(busy - std::min(busy, mayStay));
     }
-    if (m_sessions.empty() || overdue) {
-        m_parts.log.write("stopped", { { "cut_connections", std::to_string(overdue ? sessions.size() : 0) } });
+    if (m_sessions.empty() || now >= m_stopBy + StopCheckInterval) {
+        m_parts.log.write("stopped", { { "cut_connections", std::to_string(m_cut) } });
         m_parts.log.flush();
         m_onStopped();
         return;
     }
-    m_parts.timers.at(m_parts.timers.now() + StopCheckInterval, [this] { checkStopped(); });
+    m_parts.timers.at(now + StopCheckInterval, [this] { checkStopped(); });
+}
+
+std::size_t gateway::endSessions(std::size_t count)
+{
+    const std::vector<std::shared_ptr<caller_session>> sessions(m_sessions.begin(), m_sessions.end());
+    count = std::min(count, sessions.size());
+    for (std::size_t index = 0; index < count; ++index)
+        sessions[index]->endForStop();
+    return count;
 }
 
 } // namespace oriolepick
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace oriolepick {
@@ -27,11 +28,15 @@
     /// Reports not ready, serves what is in progress and then calls onStopped.
     void stop();
 
+    /// \return when answers in progress are cut, if the gateway is stopping
+    std::optional<instant> stopsAt() const { return m_stopping ? std::optional<instant>(m_stopBy) : std::nullopt; }
+
 private:
     void accept();
     void housekeep();
     void closeListener();
     void checkStopped();
+    std::size_t endSessions(std::size_t count);
 
     boost::asio::io_context& m_loop;
     const gateway_parts& m_parts;
@@ -43,6 +48,8 @@
     std::set<std::shared_ptr<caller_session>> m_sessions;
     bool m_stopping = false;
     instant m_stopBy;
+    std::optional<std::size_t> m_busyAtHandover; // sessions when the first of them was ended
+    std::size_t m_cut = 0;
 };
 
 } // namespace oriolepick
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -2,7 +2,10 @@
 /// What every request of a gateway works with.
 #pragma once
 
+#include "core/instant.h"
+
 #include <functional>
+#include <optional>
 
 namespace oriolepick {
 
@@ -11,12 +14,14 @@
 class copy_orders;
 class decision_log;
 class gateway_metrics;
+class generation_pace;
 class link_pool;
 class place_line;
 class prompt_pace;
 class replacement_finder;
 class request_dialect;
 class retry_allowance;
+class run_handover;
 class seeded_random;
 class target_board;
 class target_notices;
@@ -35,13 +40,17 @@
     target_notices& notices;
     copy_orders& copies;
     replacement_finder& replacements;
+    run_handover& handover;
     retry_allowance& allowance;
     answer_pace& pace;
     prompt_pace& promptPace;
+    generation_pace& generationPace;
     place_line& places;
     seeded_random& random;
     config_in_force& config;
     std::function<bool()> registryIsAway; ///< targets that are gone are not reported
+    /// When this node stops, if it is stopping: answers that are not whole by then are cut.
+    std::function<std::optional<instant>()> stopsAt;
     std::function<void()> targetsOutdated; ///< a target was found to be another than its registration says
     decision_log& log;
     gateway_metrics& metrics;
--- a/gateway/http_call.cpp
+++ b/gateway/http_call.cpp
@@ -141,8 +141,8 @@
 void http_call::finish(call_answer answer)
 {
     m_timers.cancel(m_timer);
-    answer.took = std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_firstByteAt.value_or(m_timers.now()) - m_startedAt);
+    answer.took
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_firstByteAt.value_or(m_timers.now()) - m_startedAt);
     auto done = std::move(m_done);
     m_done = nullptr;
     if (done)
--- a/gateway/news_codec.cpp
+++ b/gateway/news_codec.cpp
@@ -59,6 +59,68 @@
         return digest;
     }
 
+    constexpr std::size_t MaxNameBytes = 256; ///< of targets, attempts and copies
+
+    void encodeRecord(const run_record& record, wire::run_record& out)
+    {
+        out.set_print_high(record.print.high);
+        out.set_print_low(record.print.low);
+        out.set_origin(record.origin.value());
+        out.set_attempt(record.attempt);
+        out.set_holder(record.holder.value());
+        out.set_copy_address(record.copy.address);
+        out.set_copy_name(record.copy.name);
+        out.set_resumed(record.resumed);
+    }
+
+    std::optional<run_record> decodeRecord(const wire::run_record& in)
+    {
+        const auto isName = [](const std::string& text) { return !text.empty() && text.size() <= MaxNameBytes; };
+        if (!parseSocketAddress(in.origin()) || !parseSocketAddress(in.copy_address()) || !isName(in.attempt())
+            || !isName(in.holder()) || !isName(in.copy_name()))
+            return std::nullopt;
+        return run_record { { in.print_high(), in.print_low() }, node_id(in.origin()), in.attempt(),
+            target_name(in.holder()), { in.copy_address(), in.copy_name() }, in.resumed() };
+    }
+
+    void encodeRun(const run_message& message, wire::gateway_datagram& out)
+    {
+        if (const auto* record = std::get_if<run_record>(&message)) {
+            encodeRecord(*record, *out.mutable_run());
+        } else if (const auto* asked = std::get_if<run_question>(&message)) {
+            out.mutable_run_question()->set_print_high(asked->print.high);
+            out.mutable_run_question()->set_print_low(asked->print.low);
+            out.mutable_run_question()->set_number(asked->number);
+        } else if (const auto* answer = std::get_if<run_answer>(&message)) {
+            out.mutable_run_answer()->set_number(answer->number);
+            if (answer->record)
+                encodeRecord(*answer->record, *out.mutable_run_answer()->mutable_record());
+        } else {
+            out.mutable_run_taken()->set_attempt(std::get<run_taken>(message).attempt);
+        }
+    }
+
+    std::optional<run_message> decodeRun(const wire::gateway_datagram& in)
+    {
+        if (in.has_run()) {
+            if (const auto record = decodeRecord(in.run()))
+                return *record;
+            return std::nullopt;
+        }
+        if (in.has_run_question())
+            return run_question { { in.run_question().print_high(), in.run_question().print_low() },
+                in.run_question().number() };
+        if (in.has_run_taken())
+            return run_taken { in.run_taken().attempt() };
+        if (!in.has_run_answer())
+            return std::nullopt;
+        run_answer answer { in.run_answer().number(), std::nullopt };
+        if (!in.run_answer().has_record())
+            return answer;
+        answer.record = decodeRecord(in.run_answer().record());
+        return answer.record ? std::optional<run_message>(answer) : std::nullopt;
+    }
+
     std::string deflated(const std::string& plain)
     {
         auto size = compressBound(static_cast<uLong>(plain.size()));
@@ -98,8 +160,10 @@
     encoded.set_sender(datagram.sender.value());
     if (const auto* message = std::get_if<membership_message>(&datagram.body))
         encode(*message, *encoded.mutable_membership());
+    else if (const auto* digest = std::get_if<news_digest>(&datagram.body))
+        encodeDigest(*digest, *encoded.mutable_news());
     else
-        encodeDigest(std::get<news_digest>(datagram.body), *encoded.mutable_news());
+        encodeRun(std::get<run_message>(datagram.body), encoded);
     return encoded.SerializeAsString();
 }
 
@@ -117,10 +181,17 @@
         datagram.body = std::move(*message);
         return datagram;
     }
-    const auto digest = encoded.has_news() ? decodeDigest(encoded.news()) : std::nullopt;
-    if (!digest)
+    if (encoded.has_news()) {
+        const auto digest = decodeDigest(encoded.news());
+        if (!digest)
+            return std::nullopt;
+        datagram.body = *digest;
+        return datagram;
+    }
+    auto message = decodeRun(encoded);
+    if (!message)
         return std::nullopt;
-    datagram.body = *digest;
+    datagram.body = std::move(*message);
     return datagram;
 }
 
--- a/gateway/news_codec.h
+++ b/gateway/news_codec.h
@@ -4,6 +4,7 @@
 
 #include "core/membership_messages.h"
 #include "gateway/news_batch.h"
+#include "gateway/run_messages.h"
 #include "routing/news_digest.h"
 
 #include <optional>
@@ -16,7 +17,7 @@
 /// One datagram.
 struct node_datagram {
     node_id sender; ///< "IP:PORT" where the sender receives
-    std::variant<membership_message, news_digest> body;
+    std::variant<membership_message, news_digest, run_message> body;
 };
 
 std::string encodeDatagram(const node_datagram& datagram);
--- a/gateway/request_dialect.h
+++ b/gateway/request_dialect.h
@@ -5,7 +5,9 @@
 #include "core/error.h"
 #include "gateway/http_message.h"
 #include "routing/engine_report.h"
+#include "routing/request_print.h"
 #include "routing/routing_names.h"
+#include "routing/run_copy.h"
 
 #include <chrono>
 #include <cstdint>
@@ -24,12 +26,7 @@
     std::optional<std::uint64_t> lastEvent; ///< the caller has the stream up to this event
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
-};
-
-/// Names the copied memory of a run to the target that holds it.
-struct run_copy {
-    std::string address; ///< "IP:PORT": of the holder for a copy that grows, of the source for one made on order
-    std::string name; ///< the attempt for a copy that grows, a handle for one made on order
+    std::optional<std::uint64_t> likelyOutputTokens; ///< the caller's estimate: right at the median, often far off
 };
 
 /// What the gateway tells a target beside the caller's own request.
@@ -85,6 +82,9 @@
     /// \return an order to the source at \p address to free the copy that \p handle names
     virtual std::string writeCopyRelease(const std::string& address, const std::string& handle) const = 0;
 
+    /// \return what is equal for every send of one request by its caller, and different for other requests
+    virtual request_print printOf(const http_request& request) const = 0;
+
     virtual target_reply readReply(const http_response_head& head) const = 0;
 };
 
--- a/gateway/test/news_codec.cpp
+++ b/gateway/test/news_codec.cpp
@@ -45,6 +45,29 @@
     EXPECT_FALSE(decodeDatagram(""));
 }
 
+TEST(NewsCodec, MessagesAboutRunsSurviveTheWay)
+{
+    const run_record record { { 1, ~std::uint64_t { 0 } }, node_id("10.0.0.1:7200"), "attempt", target_name("holder"),
+        { "10.0.0.2:80", "copy" }, true };
+    const auto sent = [](const run_message& message) {
+        const auto decoded = decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), message }));
+        return decoded ? std::get<run_message>(decoded->body) : run_message();
+    };
+    const auto put = std::get<run_record>(sent(record));
+    EXPECT_TRUE(put.print == record.print);
+    EXPECT_EQ(put.origin, record.origin);
+    EXPECT_EQ(put.holder, record.holder);
+    EXPECT_EQ(put.copy.address, "10.0.0.2:80");
+    EXPECT_TRUE(put.resumed);
+    EXPECT_EQ(std::get<run_question>(sent(run_question { record.print, 7 })).number, 7U);
+    EXPECT_FALSE(std::get<run_answer>(sent(run_answer { 7, std::nullopt })).record);
+    EXPECT_EQ(std::get<run_answer>(sent(run_answer { 7, record })).record->copy.name, "copy");
+    EXPECT_EQ(std::get<run_taken>(sent(run_taken { "attempt" })).attempt, "attempt");
+    auto nowhere = record;
+    nowhere.copy.address = "nowhere";
+    EXPECT_FALSE(decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), run_message(nowhere) })));
+}
+
 TEST(NewsCodec, LargeBatchesAreDeflatedAndBounded)
 {
     news_batch batch;
--- /dev/null
+++ b/gateway/test/run_handover.cpp
@@ -0,0 +1,146 @@
+// Guards against streams that must be read anew although a copy of their run is at hand, when their node dies or stops.
+#include "gateway/run_handover.h"
+
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+
+#include <memory>
+#include <set>
+
+using namespace oriolepick;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Ten nodes whose messages arrive by the event loop.
+class RunHandover : public testing::Test {
+protected:
+    RunHandover()
+    {
+        for (int number = 0; number < 10; ++number)
+            names.emplace_back("10.0.0." + std::to_string(number) + ":7200");
+        for (const auto& name : names) {
+            nodes[name] = std::make_unique<run_handover>(
+                name,
+                [this, name](const node_id& to, const run_message& message) {
+                    ++messages;
+                    if (dead.count(to))
+                        return;
+                    boost::asio::post(loop, [this, name, to, message] { nodes[to]->receive(name, message); });
+                },
+                timers, log, metrics);
+        }
+        for (const auto& name : names) {
+            std::vector<node_id> others;
+            std::copy_if(names.begin(), names.end(), std::back_inserter(others),
+                [&name](const auto& other) { return other != name; });
+            nodes[name]->setNodes(others);
+        }
+    }
+
+    static run_record record(std::uint64_t print)
+    {
+        return { { print, print }, {}, "attempt-" + std::to_string(print), target_name("holder"),
+            { "10.1.0.1:80", "x" }, false };
+    }
+
+    std::optional<run_record> find(const node_id& at, std::uint64_t print)
+    {
+        std::optional<run_record> found;
+        bool done = false;
+        nodes[at]->find({ print, print }, [&](const auto& record) {
+            found = record;
+            done = true;
+        });
+        const auto end = timers.now() + 5s;
+        while (!done && timers.now() < end)
+            loop.run_one_for(10ms);
+        EXPECT_TRUE(done);
+        return found;
+    }
+
+    void settle() { loop.run_for(5ms); }
+
+    boost::asio::io_context loop;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { loop.get_executor() };
+    timer_queue timers { loop };
+    decision_log log { open("/dev/null", O_WRONLY), "n", 100 };
+    gateway_metrics metrics;
+    std::vector<node_id> names;
+    std::map<node_id, std::unique_ptr<run_handover>> nodes;
+    std::set<node_id> dead;
+    int messages = 0;
+};
+
+TEST_F(RunHandover, AnyNodeFindsTheRunOfANodeThatDied)
+{
+    for (std::uint64_t print = 0; print < 20; ++print) {
+        const auto& origin = names[print % names.size()];
+        nodes[origin]->publish(record(print), {});
+        settle();
+        dead = { origin };
+        for (const auto& name : names) {
+            if (name == origin)
+                continue;
+            const auto found = find(name, print);
+            ASSERT_TRUE(found) << print << " at " << name;
+            EXPECT_EQ(found->origin, origin);
+        }
+        dead.clear();
+    }
+}
+
+TEST_F(RunHandover, TheLossOfOneKeeperIsBorne)
+{
+    for (std::uint64_t print = 0; print < 20; ++print) {
+        nodes[names[0]]->publish(record(print), {});
+        settle();
+        dead = { names[0], names[1 + print % 9] };
+        for (const auto& name : names) {
+            if (!dead.count(name)) {
+                EXPECT_TRUE(find(name, print));
+            }
+        }
+        dead.clear();
+    }
+}
+
+TEST_F(RunHandover, ARunThatNobodyKnowsIsNotWaitedForLong)
+{
+    const auto begin = timers.now();
+    EXPECT_FALSE(find(names[3], 7));
+    EXPECT_LT(timers.now() - begin, 1s);
+    dead = { names.begin(), names.end() };
+    EXPECT_FALSE(find(names[3], 7)) << "also when nobody answers";
+}
+
+TEST_F(RunHandover, TheNodeThatHadTheRunIsTold)
+{
+    int taken = 0;
+    nodes[names[0]]->publish(record(1), [&taken] { ++taken; });
+    settle();
+    const auto found = find(names[5], 1);
+    ASSERT_TRUE(found);
+    nodes[names[5]]->take(*found);
+    settle();
+    EXPECT_EQ(taken, 1);
+    nodes[names[5]]->take(*found);
+    settle();
+    EXPECT_EQ(taken, 1) << "once";
+}
+
+TEST_F(RunHandover, ARunCostsTwoMessages)
+{
+    for (std::uint64_t print = 0; print < 100; ++print)
+        nodes[names[0]]->publish(record(print), {});
+    EXPECT_LE(messages, 200);
+}
+
+} // namespace
--- a/routing/news_gossip.cpp
+++ b/routing/news_gossip.cpp
@@ -1,7 +1,8 @@
 #include "routing/news_gossip.h"
 
+#include "core/stable_hash.h"
+
 #include <algorithm>
-#include <limits>
 
 namespace oriolepick {
 
@@ -19,10 +20,7 @@
 
 std::uint32_t rankNumber(const node_id& node)
 {
-    std::uint32_t hash = 2'166'136'261U; // FNV-1a: the same in every process, unlike std::hash
-    for (const unsigned char byte : node.value())
-        hash = (hash ^ byte) * 16'777'619U;
-    return hash;
+    return static_cast<std::uint32_t>(stableHash(node.value()));
 }
 
 news_gossip::news_gossip(const node_id& self, const news_gossip_settings& settings, std::chrono::milliseconds bound,
