Break off the newest streams first at a stop

Change: at the end of the grace the streams that began last break off first; they are the least likely to end by themselves.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -130,6 +130,7 @@
 void caller_session::startExchange()
 {
     m_parts.timers.cancel(m_inputTimer);
+    m_busySince = m_parts.timers.now();
     auto request = m_reader->take();
     m_keepAlive = request.keepAlive && !m_closing;
     m_chunked = request.version >= 11;
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -43,6 +43,9 @@
     /// Closes the connection in any case.
     void close();
 
+    /// \return when the request in progress was read
+    instant busySince() const { return m_busySince; }
+
     bool isIdle() const { return !m_exchange && !m_reader->started(); }
 
     void onBytes(std::string_view bytes) override;
@@ -73,6 +76,7 @@
     std::unique_ptr<request_reader> m_reader;
     std::shared_ptr<exchange> m_exchange;
     std::string m_input;
+    instant m_busySince;
     timer_handle m_inputTimer = 0;
     bool m_keepAlive = true;
     bool m_chunked = true; ///< the caller understands chunks
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -132,8 +132,11 @@
 
 std::size_t gateway::endSessions(std::size_t count)
 {
-    const std::vector<std::shared_ptr<caller_session>> sessions(m_sessions.begin(), m_sessions.end());
+    std::vector<std::shared_ptr<caller_session>> sessions(m_sessions.begin(), m_sessions.end());
     count = std::min(count, sessions.size());
+    // Those that began last are the least likely to end by themselves.
+    std::sort(sessions.begin(), sessions.end(),
+        [](const auto& left, const auto& right) { return left->busySince() > right->busySince(); });
     for (std::size_t index = 0; index < count; ++index)
         sessions[index]->endForStop();
     return count;
