--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-    constexpr std::uint64_t MaxAnswerBytes = 65'536; ///< a report lists each running request in about 50 bytes
+    constexpr std::uint64_t MaxAnswerBytes = 32'768; ///< a report lists each running request in about 50 bytes
     /// Kept connections save a handshake for each question of a burst; targets close idle ones after a few seconds.
     constexpr std::chrono::seconds IdleTime { 2 };
     constexpr int Success = 200;
