Share whole tables with many nodes at once within a link's means

Cause: after a common start each of 300 nodes takes the table of registrations over from the few that have it; every answer was encoded and deflated anew (0.7 MB before, 15 ms), and nothing bounded how many a node gave at once. Change: a whole table is packed once for each change; a node gives as many as half of its link sends within 0.2 s and refuses the rest, whose nodes ask others that have taken it over meanwhile (core/byte_pace; setting link_mbps). Test: core/test/byte_pace, gateway/test/news_codec.

--- a/gateway/fleet_news.cpp
+++ b/gateway/fleet_news.cpp
@@ -20,6 +20,10 @@
     /// Knowledge older than this part of the bound means that nobody could read the store for two turns.
     constexpr int AwayPart = 2;
 
+    /// Part of the link for whole tables: callers' answers go on meanwhile.
+    constexpr double WholeTableShare = 0.5;
+    /// A node that is refused finds another one that has taken the table over by then.
+    constexpr std::chrono::milliseconds WholeTableBacklog { 200 };
     constexpr std::string_view Everything = "all"; ///< in place of a revision, for a node that knows nothing
     constexpr std::array<std::string_view, NewsTopics> TopicNames { "configuration", "targets" };
 
@@ -32,7 +36,7 @@
 
 fleet_news::fleet_news(boost::asio::io_context& loop, timer_queue& timers,
     std::array<followed_table, NewsTopics> tables, links links, const node_id& self, std::chrono::milliseconds bound,
-    bool readsFirst, std::uint64_t seed, decision_log& log, gateway_metrics& metrics)
+    bool readsFirst, double linkBytesPerSecond, std::uint64_t seed, decision_log& log, gateway_metrics& metrics)
     : m_loop(loop)
     , m_timers(timers)
     , m_links(std::move(links))
@@ -40,10 +44,11 @@
     , m_metrics(metrics)
     , m_bound(bound)
     , m_gossip(self, news_gossip_settings {}, bound, readsFirst, seeded_random(seed), timers.now())
+    , m_wholePace(linkBytesPerSecond * WholeTableShare, WholeTableBacklog)
 {
     for (auto& table : tables) {
         table_replica replica(table.isNews);
-        m_tables.push_back({ std::move(table), std::move(replica), nullptr });
+        m_tables.push_back({ std::move(table), std::move(replica), nullptr, {}, 0 });
     }
 }
 
@@ -232,7 +237,7 @@
     m_wasReader = isReader;
 }
 
-std::optional<std::string> fleet_news::answer(std::string_view target) const
+std::optional<std::string> fleet_news::answer(std::string_view target)
 {
     takeUntil(target, '/');
     const auto page = takeUntil(target, '/');
@@ -245,9 +250,20 @@
     const auto asOf = m_gossip.asOf(topic);
     if (!asOf)
         return std::nullopt;
-    auto batch = stateOf(topic).replica.changesAfter(revision);
+    auto& state = stateOf(topic);
+    auto batch = state.replica.changesAfter(revision);
     batch.age = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - *asOf);
-    return encodeBatch(batch);
+    if (!batch.whole)
+        return encodeBatch(batch);
+    if (state.whole.bytes.empty() || state.wholeRevision != batch.newsRevision) {
+        state.whole = packRows(batch.rows);
+        state.wholeRevision = batch.newsRevision;
+    }
+    if (!m_wholePace.take(state.whole.bytes.size(), m_timers.now())) {
+        m_metrics.count("whole_tables_refused");
+        return std::nullopt;
+    }
+    return encodeBatch(batch, state.whole);
 }
 
 bool fleet_news::isKnown() const
--- a/gateway/fleet_news.h
+++ b/gateway/fleet_news.h
@@ -2,7 +2,9 @@
 /// Keeps this node's tables up to date: by news of other nodes, and by the store when it is this node's turn to read.
 #pragma once
 
+#include "core/byte_pace.h"
 #include "core/names.h"
+#include "gateway/news_codec.h"
 #include "gateway/row_source.h"
 #include "gateway/table_replica.h"
 #include "gateway/timer_queue.h"
@@ -47,9 +49,10 @@
 
     /// \param tables by topic; their sources outlive this object
     /// \param bound how late any news may be
+    /// \param linkBytesPerSecond what the node's link carries
     fleet_news(boost::asio::io_context& loop, timer_queue& timers, std::array<followed_table, NewsTopics> tables,
-        links links, const node_id& self, std::chrono::milliseconds bound, bool readsFirst, std::uint64_t seed,
-        decision_log& log, gateway_metrics& metrics);
+        links links, const node_id& self, std::chrono::milliseconds bound, bool readsFirst, double linkBytesPerSecond,
+        std::uint64_t seed, decision_log& log, gateway_metrics& metrics);
     ~fleet_news();
 
     void start();
@@ -64,8 +67,9 @@
 
     /// Answers the pull of another node.
     /// \param target "/news/TOPIC/REVISION"
-    /// \return the encoded news, or nothing when \p target names none or they are not known here
-    std::optional<std::string> answer(std::string_view target) const;
+    /// \return the encoded news; nothing when \p target names none, they are not known here, or other nodes have just
+    /// been given as many whole tables as the link should carry
+    std::optional<std::string> answer(std::string_view target);
 
     /// \return whether every table was read at least once
     bool isKnown() const;
@@ -84,6 +88,8 @@
         followed_table table;
         table_replica replica;
         std::shared_ptr<http_call> pull;
+        packed_rows whole; // of the table at wholeRevision, for the nodes of a common start
+        std::uint64_t wholeRevision = 0;
     };
 
     table_state& stateOf(news_topic topic) { return m_tables[static_cast<std::size_t>(topic)]; }
@@ -107,6 +113,7 @@
     gateway_metrics& m_metrics;
     std::chrono::milliseconds m_bound;
     news_gossip m_gossip;
+    byte_pace m_wholePace;
     timer_handle m_timer = 0;
     instant m_timerAt = instant::max();
     bool m_wasReader = false;
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -29,6 +29,7 @@
     double repeatRatio = 0.8; ///< repeats to requests, over all nodes
     double repeatSlack = 150; ///< repeats over all nodes that need no requests
     std::chrono::milliseconds repeatWindow { 10'000 };
+    double linkMbps = 1'000; ///< of this instance
     int memoryMb = 256; ///< of this process; exceeding it ends the process
     int logLinesPerSecond = 200; ///< lines beyond are counted and dropped
 };
--- a/gateway/news_codec.cpp
+++ b/gateway/news_codec.cpp
@@ -6,7 +6,7 @@
 
 #include <zlib.h>
 
-#include <limits>
+#include <algorithm>
 
 namespace oriolepick {
 
@@ -15,9 +15,6 @@
     /// The registrations of 12,000 targets are 4 MB.
     constexpr std::size_t MaxBatchBytes = 16'777'216;
     constexpr std::size_t LeastDeflated = 1'024; ///< smaller batches fit into one packet
-    constexpr char Plain = 0; ///< first byte of a batch: how the rest is encoded
-    constexpr char Deflated = 1; ///< four bytes of the plain size, least first, and the deflated bytes follow
-    constexpr std::size_t SizeBytes = 4;
     constexpr std::uint32_t MaxAgeMs = 3'600'000; ///< an hour; anything above is no age
 
     std::uint32_t limited(std::chrono::milliseconds age)
@@ -124,30 +121,22 @@
     std::string deflated(const std::string& plain)
     {
         auto size = compressBound(static_cast<uLong>(plain.size()));
-        std::string bytes(1 + SizeBytes + size, Deflated);
-        for (std::size_t index = 0; index < SizeBytes; ++index)
-            bytes[1 + index] = static_cast<char>(plain.size() >> (8 * index) & 0xff);
-        compress2(reinterpret_cast<Bytef*>(bytes.data() + 1 + SizeBytes), &size,
-            reinterpret_cast<const Bytef*>(plain.data()), static_cast<uLong>(plain.size()), Z_BEST_SPEED);
-        bytes.resize(1 + SizeBytes + size);
+        std::string bytes(size, '\0');
+        compress2(reinterpret_cast<Bytef*>(bytes.data()), &size, reinterpret_cast<const Bytef*>(plain.data()),
+            static_cast<uLong>(plain.size()), Z_BEST_SPEED);
+        bytes.resize(size);
         return bytes;
     }
 
-    std::optional<std::string> inflated(std::string_view bytes)
+    std::optional<std::string> inflated(const std::string& bytes, std::size_t plainBytes)
     {
-        if (bytes.size() < SizeBytes)
+        if (plainBytes > MaxBatchBytes)
             return std::nullopt;
-        std::size_t size = 0;
-        for (std::size_t index = 0; index < SizeBytes; ++index)
-            size |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[index])) << (8 * index);
-        if (size > MaxBatchBytes)
-            return std::nullopt;
-        bytes.remove_prefix(SizeBytes);
-        std::string plain(size, '\0');
-        auto written = static_cast<uLongf>(size);
+        std::string plain(plainBytes, '\0');
+        auto written = static_cast<uLongf>(plainBytes);
         const auto status = uncompress(reinterpret_cast<Bytef*>(plain.data()), &written,
             reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uLong>(bytes.size()));
-        if (status != Z_OK || written != size)
+        if (status != Z_OK || written != plainBytes)
             return std::nullopt;
         return plain;
     }
@@ -195,44 +184,59 @@
     return datagram;
 }
 
-std::string encodeBatch(const news_batch& batch)
+packed_rows packRows(const std::vector<stored_row>& rows)
 {
-    wire::news_batch encoded;
-    encoded.set_news_revision(batch.newsRevision);
-    encoded.set_read_revision(batch.readRevision);
-    encoded.set_age_ms(limited(batch.age));
-    encoded.set_whole(batch.whole);
-    for (const auto& row : batch.rows) {
+    wire::news_rows encoded;
+    for (const auto& row : rows) {
         auto& added = *encoded.add_rows();
         added.set_key(row.key);
         added.set_value(row.value);
         added.set_removed(row.removed);
     }
-    const auto plain = encoded.SerializeAsString();
-    return plain.size() < LeastDeflated ? Plain + plain : deflated(plain);
+    auto plain = encoded.SerializeAsString();
+    if (plain.size() < LeastDeflated)
+        return { std::move(plain), 0 };
+    return { deflated(plain), static_cast<std::uint32_t>(plain.size()) };
+}
+
+std::string encodeBatch(const news_batch& batch, const packed_rows& rows)
+{
+    wire::news_batch encoded;
+    encoded.set_news_revision(batch.newsRevision);
+    encoded.set_read_revision(batch.readRevision);
+    encoded.set_age_ms(limited(batch.age));
+    encoded.set_whole(batch.whole);
+    encoded.set_rows(rows.bytes);
+    encoded.set_plain_bytes(rows.plainBytes);
+    return encoded.SerializeAsString();
+}
+
+std::string encodeBatch(const news_batch& batch)
+{
+    return encodeBatch(batch, packRows(batch.rows));
 }
 
 std::optional<news_batch> decodeBatch(std::string_view bytes)
 {
-    if (bytes.empty() || bytes.size() > MaxBatchBytes || (bytes[0] != Plain && bytes[0] != Deflated))
+    wire::news_batch encoded;
+    if (bytes.size() > MaxBatchBytes || !encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
+        || encoded.age_ms() > MaxAgeMs || encoded.read_revision() < encoded.news_revision())
         return std::nullopt;
-    std::optional<std::string> unpacked;
-    if (bytes[0] == Deflated) {
-        unpacked = inflated(bytes.substr(1));
-        if (!unpacked)
+    if (encoded.plain_bytes()) {
+        auto plain = inflated(encoded.rows(), encoded.plain_bytes());
+        if (!plain)
             return std::nullopt;
+        encoded.set_rows(std::move(*plain));
     }
-    const auto plain = unpacked ? std::string_view(*unpacked) : bytes.substr(1);
-    wire::news_batch encoded;
-    if (!encoded.ParseFromArray(plain.data(), static_cast<int>(plain.size())) || encoded.age_ms() > MaxAgeMs
-        || encoded.read_revision() < encoded.news_revision())
+    wire::news_rows rows;
+    if (!rows.ParseFromString(encoded.rows()))
         return std::nullopt;
     news_batch batch;
     batch.newsRevision = encoded.news_revision();
     batch.readRevision = encoded.read_revision();
     batch.age = std::chrono::milliseconds(encoded.age_ms());
     batch.whole = encoded.whole();
-    for (auto& row : *encoded.mutable_rows())
+    for (auto& row : *rows.mutable_rows())
         batch.rows.push_back({ std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed() });
     return batch;
 }
--- a/gateway/news_codec.h
+++ b/gateway/news_codec.h
@@ -25,7 +25,18 @@
 /// \return the datagram, or nothing when it cannot be read, names no address or has impossible values
 std::optional<node_datagram> decodeDatagram(std::string_view bytes);
 
-/// \return the bytes of \p batch, deflated when it is large
+/// Rows ready to be sent any number of times.
+struct packed_rows {
+    std::string bytes;
+    std::uint32_t plainBytes = 0; ///< before they were deflated, 0 when they are not
+};
+
+packed_rows packRows(const std::vector<stored_row>& rows);
+
+/// \return the bytes of \p batch, with \p rows in place of its own
+std::string encodeBatch(const news_batch& batch, const packed_rows& rows);
+
+/// \return the bytes of \p batch, its rows deflated when they are large
 std::string encodeBatch(const news_batch& batch);
 
 /// \return the batch, or nothing when it cannot be read or is larger than any table may be
--- a/gateway/test/fleet_news.cpp
+++ b/gateway/test/fleet_news.cpp
@@ -80,7 +80,7 @@
         , news(loop, timers, { tableOf(config, "op", false), tableOf(targets, "servers", true) },
               { [this](const node_id& to, const news_digest& digest) { sent.emplace_back(to, digest); },
                   [this] { seen.emplace_back("returned"); } },
-              node_id(address), Bound, readsFirst, 1, log, metrics)
+              node_id(address), Bound, readsFirst, 1e6, 1, log, metrics)
         , endpoint(loop, address, [this](std::string_view target) {
             auto body = news.answer(target);
             return body ? page_answer { 200, "application/octet-stream", *body }
--- a/gateway/test/news_codec.cpp
+++ b/gateway/test/news_codec.cpp
@@ -82,10 +82,10 @@
     EXPECT_TRUE(decoded->whole);
     ASSERT_EQ(decoded->rows.size(), 300U);
     EXPECT_EQ(decoded->rows[299].value, batch.rows[299].value);
-    EXPECT_FALSE(decodeBatch(bytes.substr(0, bytes.size() - 1)));
-    auto bomb = bytes;
-    bomb[4] = '\x7f'; // claims 2 GB
-    EXPECT_FALSE(decodeBatch(bomb));
+    EXPECT_FALSE(decodeBatch(bytes.substr(0, bytes.size() / 2)));
+    auto packed = packRows(batch.rows);
+    packed.plainBytes = 2'000'000'000;
+    EXPECT_FALSE(decodeBatch(encodeBatch(batch, packed))) << "claims 2 GB";
 }
 
 RC_GTEST_PROP(NewsCodec, RowsSurviveTheWay,
