--- a/core/crash_ledger.cpp
+++ b/core/crash_ledger.cpp
@@ -34,6 +34,13 @@
     return stableHash(prompt, stableHash(text));
 }
 
+request_fingerprint fingerprintOf(
+    std::string_view caller, std::string_view method, std::string_view target, std::string_view body)
+{
+    const auto head = stableHash(target, stableHash(method, stableHash(caller)));
+    return stableHash(body, head);
+}
+
 std::uint64_t crashIdOf(const target_id& target, std::uint64_t incarnation)
 {
     return stableHash(target.text(), incarnation);
--- a/core/crash_ledger.h
+++ b/core/crash_ledger.h
@@ -16,12 +16,18 @@
 
 namespace oriolepick {
 
-/// What a request asks of a model, whatever its key: equal for every retry of an equal request by any caller.
+/// Hash of what a request asks, whatever identifies one send of it: equal for every return of an equal request.
 using request_fingerprint = std::uint64_t;
 
 /// \return the hash of model, version, adapter and prompt
 request_fingerprint fingerprintOf(const model_ref& model, std::string_view prompt);
 
+/// \param caller who sends the request: its team, or its key where no teams are declared
+/// \param target path and query
+/// \return the hash of what a request to a plain service says, equal for every return of it at any node
+request_fingerprint fingerprintOf(
+    std::string_view caller, std::string_view method, std::string_view target, std::string_view body);
+
 /// \return the identifier of the crash that ended \p incarnation of \p target; equal at every node that saw it
 std::uint64_t crashIdOf(const target_id& target, std::uint64_t incarnation);
 
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/exchange.h"
 
 #include "core/seeded_random.h"
+#include "core/text.h"
 #include "gateway/answer_sink.h"
 #include "gateway/config_in_force.h"
 #include "gateway/copy_orders.h"
@@ -107,6 +108,8 @@
             return false;
         }
     }
+    m_fingerprint = fingerprintOf(m_team ? m_team->name.value() : m_caller.key.value_or(std::string()),
+        m_request.method, m_request.target, m_request.body);
     m_service = route_table::chooseService(*m_route, m_parts.random.unit());
     m_deadline = m_startedAt + m_route->timeout;
     if (m_caller.patience)
@@ -123,6 +126,12 @@
     return since(m_parts.timers.now(), m_deadline);
 }
 
+// The number by which logs of all nodes name the request, whatever attempt it is.
+std::string exchange::requestText() const
+{
+    return hexadecimal(m_fingerprint);
+}
+
 std::uint32_t exchange::priority() const
 {
     return m_team && m_team->priority ? *m_team->priority : m_route->priority;
@@ -152,8 +161,8 @@
     }
     const auto answer = errorAnswer(kind, why, m_parts.random, returnAfter);
     m_parts.log.write("refused",
-        { { "attempt", m_caller.attempt }, { "code", std::string(outcome) }, { "why", std::string(why) },
-            { "attempts", std::to_string(m_attempts) }, { "config_version", std::to_string(m_parts.config.version()) },
+        { { "attempt", m_caller.attempt }, { "request", requestText() }, { "code", std::string(outcome) },
+            { "why", std::string(why) }, { "attempts", std::to_string(m_attempts) }, { "config_version", std::to_string(m_parts.config.version()) },
             { "usable_targets", std::to_string(m_parts.board.usableTargets(m_service, m_parts.timers.now())) } });
     m_sink->sendWhole(answer.head, answer.body);
     finish(outcome);
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -2,6 +2,7 @@
 /// One caller's request from its arrival to the end of its answer: routing, attempts at targets, and resumes.
 #pragma once
 
+#include "core/crash_ledger.h"
 #include "core/error_kind.h"
 #include "core/instant.h"
 #include "core/memory_share.h"
@@ -64,6 +65,7 @@
     bool admit();
     std::chrono::milliseconds remaining() const;
     std::uint32_t priority() const;
+    std::string requestText() const;
 
     // choice of an engine, in exchange_survey.cpp
     bool hasUsableCopy() const;
@@ -133,6 +135,7 @@
     const route* m_route = nullptr;
     const team_rules* m_team = nullptr;
     service_name m_service;
+    request_fingerprint m_fingerprint = 0;
     instant m_startedAt;
     instant m_deadline;
     timer_handle m_deadlineTimer = 0;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -391,7 +391,8 @@
     if (fault != target_fault::Full)
         m_tried.push_back(m_target->name);
     m_parts.log.write("attempt_failed",
-        { { "attempt", m_caller.attempt }, { "target", m_target->name.value() }, { "what", std::string(what) },
+        { { "attempt", m_caller.attempt }, { "request", requestText() }, { "target", m_target->name.value() },
+            { "what", std::string(what) },
             { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
 }
 
