Do not quarantine a request for crashes that another one explains

A request that ran beside one that crashes its targets got a mark for each of these crashes, and one crash of its own then quarantined it. Marks no longer count once another request was suspected of the same crash and of enough others before. Two that became suspicious by the same crash cannot be told apart and are both quarantined.

--- a/core/crash_ledger.cpp
+++ b/core/crash_ledger.cpp
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 
 namespace oriolepick {
@@ -87,10 +88,33 @@
         found.marks.begin(), found.marks.end(), [&mark](const crash_mark& each) { return each.crash == mark.crash; });
     if (known || mark.at <= found.clearedAt)
         return;
+    unindexRecord(fingerprint, found);
     if (found.marks.size() >= MaxMarks)
         found.marks.erase(found.marks.begin());
     found.marks.push_back(mark);
     found.lastAt = std::max(found.lastAt, mark.at);
+    indexRecord(fingerprint, found);
+}
+
+void crash_ledger::indexRecord(request_fingerprint fingerprint, const record& found)
+{
+    if (found.marks.size() < m_settings.quarantineAfter)
+        return;
+    m_repeated.insert(fingerprint);
+    for (const auto& mark : found.marks)
+        m_repeatedAt[mark.crash].insert(fingerprint);
+}
+
+void crash_ledger::unindexRecord(request_fingerprint fingerprint, const record& found)
+{
+    if (!m_repeated.erase(fingerprint))
+        return;
+    for (const auto& mark : found.marks) {
+        const auto suspects = m_repeatedAt.find(mark.crash);
+        suspects->second.erase(fingerprint);
+        if (suspects->second.empty())
+            m_repeatedAt.erase(suspects);
+    }
 }
 
 void crash_ledger::addTargetCrash(const crash_event& event)
@@ -124,9 +148,11 @@
     auto& found = recordFor(fingerprint);
     found.clearedAt = now;
     found.lastAt = now;
+    unindexRecord(fingerprint, found);
     found.marks.erase(std::remove_if(found.marks.begin(), found.marks.end(),
                           [now](const crash_mark& mark) { return mark.at <= now; }),
         found.marks.end());
+    indexRecord(fingerprint, found);
 }
 
 void crash_ledger::attemptStarted(request_fingerprint fingerprint, const target_id& target)
@@ -147,10 +173,12 @@
 void crash_ledger::expire(wall_time now)
 {
     for (auto each = m_records.begin(); each != m_records.end();) {
-        if (expired(now, each->second))
+        if (expired(now, each->first, each->second)) {
+            unindexRecord(each->first, each->second);
             m_records.erase(each++);
-        else
+        } else {
             ++each;
+        }
     }
     for (auto each = m_targets.begin(); each != m_targets.end();) {
         auto& crashes = each->second;
@@ -163,9 +191,9 @@
     }
 }
 
-bool crash_ledger::expired(wall_time now, const record& found) const
+bool crash_ledger::expired(wall_time now, request_fingerprint fingerprint, const record& found) const
 {
-    const bool quarantined = countedMarks(now, found) >= m_settings.quarantineAfter;
+    const bool quarantined = countedMarks(now, fingerprint, found) >= m_settings.quarantineAfter;
     return now - found.lastAt > (quarantined ? m_settings.quarantineLifetime : m_settings.suspicionLifetime);
 }
 
@@ -174,18 +202,48 @@
     return mark.at > found.clearedAt && !isFaulty(now, mark.target);
 }
 
-std::size_t crash_ledger::countedMarks(wall_time now, const record& found) const
+// A request that merely ran beside one that crashes targets has marks too: they are explained by the other one once
+// that has crashed enough targets.
+std::size_t crash_ledger::countedMarks(wall_time now, request_fingerprint fingerprint, const record& found) const
 {
-    return static_cast<std::size_t>(std::count_if(found.marks.begin(), found.marks.end(),
-        [this, now, &found](const crash_mark& mark) { return counts(now, found, mark); }));
+    const auto counted = std::count_if(
+        found.marks.begin(), found.marks.end(), [&](const crash_mark& mark) { return counts(now, found, mark); });
+    if (static_cast<std::size_t>(counted) < m_settings.quarantineAfter)
+        return static_cast<std::size_t>(counted);
+    return static_cast<std::size_t>(std::count_if(found.marks.begin(), found.marks.end(), [&](const crash_mark& mark) {
+        return counts(now, found, mark) && !hasEarlierSuspect(fingerprint, found, mark.crash);
+    }));
+}
+
+const crash_mark& crash_ledger::decidingMark(const record& found) const
+{
+    auto marks = found.marks; // a few
+    const auto deciding = marks.begin() + static_cast<std::ptrdiff_t>(m_settings.quarantineAfter - 1);
+    std::nth_element(marks.begin(), deciding, marks.end(),
+        [](const crash_mark& left, const crash_mark& right) { return left.at < right.at; });
+    return *std::find_if(
+        found.marks.begin(), found.marks.end(), [&](const crash_mark& mark) { return mark.crash == deciding->crash; });
+}
+
+bool crash_ledger::hasEarlierSuspect(request_fingerprint fingerprint, const record& found, std::uint64_t crash) const
+{
+    const auto suspects = m_repeatedAt.find(crash);
+    if (suspects == m_repeatedAt.end())
+        return false;
+    const auto& own = decidingMark(found);
+    return std::any_of(suspects->second.begin(), suspects->second.end(), [&](request_fingerprint other) {
+        // Two that became suspicious by the same crash cannot be told apart.
+        const auto& deciding = decidingMark(m_records.at(other));
+        return other != fingerprint && deciding.crash != own.crash && deciding.at < own.at;
+    });
 }
 
 crash_verdict crash_ledger::verdict(wall_time now, request_fingerprint fingerprint) const
 {
     const auto found = m_records.find(fingerprint);
-    if (found == m_records.end() || expired(now, found->second))
+    if (found == m_records.end() || expired(now, fingerprint, found->second))
         return crash_verdict::Clear;
-    const auto count = countedMarks(now, found->second);
+    const auto count = countedMarks(now, fingerprint, found->second);
     if (count >= m_settings.quarantineAfter)
         return crash_verdict::Quarantined;
     if (count >= m_settings.isolateAfter)
@@ -257,7 +315,7 @@
 std::vector<crash_mark> crash_ledger::marks(wall_time now, request_fingerprint fingerprint) const
 {
     const auto found = m_records.find(fingerprint);
-    if (found == m_records.end() || expired(now, found->second))
+    if (found == m_records.end() || expired(now, fingerprint, found->second))
         return {};
     std::vector<crash_mark> counted;
     for (const auto& mark : found->second.marks) {
@@ -273,10 +331,12 @@
     return found == m_records.end() ? wall_time {} : found->second.clearedAt;
 }
 
-std::size_t crash_ledger::quarantined(wall_time now) const
+std::vector<request_fingerprint> crash_ledger::quarantinedRequests(wall_time now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(),
-        [this, now](const auto& each) { return verdict(now, each.first) == crash_verdict::Quarantined; }));
+    std::vector<request_fingerprint> requests;
+    std::copy_if(m_repeated.begin(), m_repeated.end(), std::back_inserter(requests),
+        [this, now](auto each) { return verdict(now, each) == crash_verdict::Quarantined; });
+    return requests;
 }
 
 void crash_ledger::evictRecords()
@@ -288,8 +348,11 @@
         order.push_back({ { found.marks.size(), found.lastAt }, fingerprint });
     const auto removed = std::max<std::size_t>(order.size() / EvictionShare, 1);
     std::nth_element(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(removed - 1), order.end());
-    for (std::size_t index = 0; index < removed; ++index)
-        m_records.erase(order[index].second);
+    for (std::size_t index = 0; index < removed; ++index) {
+        const auto found = m_records.find(order[index].second);
+        unindexRecord(found->first, found->second);
+        m_records.erase(found);
+    }
     m_evicted += removed;
 }
 
--- a/core/crash_ledger.h
+++ b/core/crash_ledger.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -112,8 +113,12 @@
     std::vector<crash_mark> marks(wall_time now, request_fingerprint fingerprint) const;
 
     wall_time clearedAt(request_fingerprint fingerprint) const;
+
+    /// \return the requests that are not dispatched
+    std::vector<request_fingerprint> quarantinedRequests(wall_time now) const;
+
     std::size_t fingerprints() const { return m_records.size(); }
-    std::size_t quarantined(wall_time now) const;
+    std::size_t quarantined(wall_time now) const { return quarantinedRequests(now).size(); }
     std::uint64_t evicted() const { return m_evicted; }
 
 private:
@@ -131,15 +136,21 @@
     record& recordFor(request_fingerprint fingerprint);
     void addMark(request_fingerprint fingerprint, const crash_mark& mark);
     void addTargetCrash(const crash_event& event);
-    std::size_t countedMarks(wall_time now, const record& found) const;
+    std::size_t countedMarks(wall_time now, request_fingerprint fingerprint, const record& found) const;
+    const crash_mark& decidingMark(const record& found) const;
+    bool hasEarlierSuspect(request_fingerprint fingerprint, const record& found, std::uint64_t crash) const;
+    void indexRecord(request_fingerprint fingerprint, const record& found);
+    void unindexRecord(request_fingerprint fingerprint, const record& found);
     bool counts(wall_time now, const record& found, const crash_mark& mark) const;
-    bool expired(wall_time now, const record& found) const;
+    bool expired(wall_time now, request_fingerprint fingerprint, const record& found) const;
     bool explained(const target_crash& crash, const target_id& target) const;
     void evictRecords();
     void evictTargets();
 
     ledger_settings m_settings;
     absl::flat_hash_map<request_fingerprint, record> m_records;
+    std::set<request_fingerprint> m_repeated; ///< with marks enough for quarantine, whether they count or not
+    absl::flat_hash_map<std::uint64_t, std::set<request_fingerprint>> m_repeatedAt; ///< the same by crash
     std::map<target_id, std::vector<target_crash>> m_targets;
     std::map<target_id, std::vector<request_fingerprint>> m_running; ///< attempts of this node
     std::uint64_t m_evicted = 0;
--- a/core/test/crash_ledger.cpp
+++ b/core/test/crash_ledger.cpp
@@ -130,6 +130,28 @@
     EXPECT_EQ(ledger.verdict(at(1), 1), crash_verdict::Quarantined);
 }
 
+TEST(crash_ledger, a_request_that_ran_beside_a_crashing_one_is_not_quarantined_by_a_crash_of_its_own)
+{
+    crash_ledger ledger({});
+    ledger.recordCrash(at(0), crash(1, 1, 0, { 1, 2 }));
+    ledger.recordCrash(at(1), crash(2, 2, 1, { 1, 2 }));
+    ledger.recordCrash(at(2), crash(3, 3, 2, { 1 }));
+    ledger.recordCrash(at(3), crash(4, 4, 3, { 2, 3 }));
+    EXPECT_EQ(ledger.verdict(at(3), 1), crash_verdict::Quarantined);
+    EXPECT_NE(ledger.verdict(at(3), 2), crash_verdict::Quarantined);
+    EXPECT_EQ(ledger.quarantinedRequests(at(3)), std::vector<request_fingerprint> { 1 });
+    // It is once it crashes as many targets that no other request explains.
+    ledger.recordCrash(at(4), crash(8, 6, 4, { 2 }));
+    EXPECT_NE(ledger.verdict(at(4), 2), crash_verdict::Quarantined);
+    ledger.recordCrash(at(4), crash(9, 7, 4, { 2 }));
+    EXPECT_EQ(ledger.verdict(at(4), 2), crash_verdict::Quarantined);
+    // Two that were together at every crash cannot be told apart.
+    for (int number = 10; number < 13; ++number)
+        ledger.recordCrash(at(number), crash(number, number, number, { 7, 8 }));
+    EXPECT_EQ(ledger.verdict(at(12), 7), crash_verdict::Quarantined);
+    EXPECT_EQ(ledger.verdict(at(12), 8), crash_verdict::Quarantined);
+}
+
 RC_GTEST_PROP(crash_ledger, the_order_and_repetition_of_reports_do_not_matter, (std::uint64_t seed))
 {
     std::vector<crash_event> events;
