--- a/core/crash_ledger.cpp
+++ b/core/crash_ledger.cpp
@@ -208,7 +208,7 @@
 {
     const auto counted = std::count_if(
         found.marks.begin(), found.marks.end(), [&](const crash_mark& mark) { return counts(now, found, mark); });
-    if (static_cast<std::size_t>(counted) < m_settings.quarantineAfter)
+    if (m_settings.countsExplainedMarks || static_cast<std::size_t>(counted) < m_settings.quarantineAfter)
         return static_cast<std::size_t>(counted);
     return static_cast<std::size_t>(std::count_if(found.marks.begin(), found.marks.end(), [&](const crash_mark& mark) {
         return counts(now, found, mark) && !hasEarlierSuspect(fingerprint, found, mark.crash);
--- a/core/crash_ledger.h
+++ b/core/crash_ledger.h
@@ -70,6 +70,9 @@
     std::chrono::hours suspicionLifetime { 1 }; ///< since the last crash
     std::chrono::hours quarantineLifetime { 24 }; ///< since the last crash
     std::chrono::hours faultyWindow { 1 }; ///< crashes of a target that are counted together
+    /// Whether marks that an earlier suspect explains count. Where suspects run alone they must: the crash of a request
+    /// that ran alone proves enough. Without that, neighbours of a crashing request would be quarantined with it.
+    bool countsExplainedMarks = true;
     std::size_t maxFingerprints = 65'536;
     std::size_t maxTargets = 4096;
     std::size_t maxSuspectsPerCrash = 256; ///< a target's batch is far smaller
--- a/core/test/crash_ledger.cpp
+++ b/core/test/crash_ledger.cpp
@@ -132,7 +132,9 @@
 
 TEST(crash_ledger, a_request_that_ran_beside_a_crashing_one_is_not_quarantined_by_a_crash_of_its_own)
 {
-    crash_ledger ledger({});
+    ledger_settings settings;
+    settings.countsExplainedMarks = false;
+    crash_ledger ledger(settings);
     ledger.recordCrash(at(0), crash(1, 1, 0, { 1, 2 }));
     ledger.recordCrash(at(1), crash(2, 2, 1, { 1, 2 }));
     ledger.recordCrash(at(2), crash(3, 3, 2, { 1 }));
