--- a/routing/test/news_fleet.h
+++ b/routing/test/news_fleet.h
@@ -4,6 +4,7 @@
 
 #include "core/seeded_random.h"
 #include "routing/news_gossip.h"
+#include "routing/test/virtual_time.h"
 
 #include <algorithm>
 #include <functional>
@@ -34,10 +35,8 @@
 };
 
 /// Runs the nodes by events in virtual time. Readings cost a few milliseconds, pulls two round trips.
-class news_fleet {
+class news_fleet : public virtual_time {
 public:
-    using ms = std::chrono::milliseconds;
-
     news_fleet(std::size_t nodes, int zones, ms bound, std::uint64_t seed)
         : m_random(seed)
         , m_bound(bound)
@@ -97,18 +96,6 @@
         m_changes[static_cast<std::size_t>(topic)][m_revision] = m_now;
     }
 
-    void run(ms time)
-    {
-        const auto end = m_now + time;
-        while (!m_events.empty() && m_events.begin()->first <= end) {
-            m_now = m_events.begin()->first;
-            auto event = std::move(m_events.begin()->second);
-            m_events.erase(m_events.begin());
-            event();
-        }
-        m_now = end;
-    }
-
     /// Changes the store's revision all the time, as renewals do.
     void renew()
     {
@@ -116,8 +103,6 @@
         at(ms(100), [this] { renew(); });
     }
 
-    void at(ms delay, std::function<void()> event) { m_events.emplace(m_now + delay, std::move(event)); }
-
     /// \return how late each change reached each node that was undisturbed for \p calm before the change and since
     std::vector<ms> lateness(ms calm) const
     {
@@ -162,7 +147,6 @@
     }
 
     std::vector<fleet_node>& nodes() { return m_nodes; }
-    instant now() const { return m_now; }
     std::uint64_t calls() const { return m_calls; }
     std::uint64_t datagrams() const { return m_datagrams; }
     std::uint64_t pulls() const { return m_pulls; }
@@ -314,9 +298,7 @@
 
     seeded_random m_random;
     ms m_bound;
-    instant m_now { std::chrono::seconds(1'000) };
     instant m_judgedFrom;
-    std::multimap<instant, std::function<void()>> m_events;
     std::vector<fleet_node> m_nodes;
     std::map<node_id, std::size_t> m_index;
     std::uint64_t m_revision = 1;
