Refuse requests that have crashed three targets, at every node

What callers saw: one request that ends each target that runs it came again and again, and every return ended more targets, with all that ran there.

Cause: the count of lost targets belonged to one attempt. Callers return with a new attempt, at any node, and nothing recognised the request.

Change: crash_watch checks by a connection whether nobody listens any more when an attempt's connection broke, and records the crash with the requests that were in flight; those that had made progress are recorded 0.3 s later, unless another request explains the crash by then. A quarantined request is refused before it is routed and before each repeat: 503 request_quarantined when this attempt was never sent, 502 otherwise. A request with two crashes waits for the check of the next one, a round trip.

Ruled out: resets as such (a target that still listens has not crashed), planned leaving, silence (a node that is cut off sees all targets silent).

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::array<error_answer, 35> Answers { {
+    constexpr std::array<error_answer, 36> Answers { {
         { error_kind::BadRequest, 400, "bad_request", run_state::NotRun, false },
         { error_kind::UnsupportedMediaType, 415, "unsupported_media_type", run_state::NotRun, false },
         { error_kind::BodyTooLarge, 413, "body_too_large", run_state::NotRun, false },
@@ -29,6 +29,7 @@
         { error_kind::NodeDraining, 503, "node_draining", run_state::NotRun, true },
         { error_kind::NodeNotReady, 503, "node_not_ready", run_state::NotRun, true },
         { error_kind::RequestCrashesTargets, 422, "request_crashes_targets", run_state::MayHaveRun, false },
+        { error_kind::RequestQuarantined, 503, "request_quarantined", run_state::NotRun, false },
         { error_kind::GenerationLost, 502, "generation_lost", run_state::MayHaveRun, true },
         { error_kind::TargetFailed, 502, "target_failed", run_state::MayHaveRun, true },
         { error_kind::HandedOver, 503, "handed_over", run_state::MayHaveRun, true },
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -30,6 +30,7 @@
     NodeDraining, ///< This node is leaving and takes no new work.
     NodeNotReady, ///< This node does not know the state in force yet.
     RequestCrashesTargets, ///< The request is quarantined: it crashed several targets.
+    RequestQuarantined, ///< The request crashed several targets when it was sent before; this time it is not run.
     GenerationLost, ///< The answer cannot be completed without mixing two generations.
     TargetFailed, ///< The target failed and retries are used up.
     HandedOver, ///< The stream goes on; reconnect at another node with the cursor.
--- a/gateway/byte_channel.cpp
+++ b/gateway/byte_channel.cpp
@@ -42,7 +42,7 @@
     if (endpoint)
         m_socket.open(endpoint->protocol(), error);
     if (!endpoint || error) {
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->end(channel_end::Refused); });
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->end(channel_end::NotConnected); });
         return;
     }
     configure();
@@ -50,7 +50,7 @@
         if (!self->m_open)
             return;
         if (failed) {
-            self->end(channel_end::Refused);
+            self->end(failed == asio::error::connection_refused ? channel_end::Refused : channel_end::NotConnected);
             return;
         }
         if (const auto listener = self->m_listener.lock())
--- a/gateway/byte_channel.h
+++ b/gateway/byte_channel.h
@@ -17,7 +17,8 @@
 enum class channel_end {
     Closed, ///< in an orderly way, by the peer
     Reset, ///< the peer or the network broke it, or it timed out
-    Refused, ///< it was never established
+    Refused, ///< nobody listens at the address
+    NotConnected, ///< it was never established for another reason
 };
 
 /// Receives what happens on a connection.
--- /dev/null
+++ b/gateway/crash_news_codec.cpp
@@ -0,0 +1,83 @@
+#include "gateway/crash_news_codec.h"
+
+#include "wire/messages.pb.h"
+
+#include <algorithm>
+
+namespace oriolepick {
+
+namespace {
+
+    constexpr std::chrono::milliseconds LongestAge { std::chrono::hours(48) }; ///< twice a quarantine
+    constexpr std::size_t MaxNameBytes = 256;
+
+    std::uint32_t limited(std::chrono::milliseconds age)
+    {
+        return static_cast<std::uint32_t>(std::clamp(age, std::chrono::milliseconds(0), LongestAge).count());
+    }
+
+    bool isAge(std::uint32_t milliseconds)
+    {
+        return std::chrono::milliseconds(milliseconds) <= LongestAge;
+    }
+
+    std::optional<crash_note> decodeNote(const wire::crash_note& in)
+    {
+        if (static_cast<std::size_t>(in.sightings_size()) > MaxCrashSightings || !isAge(in.since_cleared_ms()))
+            return std::nullopt;
+        crash_note note;
+        note.request = in.request();
+        for (const auto& each : in.sightings()) {
+            if (each.target().empty() || each.target().size() > MaxNameBytes || !isAge(each.age_ms()))
+                return std::nullopt;
+            note.sightings.push_back(
+                { each.crash(), target_name(each.target()), std::chrono::milliseconds(each.age_ms()) });
+        }
+        if (in.cleared())
+            note.sinceCleared = std::chrono::milliseconds(in.since_cleared_ms());
+        return note;
+    }
+
+} // namespace
+
+void encode(const crash_news& news, wire::crash_news& out)
+{
+    out.set_purpose(static_cast<std::uint32_t>(news.why));
+    for (const auto& note : news.notes) {
+        auto& added = *out.add_notes();
+        added.set_request(note.request);
+        for (const auto& each : note.sightings) {
+            auto& sighting = *added.add_sightings();
+            sighting.set_crash(each.crash);
+            sighting.set_target(each.target.value());
+            sighting.set_age_ms(limited(each.age));
+        }
+        added.set_cleared(note.sinceCleared.has_value());
+        added.set_since_cleared_ms(limited(note.sinceCleared.value_or(std::chrono::milliseconds(0))));
+    }
+    out.set_has_digest(news.digest.has_value());
+    if (news.digest) {
+        out.set_requests(news.digest->requests);
+        out.set_hash(news.digest->hash);
+    }
+}
+
+std::optional<crash_news> decode(const wire::crash_news& in)
+{
+    if (in.purpose() > static_cast<std::uint32_t>(crash_news::purpose::Exchange)
+        || static_cast<std::size_t>(in.notes_size()) > MaxCrashNotes)
+        return std::nullopt;
+    crash_news news;
+    news.why = static_cast<crash_news::purpose>(in.purpose());
+    for (const auto& each : in.notes()) {
+        auto note = decodeNote(each);
+        if (!note)
+            return std::nullopt;
+        news.notes.push_back(std::move(*note));
+    }
+    if (in.has_digest())
+        news.digest = quarantine_digest { in.requests(), in.hash() };
+    return news;
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/crash_watch.cpp
@@ -0,0 +1,198 @@
+#include "gateway/crash_watch.h"
+
+#include "core/text.h"
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace oriolepick {
+
+namespace {
+
+    /// A machine that is up refuses within a round trip; lost packets are not waited for, since the request may be.
+    constexpr std::chrono::milliseconds CheckPatience { 60 };
+    /// Connections to one target break within milliseconds of its end, but a busy loop hears of some later. After a
+    /// second a target may be back, and break under something else.
+    constexpr std::chrono::milliseconds SameCrash { 800 };
+    /// Time for the requests without progress at all nodes to explain a crash, by a check and a message.
+    constexpr std::chrono::milliseconds ProgressDelay { 300 };
+    constexpr std::size_t MaxEnds = 512; ///< far above the targets that end within SameCrash
+
+} // namespace
+
+crash_watch::crash_watch(boost::asio::io_context& loop, const node_id& self, sender send, const target_board& board,
+    std::uint64_t seed, timer_queue& timers, decision_log& log, gateway_metrics& metrics)
+    : m_loop(loop)
+    , m_send(std::move(send))
+    , m_board(board)
+    , m_timers(timers)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_ledger(self, shared_crash_settings {}, seeded_random(seed), timers.now())
+    , m_tickDue(instant::max())
+{
+}
+
+crash_watch::~crash_watch()
+{
+    m_timers.cancel(m_tickTimer);
+}
+
+void crash_watch::start()
+{
+    perform({});
+}
+
+void crash_watch::setNodes(std::vector<node_id> others)
+{
+    m_ledger.setNodes(std::move(others));
+}
+
+void crash_watch::receive(const node_id& from, const crash_news& news)
+{
+    const auto before = m_ledger.quarantined(m_timers.now());
+    perform(m_ledger.receive(from, news, m_timers.now()));
+    const auto after = m_ledger.quarantined(m_timers.now());
+    if (before != after)
+        m_log.write("quarantine_changed", { { "from", from.value() }, { "requests", std::to_string(after) } });
+}
+
+bool crash_watch::isQuarantined(request_fingerprint request) const
+{
+    return m_ledger.verdict(request, m_timers.now()) == crash_verdict::Quarantined;
+}
+
+bool crash_watch::isInDoubt(request_fingerprint request) const
+{
+    if (m_ledger.verdict(request, m_timers.now()) != crash_verdict::Isolated)
+        return false;
+    return std::any_of(m_ends.begin(), m_ends.end(), [request](const auto& each) {
+        const auto& suspects = each.second.suspects;
+        return each.second.checking && std::any_of(suspects.begin(), suspects.end(), [request](const suspect& one) {
+            return one.request == request;
+        });
+    });
+}
+
+void crash_watch::attemptBroken(request_fingerprint request, const target_entry& target, bool madeProgress)
+{
+    const auto now = m_timers.now();
+    if (!m_board.takesRequests(target.name, now))
+        return; // its end is planned
+    forgetOld();
+    auto& end = m_ends[target.name];
+    if (end.crash && (now >= end.crashedAt + SameCrash || end.startedAt != target.startedAt)) {
+        end.crash = 0;
+        end.number = end.startedAt == target.startedAt ? end.number + 1 : 0;
+    }
+    end.startedAt = target.startedAt;
+    end.suspects.push_back({ request, madeProgress });
+    if (end.crash) {
+        record(target.name, end);
+        return;
+    }
+    if (std::exchange(end.checking, true))
+        return;
+    m_metrics.count("crash_checks");
+    std::make_shared<connection_check>(m_loop, m_timers, [this, target](connection_check::finding found) {
+        onChecked(target.name, target.address, found);
+    })->start(target.address, CheckPatience);
+}
+
+void crash_watch::onChecked(const target_name& target, const std::string& address, connection_check::finding found)
+{
+    const auto entry = m_ends.find(target);
+    if (entry == m_ends.end())
+        return;
+    auto& end = entry->second;
+    end.checking = false;
+    if (found != connection_check::finding::NobodyListens) {
+        end.suspects.clear();
+        return;
+    }
+    const target_id id(fleet_name("local"), target.value());
+    end.crash = crashIdOf(id, end.startedAt + end.number);
+    end.crashedAt = m_timers.now();
+    m_metrics.count("targets_crashed");
+    m_log.write("target_crashed",
+        { { "target", target.value() }, { "address", address }, { "suspects", std::to_string(end.suspects.size()) } });
+    record(target, end);
+}
+
+void crash_watch::record(const target_name& target, target_end& end)
+{
+    std::vector<request_fingerprint> requests;
+    for (const auto& each : std::exchange(end.suspects, {})) {
+        if (each.madeProgress)
+            recordLater(target, end.crash, each.request);
+        else
+            requests.push_back(each.request);
+    }
+    if (requests.empty())
+        return;
+    perform(m_ledger.recordCrash(target, end.crash, requests, m_timers.now()));
+    for (const auto request : requests) {
+        if (!isQuarantined(request))
+            continue;
+        m_metrics.count("requests_quarantined");
+        m_log.write("request_quarantined",
+            { { "request", hexadecimal(request) }, { "target", target.value() },
+                { "crashes", std::to_string(m_ledger.crashesOf(request, m_timers.now())) } });
+    }
+}
+
+// Most requests that run beside one that crashes its target have made progress there.
+void crash_watch::recordLater(const target_name& target, std::uint64_t crash, request_fingerprint request)
+{
+    m_timers.at(m_timers.now() + ProgressDelay, [this, target, crash, request] {
+        const auto now = m_timers.now();
+        if (!m_ledger.isExplained(crash, request, now))
+            perform(m_ledger.recordCrash(target, crash, { request }, now));
+    });
+}
+
+void crash_watch::ranToEnd(request_fingerprint request)
+{
+    const bool wasQuarantined = isQuarantined(request);
+    perform(m_ledger.recordSuccess(request, m_timers.now()));
+    if (wasQuarantined)
+        m_log.write("request_cleared", { { "request", hexadecimal(request) } });
+}
+
+void crash_watch::perform(const shared_crash_ledger::actions& actions)
+{
+    for (const auto& action : actions)
+        m_send(action.to, action.news);
+    const auto due = m_ledger.nextDue();
+    if (m_tickTimer && due >= m_tickDue)
+        return;
+    m_timers.cancel(m_tickTimer);
+    tickAt(due);
+}
+
+void crash_watch::tickAt(instant due)
+{
+    m_tickDue = due;
+    m_tickTimer = m_timers.at(due, [this] {
+        m_tickTimer = 0;
+        perform(m_ledger.tick(m_timers.now()));
+    });
+}
+
+void crash_watch::forgetOld()
+{
+    if (m_ends.size() < MaxEnds)
+        return;
+    const auto now = m_timers.now();
+    for (auto each = m_ends.begin(); each != m_ends.end();) {
+        const bool old = !each->second.checking && now >= each->second.crashedAt + SameCrash;
+        each = old ? m_ends.erase(each) : std::next(each);
+    }
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/crash_watch.h
@@ -0,0 +1,90 @@
+/// \file
+/// Tells crashes of targets from broken connections, and learns which requests cause them.
+#pragma once
+
+#include "gateway/connection_check.h"
+#include "gateway/timer_queue.h"
+#include "routing/shared_crash_ledger.h"
+#include "routing/target_board.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace oriolepick {
+
+class decision_log;
+class gateway_metrics;
+
+/// Drives shared_crash_ledger for one node. A connection that broke under a request counts as a crash only when nobody
+/// listens at the target's address any more: connections are also reset for other reasons.
+class crash_watch {
+public:
+    using sender = std::function<void(const node_id& to, const crash_news& news)>;
+
+    /// \param board tells which targets leave as planned; all references outlive this object
+    crash_watch(boost::asio::io_context& loop, const node_id& self, sender send, const target_board& board,
+        std::uint64_t seed, timer_queue& timers, decision_log& log, gateway_metrics& metrics);
+    ~crash_watch();
+
+    /// Begins to exchange with other nodes.
+    void start();
+
+    /// Sets the nodes that are believed alive, without this one.
+    void setNodes(std::vector<node_id> others);
+
+    void receive(const node_id& from, const crash_news& news);
+
+    /// The connection to \p target broke under an attempt at \p request.
+    /// \param madeProgress the target had sent a part of its answer: others in flight are suspected first
+    void attemptBroken(request_fingerprint request, const target_entry& target, bool madeProgress);
+
+    /// \p request ran to its end at a target.
+    void ranToEnd(request_fingerprint request);
+
+    /// \return whether \p request has crashed so many targets that it must not reach another one
+    bool isQuarantined(request_fingerprint request) const;
+
+    /// \return whether a check under way may show that \p request must not reach another target
+    bool isInDoubt(request_fingerprint request) const;
+
+private:
+    struct suspect {
+        request_fingerprint request;
+        bool madeProgress;
+    };
+    /// What is known of the end of one incarnation of a target.
+    struct target_end {
+        std::uint64_t startedAt = 0; // of the incarnation
+        std::vector<suspect> suspects; // not yet recorded
+        bool checking = false;
+        std::uint64_t crash = 0; // 0 while it is not known to have crashed
+        instant crashedAt;
+        std::uint32_t number = 0; // of the crash, for a target that comes back under its name
+    };
+
+    void onChecked(const target_name& target, const std::string& address, connection_check::finding found);
+    void record(const target_name& target, target_end& end);
+    void recordLater(const target_name& target, std::uint64_t crash, request_fingerprint request);
+    void perform(const shared_crash_ledger::actions& actions);
+    void tickAt(instant due);
+    void forgetOld();
+
+    boost::asio::io_context& m_loop;
+    sender m_send;
+    const target_board& m_board;
+    timer_queue& m_timers;
+    decision_log& m_log;
+    gateway_metrics& m_metrics;
+    shared_crash_ledger m_ledger;
+    std::map<target_name, target_end> m_ends;
+    timer_handle m_tickTimer = 0;
+    instant m_tickDue;
+};
+
+} // namespace oriolepick
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -62,7 +62,7 @@
 
 void exchange::start()
 {
-    if (!decode() || !admit() || refuseWhileStopping())
+    if (!decode() || !admit() || refuseQuarantined() || refuseWhileStopping())
         return;
     m_parts.allowance.recordRequest(m_service, m_startedAt);
     m_deadlineTimer = m_parts.timers.at(m_deadline, [self = weak_from_this()] {
@@ -162,7 +162,8 @@
     const auto answer = errorAnswer(kind, why, m_parts.random, returnAfter);
     m_parts.log.write("refused",
         { { "attempt", m_caller.attempt }, { "request", requestText() }, { "code", std::string(outcome) },
-            { "why", std::string(why) }, { "attempts", std::to_string(m_attempts) }, { "config_version", std::to_string(m_parts.config.version()) },
+            { "why", std::string(why) }, { "attempts", std::to_string(m_attempts) },
+            { "config_version", std::to_string(m_parts.config.version()) },
             { "usable_targets", std::to_string(m_parts.board.usableTargets(m_service, m_parts.timers.now())) } });
     m_sink->sendWhole(answer.head, answer.body);
     finish(outcome);
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -91,6 +91,8 @@
 
     // attempts, in exchange_attempts.cpp
     void dispatch();
+    bool refuseQuarantined();
+    void dispatchAt(instant due);
     void waitForTarget();
     std::chrono::milliseconds spread(std::chrono::milliseconds range);
     std::chrono::milliseconds returnAfterPause(instant pauseEnd);
@@ -151,6 +153,7 @@
     http_response_head m_head;
     target_reply m_reply;
     bool m_streaming = false; // the response in progress is the stream
+    bool m_progressed = false; // the target has sent an event
     std::string m_body;
     event_splitter m_events;
     memory_share m_answerMemory; // of the two above
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -3,6 +3,7 @@
 #include "gateway/exchange.h"
 
 #include "gateway/answer_sink.h"
+#include "gateway/crash_watch.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
@@ -22,6 +23,8 @@
 
     /// Pause before targets are looked up again when there is none: a fraction of a crashed engine's second of absence.
     constexpr std::chrono::milliseconds TargetWait { 50 };
+    /// Between two looks at a check whether a target crashed, which takes a round trip.
+    constexpr std::chrono::milliseconds CrashCheckWait { 5 };
     /// Callers that are told to return after a pause do so over at least this time.
     constexpr std::chrono::milliseconds ShortestReturnSpread { 300 };
     /// A copy is begun with the first part of the prompt and sent several times a second.
@@ -42,8 +45,12 @@
     if (m_over)
         return;
     const auto now = m_parts.timers.now();
-    if (refuseHopeless())
+    if (refuseQuarantined() || refuseHopeless())
         return;
+    if (m_parts.crashes.isInDoubt(m_fingerprint)) {
+        dispatchAt(now + CrashCheckWait);
+        return;
+    }
     if (hasUsableCopy()) {
         askCopyHolder(*m_copyHolder);
         return;
@@ -87,7 +94,22 @@
         return;
     }
     // Requests that wait for the same pause do not end it together.
-    const auto due = pauseEnd ? *pauseEnd + spread(TargetWait) : now + TargetWait;
+    dispatchAt(pauseEnd ? *pauseEnd + spread(TargetWait) : now + TargetWait);
+}
+
+// A request that ended several targets would end the next one too.
+bool exchange::refuseQuarantined()
+{
+    if (!m_parts.crashes.isQuarantined(m_fingerprint))
+        return false;
+    m_parts.metrics.count("quarantined_requests_refused");
+    refuse(m_history.mayHaveRun ? error_kind::TargetFailed : error_kind::RequestQuarantined,
+        "the request crashes its targets");
+    return true;
+}
+
+void exchange::dispatchAt(instant due)
+{
     m_waitTimer = m_parts.timers.at(due, [self = weak_from_this()] {
         if (const auto exchange = self.lock()) {
             exchange->m_waitTimer = 0;
@@ -172,6 +194,7 @@
     m_ordering = false;
     m_sent = false;
     m_streaming = false;
+    m_progressed = false;
     m_body = {}; // its memory too
     m_events.reset();
     m_answerMemory.set(0);
@@ -312,6 +335,7 @@
             return;
         }
         m_parts.board.recordSuccess(m_target->name);
+        m_parts.crashes.ranToEnd(m_fingerprint);
         if (m_eventsForwarded && m_attempts == 1)
             m_parts.generationPace.record(m_service, m_eventsForwarded - 1,
                 std::chrono::duration_cast<std::chrono::milliseconds>(now - m_firstEventAt));
@@ -340,6 +364,8 @@
         return;
     }
     m_history.mayHaveRun = true;
+    if (m_reply.signedByTarget)
+        m_parts.crashes.ranToEnd(m_fingerprint);
     const bool success = m_head.status >= 200 && m_head.status < 300;
     if (m_reply.encoded || (success && !m_reply.signedByTarget)) {
         recordTargetFault(target_fault::WrongAnswer, "unsigned_answer");
@@ -378,6 +404,8 @@
             : failure == link_failure::Reset ? "reset"
                                              : "closed");
     if (sent) {
+        if (!wrong)
+            m_parts.crashes.attemptBroken(m_fingerprint, *m_target, m_progressed);
         m_history.mayHaveRun = true;
         ++(wrong ? m_history.answered : m_history.lost);
     }
@@ -392,8 +420,7 @@
         m_tried.push_back(m_target->name);
     m_parts.log.write("attempt_failed",
         { { "attempt", m_caller.attempt }, { "request", requestText() }, { "target", m_target->name.value() },
-            { "what", std::string(what) },
-            { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
+            { "what", std::string(what) }, { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
 }
 
 void exchange::repeatOrGiveUp(attempt_end end)
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -53,6 +53,7 @@
 {
     m_stall.tokenArrived(m_parts.timers.now());
     m_probesInSilence = 0;
+    m_progressed = true;
     if (event.id) {
         if (m_lastEvent && *event.id <= *m_lastEvent)
             return true; // the caller has it
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -12,6 +12,7 @@
 class answer_pace;
 class config_in_force;
 class copy_orders;
+class crash_watch;
 class decision_log;
 class gateway_metrics;
 class generation_pace;
@@ -41,6 +42,7 @@
     target_prober& prober;
     target_notices& notices;
     copy_orders& copies;
+    crash_watch& crashes;
     replacement_finder& replacements;
     run_handover& handover;
     retry_allowance& allowance;
--- a/gateway/http_call.cpp
+++ b/gateway/http_call.cpp
@@ -131,7 +131,8 @@
         return;
     }
     if (m_done)
-        fail(end == channel_end::Refused ? "not connected" : "the connection was lost");
+        fail(end == channel_end::Refused || end == channel_end::NotConnected ? "not connected"
+                                                                             : "the connection was lost");
 }
 
 void http_call::fail(const std::string& problem)
--- a/gateway/news_codec.cpp
+++ b/gateway/news_codec.cpp
@@ -1,5 +1,6 @@
 #include "gateway/news_codec.h"
 
+#include "gateway/crash_news_codec.h"
 #include "gateway/socket_address.h"
 #include "wire/membership_codec.h"
 #include "wire/messages.pb.h"
@@ -151,6 +152,8 @@
         encode(*message, *encoded.mutable_membership());
     else if (const auto* digest = std::get_if<news_digest>(&datagram.body))
         encodeDigest(*digest, *encoded.mutable_news());
+    else if (const auto* crashes = std::get_if<crash_news>(&datagram.body))
+        encode(*crashes, *encoded.mutable_crashes());
     else
         encodeRun(std::get<run_message>(datagram.body), encoded);
     return encoded.SerializeAsString();
@@ -177,6 +180,13 @@
         datagram.body = *digest;
         return datagram;
     }
+    if (encoded.has_crashes()) {
+        auto crashes = decode(encoded.crashes());
+        if (!crashes)
+            return std::nullopt;
+        datagram.body = std::move(*crashes);
+        return datagram;
+    }
     auto message = decodeRun(encoded);
     if (!message)
         return std::nullopt;
--- a/gateway/news_codec.h
+++ b/gateway/news_codec.h
@@ -5,6 +5,7 @@
 #include "core/membership_messages.h"
 #include "gateway/news_batch.h"
 #include "gateway/run_messages.h"
+#include "routing/crash_news.h"
 #include "routing/news_digest.h"
 
 #include <optional>
@@ -17,7 +18,7 @@
 /// One datagram.
 struct node_datagram {
     node_id sender; ///< "IP:PORT" where the sender receives
-    std::variant<membership_message, news_digest, run_message> body;
+    std::variant<membership_message, news_digest, run_message, crash_news> body;
 };
 
 std::string encodeDatagram(const node_datagram& datagram);
--- a/gateway/target_link.cpp
+++ b/gateway/target_link.cpp
@@ -175,7 +175,7 @@
     if (!m_busy)
         return;
     const auto self = shared_from_this();
-    if (end == channel_end::Refused) {
+    if (end == channel_end::Refused || end == channel_end::NotConnected) {
         fail(link_failure::NotSent);
         return;
     }
--- a/gateway/test/news_codec.cpp
+++ b/gateway/test/news_codec.cpp
@@ -68,6 +68,35 @@
     EXPECT_FALSE(decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), run_message(nowhere) })));
 }
 
+TEST(NewsCodec, MessagesAboutCrashesSurviveTheWay)
+{
+    crash_news news { crash_news::purpose::Verdict, {}, quarantine_digest { 3, 99 } };
+    news.notes.push_back({ 7, { { 8, target_name("t1"), 20ms }, { 9, target_name("t2"), 26h } }, 3s });
+    news.notes.push_back({ ~request_fingerprint { 0 }, {}, std::nullopt });
+    const auto sent = [](const crash_news& each) {
+        return decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), each }));
+    };
+    const auto decoded = sent(news);
+    ASSERT_TRUE(decoded);
+    const auto& received = std::get<crash_news>(decoded->body);
+    EXPECT_EQ(received.why, crash_news::purpose::Verdict);
+    ASSERT_EQ(received.notes.size(), 2U);
+    EXPECT_EQ(received.notes[0].request, 7U);
+    EXPECT_EQ(received.notes[0].sightings[1].target.value(), "t2");
+    EXPECT_EQ(received.notes[0].sightings[1].age, 26h);
+    EXPECT_EQ(received.notes[0].sinceCleared, 3s);
+    EXPECT_FALSE(received.notes[1].sinceCleared);
+    EXPECT_TRUE(received.digest == news.digest);
+    auto nameless = news;
+    nameless.notes[0].sightings[0].target = {};
+    EXPECT_FALSE(sent(nameless));
+    auto crowded = news;
+    crowded.notes.resize(MaxCrashNotes + 1);
+    EXPECT_FALSE(sent(crowded)) << "more than a node sends";
+    news.why = static_cast<crash_news::purpose>(9);
+    EXPECT_FALSE(sent(news));
+}
+
 TEST(NewsCodec, LargeBatchesAreDeflatedAndBounded)
 {
     news_batch batch;
