--- a/node/test/node_fixture.h
+++ b/node/test/node_fixture.h
@@ -89,8 +89,9 @@
 
     void TearDown() override
     {
-        if (m_node)
+        if (m_node) {
             EXPECT_TRUE(m_node->drainAndStop());
+        }
         // Closes the connections that the emulators would wait for.
         m_node.reset();
         m_engine.stop();
@@ -172,7 +173,10 @@
 
     platform_emulator m_platform { platform_emulator_options {} };
     engine_emulator m_engine { engineSettings() };
-    service_emulator m_service { 64 };
+    /// The service got a request while its fault "exit_on_accept" is on.
+    virtual void onServiceExit() { }
+
+    service_emulator m_service { 64, [this] { onServiceExit(); } };
     settings m_settings;
     std::unique_ptr<daemon> m_node;
 };
--- a/standins/service_emulator.cpp
+++ b/standins/service_emulator.cpp
@@ -77,6 +77,11 @@
     m_listener.stop();
 }
 
+void service_emulator::closeListener()
+{
+    m_listener.server().stop();
+}
+
 std::string service_emulator::applyFaults(std::string_view text)
 {
     const json switches = json::parse(text.begin(), text.end(), nullptr, false);
--- a/standins/service_emulator.h
+++ b/standins/service_emulator.h
@@ -42,6 +42,10 @@
     /// \return whether the address could be bound
     bool start(const std::string& address);
     void stop();
+
+    /// Stops to listen, as a process that ends; may be called while a request is handled. stop() must follow.
+    void closeListener();
+
     const std::string& address() const { return m_listener.address(); }
 
     /// Sets all faults from a JSON object with "exit_on_accept", "reset_before_body", "reset_after_run" (bool),
