Ask the crash ledger before calls to plain services too

What callers saw: a call that ends its service was run again with each new key. Its generations ask the crash ledger and its calls did not; the check whether a target crashed knew engines only.

Change: calls are admitted by their fingerprint (team, service, method, path, body) like generations, with the permit that runs a suspect alone; a call that got no answer is a crash when the service's machine refuses connections. A call is not repeated once it is quarantined. A quarantined call that may run once returns what its key's row says, if there is one, and 422 otherwise.

--- a/node/call_driver.cpp
+++ b/node/call_driver.cpp
@@ -3,6 +3,7 @@
 #include "core/fleet_state.h"
 #include "core/grant_owner.h"
 #include "node/control_loop.h"
+#include "node/crash_guard.h"
 #include "node/node_log.h"
 #include "node/node_metrics.h"
 #include "node/peer_hub.h"
@@ -42,11 +43,13 @@
 
 } // namespace
 
-call_driver::call_driver(table_service& table, service_client& services, target_directory& targets, peer_hub& peers,
-    control_loop& loop, node_metrics& metrics, std::chrono::milliseconds tableTimeout, std::uint64_t seed)
+call_driver::call_driver(table_service& table, service_client& services, target_directory& targets,
+    crash_guard& crashes, peer_hub& peers, control_loop& loop, node_metrics& metrics,
+    std::chrono::milliseconds tableTimeout, std::uint64_t seed)
     : m_table(table)
     , m_services(services)
     , m_targets(targets)
+    , m_crashes(crashes)
     , m_peers(peers)
     , m_loop(loop)
     , m_metrics(metrics)
@@ -183,12 +186,16 @@
         logError("call dispatched twice", { { "service", service.text() } });
     }
     const auto& dispatch = call->second.dispatch;
-    const bool queued = m_sendTasks.submit(
-        [this, action, address = *address, request = dispatch.request, timeouts = dispatch.timeouts] {
-            call_abort abort;
-            const auto outcome = m_services.call(address, request, timeouts, abort);
-            m_loop.post([this, action, outcome](instant) { finishSend(action.number, action.target, outcome); });
-        });
+    const bool queued = m_sendTasks.submit([this, action, address = *address, request = dispatch.request,
+                                               timeouts = dispatch.timeouts, fingerprint = dispatch.fingerprint] {
+        call_abort abort;
+        m_crashes.attemptStarted(fingerprint, action.target, nullptr);
+        const auto outcome = m_services.call(address, request, timeouts, abort);
+        if (outcome.kind == service_outcome_kind::MayHaveRun)
+            m_crashes.callLost(action.target);
+        m_crashes.attemptEnded(fingerprint, action.target, nullptr);
+        m_loop.post([this, action, outcome](instant) { finishSend(action.number, action.target, outcome); });
+    });
     if (!queued)
         finishSend(action.number, action.target, {});
 }
--- a/node/call_driver.h
+++ b/node/call_driver.h
@@ -6,6 +6,7 @@
 #include "config/call_row_json.h"
 #include "core/call_desk.h"
 #include "core/call_garbage_collector.h"
+#include "core/crash_ledger.h"
 #include "node/task_pool.h"
 #include "targets/service_client.h"
 
@@ -18,6 +19,7 @@
 namespace oriolepick {
 
 class control_loop;
+class crash_guard;
 class fleet_state;
 class node_metrics;
 class peer_hub;
@@ -30,14 +32,16 @@
     std::vector<target_id> targets;
     service_request request;
     service_timeouts timeouts;
+    request_fingerprint fingerprint = 0;
 };
 
 class call_driver {
 public:
     using reply_handler = std::function<void(const call_reply&)>;
 
-    call_driver(table_service& table, service_client& services, target_directory& targets, peer_hub& peers,
-        control_loop& loop, node_metrics& metrics, std::chrono::milliseconds tableTimeout, std::uint64_t seed);
+    call_driver(table_service& table, service_client& services, target_directory& targets, crash_guard& crashes,
+        peer_hub& peers, control_loop& loop, node_metrics& metrics, std::chrono::milliseconds tableTimeout,
+        std::uint64_t seed);
 
     /// Opens a call; \p onReply runs once, on the control loop. Thread-safe.
     void open(call_request request, call_dispatch dispatch, reply_handler onReply);
@@ -80,6 +84,7 @@
     table_service& m_table;
     service_client& m_services;
     target_directory& m_targets;
+    crash_guard& m_crashes;
     peer_hub& m_peers;
     control_loop& m_loop;
     node_metrics& m_metrics;
--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -8,6 +8,7 @@
 #include "node/target_directory.h"
 #include "ports/table_service.h"
 #include "targets/engine_client.h"
+#include "targets/service_client.h"
 #include "wire/messages.pb.h"
 
 #include <set>
@@ -20,6 +21,8 @@
     // A crashed process refuses the connection at once. One that does not answer in this time is paused, not crashed,
     // and the resume must not wait longer.
     constexpr std::chrono::milliseconds CrashCheckTimeout { 50 };
+    /// Connections to one target break within milliseconds of its end; a process is not back and ended again so soon.
+    constexpr std::chrono::milliseconds SameServiceCrash { 500 };
     constexpr std::chrono::milliseconds ExpirePeriod { 60'000 };
     constexpr std::chrono::milliseconds BusyRetry { 1000 };
     constexpr int ReleaseTries = 5;
@@ -33,11 +36,12 @@
 } // namespace
 
 crash_guard::crash_guard(std::string holderPrefix, table_service& table, engine_client& engines,
-    const target_directory& targets, peer_hub& peers, control_loop& loop, node_metrics& metrics,
-    std::chrono::milliseconds tableTimeout)
+    service_client& services, const target_directory& targets, peer_hub& peers, control_loop& loop,
+    node_metrics& metrics, std::chrono::milliseconds tableTimeout)
     : m_holderPrefix(std::move(holderPrefix))
     , m_table(table)
     , m_engines(engines)
+    , m_services(services)
     , m_targets(targets)
     , m_peers(peers)
     , m_loop(loop)
@@ -89,10 +93,10 @@
     return std::get<permit_ended>(next).how;
 }
 
-result<guarded_request> crash_guard::admit(const model_ref& model, const std::string& prompt)
+result<guarded_request> crash_guard::admit(request_fingerprint fingerprint)
 {
     guarded_request request;
-    request.fingerprint = fingerprintOf(model, prompt);
+    request.fingerprint = fingerprint;
     const auto verdict = [&] {
         std::lock_guard<std::mutex> lock(m_mutex);
         return m_ledger.verdict(wallNow(), request.fingerprint);
@@ -152,7 +156,8 @@
     std::lock_guard<std::mutex> lock(m_mutex);
     m_ledger.attemptStarted(fingerprint, target);
     m_inFlight[target].insert(fingerprint);
-    m_streams[target].insert(events);
+    if (events)
+        m_streams[target].insert(events);
 }
 
 void crash_guard::attemptEnded(
@@ -164,6 +169,8 @@
     const auto found = running.find(fingerprint);
     if (found != running.end())
         running.erase(found);
+    if (!events)
+        return;
     auto& streams = m_streams[target];
     const auto stream = streams.find(events);
     if (stream != streams.end())
@@ -194,29 +201,63 @@
 void crash_guard::streamsLost(const target_id& target)
 {
     const auto incarnation = m_targets.incarnationOf(target);
-    crash_event event { crashIdOf(target, incarnation), target, wallNow(), {} };
+    const auto crash = crashIdOf(target, incarnation);
     {
         std::lock_guard<std::mutex> lock(m_mutex);
-        if (m_known.count(event.crash))
+        if (m_known.count(crash))
             return;
     }
-    if (stillRuns(target, incarnation))
-        return;
+    if (!stillRuns(target, incarnation))
+        recordCrash({ crash, target, wallNow(), {} });
+}
+
+void crash_guard::callLost(const target_id& target)
+{
+    const auto address = m_targets.addressOf(target);
+    if (address && m_services.refusesConnections(*address, CrashCheckTimeout))
+        recordCrash({ serviceCrashId(target), target, wallNow(), {} });
+}
+
+// Targets of plain services report no incarnation: what ends shortly after an end is the same end.
+std::uint64_t crash_guard::serviceCrashId(const target_id& target)
+{
+    const auto now = wallNow();
+    std::lock_guard<std::mutex> lock(m_mutex);
+    auto& last = m_serviceCrashes[target];
+    const bool isSame = last.crash && now >= last.at && now < last.at + SameServiceCrash;
+    if (!isSame) {
+        const auto since = now.time_since_epoch();
+        last = { crashIdOf(target, static_cast<std::uint64_t>(since / SameServiceCrash)), target, now };
+    }
+    return last.crash;
+}
+
+void crash_guard::recordCrash(crash_event event)
+{
+    bool isKnown = false;
     {
         std::lock_guard<std::mutex> lock(m_mutex);
-        if (!m_known.insert(event.crash).second)
-            return;
+        isKnown = !m_known.insert(event.crash).second;
         if (m_known.size() > MaximumKnownCrashes)
             m_known.erase(m_known.begin());
-        const auto& running = m_inFlight[target];
+        const auto& running = m_inFlight[event.target];
         event.suspects.assign(running.begin(), running.end());
         m_ledger.recordCrash(event.at, event);
     }
+    broadcast(event); // of a known crash too: its suspects are heard of one by one
+    if (isKnown)
+        return;
     m_metrics.add(counter_metric::StateChanges, { { "part", "target" }, { "to", "crashed" } });
     logWarning("target",
-        { { "target", target.text() }, { "to", "crashed" }, { "suspects", std::to_string(event.suspects.size()) } });
-    notifyStreams(target);
-    broadcast(event);
+        { { "target", event.target.text() }, { "to", "crashed" },
+            { "suspects", std::to_string(event.suspects.size()) } });
+    notifyStreams(event.target);
+}
+
+bool crash_guard::mayRepeat(request_fingerprint fingerprint) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_ledger.verdict(wallNow(), fingerprint) != crash_verdict::Quarantined;
 }
 
 void crash_guard::broadcast(const crash_event& event)
--- a/node/crash_guard.h
+++ b/node/crash_guard.h
@@ -25,6 +25,7 @@
 class engine_client;
 class node_metrics;
 class peer_hub;
+class service_client;
 class table_service;
 class target_directory;
 
@@ -43,20 +44,22 @@
 /// Thread-safe.
 class crash_guard {
 public:
-    crash_guard(std::string holderPrefix, table_service& table, engine_client& engines, const target_directory& targets,
-        peer_hub& peers, control_loop& loop, node_metrics& metrics, std::chrono::milliseconds tableTimeout);
+    crash_guard(std::string holderPrefix, table_service& table, engine_client& engines, service_client& services,
+        const target_directory& targets, peer_hub& peers, control_loop& loop, node_metrics& metrics,
+        std::chrono::milliseconds tableTimeout);
 
     /// Decides whether a request may run; blocks on the table for an isolated one.
     /// \return RequestCrashesTargets when quarantined; Overloaded while it runs elsewhere in isolation;
     ///     PlatformUnavailable when isolation cannot be arranged
-    result<guarded_request> admit(const model_ref& model, const std::string& prompt);
+    result<guarded_request> admit(request_fingerprint fingerprint);
 
     /// Records the end of an admitted request; blocks on the table for an isolated one.
     void finish(guarded_request& request, bool succeeded);
 
     avoided_targets targetsToAvoid(request_fingerprint fingerprint) const;
 
-    /// \param events is told when the target is known to have crashed, by this node's other streams or by a peer
+    /// \param events is told when the target is known to have crashed, by this node's other streams or by a peer; null
+    ///     for calls, whose connection tells it
     void attemptStarted(
         request_fingerprint fingerprint, const target_id& target, const std::shared_ptr<event_channel>& events);
     void attemptEnded(
@@ -65,6 +68,12 @@
     /// Checks whether a target really crashed and records it with all requests of this node that ran on it.
     void streamsLost(const target_id& target);
 
+    /// The same for a target of a plain service, when a call got no answer from it. The call counts as running.
+    void callLost(const target_id& target);
+
+    /// \return whether the request may reach another target now
+    bool mayRepeat(request_fingerprint fingerprint) const;
+
     /// \return the requests with a record of crashes
     crash_counts counts() const;
 
@@ -74,6 +83,8 @@
 private:
     template <typename Action> permit_ended::end runPermit(crash_permit& permit, Action action);
     bool stillRuns(const target_id& target, std::uint64_t incarnation) const;
+    std::uint64_t serviceCrashId(const target_id& target);
+    void recordCrash(crash_event event);
     void broadcast(const crash_event& event);
     void notifyStreams(const target_id& target);
     void expire();
@@ -81,6 +92,7 @@
     std::string m_holderPrefix;
     table_service& m_table;
     engine_client& m_engines;
+    service_client& m_services;
     const target_directory& m_targets;
     peer_hub& m_peers;
     control_loop& m_loop;
@@ -92,6 +104,7 @@
     std::map<target_id, std::multiset<request_fingerprint>> m_inFlight;
     std::map<target_id, std::multiset<std::shared_ptr<event_channel>>> m_streams; ///< running attempts' channels
     std::set<std::uint64_t> m_known; ///< crashes that were recorded here
+    std::map<target_id, crash_mark> m_serviceCrashes; ///< the last of each target of a plain service
     std::vector<node_id> m_nodes;
     std::atomic<std::uint64_t> m_counter { 0 };
 };
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -104,7 +104,7 @@
         , cursors(configuration.cursorKeys)
         , transport(configuration.peersListen)
         , peers(node_id(configuration.peersListen), incarnation, transport, loop, states, metrics)
-        , crashes(origin, table, engines, targets, peers, loop, metrics, configuration.platformTimeout)
+        , crashes(origin, table, engines, serviceClient, targets, peers, loop, metrics, configuration.platformTimeout)
         , operators(configuration,
               operator_sources { states, targets, traces, control, [this] { return crashes.counts(); } }, status,
               [] { kill(getpid(), SIGTERM); })
@@ -120,8 +120,9 @@
         , limitsDriver(limits, peers, loop)
         , orders(node_id(configuration.peersListen), origin, table, engines, targets, states, loop, tasks, metrics,
               configuration.platformTimeout)
-        , calls(table, serviceClient, targets, peers, loop, metrics, configuration.platformTimeout, processSeed())
-        , services(origin, states, callers, calls, serviceClient, targets, limits, admission, metrics, traces)
+        , calls(table, serviceClient, targets, crashes, peers, loop, metrics, configuration.platformTimeout,
+              processSeed())
+        , services(origin, states, callers, calls, serviceClient, targets, crashes, limits, admission, metrics, traces)
         , edge(configuration, edge_services { completions, services, operators, callers, metrics, status })
     {
         states.addListener([this](const auto& state) {
--- a/node/service_endpoint.cpp
+++ b/node/service_endpoint.cpp
@@ -4,8 +4,10 @@
 #include "core/repeatable_call.h"
 #include "core/resume_admission.h"
 #include "core/stable_hash.h"
+#include "core/text.h"
 #include "node/authenticator.h"
 #include "node/call_driver.h"
+#include "node/crash_guard.h"
 #include "node/node_metrics.h"
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
@@ -63,7 +65,7 @@
 } // namespace
 
 service_endpoint::service_endpoint(std::string keyPrefix, const state_keeper& states, const authenticator& callers,
-    call_driver& calls, service_client& services, target_directory& targets, team_limits& limits,
+    call_driver& calls, service_client& services, target_directory& targets, crash_guard& crashes, team_limits& limits,
     resume_admission& retries, node_metrics& metrics, trace_store& traces)
     : m_keyPrefix(std::move(keyPrefix))
     , m_states(states)
@@ -71,6 +73,7 @@
     , m_calls(calls)
     , m_services(services)
     , m_targets(targets)
+    , m_crashes(crashes)
     , m_limits(limits)
     , m_retries(retries)
     , m_metrics(metrics)
@@ -104,7 +107,8 @@
         return error { error_kind::MethodNotAllowed,
             "method: " + call.method + " is not declared by " + service->text(), {} };
     const auto deadline = call.arrived + method->timeLimit;
-    call_dispatch dispatch { *service, settings->targets, { call.method, call.path, {}, call.body }, {} };
+    call_dispatch dispatch { *service, settings->targets, { call.method, call.path, {}, call.body }, {},
+        fingerprintOf(concatenated(team.text(), " ", service->text()), call.method, call.path, call.body) };
     dispatch.timeouts.idle = method->timeLimit;
     if (!call.contentType.empty())
         dispatch.request.headers.emplace_back("Content-Type", call.contentType);
@@ -116,8 +120,7 @@
     call_reply reply = admitted ? call_reply(call_answer {}) : call_reply(admitted.error());
     if (admitted) {
         const limit_release release(m_limits, team);
-        reply = method->repeatable ? callRepeatable(team, dispatch, deadline)
-                                   : callOnce(call, key, std::move(dispatch), deadline);
+        reply = serveAdmitted(call, key, std::move(dispatch), *method, deadline);
     } else if (!method->repeatable) {
         reply = refuse(call, key, admitted.error());
     }
@@ -129,6 +132,34 @@
     return reply;
 }
 
+call_reply service_endpoint::serveAdmitted(const service_call& call, const request_key& key, call_dispatch dispatch,
+    const service_method& method, instant deadline)
+{
+    auto guarded = m_crashes.admit(dispatch.fingerprint);
+    if (!guarded)
+        return refuseForCrashes(call, key, method, guarded.error());
+    auto reply = method.repeatable ? callRepeatable(key.team, dispatch, deadline)
+                                   : callOnce(call, key, std::move(dispatch), deadline);
+    m_crashes.finish(guarded.value(), reply.has_value());
+    return reply;
+}
+
+call_reply service_endpoint::refuseForCrashes(
+    const service_call& call, const request_key& key, const service_method& method, const error& reason)
+{
+    if (method.repeatable)
+        return reason;
+    // "Not run" has to be proved by the key's row; a quarantined request may have run under this key before.
+    if (answerFor(reason.kind).run == run_state::NotRun)
+        return refuse(call, key, reason);
+    if (!call.requestKey.empty()) {
+        auto known = m_calls.lookUp(key);
+        if (known)
+            return known;
+    }
+    return reason;
+}
+
 call_reply service_endpoint::callRepeatable(const team_id& team, const call_dispatch& dispatch, instant deadline)
 {
     repeatable_call machine(deadline, RepeatableAttempts, RetryAfter);
@@ -160,8 +191,12 @@
             std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now));
         call_abort abort;
         const auto address = m_targets.addressOf(send.target);
+        m_crashes.attemptStarted(dispatch.fingerprint, send.target, nullptr);
         const auto outcome
             = address ? m_services.call(*address, dispatch.request, timeouts, abort) : service_outcome {};
+        if (outcome.kind == service_outcome_kind::MayHaveRun)
+            m_crashes.callLost(send.target);
+        m_crashes.attemptEnded(dispatch.fingerprint, send.target, nullptr);
         const auto after = std::chrono::steady_clock::now();
         m_targets.recordFinished(send.target, 0, true, after);
         if (outcome.kind == service_outcome_kind::Response) {
@@ -170,7 +205,8 @@
             m_targets.recordUnreachable(send.target);
             actions = machine.attemptUnsent(send.ordinal);
         } else {
-            const bool allowed = m_retries.admit({ team, dispatch.service.text(), 0, false, false }, after).has_value();
+            const bool allowed = m_crashes.mayRepeat(dispatch.fingerprint)
+                && m_retries.admit({ team, dispatch.service.text(), 0, false, false }, after).has_value();
             actions = machine.attemptBroken(send.ordinal, allowed);
         }
     }
--- a/node/service_endpoint.h
+++ b/node/service_endpoint.h
@@ -15,6 +15,7 @@
 
 class authenticator;
 class call_driver;
+class crash_guard;
 class fleet_state;
 class node_metrics;
 class resume_admission;
@@ -46,8 +47,8 @@
 class service_endpoint {
 public:
     service_endpoint(std::string keyPrefix, const state_keeper& states, const authenticator& callers,
-        call_driver& calls, service_client& services, target_directory& targets, team_limits& limits,
-        resume_admission& retries, node_metrics& metrics, trace_store& traces);
+        call_driver& calls, service_client& services, target_directory& targets, crash_guard& crashes,
+        team_limits& limits, resume_admission& retries, node_metrics& metrics, trace_store& traces);
 
     /// Serves a call; blocks until its answer.
     service_reply call(const service_call& call);
@@ -57,6 +58,10 @@
 
 private:
     call_reply serve(const service_call& call, const team_id& team);
+    call_reply serveAdmitted(const service_call& call, const request_key& key, call_dispatch dispatch,
+        const service_method& method, instant deadline);
+    call_reply refuseForCrashes(
+        const service_call& call, const request_key& key, const service_method& method, const error& reason);
     call_reply callRepeatable(const team_id& team, const call_dispatch& dispatch, instant deadline);
     call_reply callOnce(const service_call& call, const request_key& key, call_dispatch dispatch, instant deadline);
     call_reply refuse(const service_call& call, const request_key& key, const error& reason);
@@ -68,6 +73,7 @@
     call_driver& m_calls;
     service_client& m_services;
     target_directory& m_targets;
+    crash_guard& m_crashes;
     team_limits& m_limits;
     resume_admission& m_retries;
     node_metrics& m_metrics;
--- a/node/test/crashing_calls.cpp
+++ b/node/test/crashing_calls.cpp
@@ -46,9 +46,11 @@
                 restartService();
         }
         EXPECT_LE(m_crashes, CountedCrashes + AllowedRetries);
-        // Another request is served.
+        // Another request is served; a GET has no body, so the path tells it apart.
         ASSERT_EQ(m_service.applyFaults("{}"), "");
-        EXPECT_EQ(call(method, method + "-sound", R"({"order":"sound"})").status, 200);
+        const auto sound = send(method, "/v1/services/booking/sound",
+            { { "Authorization", "Bearer bench" }, { "Content-Type", "application/json" } }, "{}");
+        EXPECT_EQ(sound.status, 200) << sound.body;
     }
 
     std::atomic<int> m_crashes { 0 };
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -229,4 +229,14 @@
     return response;
 }
 
+bool refusesConnections(const std::string& address, std::chrono::milliseconds timeout)
+{
+    const auto target = parseAddress(address);
+    if (!target)
+        return false;
+    call_abort abort;
+    target_socket socket(abort, timeout);
+    return !socket.connect(target->host, target->port, timeout).empty() && socket.wasRefused();
+}
+
 } // namespace oriolepick
--- a/targets/http_exchange.h
+++ b/targets/http_exchange.h
@@ -52,4 +52,8 @@
 buffered_response exchangeBuffered(const std::string& address, const service_request& request,
     const service_timeouts& timeouts, std::size_t maxBodyBytes, call_abort& abort);
 
+/// \param address "ip:port"
+/// \return whether the machine there refuses a connection; false also when it does not answer in time
+bool refusesConnections(const std::string& address, std::chrono::milliseconds timeout);
+
 } // namespace oriolepick
--- a/targets/http_service_client.cpp
+++ b/targets/http_service_client.cpp
@@ -27,4 +27,9 @@
     return outcome;
 }
 
+bool http_service_client::refusesConnections(const std::string& address, std::chrono::milliseconds timeout)
+{
+    return oriolepick::refusesConnections(address, timeout);
+}
+
 } // namespace oriolepick
--- a/targets/http_service_client.h
+++ b/targets/http_service_client.h
@@ -21,6 +21,7 @@
 
     service_outcome call(const std::string& address, const service_request& request, const service_timeouts& timeouts,
         call_abort& abort) override;
+    bool refusesConnections(const std::string& address, std::chrono::milliseconds timeout) override;
 
 private:
     std::size_t m_maxBodyBytes;
--- a/targets/service_client.h
+++ b/targets/service_client.h
@@ -53,6 +53,9 @@
     virtual service_outcome call(
         const std::string& address, const service_request& request, const service_timeouts& timeouts, call_abort& abort)
         = 0;
+
+    /// \return whether the machine at \p address answers that nobody listens there: the process has ended
+    virtual bool refusesConnections(const std::string& address, std::chrono::milliseconds timeout) = 0;
 };
 
 } // namespace oriolepick
--- a/targets/target_socket.cpp
+++ b/targets/target_socket.cpp
@@ -75,13 +75,16 @@
     m_abort.watchSocket(m_socket);
     if (::connect(m_socket, reinterpret_cast<const sockaddr*>(&address.storage), address.size) == 0)
         return {};
-    if (errno != EINPROGRESS)
+    if (errno != EINPROGRESS) {
+        m_refused = errno == ECONNREFUSED;
         return describe(errno);
+    }
     if (!wait(POLLOUT, timeout))
         return "connect timed out";
     int failure = 0;
     socklen_t size = sizeof failure;
     ::getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &failure, &size);
+    m_refused = failure == ECONNREFUSED;
     return failure ? describe(failure) : std::string();
 }
 
--- a/targets/target_socket.h
+++ b/targets/target_socket.h
@@ -44,6 +44,7 @@
     void noteProgress() { m_guard.noteProgress(); }
 
     socket_end end() const { return m_end; }
+    bool wasRefused() const { return m_refused; } ///< connect() found that nobody listens
     bool hasSent() const { return m_sent; } ///< whether any byte left this process
     int descriptor() const { return m_socket; }
 
@@ -55,6 +56,7 @@
     const std::chrono::milliseconds m_idle;
     int m_socket = -1;
     bool m_sent = false;
+    bool m_refused = false;
     socket_end m_end = socket_end::Open;
     response_guard m_guard;
     std::array<char, 8192> m_buffer;
