Let the soak send requests that crash their targets

Three callers send one request each, as a repeatable call, a call that runs once and a stream, again and again as new attempts at any node; each run ends its target, whose port then refuses connections until a new one registers.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,6 +45,27 @@
         if connection is not None:
             connection[1].close()
 
+    async def run_crashing(self, kind, until):
+        """Sends one request that crashes its targets again and again, to any node, as a new attempt each time."""
+        number = 0
+        while time.monotonic() < until:
+            node = self.random.randrange(len(self.ports))
+            attempt = f"crash-{kind}-{number}"
+            number += 1
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ports[node]), 1)
+                writer.write(f"POST /{kind}/crash HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
+                             f"X-Via: {node}\r\nToken-Counts: 100,50\r\nContent-Length: 5\r\n\r\ncrash".encode())
+                head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.PATIENCE_S)).decode("latin-1")
+                status = int(head.split(" ", 2)[1])
+                self._count(f"crashing {kind}", status)
+                if status == 503 and attempt in self.ledger.runs:
+                    self.fail(attempt, "a request was refused as not run, but it ran")
+                writer.close()
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                self._count(f"crashing {kind}", "no answer")
+            await asyncio.sleep(0.1 + 0.3 * self.random.random())
+
     def _count(self, kind, outcome):
         self.counts[(kind, outcome)] = self.counts.get((kind, outcome), 0) + 1
 
@@ -97,7 +118,7 @@
             if target.startswith("/once/"):
                 if len(runs) > 1:
                     self.fail(attempt, "a request that runs once ran again")
-                if body.decode() != attempt:
+                if body.decode() != ("crash" if target.endswith("/crash") else attempt):
                     self.fail(attempt, "a body was changed")
         for attempt in self.refused:
             runs = self.ledger.runs.get(attempt, [])
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -14,10 +14,16 @@
         self.random = random.Random(seed)
         self.pairs = set()
         self.port = 0
+        self.server = None
 
     async def listen(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def close(self):
+        """Nobody listens any more, as when the process behind it has ended."""
+        self.server.close()
+        self.reset_all()
 
     def reset_all(self):
         for pair in list(self.pairs):
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -140,6 +140,7 @@
         super().__init__()
         self.name, self.service, self.zone, self.ledger, self.is_engine = name, service, zone, ledger, is_engine
         self.born = int(time.time() * 1000)
+        self.on_crash = None  # called with this target and the request's headers when a request crashes it
         self.fault = ""  # "cut", "mute", "extra", "refuse", "error"
         self.random = random.Random(name)
 
@@ -166,6 +167,10 @@
             writer.write(whole(503, b"", echo + "Not-Executed: 1\r\n"))
             return True
         self.ledger.ran(attempt, target, body)
+        if target.endswith("/crash"):
+            await asyncio.sleep(0.05 * self.random.random())
+            self.on_crash(self, target, headers)
+            return False
         stamp = f"Server-Stamp: {self.name}.{attempt}\r\n"
         if target.startswith("/stream/"):
             return await self._stream(writer, headers, attempt, echo + stamp)
