Let the next node in line read the store soon after one is turned away

Each failed reading pushed back all others by a whole takeover, and the node that had failed was soon first in line again by its rank, so 3.8 s passed between two readings.

A failed or slow reading now lets the next in line try after a 32nd of the bound, four times in a row; after that the store is taken to be away and asked as seldom as before. A node that failed waits twice a period, longer than the others in line.

--- a/routing/news_gossip.cpp
+++ b/routing/news_gossip.cpp
@@ -51,7 +51,7 @@
     actions out;
     if (m_slowAt && now >= *m_slowAt) {
         m_slowAt.reset();
-        m_turn.heardAttempt(now);
+        m_turn.readingIsSlow(now);
         scheduleTelling(true, now);
     }
     m_turn.setLonely(m_lastHeard && now > *m_lastHeard + m_settings.lonely);
@@ -113,11 +113,8 @@
     actions out;
     m_lastHeard = now;
     if (digest.sinceAttempt) {
-        const auto attempt = now - *digest.sinceAttempt;
-        const auto known = m_turn.lastAttempt();
-        if (!known || attempt > *known + m_settings.exchangePeriod / SameWavePart)
+        if (m_turn.heardAttempt(now - *digest.sinceAttempt))
             scheduleTelling(!isLocal(from), now); // or each node would ask a store that is away
-        m_turn.heardAttempt(attempt);
     }
     for (const auto topic : AllTopics)
         hearTopic(out, topic, from, digest, now);
--- a/routing/reader_turn.cpp
+++ b/routing/reader_turn.cpp
@@ -12,6 +12,11 @@
     constexpr int RankDelayPart = 4;
     constexpr int RankStepPart = 80; ///< a reading and the news of it take a few milliseconds
     constexpr int StartDelayPart = 4;
+    constexpr int NextAttemptPart = 32; ///< four nodes in a row may be turned away within half of the bound
+    /// Attempts in vain after which the store is taken to be away: the next ones follow as slowly as after a loss.
+    constexpr std::uint32_t QuickAttempts = 4;
+    /// Attempts that are told nearer to each other are one, told by different ways.
+    constexpr std::chrono::milliseconds SameAttempt { 100 };
     /// Periods without news before another node reads: one in twenty nodes misses a wave, hardly any two in a row.
     constexpr double TakeoverPeriods = 2.25;
     constexpr std::chrono::milliseconds LongestStartDelay { 1'000 }; ///< the nodes that read first need half of it
@@ -26,6 +31,7 @@
     settings.period = bound / PeriodPart;
     settings.lonelyPeriod = bound / LonelyPeriodPart;
     settings.takeover = std::chrono::duration_cast<std::chrono::milliseconds>(settings.period * TakeoverPeriods);
+    settings.nextAttempt = bound / NextAttemptPart;
     settings.rankStep = bound / RankStepPart;
     settings.longestRankDelay = bound / RankDelayPart;
     settings.startDelay = std::min(bound / StartDelayPart, LongestStartDelay);
@@ -58,20 +64,41 @@
     }
     if (m_lastReading && at <= *m_lastReading)
         return;
+    // What is told of one reading varies by the time that it was on its way.
+    if (!m_lastReading || at > *m_lastReading + m_settings.period / 2)
+        forgetAttempts();
     m_lastReading = at;
     if (!m_isReader)
         m_reader = reader;
 }
 
-void reader_turn::heardAttempt(instant at)
+void reader_turn::forgetAttempts()
 {
-    if (!m_lastAttempt || at > *m_lastAttempt)
-        m_lastAttempt = at;
+    if (m_lastAttempt)
+        m_voidUntil = std::max(m_voidUntil, *m_lastAttempt + SameAttempt);
+    m_lastAttempt.reset();
+    m_attemptsInRow = 0;
+}
+
+bool reader_turn::heardAttempt(instant at)
+{
+    if (at <= m_voidUntil || (m_lastAttempt && at <= *m_lastAttempt + SameAttempt))
+        return false;
+    m_lastAttempt = at;
+    ++m_attemptsInRow;
+    return true;
+}
+
+void reader_turn::readingIsSlow(instant now)
+{
+    m_isSlow = true;
+    heardAttempt(now);
 }
 
 void reader_turn::readingStarted(instant now)
 {
     m_readingStartedAt = now;
+    m_isSlow = false;
 }
 
 void reader_turn::readingEnded(bool done, instant now)
@@ -83,13 +110,17 @@
         m_reader = m_self;
         if (!m_lastReading || m_readingStartedAt > *m_lastReading)
             m_lastReading = m_readingStartedAt;
+        forgetAttempts();
         return;
     }
     m_isReader = false;
-    heardAttempt(now);
-    // The fewer nodes there are to try, the sooner this one tries again.
+    const bool othersRead = m_lastReading && *m_lastReading > m_readingStartedAt;
+    if (!m_isSlow && !othersRead)
+        heardAttempt(now);
+    // The fewer nodes there are to try, the sooner this one tries again, but others first.
     const auto longest = std::min(m_settings.longestRetry, m_settings.period * static_cast<int>(m_nodes + 1));
-    m_retryAt = now + std::min(m_settings.period * (1 << std::min(m_failures, MaxDoublings)), longest);
+    const auto doublings = std::min(m_failures + (m_nodes > 1 ? 1 : 0), MaxDoublings);
+    m_retryAt = now + std::min(m_settings.period * (1 << doublings), longest);
     ++m_failures;
 }
 
@@ -107,9 +138,13 @@
         return std::max(m_readsFirst ? m_startedAt : m_startedAt + delay, m_retryAt);
     }
     const auto period = m_lonely ? m_settings.lonelyPeriod : m_settings.period;
-    const auto last = std::max(m_lastReading.value_or(instant::min()), m_lastAttempt.value_or(instant::min()));
-    const auto due = m_isReader ? *m_lastReading + period : last + m_settings.takeover + rankDelay();
-    return std::max(due, m_retryAt);
+    if (m_isReader)
+        return std::max(*m_lastReading + period, m_retryAt);
+    // Who hears that a node was turned away tries next: it may be served.
+    const bool isQuick = m_lastAttempt && m_attemptsInRow <= QuickAttempts;
+    const auto pause = isQuick ? m_settings.nextAttempt : m_settings.takeover;
+    const auto last = m_lastAttempt ? *m_lastAttempt : *m_lastReading;
+    return std::max(last + pause + rankDelay(), m_retryAt);
 }
 
 } // namespace oriolepick
--- a/routing/reader_turn.h
+++ b/routing/reader_turn.h
@@ -15,6 +15,7 @@
     std::chrono::milliseconds period { 500 }; ///< between two readings of the node that reads
     std::chrono::milliseconds lonelyPeriod { 1'300 }; ///< the same of a node that is cut off from the others
     std::chrono::milliseconds takeover { 1'125 }; ///< without news for this long, the next node reads
+    std::chrono::milliseconds nextAttempt { 125 }; ///< after a reading in vain, before the next node tries
     std::chrono::milliseconds rankStep { 50 }; ///< between the first nodes in line, so that one reads and not all
     std::chrono::milliseconds longestRankDelay { 1'000 }; ///< of the last node in line
     std::chrono::milliseconds startDelay { 600 }; ///< a node that starts waits this long for news of others
@@ -47,11 +48,15 @@
     void heardReading(instant at, std::uint32_t reader);
 
     /// Some node asked the store in vain at \p at.
-    void heardAttempt(instant at);
+    /// \return whether that is news: no reading is known since, and no other attempt at about that time
+    bool heardAttempt(instant at);
 
     /// This node has asked the store.
     void readingStarted(instant now);
 
+    /// The reading in progress takes long: others need not wait for its end.
+    void readingIsSlow(instant now);
+
     /// \param done whether the store answered
     void readingEnded(bool done, instant now);
 
@@ -70,11 +75,12 @@
     /// \return the last reading of any node, if there was one
     std::optional<instant> lastReading() const { return m_lastReading; }
 
-    /// \return the last attempt of any node that failed, if there was one
+    /// \return the last attempt of any node that failed, if none has succeeded since
     std::optional<instant> lastAttempt() const { return m_lastAttempt; }
 
 private:
     std::chrono::milliseconds rankDelay() const;
+    void forgetAttempts();
 
     reader_turn_settings m_settings;
     std::uint32_t m_self;
@@ -85,6 +91,9 @@
     bool m_lonely = false;
     std::optional<instant> m_lastReading;
     std::optional<instant> m_lastAttempt;
+    instant m_voidUntil; // attempts up to then were made up for by a reading
+    std::uint32_t m_attemptsInRow = 0;
+    bool m_isSlow = false; // the reading in progress was told as an attempt
     instant m_readingStartedAt;
     instant m_retryAt;
     std::uint32_t m_failures = 0;
--- a/routing/test/news_spread.cpp
+++ b/routing/test/news_spread.cpp
@@ -270,4 +270,48 @@
     judge("troubles together", 1'000);
 }
 
+// Guards against news that come too late because nodes which are turned away ask before others get their turn: in small
+// fleets they are soon first in line again.
+TEST(NewsSpreadInSmallFleets, HalfOfTheNodesMayBeTurnedAwayAtOnce)
+{
+    constexpr ms SmallBound { 2'000 }; // of the smallest deployment's sheet
+    for (const std::size_t nodes : { 6, 9, 20 }) {
+        std::vector<ms> worst;
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            news_fleet fleet(nodes, 3, SmallBound, seed * 7 + nodes);
+            seeded_random random(seed);
+            fleet.startAll();
+            fleet.renew();
+            fleet.run(8s);
+            fleet.judgeFromNow();
+            for (int number = 0; number < 60; ++number)
+                fleet.at(ms(200 * number),
+                    [&fleet, number] { fleet.change(number % 2 ? news_topic::Targets : news_topic::Configuration); });
+            fleet.at(ms(1'000 + random.below(500)), [&] {
+                std::size_t left = nodes / 2;
+                const auto turnAway = [&](fleet_node& node) {
+                    node.mood = random.below(2) ? store_mood::Refuses : store_mood::Silent;
+                    --left;
+                };
+                for (auto& node : fleet.nodes()) {
+                    if (node.gossip->turn().isReader() && left)
+                        turnAway(node);
+                }
+                while (left) {
+                    auto& node = fleet.nodes()[random.below(nodes)];
+                    if (node.mood == store_mood::Answers)
+                        turnAway(node);
+                }
+            });
+            fleet.run(12s);
+            worst.push_back(fleet.lateness(3s).back());
+            EXPECT_EQ(fleet.missing(SmallBound, 3s), 0U) << nodes << " nodes, seed " << seed;
+        }
+        std::sort(worst.begin(), worst.end());
+        std::cout << nodes << " nodes: lateness ms of the worst change, median " << worst[worst.size() / 2].count()
+                  << ", most " << worst.back().count() << "\n";
+        EXPECT_LE(worst.back(), SmallBound) << nodes << " nodes";
+    }
+}
+
 } // namespace
