Refuse answers whose head has a second status line inside

One of the faults that operators of similar systems met: a second copy of an answer, late, on a connection in use again. When the copy breaks off in its head and the next answer follows, the parser took both for one: status and fields of the copy with the body of the answer, under the right attempt.

Ruled out: copies that are whole (skipped by their attempt), copies cut between lines or in a field's name (no field, malformed), copies in the body. What was left are cuts inside the reason or a field's value; these now hold a status line and make the answer malformed, so the target is left as for any garbage.

The test sends an answer behind each of 96 cuts of a copy; before, cuts inside the reason and after the name of X-Own passed with status 200 of the copy for an answer of 404.

--- a/gateway/http_reader.cpp
+++ b/gateway/http_reader.cpp
@@ -31,6 +31,21 @@
         return { bytes.data(), bytes.size() };
     }
 
+    // "HTTP/1.1 200" inside a line: a response that broke off in its head, with the next one behind it.
+    bool containsStatusLine(std::string_view line)
+    {
+        constexpr std::string_view Begin = "HTTP/1.";
+        constexpr std::size_t StatusAt = Begin.size() + 2; // behind a digit and a space
+        const auto isDigit = [line](std::size_t at) { return line[at] >= '0' && line[at] <= '9'; };
+        for (auto at = line.find(Begin); at != std::string_view::npos; at = line.find(Begin, at + 1)) {
+            const auto status = at + StatusAt;
+            if (status + 3 <= line.size() && line[status - 1] == ' ' && isDigit(status) && isDigit(status + 1)
+                && isDigit(status + 2))
+                return true;
+        }
+        return false;
+    }
+
     // Feeds a parser until it needs more bytes, is done or fails.
     template <typename Parser> std::size_t feed(Parser& parser, std::string_view bytes, read_fault& fault)
     {
@@ -137,15 +152,19 @@
     return body;
 }
 
-void response_reader::on_response_impl(int code, view reason, int, error_code&)
+void response_reader::on_response_impl(int code, view reason, int, error_code& error)
 {
     m_head.status = code;
     m_head.reason = text(reason);
+    if (containsStatusLine(m_head.reason))
+        error = http::error::bad_reason;
 }
 
-void response_reader::on_field_impl(http::field, view name, view value, error_code&)
+void response_reader::on_field_impl(http::field, view name, view value, error_code& error)
 {
     m_head.fields.push_back({ text(name), text(value) });
+    if (containsStatusLine(m_head.fields.back().value))
+        error = http::error::bad_value;
 }
 
 std::size_t response_reader::on_body_impl(view body, error_code&)
