Accept what waits at the listener before a stop closes it

Connections that the kernel had established while the node was busy were reset when it closed its listener, with what their callers had sent, and a connection accepted last was closed as idle before its request was read.

The listener is emptied before it is closed, and a new connection has 300 ms for its first request.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -21,6 +21,8 @@
     /// A body is held for a repeat and, until it is sent, once more as bytes for the target.
     constexpr std::size_t RequestCopies = 2;
 
+    /// A caller that has just connected sends its request within a few round trips.
+    constexpr std::chrono::milliseconds FirstRequestWait { 300 };
     /// A caller reads the refusal within a round trip and closes.
     constexpr std::chrono::milliseconds RejectedLinger { 500 };
 
@@ -54,6 +56,7 @@
     , m_onGone(std::move(onGone))
     , m_requestMemory(parts.memory)
     , m_answerMemory(parts.memory)
+    , m_openedAt(parts.timers.now())
 {
 }
 
@@ -270,7 +273,8 @@
 
 void caller_session::closeIfIdle()
 {
-    if (isIdle())
+    const bool isNew = m_parts.timers.now() < m_openedAt + FirstRequestWait && m_busySince == instant();
+    if (isIdle() && !isNew)
         close();
 }
 
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -82,7 +82,8 @@
     std::string m_input;
     memory_share m_requestMemory; // what is read, and what a copy of it for a target takes
     memory_share m_answerMemory; // what the caller has not taken yet
-    instant m_busySince;
+    instant m_openedAt;
+    instant m_busySince; // of the last request
     timer_handle m_inputTimer = 0;
     bool m_keepAlive = true;
     bool m_chunked = true; ///< the caller understands chunks
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -60,23 +60,29 @@
     m_acceptor.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted)
             return;
-        if (error) {
+        if (error)
             m_parts.metrics.count("accept_errors");
-        } else if (m_sessions.size() >= static_cast<std::size_t>(m_parts.settings.maxConnections)) {
-            m_parts.metrics.count("connections_refused");
-        } else {
-            auto session = std::make_shared<caller_session>(m_loop, m_parts,
-                std::make_shared<byte_channel>(std::move(socket), channel_settings {}),
-                [this](const std::shared_ptr<caller_session>& gone) { m_sessions.erase(gone); });
-            m_sessions.insert(session);
-            if (m_stopping)
-                session->announceClose();
-            session->start();
-        }
+        else
+            addSession(std::move(socket));
         accept();
     });
 }
 
+void gateway::addSession(boost::asio::ip::tcp::socket socket)
+{
+    if (m_sessions.size() >= static_cast<std::size_t>(m_parts.settings.maxConnections)) {
+        m_parts.metrics.count("connections_refused");
+        return;
+    }
+    auto session = std::make_shared<caller_session>(m_loop, m_parts,
+        std::make_shared<byte_channel>(std::move(socket), channel_settings {}),
+        [this](const std::shared_ptr<caller_session>& gone) { m_sessions.erase(gone); });
+    m_sessions.insert(session);
+    if (m_stopping)
+        session->announceClose();
+    session->start();
+}
+
 void gateway::housekeep()
 {
     m_parts.links.expire(m_parts.timers.now());
@@ -101,6 +107,15 @@
 
 void gateway::closeListener()
 {
+    // Closing resets connections that are established and not accepted yet, with what their callers sent.
+    boost::system::error_code none;
+    m_acceptor.non_blocking(true, none);
+    while (!none) {
+        boost::asio::ip::tcp::socket socket(m_loop);
+        m_acceptor.accept(socket, none);
+        if (!none)
+            addSession(std::move(socket));
+    }
     boost::system::error_code ignored; // the listener goes away with the process in any case
     m_acceptor.close(ignored);
     checkStopped();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -33,6 +33,7 @@
 
 private:
     void accept();
+    void addSession(boost::asio::ip::tcp::socket socket);
     void housekeep();
     void closeListener();
     void checkStopped();
