Let the soak's targets leave, pause and send without end, and withdraw keys

Targets that say in their answers that they leave while the store shows them as ready; that ask for a pause; whose bodies and events do not end, or only trickle comments; nodes frozen for up to 5 s; keys taken away while nodes restart.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,8 +12,8 @@
 
     PATIENCE_S = 3.0
 
-    def __init__(self, ports, ledger, seed):
-        self.ports, self.ledger = ports, ledger
+    def __init__(self, ports, ledger, seed, key):
+        self.ports, self.ledger, self.key = ports, ledger, key
         self.random = random.Random(seed)
         self.broken = []  # promises that were broken, with the attempt
         self.refused = []  # attempts that were told "not run"
@@ -32,9 +32,9 @@
             number += 1
             try:
                 if connection is None:
-                    connection = await asyncio.wait_for(
-                        asyncio.open_connection("127.0.0.1", self.random.choice(self.ports)), 1)
-                alive = await asyncio.wait_for(self._exchange(connection, kind, attempt), self.PATIENCE_S)
+                    node = self.random.randrange(len(self.ports))
+                    connection = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ports[node]), 1)
+                alive = await asyncio.wait_for(self._exchange(connection, node, kind, attempt), self.PATIENCE_S)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 self._count(kind, "no answer")
                 alive = False
@@ -55,7 +55,7 @@
             try:
                 reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ports[node]), 1)
                 writer.write(f"POST /{kind}/crash HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
-                             f"X-Via: {node}\r\nToken-Counts: 100,50\r\nContent-Length: 5\r\n\r\ncrash".encode())
+                             f"X-Via: {node}\r\nX-Api-Key: {self.key}\r\nToken-Counts: 100,50\r\nContent-Length: 5\r\n\r\ncrash".encode())
                 head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.PATIENCE_S)).decode("latin-1")
                 status = int(head.split(" ", 2)[1])
                 self._count(f"crashing {kind}", status)
@@ -69,12 +69,24 @@
     def _count(self, kind, outcome):
         self.counts[(kind, outcome)] = self.counts.get((kind, outcome), 0) + 1
 
-    async def _exchange(self, connection, kind, attempt):
+    async def status_with_key(self, port, key):
+        """Returns the status of a call with another key, 0 without an answer."""
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 1)
+            writer.write(f"GET /safe/key HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {key}-{port}\r\nX-Via: 0\r\n"
+                         f"X-Api-Key: {key}\r\n\r\n".encode())
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.PATIENCE_S)
+            writer.close()
+            return int(head.split(b" ", 2)[1])
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return 0
+
+    async def _exchange(self, connection, node, kind, attempt):
         reader, writer = connection
         method = "POST" if kind == "once" else "GET"
         body = attempt if kind == "once" else ""
         writer.write(f"{method} /{kind}/{attempt} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
-                     f"Deadline-Ms: 3000\r\nToken-Counts: 100,50\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+                     f"X-Via: {node}\r\nX-Api-Key: {self.key}\r\nDeadline-Ms: 3000\r\nToken-Counts: 100,50\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         status = int(head.split(" ", 2)[1])
         fields = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip()
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -7,6 +7,11 @@
 import time
 
 
+LEAVING_S = 4.5  # the default of leaving_bound_ms, and half a second on the way
+PAUSE_CROSSINGS = 2  # by the platform's rules
+BABBLE_S = 8.0  # longer than any caller waits
+
+
 async def read_request(reader):
     """Reads one HTTP request; returns (method, target, headers, body) or None at the end of the connection."""
     try:
@@ -141,7 +146,13 @@
         self.name, self.service, self.zone, self.ledger, self.is_engine = name, service, zone, ledger, is_engine
         self.born = int(time.time() * 1000)
         self.on_crash = None  # called with this target and the request's headers when a request crashes it
-        self.fault = ""  # "cut", "mute", "extra", "refuse", "error"
+        self.fault = ""  # "cut", "mute", "extra", "refuse", "error", "babble", "trickle"
+        self.leaving = False  # says so in its answers; the store does not know
+        self.told = {}  # node -> when it was first told that this target leaves
+        self.paused_until = 0.0
+        self.asked_to_pause = {}  # node -> when it was first asked
+        self.in_pause = {}  # node -> requests half a second later and until the pause ends
+        self.ignored = []  # what nodes did against leaving, pauses and endless answers
         self.random = random.Random(name)
 
     def entry(self, address, draining=False):
@@ -163,9 +174,17 @@
         if target.startswith("/v1/") or "kv-from" in headers:
             writer.write(whole(503, b"", echo + "Not-Executed: 1\r\n"))  # no copies here: streams are read anew
             return True
+        node = headers.get("x-via", "")
         if self.fault == "refuse":
             writer.write(whole(503, b"", echo + "Not-Executed: 1\r\n"))
             return True
+        if self._refuse_in_pause(writer, node, echo):
+            return True
+        if self.leaving:
+            now = time.monotonic()
+            if now > self.told.setdefault(node, now) + LEAVING_S:
+                self.ignored.append((node, self.told[node], f"{self.name} got {attempt} after it had said that it leaves"))
+            echo += "Server-Leaving: 1\r\n"
         self.ledger.ran(attempt, target, body)
         if target.endswith("/crash"):
             await asyncio.sleep(0.05 * self.random.random())
@@ -182,6 +201,8 @@
             return False
         if fault == "mute":
             return True
+        if fault == "babble":
+            return await self._babble(writer, f"HTTP/1.1 200 X\r\n{echo}{stamp}\r\n".encode(), b"x" * 65536, 0)
         writer.write(answer)
         if fault == "extra":
             writer.write(answer)
@@ -193,6 +214,10 @@
         for event in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
             await asyncio.sleep(self.EVENT_PAUSE_S)
             piece = f"id: {event}\ndata: {attempt} {event}\n\n".encode()
+            if self.fault == "babble":
+                return await self._babble(writer, b"1000000\r\n", b"x" * 65536, 0)
+            if self.fault == "trickle":
+                return await self._babble(writer, b"", b"2\r\n:\n\r\n", 0.1)
             if self.fault == "cut" and self.random.random() < 0.1:
                 writer.write(f"{len(piece):x}\r\n".encode() + piece[:-4])
                 return False
@@ -202,6 +227,36 @@
         return True
 
 
+    def _refuse_in_pause(self, writer, node, echo):
+        now = time.monotonic()
+        if now >= self.paused_until:
+            return False
+        left = self.paused_until - now
+        if now > self.asked_to_pause.setdefault(node, now) + 0.5:
+            self.in_pause[node] = self.in_pause.get(node, 0) + 1
+            if self.in_pause[node] > PAUSE_CROSSINGS:
+                self.ignored.append((node, self.asked_to_pause[node], f"{self.name} got requests in its pause"))
+        writer.write(whole(503, b"", echo + f"Not-Executed: 1\r\nRetry-After: {left:.3f}\r\n"))
+        return True
+
+    def pause(self, seconds):
+        self.paused_until = time.monotonic() + seconds
+        self.asked_to_pause, self.in_pause = {}, {}
+
+    async def _babble(self, writer, begin, piece, gap):
+        """Sends without end until the other side closes."""
+        writer.write(begin)
+        end = time.monotonic() + BABBLE_S
+        while not writer.transport.is_closing():
+            if time.monotonic() > end:
+                self.ignored.append(("", end - BABBLE_S, f"{self.name} sends without end and is still listened to"))
+                return False
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(gap)
+        return False
+
+
 class Ledger:
     """What ran, seen from the targets."""
 
