Count targets that fall silent under a request and are gone as crashed

A machine that loses power under a request refuses nothing: its connections fall silent. Such a target is looked at twice a second for 5 s, and has crashed when its registration is gone or another incarnation's by then. One that is only silent for a while, or that a cut hides, has not.

--- a/gateway/crash_watch.cpp
+++ b/gateway/crash_watch.cpp
@@ -16,6 +16,11 @@
 
     /// A machine that is up refuses within a round trip; lost packets are not waited for, since the request may be.
     constexpr std::chrono::milliseconds CheckPatience { 60 };
+    /// A target that answers nothing is looked at for so long, twice a second: registrations lapse after three
+    /// renewals.
+    constexpr std::chrono::milliseconds CheckPause { 500 };
+    constexpr std::uint32_t MaxChecks = 10;
+    constexpr std::size_t MaxSuspects = 256; ///< of one crash at one node; far more than it runs on one target
     /// Connections to one target break within milliseconds of its end, but a busy loop hears of some later. After a
     /// second a target may be back, and break under something else.
     constexpr std::chrono::milliseconds SameCrash { 800 };
@@ -73,13 +78,14 @@
         return false;
     return std::any_of(m_ends.begin(), m_ends.end(), [request](const auto& each) {
         const auto& suspects = each.second.suspects;
-        return each.second.checking && std::any_of(suspects.begin(), suspects.end(), [request](const suspect& one) {
+        const bool isSoonKnown = each.second.checking && !each.second.answersNothing;
+        return isSoonKnown && std::any_of(suspects.begin(), suspects.end(), [request](const suspect& one) {
             return one.request == request;
         });
     });
 }
 
-void crash_watch::attemptBroken(request_fingerprint request, const target_entry& target, bool madeProgress)
+void crash_watch::attemptLost(request_fingerprint request, const target_entry& target, bool madeProgress)
 {
     const auto now = m_timers.now();
     if (!m_board.takesRequests(target.name, now))
@@ -91,37 +97,71 @@
         end.number = end.startedAt == target.startedAt ? end.number + 1 : 0;
     }
     end.startedAt = target.startedAt;
-    end.suspects.push_back({ request, madeProgress });
+    if (end.suspects.size() < MaxSuspects)
+        end.suspects.push_back({ request, madeProgress });
     if (end.crash) {
         record(target.name, end);
         return;
     }
     if (std::exchange(end.checking, true))
         return;
+    end.answersNothing = false;
+    end.checksLeft = MaxChecks;
+    check(target);
+}
+
+void crash_watch::check(const target_entry& target)
+{
     m_metrics.count("crash_checks");
     std::make_shared<connection_check>(m_loop, m_timers, [this, target](connection_check::finding found) {
-        onChecked(target.name, target.address, found);
+        onChecked(target, found);
     })->start(target.address, CheckPatience);
 }
 
-void crash_watch::onChecked(const target_name& target, const std::string& address, connection_check::finding found)
+void crash_watch::checkLater(const target_entry& target)
+{
+    m_timers.at(m_timers.now() + CheckPause, [this, target] { check(target); });
+}
+
+void crash_watch::onChecked(const target_entry& target, connection_check::finding found)
 {
-    const auto entry = m_ends.find(target);
+    const auto entry = m_ends.find(target.name);
     if (entry == m_ends.end())
         return;
     auto& end = entry->second;
-    end.checking = false;
-    if (found != connection_check::finding::NobodyListens) {
-        end.suspects.clear();
+    const bool wasSilent = end.answersNothing;
+    end.answersNothing = wasSilent || found == connection_check::finding::Unknown;
+    if (found == connection_check::finding::NobodyListens || (wasSilent && hasEnded(target))) {
+        end.checking = false;
+        recordEnd(target, end);
+        return;
+    }
+    // One that listens has not ended, unless it answered nothing before: then it may be another one by now.
+    if (end.answersNothing && --end.checksLeft) {
+        checkLater(target);
         return;
     }
-    const target_id id(fleet_name("local"), target.value());
+    end.checking = false;
+    end.suspects.clear();
+}
+
+// Whether the registration that the attempt was sent by is gone, or another incarnation's.
+bool crash_watch::hasEnded(const target_entry& target) const
+{
+    const auto* known = m_board.find(target.name);
+    return !known || known->startedAt != target.startedAt || !m_board.takesRequests(target.name, m_timers.now());
+}
+
+void crash_watch::recordEnd(const target_entry& target, target_end& end)
+{
+    const target_id id(fleet_name("local"), target.name.value());
     end.crash = crashIdOf(id, end.startedAt + end.number);
     end.crashedAt = m_timers.now();
     m_metrics.count("targets_crashed");
     m_log.write("target_crashed",
-        { { "target", target.value() }, { "address", address }, { "suspects", std::to_string(end.suspects.size()) } });
-    record(target, end);
+        { { "target", target.name.value() }, { "address", target.address },
+            { "suspects", std::to_string(end.suspects.size()) } });
+    record(target.name, end);
 }
 
 void crash_watch::record(const target_name& target, target_end& end)
--- a/gateway/crash_watch.h
+++ b/gateway/crash_watch.h
@@ -21,8 +21,9 @@
 class decision_log;
 class gateway_metrics;
 
-/// Drives shared_crash_ledger for one node. A connection that broke under a request counts as a crash only when nobody
-/// listens at the target's address any more: connections are also reset for other reasons.
+/// Drives shared_crash_ledger for one node. A connection that broke or fell silent under a request counts as a crash
+/// only when nobody listens at the target's address any more, or when the target has answered nothing for a while and
+/// is then gone or another one: connections break and fall silent for other reasons too.
 class crash_watch {
 public:
     using sender = std::function<void(const node_id& to, const crash_news& news)>;
@@ -40,9 +41,9 @@
 
     void receive(const node_id& from, const crash_news& news);
 
-    /// The connection to \p target broke under an attempt at \p request.
+    /// The connection to \p target broke, or fell silent, under an attempt at \p request.
     /// \param madeProgress the target had sent a part of its answer: others in flight are suspected first
-    void attemptBroken(request_fingerprint request, const target_entry& target, bool madeProgress);
+    void attemptLost(request_fingerprint request, const target_entry& target, bool madeProgress);
 
     /// \p request ran to its end at a target.
     void ranToEnd(request_fingerprint request);
@@ -63,12 +64,18 @@
         std::uint64_t startedAt = 0; // of the incarnation
         std::vector<suspect> suspects; // not yet recorded
         bool checking = false;
+        bool answersNothing = false; // not even a refusal, when it was last checked
+        std::uint32_t checksLeft = 0;
         std::uint64_t crash = 0; // 0 while it is not known to have crashed
         instant crashedAt;
         std::uint32_t number = 0; // of the crash, for a target that comes back under its name
     };
 
-    void onChecked(const target_name& target, const std::string& address, connection_check::finding found);
+    void check(const target_entry& target);
+    void checkLater(const target_entry& target);
+    void onChecked(const target_entry& target, connection_check::finding found);
+    bool hasEnded(const target_entry& target) const;
+    void recordEnd(const target_entry& target, target_end& end);
     void record(const target_name& target, target_end& end);
     void recordLater(const target_name& target, std::uint64_t crash, request_fingerprint request);
     void perform(const shared_crash_ledger::actions& actions);
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -405,7 +405,7 @@
                                              : "closed");
     if (sent) {
         if (!wrong)
-            m_parts.crashes.attemptBroken(m_fingerprint, *m_target, m_progressed);
+            m_parts.crashes.attemptLost(m_fingerprint, *m_target, m_progressed);
         m_history.mayHaveRun = true;
         ++(wrong ? m_history.answered : m_history.lost);
     }
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/answer_sink.h"
 #include "gateway/copy_orders.h"
+#include "gateway/crash_watch.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/stream_stall_settings.h"
@@ -236,6 +237,7 @@
 {
     recordTargetFault(target_fault::Silent, what);
     if (m_sent) {
+        m_parts.crashes.attemptLost(m_fingerprint, *m_target, m_progressed);
         m_history.mayHaveRun = true;
         ++m_history.lost;
     }
