--- a/gateway/crash_watch.cpp
+++ b/gateway/crash_watch.cpp
@@ -154,8 +154,7 @@
 
 void crash_watch::recordEnd(const target_entry& target, target_end& end)
 {
-    const target_id id(fleet_name("local"), target.name.value());
-    end.crash = crashIdOf(id, end.startedAt + end.number);
+    end.crash = crashIdOf(target.name, end.startedAt + end.number);
     end.crashedAt = m_timers.now();
     m_metrics.count("targets_crashed");
     m_log.write("target_crashed",
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Routing, the deadline and the final answer of an exchange. Attempts stand in exchange_attempts.cpp, the choice of
-/// engines in exchange_survey.cpp, streams in exchange_stream.cpp.
+/// engines in exchange_survey.cpp, answers of targets in exchange_answers.cpp, streams in exchange_stream.cpp.
 #include "gateway/exchange.h"
 
 #include "core/seeded_random.h"
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -103,11 +103,13 @@
     void endAttempt();
     void watchForLateness();
     void onAnswerLate();
-    bool mayHoldEvent(std::size_t more);
-    bool mayHoldAnswer(std::size_t more);
     void repeatOrGiveUp(attempt_end end);
     void recordTargetFault(target_fault fault, std::string_view what);
 
+    // answers of targets, in exchange_answers.cpp with the overrides of response_listener
+    bool mayHoldEvent(std::size_t more);
+    bool mayHoldAnswer(std::size_t more);
+
     // streams, in exchange_stream.cpp
     void keepCopy();
     void checkCopyHolder();
--- /dev/null
+++ b/gateway/exchange_answers.cpp
@@ -0,0 +1,179 @@
+/// \file
+/// What a target answers to an attempt of an exchange, whole or as a stream, and how it fails to.
+#include "gateway/exchange.h"
+
+#include "gateway/answer_sink.h"
+#include "gateway/crash_watch.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/link_pool.h"
+#include "gateway/target_notices.h"
+#include "routing/answer_pace.h"
+#include "routing/generation_pace.h"
+#include "routing/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolepick {
+
+namespace {
+
+    /// Largest whole answer that is collected; beyond, the target's answer is taken as faulty.
+    constexpr std::size_t MaxWholeAnswerBytes = 16'777'216;
+    constexpr std::size_t AnswerGrowthPart = 4; ///< each growth is a fourth: few copies, little unused
+    constexpr std::size_t LeastAnswerCapacity = 1'024; ///< common answers grow once
+    /// Largest event of a stream: a few tokens with what describes them are far smaller.
+    constexpr std::size_t MaxEventBytes = 262'144;
+
+} // namespace
+
+void exchange::onHead(const http_response_head& head, const target_reply& reply)
+{
+    m_head = head;
+    m_reply = reply;
+    const bool misaddressed = reply.actualTarget && *reply.actualTarget != m_target->name;
+    if (!misaddressed)
+        m_parts.notices.note(m_target->name, m_target->address, reply);
+    m_streaming = m_route->kind == route_kind::Stream && head.status == 200 && reply.signedByTarget && !reply.encoded;
+}
+
+void exchange::onBody(std::string bytes)
+{
+    if (!(m_streaming ? mayHoldEvent(bytes.size()) : mayHoldAnswer(bytes.size()))) {
+        recordTargetFault(target_fault::WrongAnswer, m_streaming ? "event_too_large" : "answer_too_large");
+        m_history.mayHaveRun = true;
+        ++m_history.answered;
+        repeatOrGiveUp(attempt_end::Lost);
+        return;
+    }
+    if (!m_streaming) {
+        m_body += bytes;
+        return;
+    }
+    m_events.feed(bytes);
+    forwardEvents();
+    m_answerMemory.set(m_events.pendingBytes());
+}
+
+bool exchange::mayHoldEvent(std::size_t more)
+{
+    const auto held = m_events.pendingBytes() + more;
+    return held <= MaxEventBytes && m_answerMemory.tryResize(held);
+}
+
+// Grows in steps of its own: a string would at least double, and hold more than is counted.
+bool exchange::mayHoldAnswer(std::size_t more)
+{
+    const auto held = m_body.size() + more;
+    if (held <= m_body.capacity())
+        return true;
+    const auto capacity = std::max(held + held / AnswerGrowthPart, LeastAnswerCapacity);
+    if (held > MaxWholeAnswerBytes || !m_answerMemory.tryResize(capacity))
+        return false;
+    std::string grown;
+    grown.reserve(capacity);
+    grown.append(m_body);
+    m_body.swap(grown);
+    return true;
+}
+
+void exchange::onWhole(bool reusable)
+{
+    const auto now = m_parts.timers.now();
+    m_parts.timers.cancel(m_watchTimer);
+    auto link = std::move(m_link);
+    m_link.reset();
+    m_parts.board.attemptEnded(m_target->name);
+    if (reusable && !m_reply.leaving)
+        m_parts.links.giveBack(std::move(link));
+    else
+        link->abandon();
+    m_sent = false;
+
+    if (m_streaming) {
+        if (m_events.pendingBytes()) {
+            recordTargetFault(target_fault::WrongAnswer, "stream_cut_in_event");
+            m_history.mayHaveRun = true;
+            ++m_history.lost;
+            repeatOrGiveUp(attempt_end::Lost);
+            return;
+        }
+        m_parts.board.recordSuccess(m_target->name);
+        m_parts.crashes.ranToEnd(m_fingerprint);
+        if (m_eventsForwarded && m_attempts == 1)
+            m_parts.generationPace.record(m_service, m_eventsForwarded - 1,
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - m_firstEventAt));
+        if (!m_answerBegun)
+            m_sink->beginStream(m_head);
+        m_sink->endStream();
+        finish("answered");
+        return;
+    }
+    ++m_history.answered;
+    if (m_reply.notRun) {
+        const bool misaddressed = m_reply.actualTarget && *m_reply.actualTarget != m_target->name;
+        if (m_continuesCopy) {
+            --m_history.answered; // the target is fine, it only lacks the copy
+            m_parts.metrics.count("copies_missing");
+        } else {
+            recordTargetFault(
+                misaddressed ? target_fault::Misaddressed : target_fault::Full, misaddressed ? "misaddressed" : "full");
+            m_tried.push_back(m_target->name);
+        }
+        if (misaddressed) {
+            --m_history.answered; // the target that was meant has not seen the request
+            m_parts.targetsOutdated();
+        }
+        repeatOrGiveUp(attempt_end::NotRun);
+        return;
+    }
+    m_history.mayHaveRun = true;
+    if (m_reply.signedByTarget)
+        m_parts.crashes.ranToEnd(m_fingerprint);
+    const bool success = m_head.status >= 200 && m_head.status < 300;
+    if (m_reply.encoded || (success && !m_reply.signedByTarget)) {
+        recordTargetFault(target_fault::WrongAnswer, "unsigned_answer");
+        m_tried.push_back(m_target->name);
+        repeatOrGiveUp(attempt_end::Lost);
+        return;
+    }
+    if (m_head.status >= 500) {
+        m_parts.metrics.count("target_errors");
+        m_tried.push_back(m_target->name);
+        const bool promisesNotRun = m_head.status == 503;
+        if (!m_answerBegun && !promisesNotRun && nextStep(m_history, attempt_end::TargetError) == next_step::Deliver) {
+            deliver();
+            return;
+        }
+        repeatOrGiveUp(promisesNotRun ? attempt_end::Lost : attempt_end::TargetError);
+        return;
+    }
+    m_parts.board.recordSuccess(m_target->name);
+    if (m_answerBegun) {
+        refuse(error_kind::GenerationLost, "the target did not go on with the stream");
+        return;
+    }
+    if (m_route->kind != route_kind::Stream)
+        m_parts.pace.record(m_service, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_attemptAt));
+    deliver();
+}
+
+void exchange::onFailure(link_failure failure)
+{
+    const bool sent = failure != link_failure::NotSent;
+    const bool wrong = failure == link_failure::Malformed;
+    recordTargetFault(wrong ? target_fault::WrongAnswer : target_fault::Unreachable,
+        !sent                                ? "not_connected"
+            : wrong                          ? "malformed_response"
+            : failure == link_failure::Reset ? "reset"
+                                             : "closed");
+    if (sent) {
+        if (!wrong)
+            m_parts.crashes.attemptLost(m_fingerprint, *m_target, m_progressed);
+        m_history.mayHaveRun = true;
+        ++(wrong ? m_history.answered : m_history.lost);
+    }
+    repeatOrGiveUp(sent ? attempt_end::Lost : attempt_end::NotSent);
+}
+
+} // namespace oriolepick
--- a/routing/shared_crash_ledger.cpp
+++ b/routing/shared_crash_ledger.cpp
@@ -16,6 +16,11 @@
     constexpr std::size_t MaxReplies = 8;
     constexpr const char* OnlyFleet = "local"; ///< a gateway serves one fleet; core's names carry one
 
+    target_id idOf(const target_name& target)
+    {
+        return { fleet_name(OnlyFleet), target.value() };
+    }
+
     // The ledger compares times by calendar. Ages keep clear of its zero, and no step of the clock reaches it.
     wall_time ledgerTime(instant now)
     {
@@ -38,6 +43,11 @@
 
 } // namespace
 
+std::uint64_t crashIdOf(const target_name& target, std::uint64_t incarnation)
+{
+    return crashIdOf(idOf(target), incarnation);
+}
+
 shared_crash_ledger::shared_crash_ledger(
     const node_id& self, const shared_crash_settings& settings, seeded_random random, instant startedAt)
     : m_self(self)
@@ -99,11 +109,10 @@
     const target_name& target, std::uint64_t crash, const std::vector<request_fingerprint>& suspects, instant now)
 {
     actions out;
-    const target_id id(fleet_name(OnlyFleet), target.value());
     std::vector<crash_verdict> before;
     std::transform(suspects.begin(), suspects.end(), std::back_inserter(before),
         [&](auto request) { return verdict(request, now); });
-    m_ledger.recordCrash(ledgerTime(now), { crash, id, ledgerTime(now), suspects });
+    m_ledger.recordCrash(ledgerTime(now), { crash, idOf(target), ledgerTime(now), suspects });
     for (std::size_t index = 0; index < suspects.size(); ++index) {
         const auto request = suspects[index];
         m_reports[request] = { now + m_settings.reportAgain, m_settings.reportRepeats };
@@ -164,8 +173,7 @@
 {
     std::vector<crash_mark> marks;
     for (const auto& sighting : note.sightings)
-        marks.push_back({ sighting.crash, target_id(fleet_name(OnlyFleet), sighting.target.value()),
-            ledgerTime(now) - sighting.age });
+        marks.push_back({ sighting.crash, idOf(sighting.target), ledgerTime(now) - sighting.age });
     m_ledger.merge(
         ledgerTime(now), note.request, marks, note.sinceCleared ? ledgerTime(now) - *note.sinceCleared : wall_time {});
 }
--- a/routing/shared_crash_ledger.h
+++ b/routing/shared_crash_ledger.h
@@ -15,6 +15,9 @@
 
 namespace oriolepick {
 
+/// \return the identifier of the crash that ended \p incarnation of \p target; equal at every node that saw it
+std::uint64_t crashIdOf(const target_name& target, std::uint64_t incarnation);
+
 /// Send \c news to another node; it may get lost.
 struct send_crash_news {
     node_id to;
--- a/routing/test/crash_fleet.h
+++ b/routing/test/crash_fleet.h
@@ -107,7 +107,7 @@
     {
         auto& target = m_targets[number];
         const auto name = target_name("t" + std::to_string(number) + "-" + std::to_string(target.incarnation));
-        const auto crash = crashIdOf(target_id(fleet_name("local"), name.value()), 0);
+        const auto crash = crashIdOf(name, 0);
         std::map<std::size_t, std::vector<request_fingerprint>> suspects;
         for (const auto& [run, work] : target.inFlight) {
             suspects[work.node].push_back(work.request);
