Break connections in the soak where a crash breaks them

The stand-ins for targets sent an endless answer without a length and were ended by closing their sockets, which is an orderly end, and the proxy passed resets on as orderly ends too; behind one such an answer is whole by the protocol. A raw connection through the proxy showed an orderly end before and a reset now. A reset is now made by the socket option that breaks a connection at once.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,6 +2,16 @@
 
 import asyncio
 import random
+import socket
+import struct
+
+
+def reset(writer):
+    """Breaks a connection at once. Closing alone ends it in an orderly way, behind which an answer may look whole."""
+    connection = writer.get_extra_info("socket")
+    if connection.fileno() >= 0:  # not closed yet
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 class Proxy:
@@ -28,16 +38,16 @@
     def reset_all(self):
         for pair in list(self.pairs):
             for writer in pair:
-                writer.transport.abort()
+                reset(writer)
 
     async def _serve(self, reader, writer):
         if self.mode == "reset":
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         pair = (writer, far_writer)
         self.pairs.add(pair)
@@ -53,12 +63,12 @@
                 if self.mode == "delay":
                     await asyncio.sleep(0.02 + 0.1 * self.random.random())
                 if self.mode == "drop" and self.random.random() < 0.05:
-                    writer.transport.abort()
+                    reset(writer)
                     return
                 if not data:
                     break
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, OSError):
-            pass
+            reset(writer)
         writer.close()
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from proxy import reset
 
 LEAVING_S = 4.5  # the default of leaving_bound_ms, and half a second on the way
 PAUSE_CROSSINGS = 2  # by the platform's rules
@@ -61,7 +62,7 @@
     def crash(self):
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
 
 class Store(Server):
