--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -187,6 +187,7 @@
         { { "attempt", m_caller.attempt }, { "route", m_route ? m_route->name : "" },
             { "target", m_target ? m_target->name.value() : "" }, { "outcome", std::string(outcome) },
             { "status", std::to_string(m_head.status) }, { "attempts", std::to_string(m_attempts) },
+            { "target_limit", m_reply.requestLimit ? std::to_string(*m_reply.requestLimit) : "none" },
             { "config_version", std::to_string(m_parts.config.version()) },
             { "config_age_ms", std::to_string(since(m_parts.config.since(), now).count()) },
             { "ms", std::to_string(since(m_startedAt, now).count()) } });
--- a/gateway/request_dialect.h
+++ b/gateway/request_dialect.h
@@ -52,6 +52,10 @@
     /// Time for which this node must send the target no requests; nothing when the field is absent or invalid.
     std::optional<std::chrono::milliseconds> pause;
     bool pauseInvalid = false; ///< the pause field is present, but malformed, negative or unreasonably long
+    /// Requests a second that the target accepts from all nodes together, as written; nothing when the field is absent
+    /// or not a number.
+    std::optional<double> requestLimit;
+    bool requestLimitInvalid = false; ///< the limit field is present, but not a number
     std::optional<std::chrono::seconds> idleTimeout; ///< the target closes an idle connection after this time
 };
 
--- a/gateway/target_notice_handler.cpp
+++ b/gateway/target_notice_handler.cpp
@@ -30,6 +30,7 @@
         m_targetTracker.recordShutdownNotice(target);
         m_connectionPool.closeIdle(address); // requests in progress keep their connections
     }
+    recordLimit(target, reply);
     if (reply.pauseInvalid) {
         m_metrics.count("pauses_unreadable");
         m_log.write("pause_unreadable", { { "target", target.value() } });
@@ -42,4 +43,26 @@
     m_targetTracker.recordPause(target, now + *reply.pause);
 }
 
+void target_notice_handler::recordLimit(const target_name& target, const target_reply& reply)
+{
+    if (reply.requestLimitInvalid) {
+        m_metrics.count("limits_unreadable");
+        return;
+    }
+    const auto known = m_namedLimits.find(target);
+    if (!reply.requestLimit) {
+        if (known == m_namedLimits.end())
+            return;
+        m_namedLimits.erase(known);
+        m_log.write("target_limit_ended", { { "target", target.value() } });
+        return;
+    }
+    m_metrics.count("limits_named");
+    if (known != m_namedLimits.end() && known->second == *reply.requestLimit)
+        return;
+    m_namedLimits[target] = *reply.requestLimit;
+    m_log.write(
+        "target_limit", { { "target", target.value() }, { "per_second", std::to_string(*reply.requestLimit) } });
+}
+
 } // namespace oriolepick
--- a/gateway/target_notice_handler.h
+++ b/gateway/target_notice_handler.h
@@ -4,6 +4,7 @@
 
 #include "routing/routing_names.h"
 
+#include <map>
 #include <string>
 
 namespace oriolepick {
@@ -26,11 +27,14 @@
     void apply(const target_name& target, const std::string& address, const target_reply& reply);
 
 private:
+    void recordLimit(const target_name& target, const target_reply& reply);
+
     timer_queue& m_timers;
     target_tracker& m_targetTracker;
     target_connection_pool& m_connectionPool;
     decision_log& m_log;
     gateway_metrics& m_metrics;
+    std::map<target_name, double> m_namedLimits; // in the last response, requests per second
 };
 
 } // namespace oriolepick
