--- a/routing/test/virtual_time.h
+++ b/core/test/virtual_time.h
@@ -16,7 +16,8 @@
 public:
     using ms = std::chrono::milliseconds;
 
-    void at(ms delay, std::function<void()> event) { m_events.emplace(m_now + delay, std::move(event)); }
+    void at(ms delay, std::function<void()> event) { atExactly(m_now + delay, std::move(event)); }
+    void atExactly(instant time, std::function<void()> event) { m_events.emplace(time, std::move(event)); }
 
     void run(ms time)
     {
--- a/routing/test/crash_simulation.h
+++ b/routing/test/crash_simulation.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "core/seeded_random.h"
+#include "core/test/virtual_time.h"
 #include "routing/shared_crash_ledger.h"
-#include "routing/test/virtual_time.h"
 
 #include <algorithm>
 #include <map>
--- a/routing/test/gossip_simulation.h
+++ b/routing/test/gossip_simulation.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "core/seeded_random.h"
+#include "core/test/virtual_time.h"
 #include "routing/store_gossip.h"
-#include "routing/test/virtual_time.h"
 
 #include <algorithm>
 #include <functional>
