Keep the limits of targets over all gateways

Callers saw nothing; a target in need got its full share of the traffic, since nothing read the limit that it named, and with the limit read each node would have kept it by itself. Class: a limit that is a sum over all nodes.

Everything that a gateway sends to a target now takes a permit from target_permits, which drives core's target_limiter: first attempts, retries, late attempts, resumes at the holder of a copy, polls and probes of engines, copy requests, and requests that waited when the limit became known, because all of them pass the same function. After a denial the target tracker offers other targets; when all have reached their limits, the caller is refused at once as not run, with the time of the next permit and a spread over the time in which the targets can serve the callers refused meanwhile. A limited engine is not polled before a generation, which would use up a permit. A release of a copy is left out, since copies expire. A stopping node issues no more permits as an owner.

--- a/core/target_limiter.cpp
+++ b/core/target_limiter.cpp
@@ -19,6 +19,8 @@
     constexpr std::chrono::milliseconds AgeTolerance { 50 };
     /// Delay until a permit is requested again after neither owner nor deputy answered.
     constexpr std::chrono::milliseconds NoOwnerRetryDelay { 100 };
+    /// Shortest time for which a denial holds, so that a request does not try the same target in a loop.
+    constexpr std::chrono::milliseconds MinDenial { 1 };
     constexpr std::chrono::milliseconds EndedRetention { 60'000 }; ///< after the end of a limit
     constexpr std::chrono::milliseconds UnusedRetention { 600'000 }; ///< without requests and statements
     constexpr std::chrono::milliseconds RemovePeriod { 10'000 };
@@ -47,10 +49,27 @@
         if (isNew(node))
             joined.push_back(node.node);
     }
-    m_nodes.push_back(m_self);
     const double reachable
-        = static_cast<double>(m_nodes.size()) / static_cast<double>(std::max(knownNodes, m_nodes.size()));
+        = static_cast<double>(m_nodes.size() + 1) / static_cast<double>(std::max(knownNodes, m_nodes.size() + 1));
     m_reachableShare = reachable < PartitionThreshold ? reachable : 1;
+    if (!m_leaving || m_nodes.empty())
+        m_nodes.push_back(m_self);
+    return applyView(joined, now);
+}
+
+target_limiter::actions target_limiter::leave(instant now)
+{
+    m_leaving = true;
+    if (m_nodes.size() > 1)
+        m_nodes.erase(std::remove_if(m_nodes.begin(), m_nodes.end(),
+                          [this](const limit_node& node) { return node.node == m_self.node; }),
+            m_nodes.end());
+    return applyView({}, now);
+}
+
+// Updates the owners of all limits, and notifies \p joined of the limits that this node owns.
+target_limiter::actions target_limiter::applyView(const std::vector<node_id>& joined, instant now)
+{
     ++m_viewNumber;
     actions out;
     for (auto& [target, record] : m_records) {
@@ -258,7 +277,7 @@
 {
     record.spread = answer.spread;
     if (!answer.granted)
-        record.deniedUntil = std::max(record.deniedUntil, now + answer.timeToNext);
+        record.deniedUntil = std::max(record.deniedUntil, now + std::max(answer.timeToNext, MinDenial));
     return answer.granted;
 }
 
--- a/core/target_limiter.h
+++ b/core/target_limiter.h
@@ -115,6 +115,9 @@
     /// \param knownNodes number of nodes that may be serving requests, including unreachable ones and this one
     actions setNodes(std::vector<limit_node> others, std::size_t knownNodes, instant now);
 
+    /// Announces the planned stop of this node: from now on it issues no permits as an owner, unless it is alone.
+    actions leave(instant now);
+
     /// Records what a response of \p target stated.
     /// \param zone of the target; empty if unknown
     actions observe(
@@ -177,6 +180,7 @@
     };
     using record_map = absl::flat_hash_map<limited_target, target_record>;
 
+    actions applyView(const std::vector<node_id>& joined, instant now);
     record_map::iterator recordFor(const limited_target& target, const availability_zone& zone, instant now);
     void updateOwners(const limited_target& target, target_record& record) const;
     bool isOwner(const target_record& record) const;
@@ -200,7 +204,8 @@
     limit_node m_self;
     target_limiter_settings m_settings;
     instant m_startedAt;
-    std::vector<limit_node> m_nodes; // including this one
+    std::vector<limit_node> m_nodes; // that may own limits: including this one, unless it leaves
+    bool m_leaving = false;
     double m_reachableShare = 1; // of the known nodes; 1 unless a partition is likely
     std::uint64_t m_viewNumber = 1;
     std::uint64_t m_lastNumber = 0;
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -13,6 +13,7 @@
 #include "gateway/run_copy_client.h"
 #include "gateway/run_handover.h"
 #include "gateway/stream_stall_settings.h"
+#include "gateway/target_permits.h"
 #include "routing/node_retry_budget.h"
 #include "routing/route_table.h"
 #include "routing/target_tracker.h"
@@ -223,7 +224,9 @@
     m_finished = true;
     m_sink = nullptr;
     // A copy that is not released expires.
-    if (m_requestedCopy && !(m_target && m_parts.targetTracker.isPaused(m_target->name, m_parts.timers.now())))
+    const bool mayRelease = m_target && !m_parts.permits.isLimited(*m_target)
+        && !m_parts.targetTracker.isPaused(m_target->name, m_parts.timers.now());
+    if (m_requestedCopy && mayRelease)
         m_parts.copies.releaseCopy(m_requestedCopy->address, m_requestedCopy->name);
     m_requestedCopy.reset();
     m_parts.timers.cancel(m_deadlineTimer);
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -94,9 +94,10 @@
     void dispatch();
     bool rejectIfQuarantined();
     void dispatchAt(instant due);
+    void sendWithPermit(const target_entry& target);
     void waitForTarget();
     std::chrono::milliseconds randomDelay(std::chrono::milliseconds range);
-    std::chrono::milliseconds retryAfterPause(instant pauseEnd);
+    std::chrono::milliseconds retryAfter(const service_outlook& outlook);
     bool isGeneration() const;
     void send(const target_entry& target);
     void chooseCopyHolder(const target_entry& target);
@@ -104,6 +105,8 @@
     void endAttempt();
     void startAttemptTimeout();
     void onAttemptTimeout();
+    void onLatePermit(const target_entry& next);
+    void abandonLateAttempt();
     void retryOrFail(attempt_outcome attemptOutcome);
     void recordTargetFault(target_fault fault, std::string_view faultName);
 
@@ -115,6 +118,7 @@
     void maintainCopy();
     void recheckCopyHolder();
     void requestCopy();
+    void sendCopyRequest();
     void onCopyResponse(const std::optional<std::string>& handle);
     void forwardEvents();
     bool forwardEvent(const stream_event& event);
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -9,7 +9,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/response_sink.h"
 #include "gateway/target_connection_pool.h"
-#include "gateway/target_notice_handler.h"
+#include "gateway/target_permits.h"
 #include "routing/generation_time_estimator.h"
 #include "routing/node_retry_budget.h"
 #include "routing/response_time_estimator.h"
@@ -68,7 +68,22 @@
         waitForTarget();
         return;
     }
-    send(*target);
+    sendWithPermit(*target);
+}
+
+// After a denial the target tracker offers other targets, and finally none.
+void exchange::sendWithPermit(const target_entry& target)
+{
+    m_parts.permits.acquire(target, [self = weak_from_this(), target](bool granted) {
+        const auto exchange = self.lock();
+        if (!exchange || exchange->m_finished)
+            return;
+        // The target may have been removed or have announced its shutdown while the permit was pending.
+        if (granted && exchange->m_parts.targetTracker.takesRequests(target.name, exchange->m_parts.timers.now()))
+            exchange->send(target);
+        else
+            exchange->dispatch();
+    });
 }
 
 void exchange::waitForTarget()
@@ -76,21 +91,26 @@
     const auto now = m_parts.timers.now();
     const auto longest = m_responseStarted ? m_deadline : m_startedAt + m_route->objective / 2;
     const auto latest = std::min(longest, m_deadline);
-    const auto pauseEnd = m_parts.targetTracker.allPausedUntil(m_service, now);
-    if (now + NoTargetRetryDelay >= latest || (pauseEnd && *pauseEnd >= latest)) {
+    const auto outlook = m_parts.targetTracker.allUnavailable(m_service, now);
+    if (now + NoTargetRetryDelay >= latest || (outlook && outlook->next + outlook->spread >= latest)) {
         const auto kind = m_history.mayHaveRun ? error_kind::TargetFailed : error_kind::NoTarget;
-        if (pauseEnd)
-            failWith(kind, "all targets ask for a pause", retryAfterPause(*pauseEnd));
-        else
+        if (outlook && outlook->limited) {
+            m_parts.metrics.count("refused_at_limit");
+            m_parts.permits.recordRefused(m_service);
+            failWith(kind, "all targets have reached their request limits", retryAfter(*outlook));
+        } else if (outlook) {
+            failWith(kind, "all targets ask for a pause", retryAfter(*outlook));
+        } else {
             failWith(kind, "no target is in service");
+        }
         return;
     }
-    if (pauseEnd && isGeneration() && mayQueue()) {
+    if (outlook && isGeneration() && mayQueue()) {
         waitInQueue(); // the queue schedules one request at a time
         return;
     }
-    // A random delay keeps requests that wait for the same pause from being sent simultaneously.
-    dispatchAt(pauseEnd ? *pauseEnd + randomDelay(NoTargetRetryDelay) : now + NoTargetRetryDelay);
+    // A random delay keeps requests that wait for the same time from being sent simultaneously.
+    dispatchAt(outlook ? outlook->next + randomDelay(NoTargetRetryDelay) : now + NoTargetRetryDelay);
 }
 
 // A request that crashed several targets would crash the next one too.
@@ -119,11 +139,12 @@
     return std::chrono::milliseconds(m_parts.random.below(static_cast<std::uint64_t>(range.count()) + 1));
 }
 
-// Spreads the retries of callers over a time as long as the pause, so that the targets are not overloaded at its end.
-std::chrono::milliseconds exchange::retryAfterPause(instant pauseEnd)
+// Spreads the retries of callers over the time in which the targets can serve them, or over a time as long as a pause,
+// so that the targets are not overloaded at its end.
+std::chrono::milliseconds exchange::retryAfter(const service_outlook& outlook)
 {
-    const auto remainingPause = std::chrono::ceil<std::chrono::milliseconds>(pauseEnd - m_parts.timers.now());
-    return remainingPause + randomDelay(std::max(remainingPause, MinRetryAfterSpread));
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(outlook.next - m_parts.timers.now());
+    return remaining + randomDelay(std::max(outlook.limited ? outlook.spread : remaining, MinRetryAfterSpread));
 }
 
 bool exchange::isGeneration() const
@@ -246,17 +267,40 @@
 {
     if (m_finished || !m_link || m_history.answered + 1 >= m_history.maxTargets)
         return;
-    const auto now = m_parts.timers.now();
     auto tried = m_triedTargets;
     tried.push_back(m_target->name);
-    if (!m_parts.targetTracker.choose({ m_service, m_parts.settings.zone, tried, std::nullopt }, now)
-        || !m_parts.retryBudget.take(m_service, now))
+    const auto next
+        = m_parts.targetTracker.choose({ m_service, m_parts.settings.zone, tried, std::nullopt }, m_parts.timers.now());
+    if (!next)
+        return;
+    if (m_parts.permits.isLimited(*next)) {
+        m_parts.permits.acquire(*next, [self = weak_from_this(), attempt = m_attempts, next = *next](bool granted) {
+            const auto exchange = self.lock();
+            if (granted && exchange && !exchange->m_finished && exchange->m_link && attempt == exchange->m_attempts)
+                exchange->onLatePermit(next);
+        });
         return;
+    }
+    if (!m_parts.retryBudget.take(m_service, m_parts.timers.now()))
+        return;
+    abandonLateAttempt();
+    dispatch();
+}
+
+void exchange::onLatePermit(const target_entry& next)
+{
+    if (!m_parts.retryBudget.take(m_service, m_parts.timers.now()))
+        return;
+    abandonLateAttempt();
+    send(next);
+}
+
+void exchange::abandonLateAttempt()
+{
     recordTargetFault(target_fault::NoResponse, "late");
     m_history.mayHaveRun = m_history.mayHaveRun || m_sent;
     ++m_history.answered;
     endAttempt();
-    dispatch();
 }
 
 void exchange::recordTargetFault(target_fault fault, std::string_view faultName)
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -9,6 +9,7 @@
 #include "gateway/replacement_finder.h"
 #include "gateway/response_sink.h"
 #include "gateway/run_handover.h"
+#include "gateway/target_permits.h"
 #include "routing/generation_time_estimator.h"
 #include "routing/prefill_time_estimator.h"
 #include "routing/route_table.h"
@@ -95,8 +96,23 @@
 }
 
 // Probes the holder before sending: a holder that has crashed is then detected sooner and without using a retry.
+// A probe of a limited holder would use up the permit of the request.
 void exchange::probeCopyHolder(const target_entry& holder)
 {
+    if (m_parts.permits.isLimited(holder)) {
+        m_parts.permits.acquire(holder, [self = weak_from_this(), holder](bool granted) {
+            const auto exchange = self.lock();
+            if (!exchange || exchange->m_finished)
+                return;
+            if (granted && exchange->hasUsableCopy()) {
+                exchange->send(holder);
+                return;
+            }
+            exchange->m_copy.reset();
+            exchange->dispatch();
+        });
+        return;
+    }
     m_parts.prober.probe(holder, PollTimeout, [self = weak_from_this(), holder](const target_prober::answer& answer) {
         const auto exchange = self.lock();
         if (!exchange || exchange->m_finished)
@@ -126,7 +142,16 @@
     const target_query query { m_service, std::nullopt, m_triedTargets, m_lostZone };
     const auto now = m_parts.timers.now();
     m_polledEngines.clear();
-    for (auto& target : m_parts.targetTracker.candidates(query, PolledEngineCount, now)) {
+    auto candidates = m_parts.targetTracker.candidates(query, PolledEngineCount, now);
+    // A poll would use up a permit. So a limited engine that ranks first gets the request without a poll, and others
+    // are left out.
+    if (!candidates.empty() && m_parts.permits.isLimited(candidates.front())) {
+        sendWithPermit(candidates.front());
+        return true;
+    }
+    for (auto& target : candidates) {
+        if (m_parts.permits.isLimited(target))
+            continue;
         const auto unreported = m_parts.targetTracker.attemptsSince(target.name, now - ReportDelay);
         m_polledEngines.push_back({ std::move(target), false, std::nullopt, unreported });
     }
--- a/gateway/exchange_responses.cpp
+++ b/gateway/exchange_responses.cpp
@@ -33,7 +33,7 @@
     m_reply = reply;
     const bool misaddressed = reply.actualTarget && *reply.actualTarget != m_target->name;
     if (!misaddressed)
-        m_parts.notices.apply(m_target->name, m_target->address, reply);
+        m_parts.notices.apply(m_target->name, m_target->address, m_target->startedAt, reply);
     m_streaming = m_route->kind == route_kind::Stream && head.status == 200 && reply.signedByTarget && !reply.encoded;
 }
 
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -8,6 +8,7 @@
 #include "gateway/response_sink.h"
 #include "gateway/run_copy_client.h"
 #include "gateway/stream_stall_settings.h"
+#include "gateway/target_permits.h"
 #include "gateway/target_prober.h"
 #include "routing/prefill_time_estimator.h"
 #include "routing/route_table.h"
@@ -130,6 +131,19 @@
         if (!m_copyHolder)
             return;
     }
+    m_copyRequestPending = true;
+    m_parts.permits.acquire(*m_target, [self = weak_from_this(), attempt = m_attempts](bool granted) {
+        const auto exchange = self.lock();
+        if (!exchange || exchange->m_finished || attempt != exchange->m_attempts)
+            return;
+        exchange->m_copyRequestPending = false;
+        if (granted && exchange->m_copyHolder)
+            exchange->sendCopyRequest();
+    });
+}
+
+void exchange::sendCopyRequest()
+{
     m_parts.metrics.count("copy_orders");
     m_copyRequestPending = true;
     m_parts.copies.copyRun(m_target->address, m_caller.attempt, m_copyHolder->address,
--- a/gateway/fleet_membership.cpp
+++ b/gateway/fleet_membership.cpp
@@ -24,6 +24,11 @@
         return settings;
     }
 
+    bool isBelievedAlive(const member& known)
+    {
+        return known.update.state == member_state::Alive || known.update.state == member_state::Suspect;
+    }
+
     bool mayBeActive(const member& known)
     {
         return known.update.state != member_state::Left && known.update.state != member_state::Leaving;
@@ -96,14 +101,23 @@
 {
     std::vector<node_id> nodes;
     for (const auto& [node, known] : m_membership.members()) {
-        const auto state = known.update.state;
         const bool matchesZone = (known.update.zone == m_self.zone) == inOwnZone && node != m_self.node;
-        if (matchesZone && (state == member_state::Alive || state == member_state::Suspect))
+        if (matchesZone && isBelievedAlive(known))
             nodes.push_back(node);
     }
     return nodes;
 }
 
+std::vector<limit_node> fleet_membership::otherNodes() const
+{
+    std::vector<limit_node> nodes;
+    for (const auto& [node, known] : m_membership.members()) {
+        if (node != m_self.node && isBelievedAlive(known))
+            nodes.push_back({ node, known.update.zone });
+    }
+    return nodes;
+}
+
 std::size_t fleet_membership::possiblyActiveNodes() const
 {
     std::size_t count = 0;
--- a/gateway/fleet_membership.h
+++ b/gateway/fleet_membership.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/membership.h"
+#include "core/target_limiter.h"
 #include "gateway/timer_queue.h"
 
 #include <functional>
@@ -43,6 +44,9 @@
     /// \return the nodes that are believed alive in other zones
     std::vector<node_id> otherZones() const { return aliveNodes(false); }
 
+    /// \return the other nodes that are believed alive, with their zones
+    std::vector<limit_node> otherNodes() const;
+
     /// \return the number of nodes that may serve requests: all that have not announced that they leave, unreachable
     /// nodes and this node included
     std::size_t possiblyActiveNodes() const;
--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -4,6 +4,7 @@
 #include "gateway/socket_address.h"
 #include "wire/membership_codec.h"
 #include "wire/messages.pb.h"
+#include "wire/target_limit_codec.h"
 
 #include <zlib.h>
 
@@ -154,6 +155,8 @@
         encodeDigest(*digest, *encoded.mutable_news());
     else if (const auto* crashes = std::get_if<crash_news>(&datagram.body))
         encode(*crashes, *encoded.mutable_crashes());
+    else if (const auto* limit = std::get_if<target_limit_message>(&datagram.body))
+        encode(*limit, *encoded.mutable_target_limit());
     else
         encodeRun(std::get<run_message>(datagram.body), encoded);
     return encoded.SerializeAsString();
@@ -187,6 +190,13 @@
         datagram.body = std::move(*crashes);
         return datagram;
     }
+    if (encoded.has_target_limit()) {
+        auto limit = decode(encoded.target_limit());
+        if (!limit)
+            return std::nullopt;
+        datagram.body = std::move(*limit);
+        return datagram;
+    }
     auto message = decodeRun(encoded);
     if (!message)
         return std::nullopt;
--- a/gateway/gateway_message_codec.h
+++ b/gateway/gateway_message_codec.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/membership_messages.h"
+#include "core/target_limit_messages.h"
 #include "gateway/news_batch.h"
 #include "gateway/run_messages.h"
 #include "routing/crash_news.h"
@@ -19,7 +20,7 @@
 /// A datagram between gateways.
 struct node_datagram {
     node_id sender; ///< "IP:PORT" where the sender receives
-    std::variant<membership_message, news_digest, run_message, crash_news> body;
+    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message> body;
 };
 
 std::string encodeDatagram(const node_datagram& datagram);
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -27,6 +27,7 @@
 class seeded_random;
 class target_tracker;
 class target_notice_handler;
+class target_permits;
 class target_prober;
 class timer_queue;
 struct gateway_settings;
@@ -39,6 +40,7 @@
     memory_budget& memory;
     target_connection_pool& targetConnections;
     target_tracker& targetTracker;
+    target_permits& permits;
     target_prober& prober;
     target_notice_handler& notices;
     run_copy_client& copies;
--- a/gateway/target_notice_handler.cpp
+++ b/gateway/target_notice_handler.cpp
@@ -4,22 +4,25 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/request_dialect.h"
 #include "gateway/target_connection_pool.h"
+#include "gateway/target_permits.h"
 #include "gateway/timer_queue.h"
 #include "routing/target_tracker.h"
 
 namespace oriolepick {
 
 target_notice_handler::target_notice_handler(timer_queue& timers, target_tracker& targetTracker,
-    target_connection_pool& connectionPool, decision_log& log, gateway_metrics& metrics)
+    target_permits& permits, target_connection_pool& connectionPool, decision_log& log, gateway_metrics& metrics)
     : m_timers(timers)
     , m_targetTracker(targetTracker)
+    , m_permits(permits)
     , m_connectionPool(connectionPool)
     , m_log(log)
     , m_metrics(metrics)
 {
 }
 
-void target_notice_handler::apply(const target_name& target, const std::string& address, const target_reply& reply)
+void target_notice_handler::apply(
+    const target_name& target, const std::string& address, std::uint64_t startedAt, const target_reply& reply)
 {
     const auto now = m_timers.now();
     if (reply.leaving && m_targetTracker.takesRequests(target, now)) {
@@ -30,7 +33,7 @@
         m_targetTracker.recordShutdownNotice(target);
         m_connectionPool.closeIdle(address); // requests in progress keep their connections
     }
-    recordLimit(target, reply);
+    m_permits.recordReply(target, startedAt, reply);
     if (reply.pauseInvalid) {
         m_metrics.count("pauses_unreadable");
         m_log.write("pause_unreadable", { { "target", target.value() } });
@@ -43,26 +46,4 @@
     m_targetTracker.recordPause(target, now + *reply.pause);
 }
 
-void target_notice_handler::recordLimit(const target_name& target, const target_reply& reply)
-{
-    if (reply.requestLimitInvalid) {
-        m_metrics.count("limits_unreadable");
-        return;
-    }
-    const auto known = m_namedLimits.find(target);
-    if (!reply.requestLimit) {
-        if (known == m_namedLimits.end())
-            return;
-        m_namedLimits.erase(known);
-        m_log.write("target_limit_ended", { { "target", target.value() } });
-        return;
-    }
-    m_metrics.count("limits_named");
-    if (known != m_namedLimits.end() && known->second == *reply.requestLimit)
-        return;
-    m_namedLimits[target] = *reply.requestLimit;
-    m_log.write(
-        "target_limit", { { "target", target.value() }, { "per_second", std::to_string(*reply.requestLimit) } });
-}
-
 } // namespace oriolepick
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -3,6 +3,7 @@
 #include "gateway/http_client.h"
 #include "gateway/request_dialect.h"
 #include "gateway/target_notice_handler.h"
+#include "gateway/target_permits.h"
 #include "routing/target_tracker.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,11 +23,12 @@
 } // namespace
 
 target_prober::target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
-    const target_tracker& targetTracker, target_notice_handler& notices)
+    const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices)
     : m_loop(loop)
     , m_timers(timers)
     , m_dialect(dialect)
     , m_targetTracker(targetTracker)
+    , m_permits(permits)
     , m_notices(notices)
 {
 }
@@ -44,6 +46,17 @@
     session.callbacks.push_back(std::move(done));
     if (session.callbacks.size() > 1)
         return;
+    m_permits.acquire(target, [this, target, timeout](bool granted) {
+        if (granted)
+            sendProbe(target, timeout);
+        else // the caller does not expect its callback before probe() returns
+            boost::asio::post(m_loop, [this, name = target.name] { finishUnprobed(name); });
+    });
+}
+
+void target_prober::sendProbe(const target_entry& target, std::chrono::milliseconds timeout)
+{
+    auto& session = m_sessions[target.name];
     if (!session.client)
         session.client = std::make_shared<http_client>(m_loop, m_timers, target.address, MaxResponseBytes);
     session.client->send(m_dialect.writeProbe(target.name, target.address), timeout,
@@ -58,15 +71,25 @@
     auto& session = m_sessions[target];
     const auto reply = m_dialect.readReply(response.head);
     if (response.status && response.status != Misdirected)
-        m_notices.apply(target, session.address, reply);
+        m_notices.apply(target, session.address, session.startedAt, reply);
     probeAnswer.replaced = response.status == Misdirected
         || (probeAnswer.report && probeAnswer.report->startedAt && session.startedAt
             && probeAnswer.report->startedAt != session.startedAt);
     probeAnswer.alive = response.status != 0 && !probeAnswer.replaced;
+    callBack(session, probeAnswer);
+}
+
+void target_prober::finishUnprobed(const target_name& target)
+{
+    callBack(m_sessions[target], { true, false, std::nullopt });
+}
+
+void target_prober::callBack(session& session, const answer& answer)
+{
     std::vector<callback> callbacks;
     callbacks.swap(session.callbacks);
     for (const auto& done : callbacks)
-        done(probeAnswer);
+        done(answer);
 }
 
 void target_prober::expire(instant now)
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -19,8 +19,9 @@
 
 class http_client;
 class request_dialect;
-class target_tracker;
 class target_notice_handler;
+class target_permits;
+class target_tracker;
 struct http_client_response;
 struct target_entry;
 
@@ -38,11 +39,13 @@
     /// All references outlive this object.
     /// \param dialect encodes the probe and decodes the response
     /// \param targetTracker holds which targets have requested a pause and are not probed
+    /// \param permits grants the probes of limited targets
     /// \param notices receives the notices in every response
     target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
-        const target_tracker& targetTracker, target_notice_handler& notices);
+        const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices);
 
-    /// Probes \p target. A target that has requested a pause is not probed and counts as alive.
+    /// Probes \p target. A target that has requested a pause, or whose request limit is used up, is not probed and
+    /// counts as alive.
     /// \param timeout time limit for the response
     void probe(const target_entry& target, std::chrono::milliseconds timeout, callback done);
 
@@ -58,12 +61,16 @@
         std::string address;
     };
 
+    void sendProbe(const target_entry& target, std::chrono::milliseconds timeout);
     void finish(const target_name& target, const http_client_response& response);
+    void finishUnprobed(const target_name& target);
+    void callBack(session& session, const answer& answer);
 
     boost::asio::io_context& m_loop;
     timer_queue& m_timers;
     const request_dialect& m_dialect;
     const target_tracker& m_targetTracker;
+    target_permits& m_permits;
     target_notice_handler& m_notices;
     std::map<target_name, session> m_sessions;
 };
--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -72,6 +72,7 @@
         target.replaced = false;
         target.hasShutdownNotice = false;
         target.pausedUntil = {};
+        target.limitedUntil = {};
     }
     const bool drains = target.entry.draining && target.entry.startedAt == entry.startedAt;
     target.entry = entry;
@@ -149,6 +150,15 @@
         found->second.pausedUntil = std::max(found->second.pausedUntil, until);
 }
 
+void target_tracker::recordLimitReached(const target_name& target, instant until, std::chrono::milliseconds spread)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    found->second.limitedUntil = until;
+    found->second.limitSpread = spread;
+}
+
 void target_tracker::recordFault(const target_name& target, target_fault fault, instant now)
 {
     const auto found = m_targets.find(target);
@@ -226,7 +236,8 @@
 std::optional<double> target_tracker::scoreOf(
     const target_query& query, const target_name& name, const state& target, instant now)
 {
-    if (target.entry.service != query.service || !isUsable(target, now) || isExcluded(query, name))
+    if (target.entry.service != query.service || !isUsable(target, now) || now < target.limitedUntil
+        || isExcluded(query, name))
         return std::nullopt;
     double score = (target.inFlight + 0.5 * m_random.unit()) / std::max<std::uint32_t>(target.entry.slots, 1);
     if (query.zone && target.entry.zone != *query.zone)
@@ -285,17 +296,34 @@
     return found != m_targets.end() && now < found->second.pausedUntil;
 }
 
-std::optional<instant> target_tracker::allPausedUntil(const service_name& service, instant now) const
+std::optional<service_outlook> target_tracker::allUnavailable(const service_name& service, instant now) const
 {
-    std::optional<instant> first;
+    std::optional<service_outlook> outlook;
     for (const auto& [name, target] : m_targets) {
         if (target.entry.service != service || !isInService(target, now))
             continue;
-        if (now >= target.pausedUntil)
+        const auto until = std::max(target.pausedUntil, target.limitedUntil);
+        if (now >= until)
             return std::nullopt;
-        first = first ? std::min(*first, target.pausedUntil) : target.pausedUntil;
+        if (!outlook)
+            outlook = service_outlook { until };
+        outlook->next = std::min(outlook->next, until);
+        if (now >= target.limitedUntil)
+            continue;
+        outlook->limited = true;
+        outlook->spread = std::max(outlook->spread, target.limitSpread);
+    }
+    return outlook;
+}
+
+std::vector<target_name> target_tracker::limitedTargets(const service_name& service, instant now) const
+{
+    std::vector<target_name> limited;
+    for (const auto& [name, target] : m_targets) {
+        if (target.entry.service == service && isInService(target, now) && now < target.limitedUntil)
+            limited.push_back(name);
     }
-    return first;
+    return limited;
 }
 
 bool target_tracker::canResumeAt(const target_entry& target, instant now) const
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -58,6 +58,14 @@
     std::optional<availability_zone> avoidedZone; ///< targets of this zone are chosen last
 };
 
+/// When a service without an available target may accept requests again.
+struct service_outlook {
+    instant next; ///< the first target becomes available
+    /// Time that the targets need for the callers that are refused meanwhile: their returns must be spread over it.
+    std::chrono::milliseconds spread { 0 };
+    bool limited = false; ///< because of a target's request limit, not of pauses alone
+};
+
 /// Reason to back off from a target.
 enum class target_fault {
     Unreachable, ///< the connection failed or broke
@@ -101,6 +109,10 @@
     /// Records that a response of \p target asked this node to send no requests until \p until.
     void recordPause(const target_name& target, instant until);
 
+    /// Records that the request limit of \p target is used up until \p until.
+    /// \param spread time over which the returns of refused callers must be spread
+    void recordLimitReached(const target_name& target, instant until, std::chrono::milliseconds spread);
+
     /// Backs off from \p target for a time that grows with consecutive failures.
     void recordFault(const target_name& target, target_fault fault, instant now);
 
@@ -126,8 +138,11 @@
     /// \return whether \p target has requested a pause that covers \p now
     bool isPaused(const target_name& target, instant now) const;
 
-    /// \return the end of the first pause, if all targets in service of \p service have requested one
-    std::optional<instant> allPausedUntil(const service_name& service, instant now) const;
+    /// \return the outlook, if all targets in service of \p service pause or have reached their request limit
+    std::optional<service_outlook> allUnavailable(const service_name& service, instant now) const;
+
+    /// \return the targets in service of \p service that have reached their request limit
+    std::vector<target_name> limitedTargets(const service_name& service, instant now) const;
 
     /// \return whether the incarnation of \p target is still registered, accepts requests and has no recorded fault
     bool canResumeAt(const target_entry& target, instant now) const;
@@ -153,6 +168,8 @@
         bool replaced = false; // another target uses the address; not used until a new incarnation registers
         bool hasShutdownNotice = false; // announced in a response; the registry may report the shutdown later or never
         instant pausedUntil; // requested in a response
+        instant limitedUntil; // no permit is available
+        std::chrono::milliseconds limitSpread { 0 };
         std::optional<instant> expiresAt; // removed from the registry but kept until this time
     };
 
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -225,14 +225,16 @@
     tracker.recordPause(target_name("a"), now + 3s);
     tracker.recordPause(target_name("a"), now + 1s);
     EXPECT_EQ(chosen(), "b");
-    EXPECT_FALSE(tracker.allPausedUntil(service_name("s"), now)) << "another target accepts requests";
+    EXPECT_FALSE(tracker.allUnavailable(service_name("s"), now)) << "another target accepts requests";
     tracker.recordPause(target_name("b"), now + 5s);
     EXPECT_EQ(chosen(), "");
-    EXPECT_EQ(tracker.allPausedUntil(service_name("s"), now), now + 3s);
+    ASSERT_TRUE(tracker.allUnavailable(service_name("s"), now));
+    EXPECT_EQ(tracker.allUnavailable(service_name("s"), now)->next, now + 3s);
+    EXPECT_FALSE(tracker.allUnavailable(service_name("s"), now)->limited);
     EXPECT_TRUE(tracker.isPaused(target_name("a"), now + 2'999ms));
     now += 3s;
     EXPECT_EQ(chosen(), "a");
-    EXPECT_FALSE(tracker.allPausedUntil(service_name("s"), now));
+    EXPECT_FALSE(tracker.allUnavailable(service_name("s"), now));
 }
 
 TEST_F(TargetTracker, RemovedTargetIsNotChosen)
