Keep the limits of targets over all daemons

Targets of its protocols name theirs in the header Request-Limit. limited_service_client and limited_engine_client take a permit for each request, whoever sends it: calls that run once or may repeat, starts, attaches, cancellations, probes, polls of state, orders and crash checks. target_limits drives core's target_limiter with messages in the envelope between daemons. A call that no target may take is refused as not run with the time of the next permit. A limited engine that responds is not polled: the polls of 370 nodes alone would exceed its limit.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -99,6 +99,14 @@
     return nodes;
 }
 
+std::size_t membership::possiblyActiveNodes() const
+{
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [](const auto& each) {
+        const auto state = each.second.update.state;
+        return state != member_state::Left && state != member_state::Leaving;
+    }));
+}
+
 bool membership::isolated() const
 {
     bool others = false;
--- a/core/membership.h
+++ b/core/membership.h
@@ -93,6 +93,10 @@
     /// \return the nodes that are alive or suspected, including this one unless it is leaving
     std::vector<node_id> usableNodes() const;
 
+    /// \return the number of nodes that may be serving requests: all that have not announced that they leave, including
+    ///     unreachable nodes and this one
+    std::size_t possiblyActiveNodes() const;
+
     /// \return whether every other known node is unreachable, which probably means that this node is partitioned
     bool isolated() const;
 
--- a/gateway/fleet_membership.cpp
+++ b/gateway/fleet_membership.cpp
@@ -29,11 +29,6 @@
         return known.update.state == member_state::Alive || known.update.state == member_state::Suspect;
     }
 
-    bool mayBeActive(const member& known)
-    {
-        return known.update.state != member_state::Left && known.update.state != member_state::Leaving;
-    }
-
 } // namespace
 
 fleet_membership::fleet_membership(const member_update& self, callbacks callbacks, std::uint64_t seed,
@@ -118,12 +113,4 @@
     return nodes;
 }
 
-std::size_t fleet_membership::possiblyActiveNodes() const
-{
-    std::size_t count = 0;
-    for (const auto& [node, known] : m_membership.members())
-        count += mayBeActive(known);
-    return count;
-}
-
 } // namespace oriolepick
--- a/gateway/fleet_membership.h
+++ b/gateway/fleet_membership.h
@@ -49,7 +49,7 @@
 
     /// \return the number of nodes that may serve requests: all that have not announced that they leave, unreachable
     /// nodes and this node included
-    std::size_t possiblyActiveNodes() const;
+    std::size_t possiblyActiveNodes() const { return m_membership.possiblyActiveNodes(); }
 
 private:
     void tick();
--- a/node/call_driver.cpp
+++ b/node/call_driver.cpp
@@ -8,6 +8,7 @@
 #include "node/node_metrics.h"
 #include "node/peer_hub.h"
 #include "node/target_directory.h"
+#include "node/target_limits.h"
 #include "ports/table_service.h"
 #include "targets/call_abort.h"
 #include "wire/messages.pb.h"
@@ -44,12 +45,13 @@
 } // namespace
 
 call_driver::call_driver(table_service& table, service_client& services, target_directory& targets,
-    crash_guard& crashes, peer_hub& peers, control_loop& loop, node_metrics& metrics,
+    crash_guard& crashes, target_limits& limits, peer_hub& peers, control_loop& loop, node_metrics& metrics,
     std::chrono::milliseconds tableTimeout, std::uint64_t seed)
     : m_table(table)
     , m_services(services)
     , m_targets(targets)
     , m_crashes(crashes)
+    , m_limits(limits)
     , m_peers(peers)
     , m_loop(loop)
     , m_metrics(metrics)
@@ -166,7 +168,9 @@
     query.excluded = action.excluded;
     const auto chosen = m_targets.choose(query, call->second.dispatch.targets, 0, std::chrono::steady_clock::now());
     if (const auto* none = std::get_if<placement_failure>(&chosen))
-        execute(m_desk.noTarget(timeNow(), action.number, none->retryAfter));
+        execute(m_desk.noTarget(timeNow(), action.number,
+            m_limits.retryAfterRefusal(m_targets.addressesOf(call->second.dispatch.targets))
+                .value_or(none->retryAfter)));
     else
         execute(m_desk.targetChosen(timeNow(), action.number, std::get<placed_target>(chosen).target));
 }
@@ -209,7 +213,8 @@
             timeNow(), number, { outcome.status, contentTypeOf(outcome.headers), outcome.body }));
         break;
     case service_outcome_kind::NotSent: {
-        m_targets.recordUnreachable(target);
+        if (!outcome.limited)
+            m_targets.recordUnreachable(target);
         const auto call = m_calls.find(number);
         if (call != m_calls.end())
             call->second.sent = false;
--- a/node/call_driver.h
+++ b/node/call_driver.h
@@ -25,6 +25,7 @@
 class peer_hub;
 class table_service;
 class target_directory;
+class target_limits;
 
 /// What a call needs besides its key: where it may go and what is sent.
 struct call_dispatch {
@@ -40,8 +41,8 @@
     using reply_handler = std::function<void(const call_reply&)>;
 
     call_driver(table_service& table, service_client& services, target_directory& targets, crash_guard& crashes,
-        peer_hub& peers, control_loop& loop, node_metrics& metrics, std::chrono::milliseconds tableTimeout,
-        std::uint64_t seed);
+        target_limits& limits, peer_hub& peers, control_loop& loop, node_metrics& metrics,
+        std::chrono::milliseconds tableTimeout, std::uint64_t seed);
 
     /// Opens a call; \p onReply runs once, on the control loop. Thread-safe.
     void open(call_request request, call_dispatch dispatch, reply_handler onReply);
@@ -85,6 +86,7 @@
     service_client& m_services;
     target_directory& m_targets;
     crash_guard& m_crashes;
+    target_limits& m_limits;
     peer_hub& m_peers;
     control_loop& m_loop;
     node_metrics& m_metrics;
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -11,6 +11,8 @@
 #include "node/cursor_codec.h"
 #include "node/generation_gate.h"
 #include "node/http_edge.h"
+#include "node/limited_engine_client.h"
+#include "node/limited_service_client.h"
 #include "node/limits_driver.h"
 #include "node/locked_admission.h"
 #include "node/membership_driver.h"
@@ -23,6 +25,7 @@
 #include "node/service_endpoint.h"
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
+#include "node/target_limits.h"
 #include "node/target_poller.h"
 #include "node/task_pool.h"
 #include "node/ticket_driver.h"
@@ -104,6 +107,11 @@
         , cursors(configuration.cursorKeys)
         , transport(configuration.peersListen)
         , peers(node_id(configuration.peersListen), incarnation, transport, loop, states, metrics)
+        , targetLimits(peers, loop, metrics)
+        , engineAdapter(
+              {}, [this](const auto& address, const auto& headers) { targetLimits.recordResponse(address, headers); })
+        , engines(engineAdapter, targetLimits)
+        , serviceClient(serviceAdapter, targetLimits)
         , crashes(origin, table, engines, serviceClient, targets, peers, loop, metrics, configuration.platformTimeout)
         , operators(configuration,
               operator_sources { states, targets, traces, control, [this] { return crashes.counts(); } }, status,
@@ -120,9 +128,10 @@
         , limitsDriver(limits, peers, loop)
         , orders(node_id(configuration.peersListen), origin, table, engines, targets, states, loop, tasks, metrics,
               configuration.platformTimeout)
-        , calls(table, serviceClient, targets, crashes, peers, loop, metrics, configuration.platformTimeout,
-              processSeed())
-        , services(origin, states, callers, calls, serviceClient, targets, crashes, limits, admission, metrics, traces)
+        , calls(table, serviceClient, targets, crashes, targetLimits, peers, loop, metrics,
+              configuration.platformTimeout, processSeed())
+        , services(origin, states, callers, calls, serviceClient, targets, crashes, targetLimits, limits, admission,
+              metrics, traces)
         , edge(configuration, edge_services { completions, services, operators, callers, metrics, status })
     {
         states.addListener([this](const auto& state) {
@@ -135,6 +144,7 @@
         members.addListener([this](const auto& usable, instant now) {
             ticketDriver.setPeers(usable);
             limitsDriver.setNodes(usable, now);
+            targetLimits.setNodes(usable, members.possiblyActiveNodes(), now);
             calls.setNodes(usable, now);
             crashes.setNodes(usable);
             orders.setNodes(usable);
@@ -156,8 +166,6 @@
     http_table_service table;
     http_object_store objects;
     http_instance_list instances;
-    http_engine_client engines;
-    http_service_client serviceClient;
     trace_store traces;
     target_directory targets;
     locked_admission admission;
@@ -167,6 +175,11 @@
     zmq_peer_transport transport;
     control_loop loop;
     peer_hub peers;
+    target_limits targetLimits;
+    http_engine_client engineAdapter;
+    http_service_client serviceAdapter;
+    limited_engine_client engines;
+    limited_service_client serviceClient;
     crash_guard crashes;
     control_view control;
     operator_endpoint operators;
@@ -208,8 +221,8 @@
     const auto bound = m_parts->edge.bind();
     if (!bound)
         return bound.error();
-    m_parts->targetPoller.emplace(m_parts->engines, m_parts->instances, m_parts->targets, m_parts->tasks,
-        m_parts->metrics, TargetPollPeriod, TargetPollTimeout);
+    m_parts->targetPoller.emplace(m_parts->engines, m_parts->instances, m_parts->targets, m_parts->targetLimits,
+        m_parts->tasks, m_parts->metrics, TargetPollPeriod, TargetPollTimeout);
     m_parts->loop.start();
     m_parts->peers.start();
     m_parts->server = std::thread([this] { m_parts->edge.serve(); });
@@ -225,6 +238,7 @@
     m_parts->loop.post([this](instant now) {
         m_parts->orders.stop();
         m_parts->members.leave(now);
+        m_parts->targetLimits.leave(now);
     });
     const auto limit = std::chrono::steady_clock::now() + m_settings.drainTimeout;
     while (status.openRequests > 0 && std::chrono::steady_clock::now() < limit)
--- a/node/membership_driver.h
+++ b/node/membership_driver.h
@@ -30,6 +30,10 @@
     /// \return the nodes that are alive or suspected, including this one; on the control loop
     std::vector<node_id> usableNodes() const { return m_membership.usableNodes(); }
 
+    /// \return the number of nodes that may be serving requests: all that have not announced that they leave; on the
+    ///     control loop
+    std::size_t possiblyActiveNodes() const { return m_membership.possiblyActiveNodes(); }
+
     /// \return all known nodes with their states; on the control loop
     const std::map<node_id, member>& members() const { return m_membership.members(); }
 
--- a/node/node_metrics.cpp
+++ b/node/node_metrics.cpp
@@ -30,6 +30,7 @@
         { "oriolepick_bad_input_total", "Malformed or oversized input by entrance" },
         { "oriolepick_calls_total", "Calls to plain services by outcome" },
         { "oriolepick_repeated_calls_total", "Non-idempotent calls that were dispatched twice; must stay 0" },
+        { "oriolepick_target_limits_total", "Changes of the request limits of targets, and permits for requests" },
         { "oriolepick_state_changes_total", "Changes of state of targets, peers and this node" },
         { "oriolepick_peer_messages_total", "Messages between nodes" },
         { "oriolepick_peer_bytes_total", "Bytes of messages between nodes" },
--- a/node/node_metrics.h
+++ b/node/node_metrics.h
@@ -29,6 +29,7 @@
     BadInput, ///< entrance
     Calls, ///< fleet, service, outcome
     RepeatedCalls, ///< fleet, service: a claim was found to have been dispatched twice, must stay 0
+    TargetLimits, ///< event
     StateChanges, ///< part, to
     PeerMessages, ///< direction
     PeerBytes, ///< direction
--- a/node/service_endpoint.cpp
+++ b/node/service_endpoint.cpp
@@ -11,6 +11,7 @@
 #include "node/node_metrics.h"
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
+#include "node/target_limits.h"
 #include "node/team_limits.h"
 #include "node/trace_store.h"
 #include "targets/call_abort.h"
@@ -65,8 +66,9 @@
 } // namespace
 
 service_endpoint::service_endpoint(std::string keyPrefix, const state_keeper& states, const authenticator& callers,
-    call_driver& calls, service_client& services, target_directory& targets, crash_guard& crashes, team_limits& limits,
-    resume_admission& retries, node_metrics& metrics, trace_store& traces)
+    call_driver& calls, service_client& services, target_directory& targets, crash_guard& crashes,
+    target_limits& targetLimits, team_limits& limits, resume_admission& retries, node_metrics& metrics,
+    trace_store& traces)
     : m_keyPrefix(std::move(keyPrefix))
     , m_states(states)
     , m_callers(callers)
@@ -74,6 +76,7 @@
     , m_services(services)
     , m_targets(targets)
     , m_crashes(crashes)
+    , m_targetLimits(targetLimits)
     , m_limits(limits)
     , m_retries(retries)
     , m_metrics(metrics)
@@ -181,7 +184,8 @@
             query.excluded = place->excluded;
             const auto chosen = m_targets.choose(query, dispatch.targets, 0, now);
             const auto* none = std::get_if<placement_failure>(&chosen);
-            actions = none ? machine.noTarget(none->retryAfter)
+            actions = none ? machine.noTarget(m_targetLimits.retryAfterRefusal(m_targets.addressesOf(dispatch.targets))
+                                                  .value_or(none->retryAfter))
                            : machine.targetChosen(now, std::get<placed_target>(chosen).target);
             continue;
         }
@@ -202,7 +206,8 @@
         if (outcome.kind == service_outcome_kind::Response) {
             actions = machine.attemptAnswered(send.ordinal, answerOf(outcome));
         } else if (outcome.kind == service_outcome_kind::NotSent) {
-            m_targets.recordUnreachable(send.target);
+            if (!outcome.limited)
+                m_targets.recordUnreachable(send.target);
             actions = machine.attemptNotSent(send.ordinal);
         } else {
             const bool allowed = m_crashes.mayRepeat(dispatch.fingerprint)
--- a/node/service_endpoint.h
+++ b/node/service_endpoint.h
@@ -21,6 +21,7 @@
 class resume_admission;
 class state_keeper;
 class target_directory;
+class target_limits;
 class team_limits;
 class trace_store;
 struct call_dispatch;
@@ -48,7 +49,8 @@
 public:
     service_endpoint(std::string keyPrefix, const state_keeper& states, const authenticator& callers,
         call_driver& calls, service_client& services, target_directory& targets, crash_guard& crashes,
-        team_limits& limits, resume_admission& retries, node_metrics& metrics, trace_store& traces);
+        target_limits& targetLimits, team_limits& limits, resume_admission& retries, node_metrics& metrics,
+        trace_store& traces);
 
     /// Serves a call; blocks until its answer.
     service_reply call(const service_call& call);
@@ -74,6 +76,7 @@
     service_client& m_services;
     target_directory& m_targets;
     crash_guard& m_crashes;
+    target_limits& m_targetLimits;
     team_limits& m_limits;
     resume_admission& m_retries;
     node_metrics& m_metrics;
--- a/node/target_directory.cpp
+++ b/node/target_directory.cpp
@@ -190,6 +190,18 @@
     return record->second.address;
 }
 
+std::vector<std::string> target_directory::addressesOf(const std::vector<target_id>& targets) const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<std::string> addresses;
+    for (const auto& target : targets) {
+        const auto found = m_records.find(target);
+        if (found != m_records.end())
+            addresses.push_back(found->second.address);
+    }
+    return addresses;
+}
+
 std::vector<target_id> target_directory::inZonesOf(const std::vector<target_id>& targets) const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -74,6 +74,9 @@
     /// \return the address, or nothing for an unknown target
     std::optional<std::string> addressOf(const target_id& target) const;
 
+    /// \return the addresses of the known ones among \p targets
+    std::vector<std::string> addressesOf(const std::vector<target_id>& targets) const;
+
     /// \return all targets in the zones of \p targets
     std::vector<target_id> inZonesOf(const std::vector<target_id>& targets) const;
 
--- a/node/target_poller.cpp
+++ b/node/target_poller.cpp
@@ -3,6 +3,7 @@
 #include "node/node_log.h"
 #include "node/node_metrics.h"
 #include "node/target_directory.h"
+#include "node/target_limits.h"
 #include "node/task_pool.h"
 #include "ports/instance_list.h"
 #include "targets/engine_client.h"
@@ -10,10 +11,12 @@
 namespace oriolepick {
 
 target_poller::target_poller(engine_client& engines, const instance_list& instances, target_directory& targets,
-    task_pool& tasks, node_metrics& metrics, std::chrono::milliseconds period, std::chrono::milliseconds timeout)
+    const target_limits& limits, task_pool& tasks, node_metrics& metrics, std::chrono::milliseconds period,
+    std::chrono::milliseconds timeout)
     : m_engines(engines)
     , m_instances(instances)
     , m_targets(targets)
+    , m_limits(limits)
     , m_tasks(tasks)
     , m_metrics(metrics)
     , m_period(period)
@@ -61,6 +64,9 @@
 void target_poller::pollEngines()
 {
     for (const auto& engine : m_targets.engines()) {
+        // The polls of all nodes would use up the limit. The responses to attempts show that the engine lives.
+        if (m_limits.isLimited(engine.address) && m_targets.observed(engine.target))
+            continue;
         {
             std::lock_guard<std::mutex> lock(m_mutex);
             if (!m_polling.insert(engine.target).second)
@@ -83,6 +89,8 @@
 void target_poller::pollEngine(const target_id& target, const std::string& address)
 {
     const auto state = m_engines.readState(address, m_timeout);
+    if (!state && state.error().kind == error_kind::LimitExceeded)
+        return;
     if (state)
         m_targets.recordEngineState(target, state.value());
     else
--- a/node/target_poller.h
+++ b/node/target_poller.h
@@ -19,13 +19,15 @@
 class instance_list;
 class node_metrics;
 class target_directory;
+class target_limits;
 class task_pool;
 
 /// Polls all engines of the directory on the task pool, and the instance list on its own thread.
 class target_poller {
 public:
-    target_poller(engine_client& engines, const instance_list& instances, target_directory& targets, task_pool& tasks,
-        node_metrics& metrics, std::chrono::milliseconds period, std::chrono::milliseconds timeout);
+    target_poller(engine_client& engines, const instance_list& instances, target_directory& targets,
+        const target_limits& limits, task_pool& tasks, node_metrics& metrics, std::chrono::milliseconds period,
+        std::chrono::milliseconds timeout);
     ~target_poller();
     target_poller(const target_poller&) = delete;
     target_poller& operator=(const target_poller&) = delete;
@@ -43,6 +45,7 @@
     engine_client& m_engines;
     const instance_list& m_instances;
     target_directory& m_targets;
+    const target_limits& m_limits;
     task_pool& m_tasks;
     node_metrics& m_metrics;
     std::chrono::milliseconds m_period;
--- a/standins/service_emulator.cpp
+++ b/standins/service_emulator.cpp
@@ -31,6 +31,12 @@
             *flag = value.get<bool>();
             return {};
         }
+        if (name == "request_limit") {
+            if (!value.is_number() || value.get<double>() < 0)
+                return name + " is not a number from 0";
+            faults.requestLimit = value.get<double>();
+            return {};
+        }
         if (name != "delay_ms" && name != "status" && name != "calls")
             return name + " is not a known switch";
         if (!value.is_number_unsigned()
@@ -105,6 +111,15 @@
     return found == m_runs.end() ? 0 : found->second;
 }
 
+std::uint64_t service_emulator::runs() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::uint64_t sum = 0;
+    for (const auto& [key, count] : m_runs)
+        sum += count;
+    return sum;
+}
+
 void service_emulator::addRoutes()
 {
     // The pre-routing handler runs for every method, before the body is read, and decides on a reset there. The body
@@ -155,6 +170,8 @@
 void service_emulator::serve(const httplib::Request& request, httplib::Response& response)
 {
     const service_faults faults = takeFaults();
+    if (faults.requestLimit > 0)
+        response.set_header("Request-Limit", std::to_string(faults.requestLimit));
     if (faults.status) {
         response.status = faults.status;
         response.set_content(R"({"ran":false})", "application/json");
--- a/standins/service_emulator.h
+++ b/standins/service_emulator.h
@@ -26,6 +26,7 @@
     bool resetAfterRun = false; ///< run the call, then close the connection without a response
     std::chrono::milliseconds delay { 0 }; ///< between the run and the response
     int status = 0; ///< answer without running, 0 for off
+    double requestLimit = 0; ///< named in each response, in requests per second; 0 for none
     std::uint32_t calls = 0; ///< how many of the next calls are affected; 0 for all
 };
 
@@ -49,13 +50,16 @@
     const std::string& address() const { return m_listener.address(); }
 
     /// Sets all faults from a JSON object with "exit_on_accept", "reset_before_body", "reset_after_run" (bool),
-    /// "delay_ms", "status" and "calls" (numbers); what is not named is off.
+    /// "delay_ms", "status", "request_limit" and "calls" (numbers); what is not named is off.
     /// \return what is wrong, empty for nothing
     std::string applyFaults(std::string_view text);
 
     /// \return how often the call with \p key ran
     std::uint64_t runsOf(const std::string& key) const;
 
+    /// \return the number of runs of all calls
+    std::uint64_t runs() const;
+
 private:
     void addRoutes();
     service_faults takeFaults();
--- a/targets/engine_client.h
+++ b/targets/engine_client.h
@@ -72,7 +72,8 @@
     std::optional<bool> hasAttempt; ///< whether the engine still has the attempt asked about
 };
 
-/// Engines as this system uses them; addresses have the form "ip:port". Implementations are thread-safe.
+/// Engines as this system uses them; addresses have the form "ip:port". Implementations are thread-safe. Reports give
+/// LimitExceeded when nothing was sent because the engine's request limit is used up.
 class engine_client {
 public:
     virtual ~engine_client() = default;
--- a/targets/http_engine_client.cpp
+++ b/targets/http_engine_client.cpp
@@ -14,23 +14,6 @@
     // State and cache reports of an engine are far below this.
     constexpr std::size_t MaxReportBytes = std::size_t { 4 } << 20;
 
-    void stream(const std::string& address, const service_request& request, const stream_timeouts& timeouts,
-        attempt_reader& reader, call_abort& abort)
-    {
-        const response_handlers handlers {
-            [&reader](int status, const header_list& headers) { return reader.takeHead(status, headers); },
-            [&reader](std::string_view bytes) { return reader.takeBody(bytes); },
-        };
-        reader.finish(exchange(address, request, { timeouts.connect, timeouts.idle }, handlers, abort));
-    }
-
-    buffered_response callOnce(
-        const std::string& address, const service_request& request, std::chrono::milliseconds timeout)
-    {
-        call_abort abort;
-        return exchangeBuffered(address, request, { timeout, timeout }, MaxReportBytes, abort);
-    }
-
     error failed(const std::string& address, const buffered_response& response)
     {
         return { error_kind::TargetFailed,
@@ -40,24 +23,53 @@
             {} };
     }
 
-    template <typename Value>
-    result<Value> readReport(const std::string& address, const std::string& path, std::chrono::milliseconds timeout,
-        result<Value> (*parse)(std::string_view))
-    {
-        const auto response = callOnce(address, { "GET", path, {}, {} }, timeout);
-        if (response.result.end == exchange_end::NotSent)
-            return error { error_kind::NoTarget, absl::StrCat("engine ", address, ": ", response.result.detail), {} };
-        if (response.result.end != exchange_end::Complete || response.status != 200)
-            return failed(address, response);
-        auto parsed = parse(response.body);
-        if (!parsed)
-            return error { error_kind::TargetFailed,
-                absl::StrCat("engine ", address, path, ": ", parsed.error().message), {} };
-        return parsed;
-    }
-
 } // namespace
 
+void http_engine_client::observe(const std::string& address, const header_list& headers) const
+{
+    if (m_observer)
+        m_observer(address, headers);
+}
+
+void http_engine_client::stream(const std::string& address, const service_request& request,
+    const stream_timeouts& timeouts, attempt_reader& reader, call_abort& abort) const
+{
+    const response_handlers handlers {
+        [this, &reader, &address](int status, const header_list& headers) {
+            observe(address, headers);
+            return reader.takeHead(status, headers);
+        },
+        [&reader](std::string_view bytes) { return reader.takeBody(bytes); },
+    };
+    reader.finish(exchange(address, request, { timeouts.connect, timeouts.idle }, handlers, abort));
+}
+
+buffered_response http_engine_client::callOnce(
+    const std::string& address, const service_request& request, std::chrono::milliseconds timeout) const
+{
+    call_abort abort;
+    auto response = exchangeBuffered(address, request, { timeout, timeout }, MaxReportBytes, abort);
+    if (response.result.end == exchange_end::Complete)
+        observe(address, response.headers);
+    return response;
+}
+
+template <typename Value>
+result<Value> http_engine_client::readReport(const std::string& address, const std::string& path,
+    std::chrono::milliseconds timeout, result<Value> (*parse)(std::string_view)) const
+{
+    const auto response = callOnce(address, { "GET", path, {}, {} }, timeout);
+    if (response.result.end == exchange_end::NotSent)
+        return error { error_kind::NoTarget, absl::StrCat("engine ", address, ": ", response.result.detail), {} };
+    if (response.result.end != exchange_end::Complete || response.status != 200)
+        return failed(address, response);
+    auto parsed = parse(response.body);
+    if (!parsed)
+        return error { error_kind::TargetFailed, absl::StrCat("engine ", address, path, ": ", parsed.error().message),
+            {} };
+    return parsed;
+}
+
 void http_engine_client::start(const std::string& address, const attempt_request& request,
     const stream_timeouts& timeouts, attempt_sink& sink, call_abort& abort)
 {
--- a/targets/http_engine_client.h
+++ b/targets/http_engine_client.h
@@ -4,14 +4,25 @@
 
 #include "targets/engine_client.h"
 #include "targets/event_stream_parser.h"
+#include "targets/service_client.h"
+
+#include <functional>
+#include <utility>
 
 namespace oriolepick {
 
+class attempt_reader;
+struct buffered_response;
+
 /// Makes each call on a connection of its own.
 class http_engine_client : public engine_client {
 public:
-    explicit http_engine_client(event_stream_limits limits = {})
+    /// Receives the headers of each response, on the thread of the call.
+    using header_observer = std::function<void(const std::string& address, const header_list& headers)>;
+
+    explicit http_engine_client(event_stream_limits limits = {}, header_observer observer = {})
         : m_limits(limits)
+        , m_observer(std::move(observer))
     {
     }
 
@@ -31,7 +42,17 @@
         const std::string& address, const engine_order& order, std::chrono::milliseconds timeout) override;
 
 private:
+    void stream(const std::string& address, const service_request& request, const stream_timeouts& timeouts,
+        attempt_reader& reader, call_abort& abort) const;
+    buffered_response callOnce(
+        const std::string& address, const service_request& request, std::chrono::milliseconds timeout) const;
+    template <typename Value>
+    result<Value> readReport(const std::string& address, const std::string& path, std::chrono::milliseconds timeout,
+        result<Value> (*parse)(std::string_view)) const;
+    void observe(const std::string& address, const header_list& headers) const;
+
     event_stream_limits m_limits;
+    header_observer m_observer;
 };
 
 } // namespace oriolepick
--- a/targets/service_client.h
+++ b/targets/service_client.h
@@ -35,6 +35,7 @@
     header_list headers; ///< of a Response, without hop-by-hop headers
     std::string body;
     std::string detail; ///< for logs, when there is no Response
+    bool limited = false; ///< NotSent because the target's request limit is used up
 };
 
 /// Time limits of a call.
