Halve the limits that a node keeps while it has found no other node

A restarted node that cannot find the fleet (store down, stale seeds) owns every limit in its own view and would issue it in full beside the real owner.

--- a/core/target_limiter.cpp
+++ b/core/target_limiter.cpp
@@ -208,7 +208,9 @@
 // Share of the limit that this node may issue.
 double target_limiter::share(const target_record& record, instant now) const
 {
-    return (isOwner(record) && now >= record.takeoverEnd ? 1 : UncertainOwnerShare) * m_reachableShare;
+    const bool searching = m_nodes.size() == 1 && now < m_startedAt + m_settings.searchTime;
+    const bool certain = isOwner(record) && now >= record.takeoverEnd && !searching;
+    return (certain ? 1 : UncertainOwnerShare) * m_reachableShare;
 }
 
 permit_answer target_limiter::issue(target_record& record, instant now)
--- a/core/target_limiter.h
+++ b/core/target_limiter.h
@@ -89,6 +89,8 @@
     std::chrono::milliseconds takeoverTime { 3'000 };
     /// A node that has found no other one issues no permits for this time after its start.
     std::chrono::milliseconds joinTime { 1'000 };
+    /// A node that has found no other one issues half of a limit for this time, in which it finds a fleet that exists.
+    std::chrono::milliseconds searchTime { 30'000 };
     std::chrono::milliseconds noticeInterval { 250 }; ///< between notices of one node about one target
 };
 
