Play targets that name limits in the soak

One to four targets name a limit of 0.7 to 8 a second, change it to another, an absurd or an unreadable one, and end it. The judge counts the requests of nodes that passed on the limit half a second before and were not disturbed, from the contact time on, in windows of 4 s, against one and a half times the limit and five.

--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -155,6 +155,27 @@
         self.in_pause = {}  # node -> requests half a second later and until the pause ends
         self.ignored = []  # what nodes did against leaving, pauses and endless answers
         self.random = random.Random(name)
+        self.limits = [(0.0, None, "")]  # when, the limit in force, and the text in answers
+        self.limit_named_to = {}  # node -> when it first got an answer with the limit in force
+        self.limited_arrivals = []  # (when, node) of requests from nodes that knew the limit for half a second
+
+    def name_limit(self, text, limit):
+        """Names a limit from now on; None ends it. An unreadable text leaves the limit before it in force."""
+        now = time.monotonic()
+        if self.limits[-1][1] is None:
+            self.limit_named_to = {}
+        self.limits.append((now, limit, text))
+
+    def _limit_field(self, node):
+        limit, text = self.limits[-1][1:]
+        if text and limit is not None:
+            self.limit_named_to.setdefault(node, time.monotonic())
+        return f"Server-Limit: {text}\r\n" if text else ""
+
+    def _count_at_limit(self, node):
+        now = time.monotonic()
+        if self.limits[-1][1] is not None and self.limit_named_to.get(node, now) <= now - 0.5:
+            self.limited_arrivals.append((now, node))
 
     def entry(self, address, draining=False):
         return {"service": self.service, "address": address, "zone": self.zone, "version": "v1", "slots": 16,
@@ -176,6 +197,8 @@
             writer.write(whole(503, b"", echo + "Not-Executed: 1\r\n"))  # no copies here: streams are read anew
             return True
         node = headers.get("x-via", "")
+        self._count_at_limit(node)
+        echo += self._limit_field(node)
         if self.fault == "refuse":
             writer.write(whole(503, b"", echo + "Not-Executed: 1\r\n"))
             return True
