Let the owners of limits repeat their claims, so that wrong views find one owner

An owner now names itself in its notices and repeats them every two seconds while the limit is in use; the best claim by rendezvous hash counts, a node that knows a better owner tells a worse one, and a node that is asked as a deputy tells the sender of the owner.

--- a/bench/bench_target_limits.cpp
+++ b/bench/bench_target_limits.cpp
@@ -175,6 +175,14 @@
         return m_granted;
     }
 
+    void tick(instant now) override
+    {
+        for (std::size_t node = 0; node < m_limiters.size(); ++node) {
+            if (now >= m_limiters[node]->nextDue())
+                deliver(node, m_limiters[node]->tick(now), now);
+        }
+    }
+
 private:
     void deliver(std::size_t from, const target_limiter::actions& actions, instant now)
     {
--- a/core/target_limit_messages.h
+++ b/core/target_limit_messages.h
@@ -34,9 +34,11 @@
     std::chrono::milliseconds spread { 0 }; ///< time over which the returns of refused callers must be spread
 };
 
-/// States a limit that has begun, changed or ended.
+/// States a limit that has begun, changed or ended, or that a node owns it.
 struct limit_notice {
     limit_statement known;
+    node_id owner; ///< the node that issues permits in its own view; empty in a notice to the owner
+    bool ownerIsLocal = false; ///< the owner is in the zone of the target
 };
 
 /// A message about one target.
--- a/core/target_limiter.cpp
+++ b/core/target_limiter.cpp
@@ -21,6 +21,7 @@
     constexpr std::chrono::milliseconds NoOwnerRetryDelay { 100 };
     /// Shortest time for which a denial holds, so that a request does not try the same target in a loop.
     constexpr std::chrono::milliseconds MinDenial { 1 };
+    constexpr std::chrono::milliseconds InUseTime { 10'000 }; ///< after a request, in which an owner repeats its claim
     constexpr std::chrono::milliseconds EndedRetention { 60'000 }; ///< after the end of a limit
     constexpr std::chrono::milliseconds UnusedRetention { 600'000 }; ///< without requests and statements
     constexpr std::chrono::milliseconds RemovePeriod { 10'000 };
@@ -54,7 +55,9 @@
     m_reachableShare = reachable < PartitionThreshold ? reachable : 1;
     if (!m_leaving || m_nodes.empty())
         m_nodes.push_back(m_self);
-    return applyView(joined, now);
+    actions out;
+    applyView(out, joined, now);
+    return out;
 }
 
 target_limiter::actions target_limiter::leave(instant now)
@@ -64,28 +67,27 @@
         m_nodes.erase(std::remove_if(m_nodes.begin(), m_nodes.end(),
                           [this](const limit_node& node) { return node.node == m_self.node; }),
             m_nodes.end());
-    return applyView({}, now);
+    actions out;
+    applyView(out, {}, now);
+    return out;
 }
 
 // Updates the owners of all limits, and notifies \p joined of the limits that this node owns.
-target_limiter::actions target_limiter::applyView(const std::vector<node_id>& joined, instant now)
+void target_limiter::applyView(actions& out, const std::vector<node_id>& joined, instant now)
 {
     ++m_viewNumber;
-    actions out;
     for (auto& [target, record] : m_records) {
         const bool wasOwner = isOwner(record);
-        updateOwners(target, record);
-        if (!isOwner(record))
+        updateOwners(target, record, now);
+        if (!isOwner(record) || !record.limit.requestsPerSecond)
             continue;
-        if (!wasOwner)
-            record.takeoverEnd = now + m_settings.takeoverTime;
-        if (!record.limit.requestsPerSecond)
+        if (!wasOwner) {
+            notify(out, target, record, now); // a node that knows a better owner answers
             continue;
+        }
         for (const auto& node : joined)
-            out.push_back(
-                send_target_limit_message { node, { target, record.zone, limit_notice { statementOf(record, now) } } });
+            out.push_back(send_target_limit_message { node, { target, record.zone, noticeOf(record, now) } });
     }
-    return out;
 }
 
 target_limiter::record_map::iterator target_limiter::recordFor(
@@ -99,23 +101,68 @@
     record.takeoverEnd
         = m_startedAt + m_settings.takeoverTime; // another node may have owned the limit before the start
     record.noticedAt = now - m_settings.noticeInterval;
-    updateOwners(target, record);
+    updateOwners(target, record, now);
     return m_records.find(target);
 }
 
-void target_limiter::updateOwners(const limited_target& target, target_record& record) const
+// Determines the owners again if the membership view or the known claim has changed.
+void target_limiter::updateOwners(const limited_target& target, target_record& record, instant now) const
 {
+    if (record.claim && now >= record.claim->validUntil) {
+        record.claim.reset();
+        record.viewNumber = 0;
+    }
     if (record.viewNumber == m_viewNumber)
         return;
+    const bool wasOwner = record.owners.empty() || isOwner(record);
     record.viewNumber = m_viewNumber;
     std::vector<node_id> local;
     std::vector<node_id> remote;
     for (const auto& each : m_nodes)
         (each.zone == record.zone ? local : remote).push_back(each.node);
+    if (record.claim) {
+        auto& group = record.claim->isLocal ? local : remote;
+        if (std::find(group.begin(), group.end(), record.claim->owner) == group.end())
+            group.push_back(record.claim->owner);
+    }
     const auto key = stableHash(target.value());
     record.owners = responsibleNodes(key, local, OwnerCount);
     const auto deputies = responsibleNodes(key, remote, OwnerCount - record.owners.size());
     record.owners.insert(record.owners.end(), deputies.begin(), deputies.end());
+    if (!wasOwner && isOwner(record))
+        record.takeoverEnd = now + m_settings.takeoverTime;
+}
+
+// A better claim than the known one replaces it. A node with a worse claim learns of the better owner.
+void target_limiter::applyClaim(
+    actions& out, const node_id& from, const target_limit_message& message, const limit_notice& notice, instant now)
+{
+    const auto entry = m_records.find(message.target);
+    if (entry == m_records.end() || notice.owner.empty() || notice.owner == m_self.node)
+        return;
+    auto& record = entry->second;
+    updateOwners(message.target, record, now);
+    const owner_claim claim { notice.owner, notice.ownerIsLocal, now + m_settings.claimValidity };
+    const auto previous = record.claim;
+    if (previous && previous->owner != claim.owner && !isResponsive(previous->owner, now))
+        record.claim.reset();
+    if (record.claim && record.claim->owner != claim.owner) {
+        const auto key = stableHash(message.target.value());
+        const bool isBetter = claim.isLocal != record.claim->isLocal
+            ? claim.isLocal
+            : responsibleNodes(key, { claim.owner, record.claim->owner }, 1).front() == claim.owner;
+        if (isBetter)
+            record.claim = claim;
+    } else {
+        record.claim = claim;
+    }
+    if (!previous || previous->owner != record.claim->owner)
+        record.viewNumber = 0;
+    updateOwners(message.target, record, now);
+    const auto& best = record.owners.front();
+    const bool knowsBetter = best != from && (best == m_self.node || best == record.claim->owner);
+    if (from == notice.owner && knowsBetter && isResponsive(best, now))
+        out.push_back(send_target_limit_message { from, { message.target, record.zone, noticeOf(record, now) } });
 }
 
 bool target_limiter::isOwner(const target_record& record) const
@@ -123,12 +170,16 @@
     return record.owners.front() == m_self.node;
 }
 
+bool target_limiter::isResponsive(const node_id& node, instant now) const
+{
+    const auto unresponsive = m_unresponsiveUntil.find(node);
+    return unresponsive == m_unresponsiveUntil.end() || now >= unresponsive->second;
+}
+
 const node_id* target_limiter::responsiveOwner(const target_record& record, instant now) const
 {
-    const auto found = std::find_if(record.owners.begin(), record.owners.end(), [&](const node_id& owner) {
-        const auto unresponsive = m_unresponsiveUntil.find(owner);
-        return unresponsive == m_unresponsiveUntil.end() || now >= unresponsive->second;
-    });
+    const auto found = std::find_if(
+        record.owners.begin(), record.owners.end(), [&](const node_id& owner) { return isResponsive(owner, now); });
     return found == record.owners.end() ? nullptr : &*found;
 }
 
@@ -156,7 +207,9 @@
     if (entry == m_records.end())
         return false;
     auto& record = entry->second;
-    record.usedAt = now;
+    updateOwners(target, record, now);
+    if (!fromPeer || !isKnown)
+        record.usedAt = now;
     if (isKnown && limit.incarnation < record.limit.incarnation) {
         out.push_back(outdated_limit_ignored { target });
         return false;
@@ -189,17 +242,36 @@
     record.noticeDue = false;
     record.noticedAt = now;
     record.noticed = record.limit;
-    const target_limit_message message { target, record.zone, limit_notice { statementOf(record, now) } };
+    const target_limit_message message { target, record.zone, noticeOf(record, now) };
     if (!isOwner(record)) {
         out.push_back(send_target_limit_message { record.owners.front(), message });
         return;
     }
+    m_noticesDue = std::min(m_noticesDue, now + m_settings.claimInterval);
     for (const auto& each : m_nodes) {
         if (each.node != m_self.node)
             out.push_back(send_target_limit_message { each.node, message });
     }
 }
 
+// Names the owner unless the notice goes to the owner itself.
+limit_notice target_limiter::noticeOf(const target_record& record, instant now) const
+{
+    limit_notice notice { statementOf(record, now), {}, false };
+    const auto& owner = record.owners.front();
+    const bool isClaimed = record.claim && record.claim->owner == owner;
+    if (owner != m_self.node && !isClaimed)
+        return notice;
+    notice.owner = owner;
+    notice.ownerIsLocal = isClaimed ? record.claim->isLocal : m_self.zone == record.zone;
+    return notice;
+}
+
+bool target_limiter::isInUse(const target_record& record, instant now) const
+{
+    return record.limit.requestsPerSecond && now < record.usedAt + InUseTime;
+}
+
 limit_statement target_limiter::statementOf(const target_record& record, instant now) const
 {
     return { record.limit, std::chrono::duration_cast<std::chrono::milliseconds>(now - record.statedAt) };
@@ -241,7 +313,10 @@
     if (entry == m_records.end() || !limitOf(target, incarnation))
         return result;
     auto& record = entry->second;
+    updateOwners(target, record, now);
     record.usedAt = now;
+    if (isOwner(record))
+        m_noticesDue = std::min(m_noticesDue, record.noticedAt + m_settings.claimInterval);
     if (now < record.deniedUntil) {
         result.decision = permit_decision::Denied;
         return result;
@@ -302,8 +377,10 @@
     const auto* question = std::get_if<permit_request>(&message.body);
     const auto& known = question ? question->known : std::get<limit_notice>(message.body).known;
     mergeStatement(out, message.target, message.zone, known.limit, now - known.age, true, now);
-    if (!question)
+    if (!question) {
+        applyClaim(out, from, message, std::get<limit_notice>(message.body), now);
         return out;
+    }
     permit_answer answer;
     const auto entry = m_records.find(message.target);
     if (entry == m_records.end()) {
@@ -311,7 +388,13 @@
         answer.known = known;
     } else {
         auto& record = entry->second;
+        record.usedAt = now;
         answer = issue(record, now);
+        if (isOwner(record))
+            m_noticesDue = std::min(m_noticesDue, record.noticedAt + m_settings.claimInterval);
+        else if (record.claim && record.claim->owner == record.owners.front() && record.claim->owner != from)
+            // The sender does not know the owner, or got no answer from it.
+            out.push_back(send_target_limit_message { from, { message.target, record.zone, noticeOf(record, now) } });
         if (record.bucket)
             record.bucket->recordRefused(question->refused, now);
     }
@@ -347,18 +430,22 @@
     for (const auto number : expired)
         onTimeout(out, number, m_pending.extract(number).mapped(), now);
     if (now >= m_noticesDue)
-        sendDelayedNotices(out, now);
+        sendDueNotices(out, now);
     if (now >= m_removeAt)
         removeUnused(now);
     return out;
 }
 
-void target_limiter::sendDelayedNotices(actions& out, instant now)
+void target_limiter::sendDueNotices(actions& out, instant now)
 {
     m_noticesDue = instant::max();
     for (auto& [target, record] : m_records) {
-        if (record.noticeDue)
+        updateOwners(target, record, now);
+        const bool mustClaim = isOwner(record) && isInUse(record, now);
+        if (record.noticeDue || (mustClaim && now >= record.noticedAt + m_settings.claimInterval))
             notify(out, target, record, now);
+        else if (mustClaim)
+            m_noticesDue = std::min(m_noticesDue, record.noticedAt + m_settings.claimInterval);
     }
 }
 
@@ -372,6 +459,7 @@
         return;
     }
     auto& record = entry->second;
+    updateOwners(pending.target, record, now);
     const auto* deputy = pending.deputyAsked ? nullptr : responsiveOwner(record, now);
     if (!deputy) {
         record.deniedUntil = std::max(record.deniedUntil, now + NoOwnerRetryDelay);
--- a/core/target_limiter.h
+++ b/core/target_limiter.h
@@ -92,6 +92,8 @@
     /// A node that has found no other one issues half of a limit for this time, in which it finds a fleet that exists.
     std::chrono::milliseconds searchTime { 30'000 };
     std::chrono::milliseconds noticeInterval { 250 }; ///< between notices of one node about one target
+    std::chrono::milliseconds claimInterval { 2'000 }; ///< between notices of an owner while its limit is in use
+    std::chrono::milliseconds claimValidity { 5'000 }; ///< for which an owner is known from its last notice
 };
 
 /// For each limited target, one node issues permits from a token bucket: the owner of the limit, chosen by rendezvous
@@ -101,8 +103,10 @@
 ///
 /// Let L be the limit. With equal membership views, all nodes together send at most L * (t + 0.5 s) + 1 requests in any
 /// time t. A node that is not the owner in its own view, or has become the owner just now, issues at most L / 2, so the
-/// sum stays within 1.5 L during one change of the owner. A group of nodes that reaches less than two thirds of all
-/// known nodes issues its share of L only, so the sum over partitions is at most 4/3 L.
+/// sum stays within 1.5 L during one change of the owner. An owner repeats its claim to all nodes while the limit is in
+/// use, and nodes report better claims to each other, so nodes with wrong membership views find the same owner. A group
+/// of nodes that reaches less than two thirds of all known nodes issues its share of L only, so the sum over partitions
+/// is at most 4/3 L.
 ///
 /// A node that does not know of a limit sends without permits. It learns of the limit from the target's response, from
 /// the owner's notice to all nodes, or from a permit_answer. Not synchronized.
@@ -149,6 +153,12 @@
     std::size_t limitedTargets() const;
 
 private:
+    /// A node that claims to own a limit.
+    struct owner_claim {
+        node_id owner;
+        bool isLocal;
+        instant validUntil;
+    };
     struct target_record {
         availability_zone zone;
         target_limit limit;
@@ -162,7 +172,8 @@
 
         // owners of the limit in the current view, the first one responsible
         std::vector<node_id> owners;
-        std::uint64_t viewNumber = 0;
+        std::uint64_t viewNumber = 0; // of the membership view, 0 if the owners must be determined again
+        std::optional<owner_claim> claim; // the best one of other nodes
 
         // as an owner
         std::optional<permit_bucket> bucket;
@@ -182,10 +193,15 @@
     };
     using record_map = absl::flat_hash_map<limited_target, target_record>;
 
-    actions applyView(const std::vector<node_id>& joined, instant now);
+    void applyView(actions& out, const std::vector<node_id>& joined, instant now);
     record_map::iterator recordFor(const limited_target& target, const availability_zone& zone, instant now);
-    void updateOwners(const limited_target& target, target_record& record) const;
+    void updateOwners(const limited_target& target, target_record& record, instant now) const;
+    void applyClaim(actions& out, const node_id& from, const target_limit_message& message, const limit_notice& notice,
+        instant now);
+    limit_notice noticeOf(const target_record& record, instant now) const;
+    bool isInUse(const target_record& record, instant now) const;
     bool isOwner(const target_record& record) const;
+    bool isResponsive(const node_id& node, instant now) const;
     const node_id* responsiveOwner(const target_record& record, instant now) const;
     double share(const target_record& record, instant now) const;
     bool isJoining(instant now) const;
@@ -199,7 +215,7 @@
     void request(actions& out, std::uint64_t number, pending_permit pending, target_record& record, instant now);
     void onAnswer(actions& out, const node_id& from, const target_limit_message& message, const permit_answer& answer,
         instant now);
-    void sendDelayedNotices(actions& out, instant now);
+    void sendDueNotices(actions& out, instant now);
     void onTimeout(actions& out, std::uint64_t number, const pending_permit& pending, instant now);
     void removeUnused(instant now);
 
@@ -214,7 +230,7 @@
     record_map m_records;
     std::map<std::uint64_t, pending_permit> m_pending; // by number
     absl::flat_hash_map<node_id, instant> m_unresponsiveUntil;
-    instant m_noticesDue = instant::max(); // first of the notices that were delayed
+    instant m_noticesDue = instant::max(); // first of the notices that are delayed or repeated
     instant m_removeAt;
 };
 
--- a/wire/target_limit_codec.cpp
+++ b/wire/target_limit_codec.cpp
@@ -1,8 +1,10 @@
 #include "wire/target_limit_codec.h"
 
+#include "core/text.h"
 #include "wire/messages.pb.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cmath>
 #include <cstddef>
 
@@ -65,10 +67,20 @@
             milliseconds(in.spread_ms()) };
     }
 
-    std::optional<limit_notice> decodeNotice(const wire::limit_statement& in)
+    bool isAddress(const std::string& text)
     {
-        const auto known = decode(in);
-        return known ? std::optional<limit_notice>(limit_notice { *known }) : std::nullopt;
+        const auto separator = text.rfind(':');
+        in_addr address {};
+        return separator != std::string::npos && inet_pton(AF_INET, text.substr(0, separator).c_str(), &address) == 1
+            && parseNumber<std::uint16_t>(std::string_view(text).substr(separator + 1));
+    }
+
+    std::optional<limit_notice> decode(const wire::limit_notice& in)
+    {
+        const auto known = decode(in.known());
+        if (!known || (!in.owner().empty() && !isAddress(in.owner())))
+            return std::nullopt;
+        return limit_notice { *known, node_id(in.owner()), in.owner_is_local() };
     }
 
 } // namespace
@@ -88,7 +100,10 @@
         out.mutable_answer()->set_time_to_next_ms(clampedMs(answer->timeToNext));
         out.mutable_answer()->set_spread_ms(clampedMs(answer->spread));
     } else {
-        encode(std::get<limit_notice>(message.body).known, *out.mutable_notice());
+        const auto& notice = std::get<limit_notice>(message.body);
+        encode(notice.known, *out.mutable_notice()->mutable_known());
+        out.mutable_notice()->set_owner(notice.owner.value());
+        out.mutable_notice()->set_owner_is_local(notice.ownerIsLocal);
     }
 }
 
@@ -109,7 +124,7 @@
     else if (in.has_answer())
         valid = take(decode(in.answer()));
     else if (in.has_notice())
-        valid = take(decodeNotice(in.notice()));
+        valid = take(decode(in.notice()));
     return valid ? std::optional<target_limit_message>(std::move(message)) : std::nullopt;
 }
 
--- a/wire/target_limit_codec.h
+++ b/wire/target_limit_codec.h
@@ -16,7 +16,7 @@
 void encode(const target_limit_message& message, wire::target_limit& out);
 
 /// \return the message, or nothing when a name is empty or too long, the body is missing, a limit is not one that
-///     readLimit() returns, a count is negative or not finite, or a time is out of range
+///     readLimit() returns, an owner is not an address, a count is negative or not finite, or a time is out of range
 std::optional<target_limit_message> decode(const wire::target_limit& in);
 
 } // namespace oriolepick
