Take a permit after the poll of an engine, too

The response to a poll may be the first that names a limit. The generations that the poll was made for were then sent without permits: 4 of 10 that arrived together, for a limit of 1 a second (platform_limited_engines, AGenerationWhosePollNamesTheLimitNeedsAPermitToo: 5 arrivals with the poll, 2 allowed). The holder of a copy that is probed had the same gap.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -71,6 +71,7 @@
     // choice of an engine, in exchange_engine_choice.cpp
     bool hasUsableCopy() const;
     void probeCopyHolder(const target_entry& holder);
+    void sendToCopyHolder(const target_entry& holder);
     bool pollEngines();
     void onPollResponse(std::size_t index, const target_prober::answer& answer);
     void onPollCompleted();
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -100,17 +100,7 @@
 void exchange::probeCopyHolder(const target_entry& holder)
 {
     if (m_parts.permits.isLimited(holder)) {
-        m_parts.permits.acquire(holder, [self = weak_from_this(), holder](bool granted) {
-            const auto exchange = self.lock();
-            if (!exchange || exchange->m_finished)
-                return;
-            if (granted && exchange->hasUsableCopy()) {
-                exchange->send(holder);
-                return;
-            }
-            exchange->m_copy.reset();
-            exchange->dispatch();
-        });
+        sendToCopyHolder(holder);
         return;
     }
     m_parts.prober.probe(holder, PollTimeout, [self = weak_from_this(), holder](const target_prober::answer& answer) {
@@ -118,7 +108,7 @@
         if (!exchange || exchange->m_finished)
             return;
         if (answer.alive && exchange->hasUsableCopy()) {
-            exchange->send(holder);
+            exchange->sendToCopyHolder(holder);
             return;
         }
         if (!answer.alive)
@@ -128,6 +118,22 @@
     });
 }
 
+// Without a permit the run does not wait for its copy: another engine prefills the prompt again.
+void exchange::sendToCopyHolder(const target_entry& holder)
+{
+    m_parts.permits.acquire(holder, [self = weak_from_this(), holder](bool granted) {
+        const auto exchange = self.lock();
+        if (!exchange || exchange->m_finished)
+            return;
+        if (granted && exchange->hasUsableCopy()) {
+            exchange->send(holder);
+            return;
+        }
+        exchange->m_copy.reset();
+        exchange->dispatch();
+    });
+}
+
 // Polls a few engines for their load, because other nodes send requests to them too, and concurrent prefills delay each
 // other. Engines in the zone of this node are not preferred: after most of a zone is lost, all its nodes would choose
 // the one engine left there.
@@ -224,8 +230,9 @@
     const auto engine = m_polledEngines[*chosen];
     m_prefilledAlone = expectedTimeToFirstEvent(engine, demand) == demand.prefillTime;
     const auto polledCount = m_polledEngines.size();
-    send(engine.target);
-    logEngineChoice(engine, demand, polledCount);
+    sendWithPermit(engine.target); // the response to the poll may have named a limit
+    if (m_link && m_target->name == engine.target.name)
+        logEngineChoice(engine, demand, polledCount);
 }
 
 void exchange::logEngineChoice(const polled_engine& engine, const generation_demand& demand, std::size_t polledCount)
