--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,7 @@
 
     def __init__(self, ports, ledger, seed, key):
         self.ports, self.ledger, self.key = ports, ledger, key
+        self.seed = seed
         self.random = random.Random(seed)
         self.broken = []  # promises that were broken, with the attempt
         self.refused = []  # attempts that were told "not run"
@@ -28,7 +29,7 @@
         number = 0
         while time.monotonic() < until:
             kind = self.random.choice(["safe", "once", "stream"])
-            attempt = f"{caller}-{number}"
+            attempt = f"{self.seed}-{caller}-{number}"
             number += 1
             try:
                 if connection is None:
@@ -50,7 +51,7 @@
         number = 0
         while time.monotonic() < until:
             node = self.random.randrange(len(self.ports))
-            attempt = f"crash-{kind}-{number}"
+            attempt = f"{self.seed}-crash-{kind}-{number}"
             number += 1
             try:
                 reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ports[node]), 1)
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -191,6 +191,7 @@
         attempt = headers.get("attempt-id", "")
         echo = f"Attempt-Id: {attempt}\r\n"
         if headers.get("expect-instance", self.name) != self.name:
+            self.ledger.foreign += not attempt.startswith(f"{self.ledger.seed}-")
             writer.write(whole(421, b"", echo + f"Instance: {self.name}\r\n"))
             return True
         if target.startswith("/v1/") or "kv-from" in headers:
@@ -284,8 +285,10 @@
 class Ledger:
     """What ran, seen from the targets."""
 
-    def __init__(self):
+    def __init__(self, seed):
+        self.seed = seed
         self.runs = {}
+        self.foreign = 0  # requests of another run side by side, which still knows an address that is used again here
 
     def ran(self, attempt, target, body):
         self.runs.setdefault(attempt, []).append((target, body))
