Forget unresponsive owners of limits after their time

The times until which owners that did not answer are not asked were never removed, so claims with ever new addresses could grow them. They are removed with unused records. mergeStatement returned a value that nobody used.

--- a/core/target_limiter.cpp
+++ b/core/target_limiter.cpp
@@ -55,27 +55,27 @@
     return out;
 }
 
-// Returns whether the statement is in force now.
-bool target_limiter::mergeStatement(actions& out, const limited_target& target, const availability_zone& zone,
+// A newer statement about the same or a later incarnation replaces the known one.
+void target_limiter::mergeStatement(actions& out, const limited_target& target, const availability_zone& zone,
     const target_limit& limit, instant statedAt, bool fromPeer, instant now)
 {
     const bool isKnown = m_records.count(target);
     if (!isKnown && !limit.requestsPerSecond)
-        return false;
+        return;
     const auto entry = recordFor(target, zone, now);
     if (entry == m_records.end())
-        return false;
+        return;
     auto& record = entry->second;
     updateOwners(target, record, now);
     if (!fromPeer || !isKnown)
         record.usedAt = now;
     if (isKnown && limit.incarnation < record.limit.incarnation) {
         out.push_back(outdated_limit_ignored { target });
-        return false;
+        return;
     }
     const bool sameIncarnation = isKnown && limit.incarnation == record.limit.incarnation;
     if (sameIncarnation && fromPeer && statedAt <= record.statedAt + AgeTolerance)
-        return false;
+        return;
     const auto previous = std::exchange(record.limit, limit);
     record.statedAt = statedAt;
     if (!sameIncarnation) {
@@ -87,7 +87,6 @@
         out.push_back(target_limit_changed { target, limit, fromPeer });
     if (differsNotably(record.noticed, limit) && (!fromPeer || isOwner(record)))
         notify(out, target, record, now);
-    return true;
 }
 
 limit_statement target_limiter::statementOf(const target_record& record, instant now) const
@@ -279,6 +278,11 @@
         if (now >= current->second.usedAt + retention)
             m_records.erase(current);
     }
+    for (auto entry = m_unresponsiveUntil.begin(); entry != m_unresponsiveUntil.end();) {
+        const auto current = entry++;
+        if (now >= current->second)
+            m_unresponsiveUntil.erase(current);
+    }
 }
 
 instant target_limiter::nextDue() const
--- a/core/target_limiter.h
+++ b/core/target_limiter.h
@@ -206,7 +206,7 @@
     double share(const target_record& record, instant now) const;
     bool isJoining(instant now) const;
 
-    bool mergeStatement(actions& out, const limited_target& target, const availability_zone& zone,
+    void mergeStatement(actions& out, const limited_target& target, const availability_zone& zone,
         const target_limit& limit, instant statedAt, bool fromPeer, instant now);
     void notify(actions& out, const limited_target& target, target_record& record, instant now);
     permit_answer issue(target_record& record, instant now);
