--- a/core/permit_bucket.cpp
+++ b/core/permit_bucket.cpp
@@ -11,7 +11,7 @@
 
     constexpr seconds Burst { 0.5 }; ///< time for which unused permits are kept
     constexpr seconds RefusalWindow { 2 }; ///< time constant of the average of refusals
-    constexpr seconds MaxSpread { 30 }; ///< a caller that is told to wait longer would not come back
+    constexpr seconds MaxSpread { 30 }; ///< upper bound of spread()
 
     std::chrono::milliseconds toMilliseconds(seconds time)
     {
