Simulate outages and restores of the store in tests of news

A store that returns from an older copy takes its rows, its revision counter and its feed history back; its epoch rises, and what was written since is written again by the operator, with renewals, or not at all. The simulation of what nodes know can now play this: reads and writes fail for a time, and the store may return in the state of some seconds ago.

The checks for changes beside an outage: a change that nodes already had to know stays in force; one that was lost before counts from the time at which it is written again; a node that knew that a target left doesn't use that incarnation again; a target that lives and was used when the store was restored is used on.

--- a/gateway/test/news_scenarios.h
+++ b/gateway/test/news_scenarios.h
@@ -100,10 +100,12 @@
 inline const std::vector<fleet_size> FleetSizes { { 6, 1, 8 }, { 9, 1, 30 }, { 40, 1, 7 }, { 120, 1, 1 },
     { 370, 1, 1 } };
 
-// Runs fleets of all sizes with the faults that \p prepare sets up.
-template <typename Prepare> void runFleets(Prepare prepare, void (*adjust)(news_simulation_settings&) = nullptr)
+// Runs fleets of \p sizes with the faults that \p prepare sets up.
+template <typename Prepare>
+void runFleets(Prepare prepare, void (*adjust)(news_simulation_settings&) = nullptr,
+    const std::vector<fleet_size>& sizes = FleetSizes)
 {
-    for (const auto& size : FleetSizes) {
+    for (const auto& size : sizes) {
         std::size_t failures = 0;
         std::string first;
         for (auto seed = size.firstSeed; seed <= size.lastSeed; ++seed) {
--- a/gateway/test/news_simulation.h
+++ b/gateway/test/news_simulation.h
@@ -8,11 +8,13 @@
 #include "core/text.h"
 #include "gateway/news_batch.h"
 #include "gateway/table_follower.h"
+#include "gateway/test/simulated_store.h"
 #include "routing/store_gossip.h"
 #include "routing/target_tracker.h"
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,75 +42,6 @@
     return entry;
 }
 
-/// One table of the simulated store. Its feed contains each change, or only the last one of each row.
-class simulated_table {
-public:
-    using ms = std::chrono::milliseconds;
-
-    void put(const std::string& key, const std::string& value, std::uint64_t revision, instant now)
-    {
-        m_rows[key] = value;
-        m_log.push_back({ revision, now, { key, value, false } });
-    }
-
-    void remove(const std::string& key, std::uint64_t revision, instant now)
-    {
-        if (m_rows.erase(key))
-            m_log.push_back({ revision, now, { key, {}, true } });
-    }
-
-    bool contains(const std::string& key) const { return m_rows.count(key); }
-
-    row_answer all(std::uint64_t revision) const
-    {
-        row_answer answer;
-        answer.status = row_status::Done;
-        answer.revision = revision;
-        for (const auto& [key, value] : m_rows)
-            answer.rows.push_back({ key, value, false });
-        return answer;
-    }
-
-    row_answer changesAfter(std::uint64_t after, std::uint64_t revision, bool lastOfEachRow) const
-    {
-        row_answer answer;
-        answer.revision = revision;
-        if (after < m_forgottenUpTo) {
-            answer.status = row_status::HistoryLost;
-            return answer;
-        }
-        answer.status = row_status::Done;
-        std::map<std::string, std::uint64_t> last;
-        for (const auto& change : m_log)
-            last[change.row.key] = change.revision;
-        for (const auto& change : m_log) {
-            if (change.revision > after && change.revision <= revision
-                && (!lastOfEachRow || last[change.row.key] == change.revision))
-                answer.rows.push_back(change.row);
-        }
-        return answer;
-    }
-
-    void forgetBefore(instant time)
-    {
-        while (!m_log.empty() && m_log.front().at < time) {
-            m_forgottenUpTo = m_log.front().revision;
-            m_log.pop_front();
-        }
-    }
-
-private:
-    struct change {
-        std::uint64_t revision;
-        instant at;
-        stored_row row;
-    };
-
-    std::map<std::string, std::string> m_rows;
-    std::deque<change> m_log;
-    std::uint64_t m_forgottenUpTo = 0;
-};
-
 /// Faults and times of a simulated fleet.
 struct news_simulation_settings {
     std::size_t nodes = 9;
@@ -118,6 +51,8 @@
     std::chrono::milliseconds contactTime { 3'000 }; ///< a node is undisturbed after this time without a fault
     std::chrono::milliseconds historyLength { 20'000 };
     std::chrono::milliseconds renewalPeriod { 1'200 };
+    /// Longest additional time until a new target is used, because its first renewals may be late.
+    std::chrono::milliseconds registrationDelay { 9'600 };
     double loss = 0; ///< share of datagrams that are lost
     double lateRenewals = 0; ///< share of renewals that reach the store 0.1 to 6 s late, out of order
     /// The feed contains only the last change of each row, so that a late renewal can hide a change for good.
@@ -141,10 +76,15 @@
         bool cut = false; // disconnected from all other nodes
         bool rejected = false; // by the store
         ms linkDelay { 0 }; // of everything that it sends
+        instant startedAt;
         instant frozenUntil;
         instant disturbedUntil;
         instant pollAt = instant::max();
         std::size_t recoveries = 0; // reported recoveries of the store
+        std::size_t reads = 0; // of the store, by this process
+        std::map<std::size_t, std::uint64_t> used; // start times of the targets that were used, by number
+        std::map<std::size_t, std::uint64_t> left; // start times of the used targets that left since
+        std::map<std::size_t, std::uint64_t> kept; // start times of the targets in use when the store was restored
     };
 
     news_simulation(const news_simulation_settings& settings, std::uint64_t seed)
@@ -178,9 +118,14 @@
         auto& started = m_nodes[index];
         started.running = true;
         ++started.incarnation;
+        started.startedAt = m_now;
         started.disturbedUntil = m_now;
         started.pollAt = instant::max();
         started.configVersion = 0;
+        started.reads = 0;
+        started.used.clear();
+        started.left.clear();
+        started.kept.clear();
         started.random = std::make_unique<seeded_random>(m_random.next());
         started.tracker = std::make_unique<target_tracker>(target_tracker_settings {}, *started.random);
         started.tables.clear();
@@ -226,14 +171,45 @@
         at(time, [this, index] { m_nodes[index].linkDelay = ms(0); });
     }
 
+    /// The operator writes a new configuration, unless the store is unavailable.
     void changeConfiguration()
     {
+        if (!writeConfiguration(m_configVersion + 1))
+            return;
         ++m_configVersion;
-        m_tables[topicIndex(store_topic::Configuration)].put(
-            "config", std::to_string(m_configVersion), ++m_revision, m_now);
         m_configChanges.emplace_back(m_configVersion, m_now);
     }
 
+    /// All reads and writes of the store fail for \p time.
+    void failStore(ms time)
+    {
+        m_store.fail(m_now + time);
+        m_outages.push_back({ m_now, m_now + time, m_now + time });
+        at(time, [this, epoch = m_store.epoch()] { storeReturned(epoch); });
+    }
+
+    /// The store fails for \p outage and returns in the state of \p age ago.
+    void restoreStore(ms age, ms outage)
+    {
+        for (auto& each : m_nodes) {
+            each.kept.clear();
+            for (const auto& [number, startedAt] : each.used) {
+                const auto& target = m_targets[number];
+                if (isUndisturbed(each) && target.startedAt == startedAt
+                    && each.tracker->takesRequests(target_name(target.name), m_now))
+                    each.kept[number] = startedAt;
+            }
+        }
+        m_store.restore(m_now - age, m_now);
+        failStore(outage);
+        if (configurationInStore() != std::to_string(m_configVersion))
+            m_outages.back().configurationAt = instant::max();
+        at(outage + ms(300 + m_random.below(2'700)), [this, epoch = m_store.epoch()] {
+            if (m_store.epoch() == epoch)
+                writeConfigurationAgain();
+        });
+    }
+
     /// A target leaves: it drains first, or its registration is removed while it continues to serve for some seconds.
     void leaveTarget(std::size_t number, bool drains)
     {
@@ -280,15 +256,14 @@
     void check()
     {
         for (auto& each : m_nodes) {
-            if (!each.running || each.cut || m_now < each.frozenUntil
-                || m_now < each.disturbedUntil + m_settings.contactTime)
+            if (!isUndisturbed(each))
                 continue;
-            const auto due = newestVersionBefore(m_now - m_settings.bound);
+            const auto due = newestVersionDue();
             if (each.configVersion < due)
                 failures.push_back(concatenated(
                     each.id.value(), " has version ", each.configVersion, " instead of ", due, " at ", time()));
-            for (const auto& target : m_targets)
-                checkTarget(each, target);
+            for (std::size_t number = 0; number < m_targets.size(); ++number)
+                checkTarget(each, number);
         }
     }
 
@@ -303,6 +278,9 @@
     std::vector<std::string> failures;
     std::size_t checkedTargets = 0;
     std::size_t reads = 0; ///< of the store
+    std::size_t wholeReads = 0; ///< reads of whole tables
+    std::size_t mostReadsPerSecond = 0;
+    std::size_t wholePulls = 0; ///< whole tables that nodes received from other nodes
     std::vector<node>& nodes() { return m_nodes; }
     std::size_t targets() const { return m_targets.size(); }
     seeded_random& random() { return m_random; }
@@ -318,6 +296,13 @@
         instant leftAt;
     };
 
+    /// A time in which the store was unavailable.
+    struct outage {
+        instant from;
+        instant to;
+        instant configurationAt; // the store contains the newest configuration again
+    };
+
     static std::size_t topicIndex(store_topic topic) { return static_cast<std::size_t>(topic); }
     std::string time() const
     {
@@ -328,31 +313,141 @@
         m_nodes[index].disturbedUntil = std::max(m_nodes[index].disturbedUntil, m_now + time);
     }
 
-    void checkTarget(node& each, const target& target)
+    bool isUndisturbed(const node& each) const
+    {
+        return each.running && !each.cut && m_now >= each.frozenUntil
+            && m_now >= each.disturbedUntil + m_settings.contactTime;
+    }
+
+    // Returns when all undisturbed nodes know what was written at changedAt. What they did not know before the store
+    // was lost is written again at a time that writtenAgain returns.
+    instant dueAt(instant changedAt, ms delay, const std::function<instant(const outage&)>& writtenAgain) const
     {
+        auto due = changedAt + m_settings.bound + delay;
+        for (const auto& each : m_outages) {
+            if (due <= each.from)
+                continue;
+            const auto there = changedAt < each.to ? writtenAgain(each) : changedAt;
+            if (there == instant::max())
+                return there;
+            due = std::max(due, std::max(there, each.to + m_settings.contactTime) + m_settings.bound);
+        }
+        return due;
+    }
+
+    void checkTarget(node& each, std::size_t number)
+    {
+        const auto& target = m_targets[number];
         ++checkedTargets;
         each.tracker->choose({ service_name("s"), std::nullopt, {}, std::nullopt }, m_now); // as a request would
         const bool used = each.tracker->takesRequests(target_name(target.name), m_now);
-        if (used && target.leaving && m_now > target.leftAt + m_settings.bound)
-            failures.push_back(concatenated(each.id.value(), " uses ", target.name, " which left ",
-                std::chrono::duration_cast<ms>(m_now - target.leftAt).count(), " ms ago, at ", time()));
+        if (target.leaving)
+            checkLeft(each, number, used);
+        else if (target.running)
+            checkLiving(each, number, used);
+        if (used)
+            each.used[number] = target.startedAt;
+    }
+
+    void checkLeft(node& each, std::size_t number, bool used)
+    {
+        const auto& target = m_targets[number];
+        if (!used && !m_outages.empty() && each.used[number] == target.startedAt)
+            each.left[number] = target.startedAt;
+        if (!used)
+            return;
+        const auto since = concatenated(target.name, " which left ",
+            std::chrono::duration_cast<ms>(m_now - target.leftAt).count(), " ms ago, at ", time());
+        if (each.left[number] == target.startedAt)
+            failures.push_back(concatenated(each.id.value(), " uses again ", since));
+        else if (m_now > leavingDueAt(each, target))
+            failures.push_back(concatenated(each.id.value(), " uses ", since));
+    }
+
+    // A node that started after the store had forgotten a removal learns of it when the registration expires again.
+    instant leavingDueAt(const node& each, const target& target) const
+    {
+        const auto expiry = [this](const outage& outage) { return outage.to + 3 * m_settings.renewalPeriod; };
+        auto due = dueAt(target.leftAt, ms(0), expiry);
+        for (const auto& outage : m_outages) {
+            if (target.leftAt < outage.to && each.startedAt > outage.from)
+                due = std::max(due, expiry(outage) + m_settings.bound);
+        }
+        return due;
+    }
+
+    void checkLiving(node& each, std::size_t number, bool used)
+    {
+        const auto& target = m_targets[number];
+        if (used)
+            return;
+        const auto kept = each.kept.find(number);
+        if (kept != each.kept.end() && kept->second == target.startedAt) {
+            failures.push_back(
+                concatenated(each.id.value(), " dropped ", target.name, " with a restored store at ", time()));
+            return;
+        }
         // A registration may be late by a few renewals.
-        const auto known = target.startedAtTime + m_settings.bound + 8 * m_settings.renewalPeriod;
-        if (!used && target.running && !target.leaving && m_now > known)
+        const auto renewal = [this](const outage& outage) { return outage.to + m_settings.renewalPeriod * 5 / 4; };
+        if (m_now > dueAt(target.startedAtTime, m_settings.registrationDelay, renewal))
             failures.push_back(concatenated(each.id.value(), " does not use ", target.name, " which started ",
                 std::chrono::duration_cast<ms>(m_now - target.startedAtTime).count(), " ms ago, at ", time()));
     }
 
-    std::uint64_t newestVersionBefore(instant time) const
+    std::uint64_t newestVersionDue() const
     {
+        const auto written = [](const outage& outage) { return outage.configurationAt; };
         std::uint64_t newest = 0;
         for (const auto& [version, at] : m_configChanges) {
-            if (at <= time)
+            if (dueAt(at, ms(0), written) <= m_now)
                 newest = version;
         }
         return newest;
     }
 
+    std::string configurationInStore() const
+    {
+        const auto& rows = m_store.table(store_topic::Configuration).rows();
+        return rows.empty() ? std::string() : rows.begin()->second;
+    }
+
+    bool writeConfiguration(std::uint64_t version)
+    {
+        if (!m_store.put(store_topic::Configuration, "config", std::to_string(version), m_now))
+            return false;
+        for (auto& each : m_outages)
+            each.configurationAt = std::min(each.configurationAt, std::max(m_now, each.to));
+        return true;
+    }
+
+    // The operator writes its newest configuration again, or its next one.
+    void writeConfigurationAgain()
+    {
+        if (m_random.below(3) == 0)
+            changeConfiguration();
+        else
+            writeConfiguration(m_configVersion);
+    }
+
+    // Registrations that are not renewed after the return of the store expire.
+    void storeReturned(std::uint64_t epoch)
+    {
+        if (m_store.epoch() != epoch)
+            return;
+        for (std::size_t number = 0; number < m_targets.size(); ++number) {
+            const auto& rows = m_store.table(store_topic::Targets).rows();
+            const auto row = rows.find(m_targets[number].name);
+            if (row == rows.end())
+                continue;
+            at(3 * m_settings.renewalPeriod, [this, number, value = row->second, epoch] {
+                const auto& current = m_store.table(store_topic::Targets).rows();
+                const auto found = current.find(m_targets[number].name);
+                if (m_store.epoch() == epoch && found != current.end() && found->second == value)
+                    removeRow(number);
+            });
+        }
+    }
+
     void startTarget(std::size_t number)
     {
         auto& started = m_targets[number];
@@ -374,7 +469,7 @@
                 auto& target = m_targets[number];
                 if (!target.running || target.startedAt != startedAt)
                     return;
-                const bool removed = target.leaving && !tableOf(store_topic::Targets).contains(target.name);
+                const bool removed = target.leaving && !m_store.table(store_topic::Targets).contains(target.name);
                 if (!removed)
                     renewTarget(number, target.leaving);
                 renewLater(number, startedAt);
@@ -403,15 +498,10 @@
 
     void writeRow(std::size_t number, const std::string& value)
     {
-        tableOf(store_topic::Targets).put(m_targets[number].name, value, ++m_revision, m_now);
-    }
-
-    void removeRow(std::size_t number)
-    {
-        tableOf(store_topic::Targets).remove(m_targets[number].name, ++m_revision, m_now);
+        m_store.put(store_topic::Targets, m_targets[number].name, value, m_now);
     }
 
-    simulated_table& tableOf(store_topic topic) { return m_tables[topicIndex(topic)]; }
+    void removeRow(std::size_t number) { m_store.remove(store_topic::Targets, m_targets[number].name, m_now); }
 
     table_follower::consumer configurationConsumer(std::size_t index)
     {
@@ -568,6 +658,7 @@
             if (const auto sinceRecovery = source.gossip->sinceRecovery(m_now))
                 perform(index, each.gossip->recoveryNoticed(*sinceRecovery, m_now));
             const auto batch = source.tables[topicIndex(pulled.topic)].replica().changesAfter(known);
+            wholePulls += batch.whole;
             if (!follower.mergePulled(batch, revision)) {
                 perform(index, each.gossip->pulled(pulled.topic, std::nullopt, m_now));
                 return;
@@ -576,25 +667,35 @@
         });
     }
 
+    void countRead(node& reader, store_topic topic, bool whole)
+    {
+        ++reads;
+        ++reader.reads;
+        wholeReads += whole || !reader.tables[topicIndex(topic)].replica().isLoaded();
+        m_lastReads.push_back(m_now);
+        while (m_lastReads.front() <= m_now - ms(1'000))
+            m_lastReads.pop_front();
+        mostReadsPerSecond = std::max(mostReadsPerSecond, m_lastReads.size());
+    }
+
     void startRead(std::size_t index, store_topic topic, bool whole, instant startedAt)
     {
         auto& each = m_nodes[index];
-        ++reads;
-        if (each.rejected) {
+        countRead(each, topic, whole);
+        if (each.rejected || !m_store.isAvailable(m_now)) {
             onNode(ms(4), index,
                 [this, index, topic] { perform(index, m_nodes[index].gossip->readEnded(topic, std::nullopt, m_now)); });
             return;
         }
-        auto& table = tableOf(topic);
-        table.forgetBefore(m_now - m_settings.historyLength);
         const auto& replica = each.tables[topicIndex(topic)].replica();
         whole = whole || !replica.isLoaded();
-        auto answer = whole ? table.all(m_revision)
-                            : table.changesAfter(replica.readRevision(), m_revision, m_settings.feedHasLastOfEachRow);
+        auto answer = whole ? m_store.readAll(topic)
+                            : m_store.readChanges(topic, replica.readRevision(), m_settings.feedHasLastOfEachRow,
+                                m_settings.historyLength, m_now);
         onNode(ms(4 + m_random.below(4)), index, [this, index, topic, whole, startedAt, answer = std::move(answer)] {
             auto& reader = m_nodes[index];
             auto& follower = reader.tables[topicIndex(topic)];
-            if (answer.status == row_status::HistoryLost) {
+            if (!whole && needsAllRows(answer, follower.replica().readRevision())) {
                 startRead(index, topic, true, startedAt);
                 return;
             }
@@ -613,8 +714,9 @@
     std::vector<node> m_nodes;
     std::map<node_id, std::size_t> m_index;
     std::vector<target> m_targets;
-    std::array<simulated_table, StoreTopicCount> m_tables;
-    std::uint64_t m_revision = 1;
+    simulated_store m_store;
+    std::vector<outage> m_outages;
+    std::deque<instant> m_lastReads; // of the last second
     std::uint64_t m_configVersion = 0;
     std::vector<std::pair<std::uint64_t, instant>> m_configChanges;
 };
