Show what nodes miss of a store that returned from an older copy

After the return, 6 of 40 nodes read the store, and tables are read as a whole 16 to 30 times in 10 s by fleets of 6 to 120 nodes.

The cause these show: after the restore the feed is asked from a revision that the store doesn't have, so all rows are read, but the answer's revision is lower than that of the replica and it is refused as outdated.

--- a/gateway/test/news_simulation.h
+++ b/gateway/test/news_simulation.h
@@ -51,6 +51,9 @@
     std::chrono::milliseconds contactTime { 3'000 }; ///< a node is undisturbed after this time without a fault
     std::chrono::milliseconds historyLength { 20'000 };
     std::chrono::milliseconds renewalPeriod { 1'200 };
+    /// When the operator writes the newest configuration again, from the return of a restored store.
+    std::chrono::milliseconds earliestRewrite { 300 };
+    std::chrono::milliseconds latestRewrite { 3'000 };
     /// Longest additional time until a new target is used, because its first renewals may be late.
     std::chrono::milliseconds registrationDelay { 9'600 };
     double loss = 0; ///< share of datagrams that are lost
@@ -204,7 +207,10 @@
         failStore(outage);
         if (configurationInStore() != std::to_string(m_configVersion))
             m_outages.back().configurationAt = instant::max();
-        at(outage + ms(300 + m_random.below(2'700)), [this, epoch = m_store.epoch()] {
+        const auto spread = m_settings.latestRewrite - m_settings.earliestRewrite;
+        const auto rewrite
+            = m_settings.earliestRewrite + ms(m_random.below(static_cast<std::uint64_t>(spread.count())));
+        at(outage + rewrite, [this, epoch = m_store.epoch()] {
             if (m_store.epoch() == epoch)
                 writeConfigurationAgain();
         });
@@ -280,10 +286,12 @@
     std::size_t reads = 0; ///< of the store
     std::size_t wholeReads = 0; ///< reads of whole tables
     std::size_t mostReadsPerSecond = 0;
+    std::size_t pulls = 0; ///< requests of a node to another for changes
     std::size_t wholePulls = 0; ///< whole tables that nodes received from other nodes
     std::vector<node>& nodes() { return m_nodes; }
     std::size_t targets() const { return m_targets.size(); }
     seeded_random& random() { return m_random; }
+    const news_simulation_settings& settings() const { return m_settings; }
 
 private:
     struct target {
@@ -634,6 +642,7 @@
     void startPull(std::size_t index, const pull_changes& pulled)
     {
         constexpr ms PullTimeout { 400 };
+        ++pulls;
         const auto from = m_index.at(pulled.from);
         const auto& replica = m_nodes[index].tables[topicIndex(pulled.topic)].replica();
         const auto revision = replica.changeRevision();
