--- a/gateway/news_batch.h
+++ b/gateway/news_batch.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/row_source.h"
+#include "routing/content_revision.h"
 
 #include <chrono>
 #include <cstdint>
@@ -13,8 +14,8 @@
 
 /// All rows, or the rows that changed after the requested revision.
 struct news_batch {
-    std::uint64_t changeRevision = 0; ///< of the store, at the last change that is an update
-    std::uint64_t readRevision = 0; ///< of the store, up to which there are no other updates
+    content_revision changeRevision; ///< at the last change that is an update
+    store_revision readRevision; ///< up to which there are no other updates
     std::chrono::milliseconds age { 0 }; ///< time since the store was at readRevision
     /// Time since the store was first read after its last outage, as long as expired registrations may return.
     std::optional<std::chrono::milliseconds> sinceRecovery;
--- a/gateway/row_source.h
+++ b/gateway/row_source.h
@@ -2,6 +2,8 @@
 /// Interface by which a gateway reads tables of the platform's store.
 #pragma once
 
+#include "routing/store_revision.h"
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -29,7 +31,8 @@
 struct row_answer {
     row_status status = row_status::Unavailable;
     std::vector<stored_row> rows;
-    std::uint64_t revision = 0; ///< of the store; the next read starts after this revision
+    /// Of the store; the next read starts after this revision. After a failure, only the epoch may be known.
+    store_revision revision;
     std::chrono::milliseconds age { 0 }; ///< time since the store was at the revision
     std::string problem; ///< description of the failure, for the log
 };
@@ -44,9 +47,10 @@
     /// Reads all rows of \p table.
     virtual void readAll(const std::string& table, callback done) = 0;
 
-    /// Reads the changes after \p revision, waiting up to \p wait for the first one.
+    /// Reads the changes after \p revision, waiting up to \p wait for the first one. If the answer is of a later epoch,
+    /// the store was restored and the rows are not all that changed.
     virtual void readChanges(
-        const std::string& table, std::uint64_t revision, std::chrono::milliseconds wait, callback done)
+        const std::string& table, const store_revision& revision, std::chrono::milliseconds wait, callback done)
         = 0;
 };
 
--- a/gateway/store_synchronizer.cpp
+++ b/gateway/store_synchronizer.cpp
@@ -49,7 +49,7 @@
     , m_wholeTableLimiter(linkBytesPerSecond * WholeTableShare, WholeTableBacklog)
 {
     for (auto& table : tables)
-        m_tables.push_back({ table.name, table.store, table_follower(std::move(table.consumer)), nullptr, {}, 0 });
+        m_tables.push_back({ table.name, table.store, table_follower(std::move(table.consumer)), nullptr, {}, {} });
 }
 
 store_synchronizer::~store_synchronizer()
@@ -115,7 +115,9 @@
     m_metrics.count("news_pulls");
     const auto& replica = state.follower.replica();
     const auto revision = replica.changeRevision();
-    const auto after = replica.isLoaded() ? std::to_string(revision) : std::string(AllRows);
+    const auto after = replica.isLoaded()
+        ? concatenated(revision.stored.number, "/", revision.stored.epoch, "/", revision.version)
+        : std::string(AllRows);
     state.pull = std::make_shared<http_client>(m_loop, m_timers, from.value(), MaxPullBytes);
     state.pull->get(concatenated("/news/", nameOf(topic), "/", after),
         replica.isLoaded() ? PullTimeout : WholePullTimeout,
@@ -123,7 +125,7 @@
             const http_client_response& response) { onPulled(topic, from, revision, startedAt, response); });
 }
 
-void store_synchronizer::onPulled(store_topic topic, const node_id& from, std::uint64_t requestedRevision,
+void store_synchronizer::onPulled(store_topic topic, const node_id& from, const content_revision& requestedRevision,
     instant startedAt, const http_client_response& response)
 {
     const auto now = m_timers.now();
@@ -162,8 +164,9 @@
         return;
     }
     m_metrics.count("store_readings");
-    state.store.readChanges(state.name, replica.readRevision(), std::chrono::milliseconds(0),
-        [this, topic, startedAt](const row_answer& answer) { onRead(topic, startedAt, false, answer); });
+    const auto after = replica.readRevision();
+    state.store.readChanges(state.name, after, std::chrono::milliseconds(0),
+        [this, topic, startedAt, after](const row_answer& answer) { onRead(topic, startedAt, after, answer); });
 }
 
 void store_synchronizer::readWhole(store_topic topic, instant startedAt)
@@ -171,17 +174,22 @@
     auto& state = stateOf(topic);
     m_metrics.count("store_whole_readings");
     state.store.readAll(
-        state.name, [this, topic, startedAt](const row_answer& answer) { onRead(topic, startedAt, true, answer); });
+        state.name, [this, topic, startedAt](const row_answer& answer) { onRead(topic, startedAt, {}, answer); });
 }
 
-void store_synchronizer::onRead(store_topic topic, instant startedAt, bool whole, const row_answer& answer)
+// \param after the revision after which changes were requested; nothing if the whole table was
+void store_synchronizer::onRead(
+    store_topic topic, instant startedAt, const std::optional<store_revision>& after, const row_answer& answer)
 {
     const auto now = m_timers.now();
     auto& state = stateOf(topic);
-    if (answer.status == row_status::HistoryLost && !whole) {
-        m_log.write("history_lost",
-            { { "table", state.name }, { "revision", std::to_string(state.follower.replica().readRevision()) } });
-        m_metrics.count("registry_history_lost");
+    if (after && table_follower::needsWholeTable(answer, *after)) {
+        const bool restored = answer.revision.epoch > after->epoch;
+        m_log.write(restored ? "store_restored" : "history_lost",
+            { { "table", state.name }, { "known_epoch", std::to_string(after->epoch) },
+                { "known_revision", std::to_string(after->number) },
+                { "epoch", std::to_string(answer.revision.epoch) } });
+        m_metrics.count(restored ? "registry_restored" : "registry_history_lost");
         readWhole(topic, startedAt);
         return;
     }
@@ -198,8 +206,8 @@
             "store_regained", { { "table", state.name }, { "failures", std::to_string(m_consecutiveFailures) } });
         m_consecutiveFailures = 0;
     }
-    perform(m_gossip.storeResponded(topic, startedAt, now));
-    if (!state.follower.mergeRead(answer, whole)) {
+    perform(m_gossip.storeResponded(topic, answer.revision.epoch, startedAt, now));
+    if (!state.follower.mergeRead(answer, !after)) {
         m_metrics.count("outdated_readings");
         const topic_version old { state.follower.replica().changeRevision(), answer.revision, startedAt };
         perform(m_gossip.readEnded(topic, old, now));
@@ -218,20 +226,35 @@
     m_wasReader = isReader;
 }
 
+std::optional<content_revision> store_synchronizer::parseRevision(
+    std::string_view text, const table_replica& replica) const
+{
+    const auto number = parseNumber<std::uint64_t>(takeUntil(text, '/'));
+    if (!number)
+        return std::nullopt;
+    if (text.empty())
+        return content_revision { replica.changeRevision().version, { replica.readRevision().epoch, *number } };
+    const auto epoch = parseNumber<std::uint64_t>(takeUntil(text, '/'));
+    const auto version = parseNumber<std::uint64_t>(text);
+    if (!epoch || !version)
+        return std::nullopt;
+    return content_revision { *version, { *epoch, *number } };
+}
+
 std::optional<std::string> store_synchronizer::answer(std::string_view target)
 {
     takeUntil(target, '/');
     const auto page = takeUntil(target, '/');
     const auto name = takeUntil(target, '/');
-    const auto revision = parseNumber<std::uint64_t>(target);
     const auto found = std::find(TopicNames.begin(), TopicNames.end(), name);
-    if (page != "news" || found == TopicNames.end() || (!revision && target != AllRows))
+    if (page != "news" || found == TopicNames.end())
         return std::nullopt;
     const auto topic = static_cast<store_topic>(found - TopicNames.begin());
+    auto& state = stateOf(topic);
+    const auto revision = parseRevision(target, state.follower.replica());
     const auto asOf = m_gossip.asOf(topic);
-    if (!asOf)
+    if (!asOf || (!revision && target != AllRows))
         return std::nullopt;
-    auto& state = stateOf(topic);
     auto batch = state.follower.replica().changesAfter(revision);
     batch.age = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - *asOf);
     batch.sinceRecovery = m_gossip.sinceRecovery(m_timers.now());
--- a/gateway/store_synchronizer.h
+++ b/gateway/store_synchronizer.h
@@ -69,7 +69,8 @@
     void readEarly();
 
     /// Answers a pull request of another node.
-    /// \param target "/news/TOPIC/REVISION"
+    /// \param target "/news/TOPIC/NUMBER/EPOCH/VERSION", or "/news/TOPIC/all"; nodes of earlier releases omit epoch and
+    /// version
     /// \return the encoded changes; nothing when \p target is malformed, the topic is not loaded here, or the share of
     /// the link for whole tables is used up
     std::optional<std::string> answer(std::string_view target);
@@ -93,7 +94,7 @@
         table_follower follower;
         std::shared_ptr<http_client> pull;
         packed_rows whole; // encoded table at wholeRevision, reused for nodes that start together
-        std::uint64_t wholeRevision = 0;
+        content_revision wholeRevision;
     };
 
     table_state& stateOf(store_topic topic) { return m_tables[static_cast<std::size_t>(topic)]; }
@@ -101,11 +102,13 @@
     void perform(const store_gossip::actions& actions);
     void schedule();
     void pull(store_topic topic, const node_id& from);
-    void onPulled(store_topic topic, const node_id& from, std::uint64_t requestedRevision, instant startedAt,
+    void onPulled(store_topic topic, const node_id& from, const content_revision& requestedRevision, instant startedAt,
         const http_client_response& response);
     void readStore(store_topic topic);
     void readWhole(store_topic topic, instant startedAt);
-    void onRead(store_topic topic, instant startedAt, bool whole, const row_answer& answer);
+    void onRead(
+        store_topic topic, instant startedAt, const std::optional<store_revision>& after, const row_answer& answer);
+    std::optional<content_revision> parseRevision(std::string_view text, const table_replica& replica) const;
     void logReaderChange();
 
     boost::asio::io_context& m_loop;
--- a/gateway/table_follower.cpp
+++ b/gateway/table_follower.cpp
@@ -4,32 +4,60 @@
 
 table_follower::table_follower(consumer rows)
     : m_consumer(std::move(rows))
-    , m_replica(m_consumer.classify)
+    , m_replica(m_consumer.classify, m_consumer.versionOf)
 {
 }
 
+bool table_follower::needsWholeTable(const row_answer& answer, const store_revision& after)
+{
+    // In a later epoch, the number may have been handed out again, so that the store does not report a lost history.
+    return answer.status == row_status::HistoryLost
+        || (answer.status == row_status::Done && answer.revision.epoch > after.epoch);
+}
+
 bool table_follower::mergeRead(const row_answer& answer, bool whole)
 {
+    const auto revision = withKnownEpoch(answer.revision);
     // Other nodes sent newer changes during this read, or the store returned an outdated state.
-    if (m_replica.isLoaded() && answer.revision < m_replica.readRevision())
+    if (m_replica.isLoaded() && revision < m_replica.readRevision())
         return false;
     if (whole) {
-        m_replica.replaceAll(answer.rows, answer.revision);
+        m_replica.replaceAll(answer.rows, revision);
         m_consumer.onAll(answer.rows);
     } else {
-        m_replica.applyChanges(answer.rows, answer.revision, 0, m_consumer.onChange);
+        m_replica.applyChanges(answer.rows, revision, {}, m_consumer.onChange);
     }
     return true;
 }
 
-bool table_follower::mergePulled(const news_batch& batch, std::uint64_t requestedRevision)
+// The numbers of a store or node that reports no epoch count as those of the known epoch.
+store_revision table_follower::withKnownEpoch(const store_revision& revision) const
+{
+    return { revision.epoch ? revision.epoch : m_replica.readRevision().epoch, revision.number };
+}
+
+// A node of an earlier release reports neither epochs nor versions.
+news_batch table_follower::withKnownEpoch(const news_batch& batch) const
+{
+    auto known = batch;
+    if (batch.readRevision.epoch)
+        return known;
+    known.readRevision = withKnownEpoch(batch.readRevision);
+    known.changeRevision.stored = withKnownEpoch(batch.changeRevision.stored);
+    known.changeRevision.version = m_replica.changeRevision().version;
+    return known;
+}
+
+bool table_follower::mergePulled(const news_batch& received, const content_revision& requestedRevision)
 {
+    const auto batch = withKnownEpoch(received);
     // Changes that arrived by another way in the meantime may be newer than this batch.
-    const bool isNewer = !m_replica.isLoaded()
-        ? batch.whole
-        : (m_replica.changeRevision() == requestedRevision && batch.changeRevision > requestedRevision
-            && batch.readRevision >= m_replica.readRevision());
-    if (!isNewer)
+    const auto isNewerThanReplica = [&] {
+        return m_replica.changeRevision() == requestedRevision && batch.changeRevision > requestedRevision
+            && (batch.changeRevision.version > requestedRevision.version
+                || batch.readRevision >= m_replica.readRevision());
+    };
+    if (!(m_replica.isLoaded() ? isNewerThanReplica() : batch.whole))
         return false;
     if (batch.whole) {
         m_replica.replaceAll(batch.rows, batch.readRevision, batch.changeRevision);
--- a/gateway/table_follower.h
+++ b/gateway/table_follower.h
@@ -23,10 +23,16 @@
         std::function<void(const std::vector<stored_row>&)>
             onAll; ///< called with all rows of the table and its last removals
         std::function<void(const stored_row&)> onChange; ///< called with a changed or removed row
+        table_replica::row_version versionOf {}; ///< see table_replica
     };
 
     explicit table_follower(consumer rows);
 
+    /// \param after revision after which the changes were requested
+    /// \return whether the changes in \p answer are not all changes, because the store has been restored or has dropped
+    /// its history
+    static bool needsWholeTable(const row_answer& answer, const store_revision& after);
+
     /// Merges rows that were read from the store, and passes them to the consumer.
     /// \param whole the answer contains the whole table
     /// \return whether the answer is at least as new as the replica; otherwise nothing is merged
@@ -35,17 +41,20 @@
     /// Merges rows of another node, and passes them to the consumer.
     /// \param requestedRevision changeRevision() of the replica when the rows were requested
     /// \return whether the batch is newer than the replica; otherwise nothing is merged
-    bool mergePulled(const news_batch& batch, std::uint64_t requestedRevision);
+    bool mergePulled(const news_batch& batch, const content_revision& requestedRevision);
 
     /// \return the version held here, which matched the store at \p asOf
     topic_version version(instant asOf) const;
 
     /// See table_replica::adoptRevision().
-    void adoptRevision(std::uint64_t changeRevision) { m_replica.adoptRevision(changeRevision); }
+    void adoptRevision(const content_revision& changeRevision) { m_replica.adoptRevision(changeRevision); }
 
     const table_replica& replica() const { return m_replica; }
 
 private:
+    store_revision withKnownEpoch(const store_revision& revision) const;
+    news_batch withKnownEpoch(const news_batch& batch) const;
+
     consumer m_consumer;
     table_replica m_replica;
 };
--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -23,27 +23,56 @@
 
 } // namespace
 
-table_replica::table_replica(row_classifier classify)
+table_replica::table_replica(row_classifier classify, row_version versionOf)
     : m_classify(std::move(classify))
+    , m_versionOf(std::move(versionOf))
 {
 }
 
 row_effect table_replica::effectOf(const stored_row& row) const
 {
-    if (m_classify && m_loaded)
+    if (const auto held = heldVersionOf(row.key)) {
+        const auto version = row.removed ? std::nullopt : versionOf(row);
+        if (row.removed || (version && *version < *held))
+            return row_effect::Outdated;
+    } else if (m_classify && m_loaded) {
         return m_classify(row);
+    }
     return hasChanged(row) ? row_effect::Update : row_effect::Renewal;
 }
 
+// An update of another node is one here too, although this node may see no difference: it may know less than the nodes
+// that pull the row from here.
+row_effect table_replica::effectOfPulled(const stored_row& row, bool mayBeOutdated) const
+{
+    const bool isVersioned = heldVersionOf(row.key).has_value();
+    if ((isVersioned || mayBeOutdated) && effectOf(row) == row_effect::Outdated)
+        return row_effect::Outdated;
+    return row_effect::Update;
+}
+
+std::optional<std::uint64_t> table_replica::versionOf(const stored_row& row) const
+{
+    return m_versionOf ? m_versionOf(row) : std::nullopt;
+}
+
+std::optional<std::uint64_t> table_replica::heldVersionOf(const std::string& key) const
+{
+    const auto held = m_versionOf ? m_rows.find(key) : m_rows.end();
+    return held == m_rows.end() ? std::nullopt : versionOf({ key, held->second, false });
+}
+
 bool table_replica::hasChanged(const stored_row& row) const
 {
     const auto known = m_rows.find(row.key);
     return known == m_rows.end() || row.removed || known->second != row.value;
 }
 
-std::vector<stored_row> table_replica::replaceAll(
-    const std::vector<stored_row>& rows, std::uint64_t readRevision, std::uint64_t changeRevision)
+std::vector<stored_row> table_replica::replaceAll(const std::vector<stored_row>& rows,
+    const store_revision& readRevision, const std::optional<content_revision>& pulledRevision)
 {
+    const bool first = !m_loaded;
+    const bool restored = !first && readRevision.epoch > m_readRevision.epoch;
     std::set<std::string> present;
     std::vector<stored_row> updates;
     for (const auto& row : rows) {
@@ -54,36 +83,34 @@
         if (row.removed)
             continue;
         present.insert(row.key);
-        const auto effect = effectOf(row);
-        if (changeRevision ? hasChanged(row) : effect == row_effect::Update)
+        const auto effect = pulledRevision ? effectOfPulled(row, restored) : effectOf(row);
+        if (effect == row_effect::Update && (!pulledRevision || hasChanged(row)))
             updates.push_back(row);
         else if (effect == row_effect::Renewal)
             store(row);
     }
     for (const auto& [key, value] : m_rows) {
-        if (!present.count(key))
+        if (!present.count(key) && !heldVersionOf(key))
             updates.push_back({ key, value, true });
     }
     for (const auto& row : updates)
         store(row);
-    const bool first = !m_loaded;
     m_loaded = true;
     m_readRevision = std::max(m_readRevision, readRevision);
-    if (first) {
-        m_changeRevision = changeRevision ? changeRevision : readRevision;
-        m_historyFrom = m_changeRevision;
-        return updates;
-    }
-    appendIfAny(updates, changeRevision);
+    if (first || restored)
+        startHistory(revisionOf(updates, pulledRevision));
+    else
+        appendIfAny(updates, pulledRevision);
     return updates;
 }
 
-std::vector<stored_row> table_replica::applyChanges(const std::vector<stored_row>& rows, std::uint64_t readRevision,
-    std::uint64_t changeRevision, const row_listener& apply)
+std::vector<stored_row> table_replica::applyChanges(const std::vector<stored_row>& rows,
+    const store_revision& readRevision, const std::optional<content_revision>& pulledRevision,
+    const row_listener& apply)
 {
     std::vector<stored_row> updates;
     for (const auto& row : rows) {
-        const auto effect = changeRevision ? row_effect::Update : effectOf(row);
+        const auto effect = pulledRevision ? effectOfPulled(row, false) : effectOf(row);
         if (effect == row_effect::Outdated)
             continue;
         const auto applied = withLastValue(row);
@@ -95,7 +122,7 @@
     }
     updates = lastOfEachKey(updates);
     m_readRevision = std::max(m_readRevision, readRevision);
-    appendIfAny(updates, changeRevision);
+    appendIfAny(updates, pulledRevision);
     return updates;
 }
 
@@ -127,21 +154,40 @@
         m_removals.pop_front();
 }
 
-void table_replica::appendIfAny(const std::vector<stored_row>& updates, std::uint64_t changeRevision)
+content_revision table_replica::revisionOf(
+    const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision) const
+{
+    auto revision = pulledRevision.value_or(content_revision { m_changeRevision.version, m_readRevision });
+    for (const auto& row : updates)
+        revision.version = std::max(revision.version, versionOf(row).value_or(0));
+    return revision;
+}
+
+void table_replica::appendIfAny(
+    const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision)
 {
     if (!updates.empty())
-        append(updates, changeRevision ? changeRevision : m_readRevision);
-    else
-        m_changeRevision = std::max(m_changeRevision, changeRevision); // the same updates, read at another revision
+        append(updates, revisionOf(updates, pulledRevision));
+    else if (pulledRevision)
+        m_changeRevision = std::max(m_changeRevision, *pulledRevision); // the same updates, read at another revision
 }
 
-void table_replica::adoptRevision(std::uint64_t changeRevision)
+void table_replica::adoptRevision(const content_revision& changeRevision)
 {
     m_changeRevision = std::max(m_changeRevision, changeRevision);
-    m_readRevision = std::max(m_readRevision, changeRevision);
+    m_readRevision = std::max(m_readRevision, changeRevision.stored);
+}
+
+// Discards the history: nodes that hold an earlier state need the whole table.
+void table_replica::startHistory(const content_revision& revision)
+{
+    m_changeRevision = std::max(m_changeRevision, revision);
+    m_historyFrom = m_changeRevision;
+    m_history.clear();
+    m_historyRows = 0;
 }
 
-void table_replica::append(std::vector<stored_row> rows, std::uint64_t revision)
+void table_replica::append(std::vector<stored_row> rows, const content_revision& revision)
 {
     m_changeRevision = std::max(m_changeRevision, revision);
     m_historyRows += rows.size();
@@ -153,7 +199,7 @@
     }
 }
 
-news_batch table_replica::changesAfter(std::optional<std::uint64_t> changeRevision) const
+news_batch table_replica::changesAfter(const std::optional<content_revision>& changeRevision) const
 {
     news_batch answer;
     answer.changeRevision = m_changeRevision;
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -4,6 +4,7 @@
 
 #include "gateway/news_batch.h"
 #include "gateway/row_source.h"
+#include "routing/content_revision.h"
 
 #include <cstdint>
 #include <deque>
@@ -33,51 +34,63 @@
     /// one may be a late write of an earlier state.
     using row_listener = std::function<void(const stored_row&)>;
 
+    /// \return the version that the writer of a row assigned to it; nothing for a row without one
+    using row_version = std::function<std::optional<std::uint64_t>(const stored_row&)>;
+
     /// \param classify if empty, a row is an update when its bytes have changed
-    explicit table_replica(row_classifier classify = {});
+    /// \param versionOf if empty, no row has a version. Rows with versions are never replaced by lower versions and
+    /// never removed, since a restored store returns what it had before
+    explicit table_replica(row_classifier classify = {}, row_version versionOf = {});
 
-    /// Replaces the table by \p rows, read at \p readRevision. Removed rows among them are not part of the table.
-    /// \param changeRevision revision of the last update, if the rows are those of another node; 0 for rows of the
-    /// store, whose updates get \p readRevision \return the updates, including removed rows
-    std::vector<stored_row> replaceAll(
-        const std::vector<stored_row>& rows, std::uint64_t readRevision, std::uint64_t changeRevision = 0);
+    /// Replaces the table by \p rows, read at \p readRevision. Removed rows among them are not part of the table. In a
+    /// later epoch of the store, rows that are outdated by what is known here are not taken over.
+    /// \param pulledRevision revision of the last update, if the rows are those of another node; nothing for rows of
+    /// the store, whose updates get \p readRevision \return the updates, including removed rows
+    std::vector<stored_row> replaceAll(const std::vector<stored_row>& rows, const store_revision& readRevision,
+        const std::optional<content_revision>& pulledRevision = {});
 
     /// Applies the changes after readRevision() up to \p readRevision. A removed row keeps the last value that is
     /// known, so that a node which did not know it can recognize late writes.
-    /// \param changeRevision as for replaceAll()
+    /// \param pulledRevision as for replaceAll()
     /// \param apply called with each row that is not outdated
     /// \return the updates
-    std::vector<stored_row> applyChanges(const std::vector<stored_row>& rows, std::uint64_t readRevision,
-        std::uint64_t changeRevision = 0, const row_listener& apply = {});
+    std::vector<stored_row> applyChanges(const std::vector<stored_row>& rows, const store_revision& readRevision,
+        const std::optional<content_revision>& pulledRevision = {}, const row_listener& apply = {});
 
     /// Records that other nodes hold the same content under \p changeRevision.
-    void adoptRevision(std::uint64_t changeRevision);
+    void adoptRevision(const content_revision& changeRevision);
 
     /// \param changeRevision revision at another node, or nothing when that node has no rows
     /// \return the updates after \p changeRevision, or all rows and the last removals when the history does not reach
     /// back so far; the age is not set
-    news_batch changesAfter(std::optional<std::uint64_t> changeRevision) const;
+    news_batch changesAfter(const std::optional<content_revision>& changeRevision) const;
 
     /// \return whether the table was read at least once
     bool isLoaded() const { return m_loaded; }
 
-    std::uint64_t changeRevision() const { return m_changeRevision; }
-    std::uint64_t readRevision() const { return m_readRevision; }
+    const content_revision& changeRevision() const { return m_changeRevision; }
+    const store_revision& readRevision() const { return m_readRevision; }
     std::size_t size() const { return m_rows.size(); }
 
 private:
     struct batch {
-        std::uint64_t revision;
+        content_revision revision;
         std::vector<stored_row> rows;
     };
 
     row_effect effectOf(const stored_row& row) const;
+    row_effect effectOfPulled(const stored_row& row, bool mayBeOutdated) const;
+    std::optional<std::uint64_t> versionOf(const stored_row& row) const;
+    std::optional<std::uint64_t> heldVersionOf(const std::string& key) const;
     bool hasChanged(const stored_row& row) const;
     stored_row withLastValue(const stored_row& row) const;
     void store(const stored_row& row);
     void recordRemoval(const stored_row& row);
-    void appendIfAny(const std::vector<stored_row>& updates, std::uint64_t changeRevision);
-    void append(std::vector<stored_row> rows, std::uint64_t revision);
+    content_revision revisionOf(
+        const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision) const;
+    void appendIfAny(const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision);
+    void append(std::vector<stored_row> rows, const content_revision& revision);
+    void startHistory(const content_revision& revision);
 
     /// Minimal number of rows that the history may hold. In larger tables, the history may hold as many rows as the
     /// table: beyond, sending the whole table takes fewer bytes.
@@ -87,13 +100,14 @@
     static constexpr std::size_t MaxRemovals = 64;
 
     row_classifier m_classify;
+    row_version m_versionOf;
     std::map<std::string, std::string> m_rows;
     std::deque<stored_row> m_removals; // with the last known values, oldest first
     std::deque<batch> m_history;
     std::size_t m_historyRows = 0;
-    std::uint64_t m_historyFrom = 0; // the history contains all updates after this revision
-    std::uint64_t m_changeRevision = 0;
-    std::uint64_t m_readRevision = 0;
+    content_revision m_historyFrom; // the history contains all updates after this revision
+    content_revision m_changeRevision;
+    store_revision m_readRevision;
     bool m_loaded = false;
 };
 
--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway_message_codec.h"
 
 #include "gateway/node_row.h"
+#include "routing/test/revisions.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -14,8 +15,8 @@
 news_digest sampleDigest()
 {
     news_digest digest;
-    digest.of(store_topic::Configuration) = { true, 7, 12, 30ms };
-    digest.of(store_topic::Targets) = { true, 9, 12, 40ms };
+    digest.of(store_topic::Configuration) = { true, { 4, { 2, 7 } }, { 2, 12 }, 30ms };
+    digest.of(store_topic::Targets) = { true, { 0, { 1, 9 } }, { 2, 3 }, 40ms };
     digest.sinceFailedAttempt = 2s;
     digest.sinceRecovery = 70ms;
     digest.sentAt = 123'456'789ms;
@@ -29,8 +30,10 @@
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded->sender.value(), "10.0.0.1:7200");
     const auto& digest = std::get<news_digest>(decoded->body);
-    EXPECT_EQ(digest.of(store_topic::Targets).changeRevision, 9U);
-    EXPECT_EQ(digest.of(store_topic::Targets).readRevision, 12U);
+    EXPECT_EQ(digest.of(store_topic::Configuration).changeRevision, (content_revision { 4, { 2, 7 } }));
+    EXPECT_EQ(digest.of(store_topic::Configuration).readRevision, (store_revision { 2, 12 }));
+    EXPECT_EQ(digest.of(store_topic::Targets).changeRevision, changedAt(9));
+    EXPECT_EQ(digest.of(store_topic::Targets).readRevision, (store_revision { 2, 3 }));
     EXPECT_EQ(digest.of(store_topic::Configuration).age, 30ms);
     EXPECT_EQ(digest.sinceFailedAttempt, 2s);
     EXPECT_EQ(digest.sinceRecovery, 70ms);
@@ -44,7 +47,7 @@
     EXPECT_FALSE(decodeDatagram(encodeDatagram({ node_id("nobody"), sampleDigest() })))
         << "the sender is not an address";
     auto digest = sampleDigest();
-    digest.of(store_topic::Targets).changeRevision = 99;
+    digest.of(store_topic::Targets).changeRevision = { 0, { 2, 99 } };
     EXPECT_FALSE(decodeDatagram(encodeDatagram({ node_id("10.0.0.1:7200"), digest })))
         << "the change revision is above the read revision";
     EXPECT_FALSE(decodeDatagram(""));
@@ -118,7 +121,8 @@
 TEST(GatewayMessageCodec, LargeBatchesAreDeflatedAndBounded)
 {
     news_batch batch;
-    batch.changeRevision = batch.readRevision = 3;
+    batch.changeRevision = changedAt(3);
+    batch.readRevision = storedAt(3);
     batch.whole = true;
     for (int number = 0; number < 300; ++number)
         batch.rows.push_back({ "target-" + std::to_string(number), std::string(200, 'x'), false });
@@ -136,11 +140,11 @@
 }
 
 RC_GTEST_PROP(GatewayMessageCodec, RowsRoundTrip,
-    (const std::vector<std::pair<std::string, std::string>>& rows, std::uint32_t revision))
+    (const std::vector<std::pair<std::string, std::string>>& rows, std::uint32_t number, std::uint32_t epoch))
 {
     news_batch batch;
-    batch.changeRevision = revision;
-    batch.readRevision = revision + std::uint64_t { 1 };
+    batch.changeRevision = { number, { epoch, number } };
+    batch.readRevision = { epoch + std::uint64_t { 1 }, number / 2 };
     for (const auto& [key, value] : rows)
         batch.rows.push_back({ key, value, value.empty() });
     const auto decoded = decodeBatch(encodeBatch(batch));
@@ -157,8 +161,9 @@
 RC_GTEST_PROP(GatewayMessageCodec, MutatedMessagesAreDecodedOrDropped,
     (const std::vector<std::pair<std::uint16_t, char>>& changed))
 {
-    news_batch small { 7, 8, 5ms, 9ms, false, { { "key", "value", false } } };
-    news_batch large { 7, 8, 5ms, std::nullopt, true, { { "key", std::string(5'000, 'v'), false } } };
+    news_batch small { changedAt(7), storedAt(8), 5ms, 9ms, false, { { "key", "value", false } } };
+    news_batch large { changedAt(7), storedAt(8), 5ms, std::nullopt, true,
+        { { "key", std::string(5'000, 'v'), false } } };
     membership_message message { { node_id("n"), availability_zone("z"), region_name("r"), member_state::Alive, 1 },
         sync_page_message { node_id("m"), true }, {} };
     std::vector<std::string> texts { encodeBatch(small), encodeBatch(large),
@@ -168,7 +173,7 @@
         for (const auto& [position, byte] : changed)
             text[position % text.size()] = byte;
         const auto batch = decodeBatch(text);
-        RC_ASSERT(!batch || batch->readRevision >= batch->changeRevision);
+        RC_ASSERT(!batch || batch->readRevision >= batch->changeRevision.stored);
         const auto datagram = decodeDatagram(text);
         RC_ASSERT(!datagram || !datagram->sender.empty());
         const auto row = decodeNodeRow(text);
--- a/gateway/test/news_simulation.h
+++ b/gateway/test/news_simulation.h
@@ -517,8 +517,9 @@
             const auto version = parseNumber<std::uint64_t>(row.value).value_or(0);
             m_nodes[index].configVersion = std::max(m_nodes[index].configVersion, version);
         };
+        const auto versionOf = [](const stored_row& row) { return parseNumber<std::uint64_t>(row.value); };
         return { {}, [apply](const std::vector<stored_row>& rows) { std::for_each(rows.begin(), rows.end(), apply); },
-            apply };
+            apply, versionOf };
     }
 
     table_follower::consumer targetConsumer(std::size_t index)
@@ -646,7 +647,7 @@
         const auto from = m_index.at(pulled.from);
         const auto& replica = m_nodes[index].tables[topicIndex(pulled.topic)].replica();
         const auto revision = replica.changeRevision();
-        const auto known = replica.isLoaded() ? std::optional<std::uint64_t>(revision) : std::nullopt;
+        const auto known = replica.isLoaded() ? std::optional<content_revision>(revision) : std::nullopt;
         const auto there = delay(index, from);
         const auto back = delay(from, index);
         if (!connected(index, from) || m_now < m_nodes[from].frozenUntil || there + back > PullTimeout) {
@@ -701,21 +702,23 @@
         auto answer = whole ? m_store.readAll(topic)
                             : m_store.readChanges(topic, replica.readRevision(), m_settings.feedHasLastOfEachRow,
                                 m_settings.historyLength, m_now);
-        onNode(ms(4 + m_random.below(4)), index, [this, index, topic, whole, startedAt, answer = std::move(answer)] {
-            auto& reader = m_nodes[index];
-            auto& follower = reader.tables[topicIndex(topic)];
-            if (!whole && needsAllRows(answer, follower.replica().readRevision())) {
-                startRead(index, topic, true, startedAt);
-                return;
-            }
-            perform(index, reader.gossip->storeResponded(topic, startedAt, m_now));
-            if (!follower.mergeRead(answer, whole)) {
-                const topic_version old { follower.replica().changeRevision(), answer.revision, startedAt };
-                perform(index, reader.gossip->readEnded(topic, old, m_now));
-                return;
-            }
-            perform(index, reader.gossip->readEnded(topic, follower.version(startedAt), m_now));
-        });
+        const auto after = replica.readRevision();
+        onNode(ms(4 + m_random.below(4)), index,
+            [this, index, topic, whole, after, startedAt, answer = std::move(answer)] {
+                auto& reader = m_nodes[index];
+                auto& follower = reader.tables[topicIndex(topic)];
+                if (!whole && table_follower::needsWholeTable(answer, after)) {
+                    startRead(index, topic, true, startedAt);
+                    return;
+                }
+                perform(index, reader.gossip->storeResponded(topic, answer.revision.epoch, startedAt, m_now));
+                if (!follower.mergeRead(answer, whole)) {
+                    const topic_version old { follower.replica().changeRevision(), answer.revision, startedAt };
+                    perform(index, reader.gossip->readEnded(topic, old, m_now));
+                    return;
+                }
+                perform(index, reader.gossip->readEnded(topic, follower.version(startedAt), m_now));
+            });
     }
 
     news_simulation_settings m_settings;
--- a/gateway/test/simulated_store.h
+++ b/gateway/test/simulated_store.h
@@ -22,21 +22,15 @@
 using known_revision = decltype(row_answer::revision);
 
 /// \return the revision in a response of the store
-inline known_revision responseRevision([[maybe_unused]] std::uint64_t epoch, std::uint64_t number)
+inline known_revision responseRevision(std::uint64_t epoch, std::uint64_t number)
 {
-    return number;
+    return { epoch, number };
 }
 
 /// \return the number that a request for later changes contains
 inline std::uint64_t numberOf(const known_revision& revision)
 {
-    return revision;
-}
-
-/// \return whether the changes in \p answer do not continue the state read at \p known, so that all rows are needed
-inline bool needsAllRows(const row_answer& answer, [[maybe_unused]] const known_revision& known)
-{
-    return answer.status == row_status::HistoryLost;
+    return revision.number;
 }
 
 /// One table of the simulated store. Its feed contains each change, or only the last one of each row.
--- a/gateway/test/store_synchronizer.cpp
+++ b/gateway/test/store_synchronizer.cpp
@@ -22,18 +22,19 @@
 // Answers each read with the next scripted answer, and without changes after the end of the script.
 class scripted_source : public row_source {
 public:
-    void readAll(const std::string&, callback done) override { answer("all", 0, std::move(done)); }
+    void readAll(const std::string&, callback done) override { answer("all", {}, std::move(done)); }
 
-    void readChanges(const std::string&, std::uint64_t revision, std::chrono::milliseconds, callback done) override
+    void readChanges(
+        const std::string&, const store_revision& revision, std::chrono::milliseconds, callback done) override
     {
-        answer("after " + std::to_string(revision), revision, std::move(done));
+        answer("after " + std::to_string(revision.number), revision, std::move(done));
     }
 
     std::vector<row_answer> script;
     std::vector<std::string> requests;
 
 private:
-    void answer(const std::string& question, std::uint64_t revision, callback done)
+    void answer(const std::string& question, const store_revision& revision, callback done)
     {
         row_answer next;
         next.status = row_status::Done;
@@ -47,15 +48,15 @@
         done(std::move(next));
     }
 
-    std::uint64_t m_revision = 1;
+    store_revision m_revision { 1, 1 };
 };
 
-row_answer done(std::uint64_t revision, std::vector<stored_row> rows)
+row_answer done(std::uint64_t number, std::vector<stored_row> rows, std::uint64_t epoch = 1)
 {
     row_answer answer;
     answer.status = row_status::Done;
     answer.rows = std::move(rows);
-    answer.revision = revision;
+    answer.revision = { epoch, number };
     return answer;
 }
 
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -1,6 +1,8 @@
 // Guards against nodes that receive outdated, incomplete or needless changes from another node.
 #include "gateway/table_replica.h"
 
+#include "routing/test/revisions.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -22,27 +24,27 @@
 {
     table_replica replica;
     EXPECT_FALSE(replica.isLoaded());
-    replica.replaceAll({ row("a", "1") }, 10);
-    replica.applyChanges({ row("a", "2") }, 12);
-    replica.applyChanges({ row("b", "1") }, 15);
-    replica.applyChanges({}, 18);
-    EXPECT_EQ(replica.changeRevision(), 15U);
-    EXPECT_EQ(replica.readRevision(), 18U);
-    const auto all = replica.changesAfter(10);
+    replica.replaceAll({ row("a", "1") }, storedAt(10));
+    replica.applyChanges({ row("a", "2") }, storedAt(12));
+    replica.applyChanges({ row("b", "1") }, storedAt(15));
+    replica.applyChanges({}, storedAt(18));
+    EXPECT_EQ(replica.changeRevision(), changedAt(15));
+    EXPECT_EQ(replica.readRevision(), storedAt(18));
+    const auto all = replica.changesAfter(changedAt(10));
     EXPECT_FALSE(all.whole);
     EXPECT_EQ(all.rows.size(), 2U);
-    EXPECT_EQ(all.changeRevision, 15U);
-    EXPECT_EQ(replica.changesAfter(12).rows.front().key, "b");
-    EXPECT_TRUE(replica.changesAfter(15).rows.empty());
+    EXPECT_EQ(all.changeRevision, changedAt(15));
+    EXPECT_EQ(replica.changesAfter(changedAt(12)).rows.front().key, "b");
+    EXPECT_TRUE(replica.changesAfter(changedAt(15)).rows.empty());
 }
 
 TEST(TableReplica, NodeWithoutATableGetsAllRows)
 {
     table_replica replica;
-    replica.replaceAll({}, 0);
+    replica.replaceAll({}, storedAt(0));
     EXPECT_TRUE(replica.changesAfter(std::nullopt).whole) << "even when the table is empty";
-    replica.applyChanges({ row("a", "1"), row("b", "1") }, 5);
-    replica.applyChanges({ removed("a") }, 6);
+    replica.applyChanges({ row("a", "1"), row("b", "1") }, storedAt(5));
+    replica.applyChanges({ removed("a") }, storedAt(6));
     const auto all = replica.changesAfter(std::nullopt);
     ASSERT_EQ(all.rows.size(), 2U);
     EXPECT_EQ(all.rows.front().key, "b");
@@ -53,13 +55,13 @@
 TEST(TableReplica, NodeFarBehindGetsAllRows)
 {
     table_replica replica;
-    replica.replaceAll({ row("a", "1") }, 10);
-    EXPECT_TRUE(replica.changesAfter(9).whole);
+    replica.replaceAll({ row("a", "1") }, storedAt(10));
+    EXPECT_TRUE(replica.changesAfter(changedAt(9)).whole);
     for (std::uint64_t revision = 11; revision < 500; ++revision)
-        replica.applyChanges({ row("k", std::to_string(revision)) }, revision);
-    EXPECT_TRUE(replica.changesAfter(10).whole);
-    EXPECT_EQ(replica.changesAfter(10).rows.size(), 2U);
-    EXPECT_FALSE(replica.changesAfter(490).whole);
+        replica.applyChanges({ row("k", std::to_string(revision)) }, storedAt(revision));
+    EXPECT_TRUE(replica.changesAfter(changedAt(10)).whole);
+    EXPECT_EQ(replica.changesAfter(changedAt(10)).rows.size(), 2U);
+    EXPECT_FALSE(replica.changesAfter(changedAt(490)).whole);
 }
 
 TEST(TableReplica, KeepsOnlyUpdates)
@@ -67,21 +69,21 @@
     table_replica replica([](const stored_row& each) {
         return each.removed || each.value != "renewed" ? row_effect::Update : row_effect::Renewal;
     });
-    replica.replaceAll({ row("a", "1"), row("b", "1") }, 10);
-    EXPECT_TRUE(replica.applyChanges({ row("a", "renewed") }, 11).empty());
-    EXPECT_EQ(replica.changeRevision(), 10U);
-    EXPECT_EQ(replica.applyChanges({ row("a", "renewed"), row("b", "2") }, 12).size(), 1U);
-    EXPECT_EQ(replica.changesAfter(10).rows.size(), 1U);
+    replica.replaceAll({ row("a", "1"), row("b", "1") }, storedAt(10));
+    EXPECT_TRUE(replica.applyChanges({ row("a", "renewed") }, storedAt(11)).empty());
+    EXPECT_EQ(replica.changeRevision(), changedAt(10));
+    EXPECT_EQ(replica.applyChanges({ row("a", "renewed"), row("b", "2") }, storedAt(12)).size(), 1U);
+    EXPECT_EQ(replica.changesAfter(changedAt(10)).rows.size(), 1U);
 }
 
 // Guards against nodes that miss a change for good because they pulled from a node to which the change was none.
 TEST(TableReplica, UpdatesOfAnotherNodeAreSentOnEvenIfTheyAreNoneHere)
 {
     table_replica replica([](const stored_row&) { return row_effect::Outdated; });
-    replica.replaceAll({ row("a", "ready") }, 10);
-    replica.applyChanges({ row("a", "draining") }, 12, 12);
-    EXPECT_EQ(replica.changeRevision(), 12U);
-    const auto handed = replica.changesAfter(10);
+    replica.replaceAll({ row("a", "ready") }, storedAt(10));
+    replica.applyChanges({ row("a", "draining") }, storedAt(12), changedAt(12));
+    EXPECT_EQ(replica.changeRevision(), changedAt(12));
+    const auto handed = replica.changesAfter(changedAt(10));
     ASSERT_EQ(handed.rows.size(), 1U);
     EXPECT_EQ(handed.rows.front().value, "draining");
     EXPECT_EQ(replica.changesAfter(std::nullopt).rows.front().value, "draining") << "also with the whole table";
@@ -91,8 +93,8 @@
 TEST(TableReplica, NodeWithoutATableGetsTheLastRemovalsToo)
 {
     table_replica replica;
-    replica.replaceAll({ row("a", "1"), row("b", "1") }, 10);
-    replica.applyChanges({ removed("a") }, 12);
+    replica.replaceAll({ row("a", "1"), row("b", "1") }, storedAt(10));
+    replica.applyChanges({ removed("a") }, storedAt(12));
     const auto all = replica.changesAfter(std::nullopt);
     ASSERT_EQ(all.rows.size(), 2U);
     EXPECT_EQ(all.rows.back().key, "a");
@@ -101,7 +103,7 @@
     table_replica started;
     started.replaceAll(all.rows, all.readRevision, all.changeRevision);
     EXPECT_EQ(started.changesAfter(std::nullopt).rows.size(), 2U) << "handed on to the next node";
-    started.applyChanges({ row("a", "2") }, 14);
+    started.applyChanges({ row("a", "2") }, storedAt(14));
     EXPECT_FALSE(started.changesAfter(std::nullopt).rows.front().removed);
     EXPECT_EQ(started.changesAfter(std::nullopt).rows.size(), 2U) << "no removal of a row that exists again";
 }
@@ -109,16 +111,16 @@
 TEST(TableReplica, FullReadAddsOnlyTheDifference)
 {
     table_replica replica;
-    replica.replaceAll({ row("a", "1"), row("b", "1"), row("c", "1") }, 10);
-    const auto updates = replica.replaceAll({ row("a", "1"), row("b", "2"), row("d", "1") }, 30);
+    replica.replaceAll({ row("a", "1"), row("b", "1"), row("c", "1") }, storedAt(10));
+    const auto updates = replica.replaceAll({ row("a", "1"), row("b", "2"), row("d", "1") }, storedAt(30));
     EXPECT_EQ(updates.size(), 3U) << "b changed, d was added, c was removed";
-    const auto handed = replica.changesAfter(10);
+    const auto handed = replica.changesAfter(changedAt(10));
     EXPECT_FALSE(handed.whole);
     EXPECT_EQ(handed.rows.size(), 3U);
-    EXPECT_EQ(handed.changeRevision, 30U);
-    replica.replaceAll({ row("a", "1"), row("b", "2"), row("d", "1") }, 40);
-    EXPECT_EQ(replica.changeRevision(), 30U) << "nothing has changed";
-    EXPECT_EQ(replica.readRevision(), 40U);
+    EXPECT_EQ(handed.changeRevision, changedAt(30));
+    replica.replaceAll({ row("a", "1"), row("b", "2"), row("d", "1") }, storedAt(40));
+    EXPECT_EQ(replica.changeRevision(), changedAt(30)) << "nothing has changed";
+    EXPECT_EQ(replica.readRevision(), storedAt(40));
 }
 
 // Whichever updates a node misses in between, it ends with the same rows as the node that reads the store.
@@ -126,16 +128,17 @@
 {
     table_replica reader;
     table_replica follower;
-    reader.replaceAll({}, 1);
+    reader.replaceAll({}, storedAt(1));
     std::uint64_t revision = 1;
     for (std::size_t round = 0; round < rounds.size(); ++round) {
         std::vector<stored_row> rows;
         for (const auto number : rounds[round])
             rows.push_back({ "k" + std::to_string(number % 8), std::to_string(number), number % 3 == 0 });
-        reader.applyChanges(rows, revision += 3);
+        reader.applyChanges(rows, storedAt(revision += 3));
         if (round % 3 == 2)
             continue; // the follower misses a round
-        const auto known = follower.isLoaded() ? std::optional<std::uint64_t>(follower.changeRevision()) : std::nullopt;
+        const auto known
+            = follower.isLoaded() ? std::optional<content_revision>(follower.changeRevision()) : std::nullopt;
         const auto batch = reader.changesAfter(known);
         if (batch.whole)
             follower.replaceAll(batch.rows, batch.readRevision, batch.changeRevision);
--- a/routing/news_digest.h
+++ b/routing/news_digest.h
@@ -2,6 +2,9 @@
 /// Digest of the versions and ages of the store tables that a node holds. Type names match wire/messages.proto.
 #pragma once
 
+#include "routing/content_revision.h"
+#include "routing/store_revision.h"
+
 #include <array>
 #include <chrono>
 #include <cstddef>
@@ -21,8 +24,8 @@
 /// The version of one topic at a node.
 struct topic_digest {
     bool known = false; ///< the node holds the topic; otherwise the other fields have no meaning
-    std::uint64_t changeRevision = 0; ///< revision of the store at the last relevant change
-    std::uint64_t readRevision = 0; ///< revision of the store up to which no other change is relevant
+    content_revision changeRevision; ///< at the last relevant change
+    store_revision readRevision; ///< up to which no other change is relevant
     std::chrono::milliseconds age { 0 }; ///< time since the store was at readRevision
 };
 
--- a/routing/store_gossip.cpp
+++ b/routing/store_gossip.cpp
@@ -20,6 +20,25 @@
 
     constexpr std::array<store_topic, StoreTopicCount> AllTopics { store_topic::Configuration, store_topic::Targets };
 
+    // A node of an earlier release reports neither epochs nor versions. Its numbers are taken for those of the epoch
+    // that this node knows.
+    topic_digest withEpochOf(const topic_version& held, topic_digest received)
+    {
+        if (received.readRevision.epoch)
+            return received;
+        received.readRevision.epoch = held.readRevision.epoch;
+        received.changeRevision
+            = { held.changeRevision.version, { held.readRevision.epoch, received.changeRevision.stored.number } };
+        return received;
+    }
+
+    // Returns whether a node that holds the content of the store at held.readRevision has a change of the same epoch.
+    bool includes(const topic_version& held, const content_revision& change)
+    {
+        return change.version == held.changeRevision.version && change.stored.epoch == held.readRevision.epoch
+            && change.stored <= held.readRevision;
+    }
+
 } // namespace
 
 std::uint32_t rankNumber(const node_id& node)
@@ -135,14 +154,17 @@
 void store_gossip::receiveTopic(
     actions& out, store_topic topic, const node_id& from, const news_digest& digest, instant sentAt, instant now)
 {
-    const auto& received = digest.of(topic);
-    if (!received.known)
+    if (!digest.of(topic).known)
         return;
     auto& state = stateOf(topic);
+    const auto received = state.held ? withEpochOf(*state.held, digest.of(topic)) : digest.of(topic);
     const auto asOf = sentAt - received.age;
     m_schedule.recordRead(asOf, digest.reader);
+    // Only nodes that read the store announce its recovery: a node that was frozen may learn of a restore much later.
+    if (isRestored(received.readRevision.epoch))
+        out.emplace_back(store_recovered { asOf });
     if (state.held && received.changeRevision > state.held->changeRevision
-        && received.changeRevision <= state.held->readRevision) {
+        && includes(*state.held, received.changeRevision)) {
         // This node has the content of the store at a later revision, so it has the announced change.
         out.emplace_back(adopt_revision { topic, received.changeRevision });
         const auto readRevision = std::max(received.readRevision, state.held->readRevision);
@@ -190,7 +212,7 @@
     for (const auto topic : AllTopics) {
         const auto& held = m_topics[static_cast<std::size_t>(topic)].held;
         const auto& other = digest.of(topic);
-        if (held && (!other.known || other.changeRevision < held->changeRevision))
+        if (held && (!other.known || withEpochOf(*held, other).changeRevision < held->changeRevision))
             return true;
     }
     return false;
@@ -241,14 +263,17 @@
     m_readFailed = false;
     for (const auto topic : AllTopics) {
         const auto& held = stateOf(topic).held;
-        stateOf(topic).revisionAtReadStart = held ? held->readRevision : 0;
+        stateOf(topic).revisionAtReadStart = held ? held->readRevision : store_revision {};
         out.emplace_back(read_store { topic });
     }
 }
 
-store_gossip::actions store_gossip::storeResponded(store_topic topic, instant startedAt, instant now)
+store_gossip::actions store_gossip::storeResponded(
+    store_topic topic, std::uint64_t epoch, instant startedAt, instant now)
 {
     actions out;
+    if (isRestored(epoch))
+        recordRecovery(out, now, now);
     const auto last = m_schedule.lastRead();
     if (topic == store_topic::Targets && last && m_schedule.lastFailedAttempt()
         && startedAt > *last + m_settings.outageThreshold)
@@ -272,6 +297,17 @@
     scheduleDigests(true, now);
 }
 
+// Returns whether the store was restored since this node learned of it last. Registrations that the store lost then
+// return as after an outage.
+bool store_gossip::isRestored(std::uint64_t epoch)
+{
+    const bool holdsAny = std::any_of(
+        m_topics.begin(), m_topics.end(), [](const topic_state& state) { return state.held.has_value(); });
+    const bool isLater = epoch > m_epoch;
+    m_epoch = std::max(m_epoch, epoch);
+    return isLater && holdsAny;
+}
+
 std::optional<std::chrono::milliseconds> store_gossip::sinceRecovery(instant now) const
 {
     if (!m_recoveredAt || now >= *m_recoveredAt + m_settings.recoveryNoticePeriod)
--- a/routing/store_gossip.h
+++ b/routing/store_gossip.h
@@ -38,7 +38,7 @@
 /// at different times give it different revisions.
 struct adopt_revision {
     store_topic topic;
-    std::uint64_t changeRevision;
+    content_revision changeRevision;
 };
 
 /// The store is available after an outage in which registrations may have expired.
@@ -50,8 +50,8 @@
 
 /// Version of a topic that this node holds after a pull or a read.
 struct topic_version {
-    std::uint64_t changeRevision = 0;
-    std::uint64_t readRevision = 0;
+    content_revision changeRevision;
+    store_revision readRevision;
     instant asOf; ///< time at which the store was at readRevision
 };
 
@@ -113,9 +113,10 @@
     actions pulled(store_topic topic, const std::optional<topic_version>& version, instant now);
 
     /// Records that the store responds to a read of \p topic. Called before the rows of the response are applied, since
-    /// they may lack registrations that expired during an outage.
+    /// they may lack registrations that expired during an outage, or were lost when the store was restored.
+    /// \param epoch of the store, see store_revision
     /// \param startedAt start of the read
-    actions storeResponded(store_topic topic, instant startedAt, instant now);
+    actions storeResponded(store_topic topic, std::uint64_t epoch, instant startedAt, instant now);
 
     /// Records that another node noticed the recovery of the store.
     actions recoveryNoticed(std::chrono::milliseconds sinceRecovery, instant now);
@@ -144,7 +145,7 @@
 private:
     struct source {
         node_id node;
-        std::uint64_t changeRevision;
+        content_revision changeRevision;
     };
     struct topic_state {
         std::optional<topic_version> held;
@@ -153,7 +154,7 @@
         node_id pulledFrom;
         instant pullAt; // earliest time of the next pull
         std::optional<instant> behindSince; // time of the first digest that announced the missing version
-        std::uint64_t revisionAtReadStart = 0; // revision held at the start of the read in progress
+        store_revision revisionAtReadStart; // revision held at the start of the read in progress
     };
 
     topic_state& stateOf(store_topic topic) { return m_topics[static_cast<std::size_t>(topic)]; }
@@ -161,6 +162,7 @@
         actions& out, store_topic topic, const node_id& from, const news_digest& digest, instant sentAt, instant now);
     bool adoptVersion(store_topic topic, const topic_version& version, bool fromOutsideZone, instant now);
     void recordRecovery(actions& out, instant at, instant now);
+    bool isRestored(std::uint64_t epoch);
     bool isBehind(const news_digest& digest) const;
     bool holdsAll() const;
     instant readDueAt() const;
@@ -188,6 +190,7 @@
     std::optional<instant> m_lastDigestAt; // time of the last digest from any node
     instant m_antiEntropyAt;
     std::optional<instant> m_recoveredAt; // of the store, after its last outage
+    std::uint64_t m_epoch = 0; // of the store, the latest that is known
     std::size_t m_pendingReads = 0;
     std::optional<instant> m_readSlowAt; // time at which the read in progress counts as slow
     bool m_readFailed = false;
--- a/routing/test/gossip_simulation.h
+++ b/routing/test/gossip_simulation.h
@@ -5,6 +5,7 @@
 #include "core/seeded_random.h"
 #include "core/test/virtual_time.h"
 #include "routing/store_gossip.h"
+#include "routing/test/revisions.h"
 
 #include <algorithm>
 #include <functional>
@@ -224,7 +225,7 @@
             else if (const auto* read = std::get_if<read_store>(&action))
                 startRead(index, read->topic);
             else if (const auto* adopted = std::get_if<adopt_revision>(&action))
-                holdRevision(index, static_cast<std::size_t>(adopted->topic), adopted->changeRevision);
+                holdRevision(index, static_cast<std::size_t>(adopted->topic), adopted->changeRevision.stored.number);
         }
         pollLater(index);
     }
@@ -256,10 +257,10 @@
             const auto answered = m_nodes[from].gossip->digest(m_now).of(pull.topic);
             std::optional<topic_version> version;
             const bool unchanged = m_nodes[index].heldRevisions[topic] == heldBefore;
-            if (answered.known && unchanged && answered.changeRevision > heldBefore)
+            if (answered.known && unchanged && answered.changeRevision.stored.number > heldBefore)
                 version = topic_version { answered.changeRevision, answered.readRevision, m_now - answered.age };
             if (version)
-                holdRevision(index, topic, version->changeRevision);
+                holdRevision(index, topic, version->changeRevision.stored.number);
             perform(index, m_nodes[index].gossip->pulled(pull.topic, version, m_now));
         });
     }
@@ -281,7 +282,8 @@
             const auto newest = changes.upper_bound(revision);
             const auto news = newest == changes.begin() ? 1 : std::prev(newest)->first;
             holdRevision(index, kind, std::max(news, m_nodes[index].heldRevisions[kind]));
-            const topic_version version { m_nodes[index].heldRevisions[kind], revision, startedAt };
+            const topic_version version { changedAt(m_nodes[index].heldRevisions[kind]), storedAt(revision),
+                startedAt };
             perform(index, m_nodes[index].gossip->readEnded(topic, version, m_now));
         });
     }
--- a/routing/test/store_gossip.cpp
+++ b/routing/test/store_gossip.cpp
@@ -2,6 +2,8 @@
 // revision.
 #include "routing/store_gossip.h"
 
+#include "routing/test/revisions.h"
+
 #include <gtest/gtest.h>
 
 using namespace oriolepick;
@@ -17,14 +19,14 @@
     void read(std::uint64_t changeRevision, std::uint64_t revision)
     {
         for (const auto topic : { store_topic::Configuration, store_topic::Targets })
-            gossip.readEnded(topic, topic_version { changeRevision, revision, now }, now);
+            gossip.readEnded(topic, topic_version { changedAt(changeRevision), storedAt(revision), now }, now);
     }
 
     static news_digest digestOf(std::uint64_t changeRevision, std::uint64_t readRevision)
     {
         news_digest digest;
         for (auto& topic : digest.topics)
-            topic = { true, changeRevision, readRevision, 20ms };
+            topic = { true, changedAt(changeRevision), storedAt(readRevision), 20ms };
         digest.reader = 0;
         return digest;
     }
@@ -48,8 +50,8 @@
     const auto actions = gossip.receive(node_id("10.0.0.2:1"), digestOf(100, 100), now);
     EXPECT_EQ(count<pull_changes>(actions), 0U);
     EXPECT_EQ(count<adopt_revision>(actions), StoreTopicCount);
-    EXPECT_EQ(gossip.digest(now).of(store_topic::Targets).changeRevision, 100U);
-    EXPECT_EQ(gossip.digest(now).of(store_topic::Targets).readRevision, 150U);
+    EXPECT_EQ(gossip.digest(now).of(store_topic::Targets).changeRevision, changedAt(100));
+    EXPECT_EQ(gossip.digest(now).of(store_topic::Targets).readRevision, storedAt(150));
 }
 
 TEST_F(StoreGossipRevisions, ANewerChangeIsPulled)
@@ -73,7 +75,7 @@
                 gossip.pulled(pull->topic, std::nullopt, now);
             reads += std::holds_alternative<read_store>(action);
         }
-        if (reads && gossip.digest(now).of(store_topic::Targets).readRevision == 150)
+        if (reads && gossip.digest(now).of(store_topic::Targets).readRevision == storedAt(150))
             read(97, 170);
     }
     EXPECT_GE(reads, StoreTopicCount);
