--- a/gateway/test/news_simulation.h
+++ b/gateway/test/news_simulation.h
@@ -123,6 +123,7 @@
         ++started.incarnation;
         started.startedAt = m_now;
         started.disturbedUntil = m_now;
+        started.frozenUntil = {}; // a freeze ends with its process
         started.pollAt = instant::max();
         started.configVersion = 0;
         started.reads = 0;
