Hold back targets that a restored store contains again

Callers saw: nothing yet; in virtual time a node used a target again that it knew as removed, for up to 4 s after the store returned from a copy older than the removal.

Cause: the removal was recorded with an old count of renewals (1), since only the reader knows the newest, and the restored row has a higher one (8), which counts as a sign of life.

Change: rows of whole tables within the grace after a recovery are held back if the same start of the target was removed before, as for targets that were removed before they were known. A later start is never held back.

--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -70,6 +70,9 @@
     if (m_targets.count(entry.name) || removal == m_removals.end() || removal->second.wasKnown
         || now >= removal->second.at + m_settings.unknownRemovalHold)
         return false;
+    const auto removedStart = removal->second.startedAt;
+    if (removedStart && entry.startedAt > removedStart)
+        return false;
     removal->second.held = entry;
     return true;
 }
@@ -117,7 +120,7 @@
 
 void target_tracker::remove(const target_name& target, instant now, const std::optional<target_entry>& last)
 {
-    const bool inGrace = m_registryRecoveredAt && now < *m_registryRecoveredAt + m_settings.expiryGrace;
+    const bool inGrace = isInGrace(now);
     const auto found = m_targets.find(target);
     const auto newest = [&]() -> std::optional<target_entry> {
         if (found == m_targets.end()
@@ -140,6 +143,26 @@
     found->second.expiresAt = inGrace ? *m_registryRecoveredAt + m_settings.expiryGrace : now;
 }
 
+bool target_tracker::isInGrace(instant now) const
+{
+    return m_registryRecoveredAt && now < *m_registryRecoveredAt + m_settings.expiryGrace;
+}
+
+// A restored registry contains targets that were removed after the copy was made. The copy may have more renewals than
+// this node knew at the removal, so their count is no sign of life: the target is held back until it would have
+// expired.
+void target_tracker::recordForgottenRemovals(const std::vector<target_entry>& entries, instant now)
+{
+    for (const auto& entry : entries) {
+        const auto removal = m_removals.find(entry.name);
+        if (removal == m_removals.end() || m_targets.count(entry.name))
+            continue;
+        const auto& known = removal->second;
+        if (known.wasKnown && !known.mayReturn && known.startedAt == entry.startedAt)
+            removal->second = { known.startedAt, 0, now, false, true, {} };
+    }
+}
+
 void target_tracker::registryRecovered(instant now)
 {
     m_registryRecoveredAt = now;
@@ -147,6 +170,8 @@
 
 void target_tracker::replaceAll(const std::vector<target_entry>& entries, instant now)
 {
+    if (isInGrace(now))
+        recordForgottenRemovals(entries, now);
     std::set<target_name> present;
     for (const auto& entry : entries) {
         present.insert(entry.name);
