Refuse requests that cannot end before a planned stop

In a planned stop, calls that came late in the grace period, or that waited for a target until then, were passed on and cut at its end: their callers got 502 or 504, which promises nothing, so calls that may run only once were lost. Only generations were compared with the time left, and only once, when they arrived.

Every request that has not run is now compared with the stop before each attempt, and while it waits for a target: a call by the time in which its service nearly always responds, a generation by its expected time. A request that ends by its own deadline before the stop is still passed on. A refused one gets 503, not run, with a short Retry-After. A generation that other nodes can resume is started only in the first half of the grace period.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -278,6 +278,12 @@
         close();
 }
 
+void caller_session::rejectIfWaiting()
+{
+    if (m_exchange)
+        m_exchange->rejectIfWaitingAtShutdown();
+}
+
 void caller_session::abortForShutdown()
 {
     if (m_exchange)
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -39,6 +39,9 @@
     /// Closes the connection if no request is in progress.
     void closeIfIdle();
 
+    /// Rejects the request in progress if it waits for a target and cannot be expected to end before the node stops.
+    void rejectIfWaiting();
+
     /// Aborts the request in progress and closes the connection.
     void abortForShutdown();
 
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -63,7 +63,7 @@
 
 void exchange::start()
 {
-    if (!decode() || !admit() || rejectIfEndingAfterShutdown())
+    if (!decode() || !admit())
         return;
     m_parts.retryBudget.recordRequest(m_service, m_startedAt);
     m_deadlineTimer = m_parts.timers.at(m_deadline, [self = weak_from_this()] {
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -45,6 +45,9 @@
     /// Cancels the request because the caller has disconnected: the current attempt ends and nothing more is sent.
     void cancel();
 
+    /// Rejects the request if it waits for a target and cannot be expected to end before the node stops.
+    void rejectIfWaitingAtShutdown();
+
     /// Ends the request because the node stops now: sends a final response, or aborts a started stream so that the
     /// caller can resume it at another node.
     void abortForShutdown();
@@ -82,6 +85,7 @@
     generation_demand makeGenerationDemand() const;
     std::uint64_t estimatedRemainingEvents() const;
     bool rejectIfDeadlineUnreachable();
+    std::chrono::milliseconds expectedTime() const;
     bool rejectIfEndingAfterShutdown();
     void logEngineChoice(const polled_engine& engine, const generation_demand& demand, std::size_t polledCount);
 
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -43,7 +43,8 @@
     if (m_finished)
         return;
     const auto now = m_parts.timers.now();
-    if (tryQuarantinedParts() || rejectIfQuarantined() || rejectIfDeadlineUnreachable())
+    if (rejectIfEndingAfterShutdown() || tryQuarantinedParts() || rejectIfQuarantined()
+        || rejectIfDeadlineUnreachable())
         return;
     if (m_parts.crashes.isVerdictPending(m_suspect.request)) {
         dispatchAt(now + CrashCheckPollInterval);
@@ -221,8 +222,8 @@
 void exchange::send(const target_entry& target)
 {
     const auto now = m_parts.timers.now();
-    if (rejectIfQuarantined())
-        return; // a crash has become known while the engines were polled or a permit was pending
+    if (rejectIfQuarantined() || rejectIfEndingAfterShutdown())
+        return; // a crash or the stop has become known while the engines were polled or a permit was pending
     leaveQueue();
     m_copyRequestedAt = {};
     chooseCopyHolder(target);
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -12,6 +12,7 @@
 #include "gateway/target_permits.h"
 #include "routing/generation_time_estimator.h"
 #include "routing/prefill_time_estimator.h"
+#include "routing/response_time_estimator.h"
 #include "routing/route_table.h"
 
 #include <algorithm>
@@ -288,25 +289,40 @@
     return true;
 }
 
-// Rejects a generation that would be cut off when this node stops, because another node can complete it. A generation
-// that another node can resume is started here, which saves its caller a retry.
+std::chrono::milliseconds exchange::expectedTime() const
+{
+    if (!isGeneration())
+        return m_parts.responseTimes.patience(m_service, m_route->objective);
+    return m_parts.prefillTimes.estimate(m_service, m_caller.promptTokens)
+        + m_parts.generationTimes.expectedTime(m_service, estimatedRemainingEvents());
+}
+
+// Rejects a request that has not run and would be cut off when this node stops, because another node can complete it.
 bool exchange::rejectIfEndingAfterShutdown()
 {
     const auto stopsAt = m_parts.stopsAt();
-    if (!stopsAt || !isGeneration())
+    if (!stopsAt || m_history.mayHaveRun || m_responseStarted)
         return false;
-    if (m_route->resumable && m_table->rulesOf(m_service)->engine->supportsContinuousCopies)
+    const auto now = m_parts.timers.now();
+    if (m_deadline <= *stopsAt || now + expectedTime() <= *stopsAt)
         return false;
-    const auto expectedTime = m_parts.prefillTimes.estimate(m_service, m_caller.promptTokens)
-        + m_parts.generationTimes.expectedTime(m_service, estimatedRemainingEvents());
-    if (m_parts.timers.now() + expectedTime <= *stopsAt)
+    // Another node can resume such a generation. Starting it here saves its caller a retry, unless the stop is near.
+    const bool canMove
+        = isGeneration() && m_route->resumable && m_table->rulesOf(m_service)->engine->supportsContinuousCopies;
+    if (canMove && now + m_parts.settings.stopGrace / 2 <= *stopsAt)
         return false;
-    m_parts.metrics.count("generations_sent_elsewhere");
+    m_parts.metrics.count("requests_sent_elsewhere");
     failWith(
-        error_kind::NodeDraining, "this node stops before the generation can end", randomDelay(MaxRetryAfterElsewhere));
+        error_kind::NodeDraining, "this node stops before the request can end", randomDelay(MaxRetryAfterElsewhere));
     return true;
 }
 
+void exchange::rejectIfWaitingAtShutdown()
+{
+    if (!m_finished && !m_link)
+        rejectIfEndingAfterShutdown();
+}
+
 // A generation that was already started takes precedence over new ones: work was done for it, and its caller may have
 // received a part of the response.
 bool exchange::mayQueue() const
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -127,8 +127,10 @@
 {
     const auto now = m_parts.timers.now();
     const std::vector<std::shared_ptr<caller_session>> sessions(m_sessions.begin(), m_sessions.end());
-    for (const auto& session : sessions)
+    for (const auto& session : sessions) {
         session->closeIfIdle();
+        session->rejectIfWaiting();
+    }
     const auto busy = m_sessions.size();
     const auto window = m_parts.settings.stopGrace / HandoverDivisor;
     const double timeLeft = std::chrono::duration<double>(m_stopBy - now) / window;
