Record why each connection of a caller ends

The logs could not tell a caller that left from a reset, a stop, or a timeout: a session ended without a reason, so a lost request left no trace. Every end is now counted by its reason (connections_closed_idle, header_timeout, rejected, node_stops, closed_by_caller, reset, response_aborted, response_complete). An end during a request, or with input that was read and not answered, also writes the line connection_closed with the attempt.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "core/seeded_random.h"
 #include "core/text.h"
 #include "gateway/active_config.h"
+#include "gateway/decision_log.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/http_error_response.h"
@@ -151,7 +152,7 @@
         session->m_inputTimer = 0;
         if (started)
             session->m_parts.metrics.count("header_timeouts");
-        session->close();
+        session->close(started ? "header_timeout" : "idle");
     });
 }
 
@@ -183,7 +184,7 @@
     m_inputTimer = m_parts.timers.at(m_parts.timers.now() + RejectedCloseDelay, [self = weak_from_this()] {
         if (const auto session = self.lock()) {
             session->m_inputTimer = 0;
-            session->close();
+            session->close("rejected");
         }
     });
 }
@@ -247,6 +248,7 @@
 void caller_session::abortResponse()
 {
     m_keepAlive = false;
+    logEnd("response_aborted");
     m_channel->close();
     onResponseDone();
 }
@@ -258,12 +260,14 @@
         self->m_exchange.reset();
         self->m_requestMemory.set(0);
         if (!self->m_channel->isOpen()) {
-            self->notifyClosed();
+            self->notifyClosed("response_aborted");
             return;
         }
         if (self->closesAfterResponse()) {
+            if (!self->m_input.empty())
+                self->logEnd("response_complete");
             self->m_channel->closeAfterSending();
-            self->notifyClosed();
+            self->notifyClosed("response_complete");
             return;
         }
         self->readNextRequest();
@@ -279,7 +283,7 @@
 {
     const bool isNew = m_parts.timers.now() < m_openedAt + FirstRequestGrace && m_requestReceivedAt == instant();
     if (isIdle() && !isNew)
-        close();
+        close("node_stops");
 }
 
 void caller_session::rejectIfWaiting()
@@ -293,25 +297,44 @@
     if (m_exchange)
         m_exchange->abortForShutdown(); // closes the connection after the response
     else
-        close();
+        close("node_stops");
 }
 
-void caller_session::close()
+void caller_session::close(std::string_view reason)
 {
     m_channel->close();
-    onEnd(connection_end::Closed);
+    endExchange(reason);
 }
 
-void caller_session::onEnd(connection_end)
+// A caller that shuts down its sending direction counts as gone: it cannot be told from one that has closed.
+void caller_session::onEnd(connection_end end)
 {
-    if (m_exchange)
+    endExchange(end == connection_end::Closed ? "closed_by_caller" : "reset");
+}
+
+void caller_session::endExchange(std::string_view reason)
+{
+    if (m_exchange && !m_exchange->isFinished()) {
+        logEnd(reason);
         m_exchange->cancel();
-    notifyClosed();
+    }
+    notifyClosed(reason);
+}
+
+// Ends with a request in progress, or with unread input, are logged; all ends are counted.
+void caller_session::logEnd(std::string_view reason)
+{
+    m_parts.log.write("connection_closed",
+        { { "reason", std::string(reason) }, { "attempt", m_exchange ? m_exchange->attempt() : "" },
+            { "in_progress", m_exchange && !m_exchange->isFinished() ? "true" : "false" },
+            { "stopping", m_closing ? "true" : "false" }, { "unread_bytes", std::to_string(m_input.size()) } });
 }
 
-void caller_session::notifyClosed()
+void caller_session::notifyClosed(std::string_view reason)
 {
     m_parts.timers.cancel(m_inputTimer);
+    if (m_onClosed)
+        m_parts.metrics.count(concatenated("connections_closed_", reason));
     auto onClosed = std::move(m_onClosed);
     m_onClosed = nullptr;
     if (onClosed)
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace oriolepick {
 
@@ -45,9 +46,6 @@
     /// Aborts the request in progress and closes the connection.
     void abortForShutdown();
 
-    /// Closes the connection immediately, even if a request is in progress.
-    void close();
-
     /// \return when the request in progress was received completely
     instant requestReceivedAt() const { return m_requestReceivedAt; }
 
@@ -73,7 +71,10 @@
     void onResponseDone();
     bool closesAfterResponse() const;
     void startInputTimer();
-    void notifyClosed();
+    void close(std::string_view reason);
+    void endExchange(std::string_view reason);
+    void logEnd(std::string_view reason);
+    void notifyClosed(std::string_view reason);
     std::string formatResponse(const http_response_head& head, std::string_view body);
     std::string formatHead(const http_response_head& head, std::string_view framing);
 
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -57,6 +57,9 @@
 
     bool isFinished() const { return m_finished; }
 
+    /// \return the identifier of the caller's attempt, empty if the request has none
+    const std::string& attempt() const { return m_caller.attempt; }
+
     bool maySend() const override;
     void onSent() override;
     void onHead(const http_response_head& head, const target_reply& reply) override;
