Apply a longer idle timeout to connections that are idle

When a configuration raised idleTimeoutMs, connections that were idle by then were still closed after the old limit. Callers reuse a connection up to four fifths of the limit in force, so a whole request could meet the close and get neither an answer nor a refusal. The limit is now read again when the timer expires. The time for a header is treated alike.

EndedConnections.ALongerIdleTimeoutAppliesToConnectionsThatAreIdle fails on the code before (closed after 400 ms although the limit in force is 60 s) and passes now.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -136,20 +136,33 @@
         m_exchange->onSinkDrained();
 }
 
+std::chrono::milliseconds caller_session::inputTimeout() const
+{
+    const auto limits = limitsOf(m_parts.config);
+    return m_reader->started() ? limits.headerTimeout : limits.idleTimeout;
+}
+
 // Limits how long a connection may be idle and how long the header of a request may take to arrive.
 void caller_session::startInputTimer()
 {
     m_parts.timers.cancel(m_inputTimer);
-    if (m_reader->headerDone())
-        return;
-    const auto limits = limitsOf(m_parts.config);
+    if (!m_reader->headerDone())
+        startInputTimer(m_parts.timers.now());
+}
+
+// A change of the configuration may extend the limit meanwhile, and callers reuse connections by the new one.
+void caller_session::startInputTimer(instant since)
+{
     const bool started = m_reader->started();
-    const auto due = m_parts.timers.now() + (started ? limits.headerTimeout : limits.idleTimeout);
-    m_inputTimer = m_parts.timers.at(due, [self = weak_from_this(), started] {
+    m_inputTimer = m_parts.timers.at(since + inputTimeout(), [self = weak_from_this(), started, since] {
         const auto session = self.lock();
         if (!session)
             return;
         session->m_inputTimer = 0;
+        if (session->m_parts.timers.now() < since + session->inputTimeout()) {
+            session->startInputTimer(since);
+            return;
+        }
         if (started)
             session->m_parts.metrics.count("header_timeouts");
         session->close(started ? "header_timeout" : "idle");
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -70,7 +71,9 @@
     void updateResponseMemory();
     void onResponseDone();
     bool closesAfterResponse() const;
+    std::chrono::milliseconds inputTimeout() const;
     void startInputTimer();
+    void startInputTimer(instant since);
     void close(std::string_view reason);
     void endExchange(std::string_view reason);
     void logEnd(std::string_view reason);
