Log when new connections are refused

At the limit of connections the gateway dropped new ones with nothing but a counter, so a caller's reset could not be traced. The first refusal after an accepted connection now writes connections_refused with the limit.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace oriolepick {
@@ -73,8 +74,12 @@
 {
     if (m_sessions.size() >= static_cast<std::size_t>(m_parts.settings.maxConnections)) {
         m_parts.metrics.count("connections_refused");
+        if (!std::exchange(m_refusesConnections, true))
+            m_parts.log.write(
+                "connections_refused", { { "max_connections", std::to_string(m_parts.settings.maxConnections) } });
         return;
     }
+    m_refusesConnections = false;
     auto session = std::make_shared<caller_session>(m_loop, m_parts,
         std::make_shared<tcp_connection>(std::move(socket), tcp_connection_settings {}),
         [this](const std::shared_ptr<caller_session>& closed) { m_sessions.erase(closed); });
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -48,6 +48,7 @@
     std::unique_ptr<http_endpoint> m_metrics;
     std::set<std::shared_ptr<caller_session>> m_sessions;
     bool m_stopping = false;
+    bool m_refusesConnections = false; // the last new connection was refused; logged once
     instant m_stopBy;
     std::optional<std::size_t> m_busyAtHandover; // busy sessions when the first of them was aborted
     std::size_t m_cutSessions = 0;
