--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "core/seeded_random.h"
 #include "core/text.h"
 #include "gateway/active_config.h"
+#include "gateway/decision_log.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/http_error_response.h"
@@ -135,23 +136,36 @@
         m_exchange->onSinkDrained();
 }
 
+std::chrono::milliseconds caller_session::inputTimeout() const
+{
+    const auto limits = limitsOf(m_parts.config);
+    return m_reader->started() ? limits.headerTimeout : limits.idleTimeout;
+}
+
 // Limits how long a connection may be idle and how long the header of a request may take to arrive.
 void caller_session::startInputTimer()
 {
     m_parts.timers.cancel(m_inputTimer);
-    if (m_reader->headerDone())
-        return;
-    const auto limits = limitsOf(m_parts.config);
+    if (!m_reader->headerDone())
+        startInputTimer(m_parts.timers.now());
+}
+
+// A change of the configuration may extend the limit meanwhile, and callers reuse connections by the new one.
+void caller_session::startInputTimer(instant since)
+{
     const bool started = m_reader->started();
-    const auto due = m_parts.timers.now() + (started ? limits.headerTimeout : limits.idleTimeout);
-    m_inputTimer = m_parts.timers.at(due, [self = weak_from_this(), started] {
+    m_inputTimer = m_parts.timers.at(since + inputTimeout(), [self = weak_from_this(), started, since] {
         const auto session = self.lock();
         if (!session)
             return;
         session->m_inputTimer = 0;
+        if (session->m_parts.timers.now() < since + session->inputTimeout()) {
+            session->startInputTimer(since);
+            return;
+        }
         if (started)
             session->m_parts.metrics.count("header_timeouts");
-        session->close();
+        session->close(started ? "header_timeout" : "idle");
     });
 }
 
@@ -160,7 +174,7 @@
     m_parts.timers.cancel(m_inputTimer);
     m_requestReceivedAt = m_parts.timers.now();
     auto request = m_reader->take();
-    m_keepAlive = request.keepAlive && !m_closing;
+    m_keepAlive = request.keepAlive;
     m_chunked = request.version >= 11;
     m_streaming = false;
     m_exchange = std::make_shared<exchange>(m_parts, std::move(request), *this);
@@ -183,11 +197,17 @@
     m_inputTimer = m_parts.timers.at(m_parts.timers.now() + RejectedCloseDelay, [self = weak_from_this()] {
         if (const auto session = self.lock()) {
             session->m_inputTimer = 0;
-            session->close();
+            session->close("rejected");
         }
     });
 }
 
+// A stopping node still answers requests that it has read ahead.
+bool caller_session::closesAfterResponse() const
+{
+    return !m_keepAlive || (m_closing && m_input.empty());
+}
+
 std::string caller_session::formatHead(const http_response_head& head, std::string_view framing)
 {
     std::string text = concatenated("HTTP/1.1 ", head.status, " ", head.reason, "\r\n");
@@ -196,7 +216,7 @@
         if (!isHopByHopField(field.name, connection ? *connection : std::string()))
             append(text, field.name, ": ", field.value, "\r\n");
     }
-    append(text, framing, m_keepAlive && !m_closing ? "" : "Connection: close\r\n", "\r\n");
+    append(text, framing, closesAfterResponse() ? "Connection: close\r\n" : "", "\r\n");
     return text;
 }
 
@@ -209,8 +229,7 @@
 
 void caller_session::sendResponse(const http_response_head& head, std::string_view body)
 {
-    if (m_closing)
-        m_keepAlive = false;
+    m_keepAlive = !closesAfterResponse();
     m_channel->send(formatResponse(head, body));
     updateResponseMemory();
     onResponseDone();
@@ -218,8 +237,7 @@
 
 void caller_session::beginStream(const http_response_head& head)
 {
-    if (m_closing || !m_chunked)
-        m_keepAlive = false;
+    m_keepAlive = m_chunked && !closesAfterResponse();
     m_streaming = true;
     m_channel->send(formatHead(head, m_chunked ? "Transfer-Encoding: chunked\r\n" : ""));
 }
@@ -243,6 +261,7 @@
 void caller_session::abortResponse()
 {
     m_keepAlive = false;
+    logEnd("response_aborted");
     m_channel->close();
     onResponseDone();
 }
@@ -254,12 +273,14 @@
         self->m_exchange.reset();
         self->m_requestMemory.set(0);
         if (!self->m_channel->isOpen()) {
-            self->notifyClosed();
+            self->notifyClosed("response_aborted");
             return;
         }
-        if (!self->m_keepAlive || self->m_closing) {
+        if (self->closesAfterResponse()) {
+            if (!self->m_input.empty())
+                self->logEnd("response_complete");
             self->m_channel->closeAfterSending();
-            self->notifyClosed();
+            self->notifyClosed("response_complete");
             return;
         }
         self->readNextRequest();
@@ -275,7 +296,13 @@
 {
     const bool isNew = m_parts.timers.now() < m_openedAt + FirstRequestGrace && m_requestReceivedAt == instant();
     if (isIdle() && !isNew)
-        close();
+        close("node_stops");
+}
+
+void caller_session::rejectIfWaiting()
+{
+    if (m_exchange)
+        m_exchange->rejectIfWaitingAtShutdown();
 }
 
 void caller_session::abortForShutdown()
@@ -283,25 +310,44 @@
     if (m_exchange)
         m_exchange->abortForShutdown(); // closes the connection after the response
     else
-        close();
+        close("node_stops");
 }
 
-void caller_session::close()
+void caller_session::close(std::string_view reason)
 {
     m_channel->close();
-    onEnd(connection_end::Closed);
+    endExchange(reason);
 }
 
-void caller_session::onEnd(connection_end)
+// A caller that shuts down its sending direction counts as gone: it cannot be told from one that has closed.
+void caller_session::onEnd(connection_end end)
 {
-    if (m_exchange)
+    endExchange(end == connection_end::Closed ? "closed_by_caller" : "reset");
+}
+
+void caller_session::endExchange(std::string_view reason)
+{
+    if (m_exchange && !m_exchange->isFinished()) {
+        logEnd(reason);
         m_exchange->cancel();
-    notifyClosed();
+    }
+    notifyClosed(reason);
+}
+
+// Ends with a request in progress, or with unread input, are logged; all ends are counted.
+void caller_session::logEnd(std::string_view reason)
+{
+    m_parts.log.write("connection_closed",
+        { { "reason", std::string(reason) }, { "attempt", m_exchange ? m_exchange->attempt() : "" },
+            { "in_progress", m_exchange && !m_exchange->isFinished() ? "true" : "false" },
+            { "stopping", m_closing ? "true" : "false" }, { "unread_bytes", std::to_string(m_input.size()) } });
 }
 
-void caller_session::notifyClosed()
+void caller_session::notifyClosed(std::string_view reason)
 {
     m_parts.timers.cancel(m_inputTimer);
+    if (m_onClosed)
+        m_parts.metrics.count(concatenated("connections_closed_", reason));
     auto onClosed = std::move(m_onClosed);
     m_onClosed = nullptr;
     if (onClosed)
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -11,9 +11,11 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace oriolepick {
 
@@ -39,12 +41,12 @@
     /// Closes the connection if no request is in progress.
     void closeIfIdle();
 
+    /// Rejects the request in progress if it waits for a target and cannot be expected to end before the node stops.
+    void rejectIfWaiting();
+
     /// Aborts the request in progress and closes the connection.
     void abortForShutdown();
 
-    /// Closes the connection immediately, even if a request is in progress.
-    void close();
-
     /// \return when the request in progress was received completely
     instant requestReceivedAt() const { return m_requestReceivedAt; }
 
@@ -68,8 +70,14 @@
     void reject(error_kind kind, std::string_view errorMessage);
     void updateResponseMemory();
     void onResponseDone();
+    bool closesAfterResponse() const;
+    std::chrono::milliseconds inputTimeout() const;
     void startInputTimer();
-    void notifyClosed();
+    void startInputTimer(instant since);
+    void close(std::string_view reason);
+    void endExchange(std::string_view reason);
+    void logEnd(std::string_view reason);
+    void notifyClosed(std::string_view reason);
     std::string formatResponse(const http_response_head& head, std::string_view body);
     std::string formatHead(const http_response_head& head, std::string_view framing);
 
