Test responses that a target cuts anywhere

A target that stopped in the middle of its response's head and closed made other systems of this kind answer 200 with an empty or short body.

--- /dev/null
+++ b/node/test/cut_responses.cpp
@@ -0,0 +1,165 @@
+// Guards against a success without its whole body, and against a second run of a call that runs at most once, when a
+// target ends its connection in the middle of the response.
+#include "node/test/node_fixture.h"
+#include "node/test/response_proxy.h"
+#include "node/test/stream_tokens.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string_view>
+
+using namespace oriolepick;
+
+namespace {
+
+std::size_t headSize(const std::string& response)
+{
+    return response.find("\r\n\r\n") + 4;
+}
+
+std::string bodyOf(const std::string& response)
+{
+    return response.substr(headSize(response));
+}
+
+std::string fieldOf(const buffered_response& response, const char* name)
+{
+    const auto body = nlohmann::json::parse(response.body, nullptr, false);
+    return body.is_object() ? body.value("error", nlohmann::json::object()).value(name, "") : std::string();
+}
+
+/// One response of a target that is not a whole response.
+struct broken_response {
+    const char* name;
+    std::string (*make)(const std::string& body);
+    bool reset;
+};
+
+const broken_response BrokenResponses[] = {
+    { "no bytes", [](const std::string&) { return std::string(); }, false },
+    { "fewer bytes than Content-Length",
+        [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() + 1) + "\r\n\r\n" + body;
+        },
+        false },
+    { "no body after Content-Length",
+        [](const std::string&) { return std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"); }, false },
+    { "chunks without the last one",
+        [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n" + body.substr(0, 9) + "\r\n";
+        },
+        false },
+    { "a cut chunk",
+        [](const std::string&) { return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc"); },
+        false },
+    { "the size of the last chunk is cut",
+        [](const std::string&) {
+            return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0");
+        },
+        false },
+    { "the trailer is cut",
+        [](const std::string&) {
+            return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n");
+        },
+        false },
+    { "a body without length is reset",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body; }, true },
+};
+
+} // namespace
+
+class cut_responses_test : public node_fixture {
+protected:
+    std::vector<std::string> serviceAddresses() override
+    {
+        m_broken = std::make_unique<response_proxy>(m_service.address());
+        // Two targets, so that a call could be sent again.
+        return { m_broken->address(), m_broken->address() };
+    }
+
+    std::string engineAddress() override
+    {
+        m_brokenEngine = std::make_unique<response_proxy>(m_engine.address());
+        return m_brokenEngine->address();
+    }
+
+    /// Calls with new keys until the team's limit, of which a new node gets a small share, lets a call through.
+    buffered_response callUnlimited(const char* method)
+    {
+        for (;;) {
+            m_key = "cut-" + std::to_string(++m_lastKey);
+            auto response = call(method, m_key, "{\"call\":\"" + m_key + "\"}");
+            if (response.status != 429)
+                return response;
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    void expectNoSuccess(const buffered_response& response, const std::string& what)
+    {
+        EXPECT_EQ(response.result.end, exchange_end::Complete) << what;
+        EXPECT_GE(response.status, 500) << what << ": " << response.body;
+        EXPECT_EQ(fieldOf(response, "run"), "may_have_run") << what << ": " << response.body;
+    }
+
+    /// Calls that run at most once and calls that may be repeated, against what the target sends.
+    void callBoth(const std::string& what)
+    {
+        expectNoSuccess(callUnlimited("POST"), "POST, " + what);
+        EXPECT_EQ(m_service.runsOf("one/bench/" + m_key), 1u) << what;
+        expectNoSuccess(callUnlimited("GET"), "GET, " + what);
+    }
+
+    std::unique_ptr<response_proxy> m_broken;
+    std::unique_ptr<response_proxy> m_brokenEngine;
+    std::string m_key; ///< of the last call
+    int m_lastKey = 0;
+};
+
+TEST_F(cut_responses_test, a_response_cut_in_its_head_is_no_success)
+{
+    const auto whole = call("POST", "whole", "{}");
+    ASSERT_EQ(whole.status, 200) << whole.body;
+    for (const bool reset : { false, true }) {
+        std::size_t size = 1;
+        for (std::size_t kept = 0; kept < size; kept += kept < 24 ? 1 : 7) {
+            m_broken->rewrite([&size, kept, reset](const std::string&, const std::string& response) {
+                size = headSize(response);
+                return replaced_response { response.substr(0, kept), reset };
+            });
+            callBoth("head cut after " + std::to_string(kept) + (reset ? " bytes, reset" : " bytes, closed"));
+        }
+    }
+}
+
+TEST_F(cut_responses_test, a_response_cut_in_its_body_is_no_success)
+{
+    for (const auto& broken : BrokenResponses) {
+        m_broken->rewrite([&broken](const std::string&, const std::string& response) {
+            return replaced_response { broken.make(bodyOf(response)), broken.reset };
+        });
+        callBoth(broken.name);
+    }
+}
+
+// Every second attempt is cut, so that the stream is resumed again and again.
+TEST_F(cut_responses_test, a_generation_whose_response_is_cut_anywhere_reaches_the_caller_whole)
+{
+    constexpr const char* Streamed
+        = R"({"model":"manuals","prompt":"how [length=40]","max_tokens":60,"seed":7,"stream":true})";
+    const auto expected = tokensOf(complete(Streamed).body);
+    ASSERT_EQ(expected.size(), 40u);
+    for (std::size_t kept = 0; kept < 2600; kept += 131) {
+        auto attempts = std::make_shared<std::atomic<int>>(0);
+        const bool reset = kept % 2;
+        m_brokenEngine->rewrite([kept, reset, attempts](const std::string& request, const std::string& response) {
+            const bool cut = request.rfind("POST /v1/attempts", 0) == 0 && (*attempts)++ == 0;
+            return cut ? replaced_response { response.substr(0, kept), reset } : replaced_response { response };
+        });
+        const auto answer = complete(Streamed);
+        EXPECT_EQ(answer.result.end, exchange_end::Complete) << kept;
+        EXPECT_EQ(tokensOf(answer.body), expected) << "cut after " << kept << " bytes: " << answer.body.substr(0, 300);
+        EXPECT_GT(*attempts, 0) << kept;
+    }
+}
--- a/node/test/http_edge.cpp
+++ b/node/test/http_edge.cpp
@@ -1,6 +1,7 @@
 // Guards the node's entrances: whatever a stranger or a faulty peer sends gets a clear error and a counter, nobody
 // reaches another team's work, and the node goes on serving.
 #include "node/test/node_fixture.h"
+#include "node/test/stream_tokens.h"
 
 #include <nlohmann/json.hpp>
 #include <zmq.hpp>
@@ -36,15 +37,6 @@
     return cursor;
 }
 
-token_list tokensOf(const std::string& stream)
-{
-    token_list tokens;
-    for (std::size_t at = stream.find("\"token_id\":"); at != std::string::npos;
-         at = stream.find("\"token_id\":", at + 1))
-        tokens.push_back(static_cast<token_id>(std::stoul(stream.substr(at + 11))));
-    return tokens;
-}
-
 } // namespace
 
 class http_edge_test : public node_fixture { };
--- a/node/test/node_fixture.h
+++ b/node/test/node_fixture.h
@@ -23,6 +23,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace oriolepick {
 
@@ -66,6 +67,7 @@
         m_settings.ticketPollInterval = std::chrono::milliseconds(50);
         m_settings.maximumBodyBytes = 4096;
         m_settings.callersThreads = 64;
+        configure(m_settings);
         fileTicket();
         auto created = daemon::create(m_settings);
         ASSERT_TRUE(created) << created.error().message;
@@ -155,14 +157,21 @@
             return R"({"kind":"target","fleet":"one","name":")" + name + R"(","state":{"address":")" + address
                 + R"(","zone":"z1","kind":")" + kind + R"("}})";
         };
+        std::string services;
+        std::string serviceNames;
+        for (const auto& address : serviceAddresses()) {
+            const auto name = "s" + std::to_string(services.empty() ? 1 : 2);
+            services += (services.empty() ? "" : ",") + target(name, address, "service");
+            serviceNames += (serviceNames.empty() ? "\"one/" : ",\"one/") + name + "\"";
+        }
         const auto text = R"({"ticket":1,"operator":"test","note":"test","objects":[
             {"kind":"fleet","fleet":"one","name":"one","state":{"title":"One","zones":["z1"]}},)"
-            + team("bench") + "," + team("desk") + "," + target("e1", m_engine.address(), "engine") + ","
-            + target("s1", m_service.address(), "service") + R"(,
+            + team("bench") + "," + team("desk") + "," + target("e1", engineAddress(), "engine") + "," + services + R"(,
             {"kind":"model","fleet":"one","name":"manuals","state":{"versions":["3"]}},
             {"kind":"policy","fleet":"one","name":"fast","state":{"strategy":"latency_first"}},
             {"kind":"deployment","fleet":"one","name":"manuals","state":{"model":"one/manuals","version":"3","targets":["one/e1"],"resume_policy":"fast"}},
-            {"kind":"service","fleet":"one","name":"booking","state":{"targets":["one/s1"],"methods":[
+            {"kind":"service","fleet":"one","name":"booking","state":{"targets":[)"
+            + serviceNames + R"(],"methods":[
                 {"method":"GET","repeatable":true,"time_limit_ms":5000},{"method":"POST","repeatable":false,"time_limit_ms":5000}]}}]})";
         http_table_service table(m_platform.address());
         const auto outcome = table.commit(
@@ -171,6 +180,15 @@
         ASSERT_TRUE(outcome && outcome.value().committed);
     }
 
+    /// \return the addresses of targets "s1" and, if there is a second, "s2"
+    virtual std::vector<std::string> serviceAddresses() { return { m_service.address() }; }
+
+    /// \return the address of target "e1"
+    virtual std::string engineAddress() { return m_engine.address(); }
+
+    /// Changes the settings of the node before it starts.
+    virtual void configure(settings&) { }
+
     platform_emulator m_platform { platform_emulator_options {} };
     engine_emulator m_engine { engineSettings() };
     /// The service got a request while its fault "exit_on_accept" is on.
