Refuse response heads that do not frame their body

Callers got a 200 with an empty or short body when the head of a target's response was damaged: the HTTP library takes a Content-Length that is not a number for 0, uses the first of two that differ, skips lines that end without CR or have no colon (a length in them is lost, and the body then ends with the connection), reads an unknown transfer coding up to the end, and takes an interim response other than 100 for the final one.

response_guard now checks each line of the head before the library sees it, and the exchange ends as malformed: may_have_run for a call that runs at most once, a retry for others, a resume for generations. The detail of the outcome names the fault.

An interim response other than 100 still cannot be used, but no longer counts as a success.

--- a/node/test/cut_responses.cpp
+++ b/node/test/cut_responses.cpp
@@ -63,8 +63,34 @@
             return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n");
         },
         false },
+    { "chunks and a length",
+        [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
+        },
+        false },
     { "a body without length is reset",
         [](const std::string& body) { return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body; }, true },
+    { "Content-Length is not a number",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n" + body; }, false },
+    { "Content-Length is empty",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n" + body; }, false },
+    { "Content-Length begins with digits only",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n" + body; }, false },
+    { "two lengths",
+        [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 9\r\n\r\n" + body;
+        },
+        false },
+    { "the line of the length ends without a carriage return",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nContent-Length: 900\n\r\n" + body; }, false },
+    { "the line of the length has no colon",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nContent-Length 900\r\n\r\n" + body; }, false },
+    { "a coding that the node cannot undo",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + body; },
+        false },
+    { "the final head after an interim one is cut",
+        [](const std::string&) { return std::string("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nCont"); },
+        false },
 };
 
 } // namespace
@@ -133,7 +159,7 @@
     }
 }
 
-TEST_F(cut_responses_test, a_response_cut_in_its_body_is_no_success)
+TEST_F(cut_responses_test, a_response_cut_in_its_body_or_framed_wrongly_is_no_success)
 {
     for (const auto& broken : BrokenResponses) {
         m_broken->rewrite([&broken](const std::string&, const std::string& response) {
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -161,7 +161,7 @@
         case socket_end::Failed:
             return exchange_end::Lost;
         case socket_end::Open: // the library could not make sense of the bytes
-        case socket_end::Overlong:
+        case socket_end::Refused:
             break;
         }
         return exchange_end::Malformed;
@@ -201,7 +201,9 @@
         && !handlers.head(response.status, endToEndHeaders(response.headers)))
         return { exchange_end::Stopped, {} };
     const auto end = classify(error, socket, abort);
-    return { end, end == exchange_end::Complete ? std::string() : httplib::to_string(error) };
+    if (end == exchange_end::Complete)
+        return { end, {} };
+    return { end, socket.fault().empty() ? httplib::to_string(error) : socket.fault() };
 }
 
 buffered_response exchangeBuffered(const std::string& address, const service_request& request,
--- a/targets/response_guard.cpp
+++ b/targets/response_guard.cpp
@@ -1,17 +1,8 @@
 #include "targets/response_guard.h"
 
-namespace oriolepick {
-
-namespace {
+#include <utility>
 
-    // An interim response (1xx) is followed by another head.
-    bool isInterim(const std::string& statusLine)
-    {
-        const auto space = statusLine.find(' ');
-        return space != std::string::npos && space + 1 < statusLine.size() && statusLine[space + 1] == '1';
-    }
-
-} // namespace
+namespace oriolepick {
 
 bool response_guard::take(std::string_view bytes)
 {
@@ -29,20 +20,23 @@
     bytes.remove_prefix(1);
     if (++m_headBytes > MaxHeadBytes)
         return false;
-    if (next != '\n') {
-        m_lineIsEmpty = m_lineIsEmpty && next == '\r';
-        if (m_inStatusLine)
-            m_statusLine += next;
-        return m_statusLine.size() <= MaxStatusLineBytes;
-    }
-    if (m_lineIsEmpty && !m_inStatusLine) {
-        m_inHead = isInterim(m_statusLine);
-        m_inStatusLine = m_inHead;
-        m_statusLine.clear();
-    } else {
-        m_inStatusLine = false;
-    }
-    m_lineIsEmpty = true;
+    if (next == '\n')
+        return takeLine();
+    m_line += next;
+    return !m_inStatusLine || m_line.size() <= MaxStatusLineBytes;
+}
+
+bool response_guard::takeLine()
+{
+    const auto line = std::exchange(m_line, {});
+    if (std::exchange(m_inStatusLine, false))
+        return m_head.takeStatusLine(line);
+    if (line != "\r")
+        return m_head.takeHeaderLine(line);
+    m_inHead = m_head.isContinue();
+    m_inStatusLine = m_inHead;
+    if (m_inHead)
+        m_head = {};
     return true;
 }
 
--- a/targets/response_guard.h
+++ b/targets/response_guard.h
@@ -2,6 +2,8 @@
 /// Limits on what an HTTP response may contain before the HTTP library reads it.
 #pragma once
 
+#include "targets/response_head.h"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -10,7 +12,8 @@
 
 /// Scans the bytes of a response as they arrive. The HTTP library matches the status line with a recursive regular
 /// expression, which overflows the stack on a long line (a status line of 50 KB ended the process), and collects header
-/// and chunk lines without a limit. The guard ends such responses before the library sees them.
+/// and chunk lines without a limit. The guard ends such responses, and those whose head does not frame the body
+/// unambiguously, before the library sees them.
 class response_guard {
 public:
     static constexpr std::size_t MaxStatusLineBytes = 256;
@@ -23,13 +26,17 @@
     /// Notes that the library gave out a piece of the body.
     void noteProgress() { m_unusedBytes = 0; }
 
+    /// \return what is wrong with the head, empty when nothing is or when the response is too long
+    const std::string& fault() const { return m_head.fault(); }
+
 private:
     bool takeHead(std::string_view& bytes);
+    bool takeLine();
 
     bool m_inHead = true;
     bool m_inStatusLine = true;
-    bool m_lineIsEmpty = true;
-    std::string m_statusLine;
+    std::string m_line; ///< of the head, without its LF
+    response_head m_head;
     std::size_t m_headBytes = 0;
     std::size_t m_unusedBytes = 0;
 };
--- a/targets/target_socket.cpp
+++ b/targets/target_socket.cpp
@@ -160,7 +160,7 @@
     if (m_guard.take(m_unread))
         return received;
     m_unread = {};
-    m_end = socket_end::Overlong;
+    m_end = socket_end::Refused;
     return -1;
 }
 
--- a/targets/target_socket.h
+++ b/targets/target_socket.h
@@ -16,7 +16,7 @@
 class call_abort;
 
 /// Why a connection gives no more bytes.
-enum class socket_end { Open, Closed, Failed, TimedOut, Overlong };
+enum class socket_end { Open, Closed, Failed, TimedOut, Refused };
 
 /// One connection, used by one thread; call_abort ends it from another.
 class target_socket {
@@ -44,6 +44,7 @@
     void noteProgress() { m_guard.noteProgress(); }
 
     socket_end end() const { return m_end; }
+    const std::string& fault() const { return m_guard.fault(); } ///< what is wrong with the response's head, or empty
     bool wasRefused() const { return m_refused; } ///< connect() found that nobody listens
     bool hasSent() const { return m_sent; } ///< whether any byte left this process
     int descriptor() const { return m_socket; }
