Do not take the body of a refused request for the next request

A node that leaves, is not ready or has no free connection refused a request before it read the body. The HTTP library ignores "Connection: close" in a response and kept the connection: a body that arrived after the refusal was parsed, and run, as a request of its own. The response also said both "Connection: close" and "Keep-Alive".

node_planned_stop and node_ended_connections sent the head of a POST, and then a body that is a GET of /healthz: both got a 503 and a 200 on one connection before the fix, and get one 503 now.

Refusals while the node leaves or is not ready are now made after the body was read. They are also made after the request was counted as open, so a planned stop cannot miss a request that did not see it. The reserve threads still refuse without reading, and then end the connection. While a node leaves, each response announces the close.

--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -16,11 +16,16 @@
 #include <httplib.h>
 #include <sys/socket.h>
 
+#include <utility>
+
 namespace oriolepick {
 
 namespace {
 
     constexpr const char* JsonType = "application/json";
+    constexpr const char* CompletionsPath = "/v1/completions";
+    constexpr const char* ServicesPath = "/v1/services/";
+    constexpr std::chrono::seconds RefusalRetryAfter { 1 };
     constexpr std::chrono::milliseconds ConnectionCheckPeriod { 250 };
     constexpr int ConnectBacklog = 2048;
     constexpr time_t KeepAliveSeconds = 2; // an idle connection holds a thread
@@ -55,6 +60,24 @@
         return request.get_header_value("Content-Type").rfind(JsonType, 0) == 0;
     }
 
+    bool isWork(const httplib::Request& request)
+    {
+        return request.path == CompletionsPath || request.path.rfind(ServicesPath, 0) == 0;
+    }
+
+    /// Makes the library close the connection after the response, whose request's body it has not read: it would take
+    /// the body for the next request, also after "Connection: close".
+    void closeAfter(httplib::Response& response)
+    {
+        const auto type = response.get_header_value("Content-Type");
+        response.headers.erase("Content-Type");
+        response.set_content_provider(response.body.size(), type,
+            [body = std::exchange(response.body, {})](std::size_t, std::size_t, httplib::DataSink& sink) {
+                sink.write(body.data(), body.size());
+                return false;
+            });
+    }
+
     /// The kind of an answer that the library gave by itself.
     error_kind kindOf(int status)
     {
@@ -120,11 +143,18 @@
 void http_edge::addRoutes()
 {
     m_server->set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
-        return refuses(request, response) ? httplib::Server::HandlerResponse::Handled
-                                          : httplib::Server::HandlerResponse::Unhandled;
+        return refusesConnection(request, response) ? httplib::Server::HandlerResponse::Handled
+                                                    : httplib::Server::HandlerResponse::Unhandled;
+    });
+    m_server->set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
+        // Callers that know of the close do not send a request that crosses with it.
+        if (m_services.status.draining && !response.has_header("Connection"))
+            response.set_header("Connection", "close");
+        if (response.has_header("Connection"))
+            response.headers.erase("Keep-Alive");
     });
     m_server->set_error_handler([this](const httplib::Request&, httplib::Response& response) {
-        if (!response.body.empty())
+        if (response.has_header("Content-Type")) // an answer of this class
             return;
         const int status = response.status;
         m_services.metrics.add(counter_metric::BadInput, { { "entrance", "http" } });
@@ -134,7 +164,7 @@
         [this](const httplib::Request&, httplib::Response& response, const std::exception_ptr&) {
             answerError({ error_kind::Internal, "unexpected failure", {} }, response, "unknown");
         });
-    m_server->Post("/v1/completions",
+    m_server->Post(CompletionsPath,
         [this](const httplib::Request& request, httplib::Response& response) { handleCompletion(request, response); });
     const auto service
         = [this](const httplib::Request& request, httplib::Response& response) { handleService(request, response); };
@@ -184,27 +214,34 @@
     }));
 }
 
-bool http_edge::refuses(const httplib::Request& request, httplib::Response& response)
+bool http_edge::refusesConnection(const httplib::Request& request, httplib::Response& response)
 {
-    const bool work = request.path == "/v1/completions" || request.path.rfind("/v1/services/", 0) == 0;
-    if (!work)
+    if (!bounded_task_queue::onReserveThread() || !isWork(request))
         return false;
-    const auto refuse = [&](error_kind kind, const char* message) {
-        // Another node may have run a call with the same key.
-        const bool keyedCall = request.path != "/v1/completions" && request.has_header("Idempotency-Key");
-        answerError({ kind, message, std::chrono::seconds(1) }, response, "unknown",
-            keyedCall ? std::optional<run_state>(run_state::MayHaveRun) : std::nullopt);
-        // The body was not read, so the connection cannot be used again.
-        response.set_header("Connection", "close");
-        return true;
-    };
-    if (bounded_task_queue::onReserveThread())
-        return refuse(error_kind::Overloaded, "all connections of this node are in use");
+    refuse({ error_kind::Overloaded, "all connections of this node are in use", RefusalRetryAfter }, request, response);
+    response.set_header("Connection", "close");
+    closeAfter(response);
+    return true;
+}
+
+bool http_edge::refusesWork(const httplib::Request& request, httplib::Response& response)
+{
     if (m_services.status.draining)
-        return refuse(error_kind::NodeDraining, "this node is leaving");
-    if (!m_services.status.ready)
-        return refuse(error_kind::NodeNotReady, "this node does not know the state in force yet");
-    return false;
+        refuse({ error_kind::NodeDraining, "this node is leaving", RefusalRetryAfter }, request, response);
+    else if (!m_services.status.ready)
+        refuse({ error_kind::NodeNotReady, "this node does not know the state in force yet", RefusalRetryAfter },
+            request, response);
+    else
+        return false;
+    return true;
+}
+
+void http_edge::refuse(const error& reason, const httplib::Request& request, httplib::Response& response)
+{
+    // Another node may have run a call with the same key.
+    const bool keyedCall = request.path != CompletionsPath && request.has_header("Idempotency-Key");
+    answerError(
+        reason, response, "unknown", keyedCall ? std::optional<run_state>(run_state::MayHaveRun) : std::nullopt);
 }
 
 void http_edge::answerError(
@@ -228,6 +265,9 @@
 void http_edge::handleCompletion(const httplib::Request& request, httplib::Response& response)
 {
     const open_request open(m_services.status);
+    // After the count: the planned stop waits for each request that did not see it.
+    if (refusesWork(request, response))
+        return;
     if (!hasJsonBody(request))
         return answerError(
             { error_kind::UnsupportedMediaType, "Content-Type: must be application/json", {} }, response, "unknown");
@@ -260,6 +300,9 @@
 void http_edge::handleService(const httplib::Request& request, httplib::Response& response)
 {
     const open_request open(m_services.status);
+    // After the count: the planned stop waits for each request that did not see it.
+    if (refusesWork(request, response))
+        return;
     service_call call;
     call.authorization = request.get_header_value("Authorization");
     call.requestKey = request.get_header_value("Idempotency-Key");
--- a/node/http_edge.h
+++ b/node/http_edge.h
@@ -58,7 +58,9 @@
     void handleService(const httplib::Request& request, httplib::Response& response);
     void handleLookUp(const httplib::Request& request, httplib::Response& response);
     void sendEvents(const std::shared_ptr<completion_stream>& stream, httplib::Response& response);
-    bool refuses(const httplib::Request& request, httplib::Response& response);
+    bool refusesConnection(const httplib::Request& request, httplib::Response& response);
+    bool refusesWork(const httplib::Request& request, httplib::Response& response);
+    void refuse(const error& reason, const httplib::Request& request, httplib::Response& response);
     void answerError(const error& problem, httplib::Response& response, const std::string& fleet,
         std::optional<run_state> run = std::nullopt);
     void recordEnd(const completion_stream& stream);
