End work that outlasts a planned stop with an answer

At drain.timeout_ms a planned stop ended streams in the middle of their response, without the last chunk and without an event, and waited for calls as long as their own time limit. A node whose operator ends it at the end of the grace period cut those calls without an answer, among them calls that run at most once. Generations were never told of the stop: core's drain_requested was sent by nobody.

Shortly before the limit (500 ms, or a quarter of a shorter one), streams are now handed over with "event: reconnect", other generations get handed_over, those in the queue node_draining (not run), calls under way outcome_unknown or target_failed (may have run) and are not sent again, and calls that wait for the table claim_unavailable and are not sent. The stop logs how many were ended. An aborted exchange whose body has no length no longer counts as whole.

Requests that wait in the generation gate are not covered by the test.

--- a/node/call_driver.cpp
+++ b/node/call_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "core/fleet_state.h"
 #include "core/grant_owner.h"
+#include "node/active_call.h"
 #include "node/control_loop.h"
 #include "node/crash_guard.h"
 #include "node/node_log.h"
@@ -10,7 +11,6 @@
 #include "node/target_directory.h"
 #include "node/target_limits.h"
 #include "ports/table_service.h"
-#include "targets/call_abort.h"
 #include "wire/messages.pb.h"
 
 #include <algorithm>
@@ -24,6 +24,7 @@
     constexpr std::size_t SendThreads = 64;
     constexpr std::size_t TaskCapacity = 8192;
     constexpr std::chrono::milliseconds CollectPeriod { 500 };
+    constexpr std::chrono::milliseconds EndedRetryAfter { 1000 };
 
     clock_reading timeNow()
     {
@@ -45,13 +46,14 @@
 } // namespace
 
 call_driver::call_driver(table_service& table, service_client& services, target_directory& targets,
-    crash_guard& crashes, target_limits& limits, peer_hub& peers, control_loop& loop, node_metrics& metrics,
-    std::chrono::milliseconds tableTimeout, std::uint64_t seed)
+    crash_guard& crashes, target_limits& limits, active_calls& active, peer_hub& peers, control_loop& loop,
+    node_metrics& metrics, std::chrono::milliseconds tableTimeout, std::uint64_t seed)
     : m_table(table)
     , m_services(services)
     , m_targets(targets)
     , m_crashes(crashes)
     , m_limits(limits)
+    , m_active(active)
     , m_peers(peers)
     , m_loop(loop)
     , m_metrics(metrics)
@@ -192,9 +194,9 @@
     const auto& dispatch = call->second.dispatch;
     const bool queued = m_sendTasks.submit([this, action, address = *address, request = dispatch.request,
                                                timeouts = dispatch.timeouts, fingerprint = dispatch.fingerprint] {
-        call_abort abort;
+        active_call active(m_active);
         m_crashes.attemptStarted(fingerprint, action.target, nullptr);
-        const auto outcome = m_services.call(address, request, timeouts, abort);
+        const auto outcome = m_services.call(address, request, timeouts, active.handle());
         if (outcome.kind == service_outcome_kind::MayHaveRun)
             m_crashes.callLost(action.target);
         m_crashes.attemptEnded(fingerprint, action.target, nullptr);
@@ -310,6 +312,19 @@
         finish(error { error_kind::PlatformUnavailable, "the node's queue is full", {} });
 }
 
+void call_driver::endUnsent()
+{
+    for (auto call = m_calls.begin(); call != m_calls.end();) {
+        if (call->second.sent) {
+            ++call;
+            continue;
+        }
+        // The key's row may be claimed, also by another node.
+        call->second.onReply(error { error_kind::ClaimUnavailable, "this node is leaving", EndedRetryAfter });
+        call = m_calls.erase(call);
+    }
+}
+
 void call_driver::stop()
 {
     m_sendTasks.stop();
--- a/node/call_driver.h
+++ b/node/call_driver.h
@@ -18,6 +18,7 @@
 
 namespace oriolepick {
 
+class active_calls;
 class control_loop;
 class crash_guard;
 class fleet_state;
@@ -41,7 +42,7 @@
     using reply_handler = std::function<void(const call_reply&)>;
 
     call_driver(table_service& table, service_client& services, target_directory& targets, crash_guard& crashes,
-        target_limits& limits, peer_hub& peers, control_loop& loop, node_metrics& metrics,
+        target_limits& limits, active_calls& active, peer_hub& peers, control_loop& loop, node_metrics& metrics,
         std::chrono::milliseconds tableTimeout, std::uint64_t seed);
 
     /// Opens a call; \p onReply runs once, on the control loop. Thread-safe.
@@ -59,6 +60,10 @@
     /// Takes over the teams whose old rows this node removes; on the control loop.
     void applyState(const std::shared_ptr<const fleet_state>& state);
 
+    /// Answers the calls that were not sent yet, for a planned stop; they are not sent afterwards. Those under way end
+    /// with their entry in active_calls. On the control loop.
+    void endUnsent();
+
     /// Ends the threads of sends and table operations.
     void stop();
 
@@ -87,6 +92,7 @@
     target_directory& m_targets;
     crash_guard& m_crashes;
     target_limits& m_limits;
+    active_calls& m_active;
     peer_hub& m_peers;
     control_loop& m_loop;
     node_metrics& m_metrics;
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "config/settings.h"
 #include "core/fleet_state.h"
+#include "node/active_calls.h"
 #include "node/authenticator.h"
 #include "node/call_driver.h"
 #include "node/completions_endpoint.h"
@@ -55,6 +56,7 @@
     constexpr std::chrono::milliseconds TargetPollPeriod { 1000 };
     constexpr std::chrono::milliseconds TargetPollTimeout { 500 };
     constexpr std::chrono::milliseconds DrainCheckPeriod { 50 };
+    constexpr std::chrono::milliseconds MaxAnswerTime { 500 }; ///< of a planned stop, for the answers to ended work
     constexpr std::chrono::milliseconds ControlViewPeriod { 1000 };
 
     /// Higher at each start of a process with the same name, so that attempts, claims and membership of an earlier
@@ -116,10 +118,10 @@
         , operators(configuration,
               operator_sources { states, targets, traces, control, [this] { return crashes.counts(); } }, status,
               [] { kill(getpid(), SIGTERM); })
-        , gate(targets, metrics, static_cast<std::size_t>(configuration.queueCapacity), configuration.queueTimeout,
-              processSeed())
+        , gate(targets, status, metrics, static_cast<std::size_t>(configuration.queueCapacity),
+              configuration.queueTimeout, processSeed())
         , completions(origin, states, callers, cursors, configuration.cursorLifetime,
-              session_services { engines, targets, tasks, metrics, traces, admission, crashes }, limits, gate)
+              session_services { engines, targets, tasks, metrics, traces, admission, crashes, status }, limits, gate)
         , tickets(table, objects, configuration.platformTimeout)
         , members(
               configuration.zone, configuration.region, seedNodes(configuration), processSeed(), peers, loop, metrics)
@@ -128,10 +130,10 @@
         , limitsDriver(limits, peers, loop)
         , orders(node_id(configuration.peersListen), origin, table, engines, targets, states, loop, tasks, metrics,
               configuration.platformTimeout)
-        , calls(table, serviceClient, targets, crashes, targetLimits, peers, loop, metrics,
+        , calls(table, serviceClient, targets, crashes, targetLimits, active, peers, loop, metrics,
               configuration.platformTimeout, processSeed())
-        , services(origin, states, callers, calls, serviceClient, targets, crashes, targetLimits, limits, admission,
-              metrics, traces)
+        , services(origin, states, callers, calls, serviceClient, targets, crashes, targetLimits, active, limits,
+              admission, metrics, traces)
         , edge(configuration, edge_services { completions, services, operators, callers, metrics, status })
     {
         states.addListener([this](const auto& state) {
@@ -191,6 +193,7 @@
     ticket_driver ticketDriver;
     limits_driver limitsDriver;
     order_driver orders;
+    active_calls active;
     call_driver calls;
     service_endpoint services;
     http_edge edge;
@@ -230,6 +233,13 @@
     return success();
 }
 
+bool daemon::waitForRequests(instant limit) const
+{
+    while (m_parts->status.openRequests > 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(DrainCheckPeriod);
+    return std::chrono::steady_clock::now() < limit;
+}
+
 bool daemon::drainAndStop()
 {
     auto& status = m_parts->status;
@@ -241,9 +251,17 @@
         m_parts->targetLimits.leave(now);
     });
     const auto limit = std::chrono::steady_clock::now() + m_settings.drainTimeout;
-    while (status.openRequests > 0 && std::chrono::steady_clock::now() < limit)
-        std::this_thread::sleep_for(DrainCheckPeriod);
-    const bool finished = status.openRequests == 0;
+    const auto workEnd = limit - std::min(MaxAnswerTime, m_settings.drainTimeout / 4);
+    status.workEndsAt = workEnd;
+    const bool finished = waitForRequests(workEnd);
+    if (!finished) {
+        logWarning("work ended by the planned stop",
+            { { "open", std::to_string(status.openRequests.load()) },
+                { "drain_timeout_ms", std::to_string(m_settings.drainTimeout.count()) },
+                { "calls", std::to_string(m_parts->active.end()) } });
+        m_parts->loop.post([this](instant) { m_parts->calls.endUnsent(); });
+        waitForRequests(limit);
+    }
     m_parts->edge.stop();
     m_parts->server.join();
     m_parts->targetPoller.reset();
--- a/node/daemon.h
+++ b/node/daemon.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "core/instant.h"
 
 #include <memory>
 
@@ -23,7 +24,8 @@
     /// \return Internal when an address cannot be bound
     result<void> start();
 
-    /// Performs the planned stop: not ready, nothing new, and all open requests finished or the limit passed.
+    /// Performs the planned stop: not ready, nothing new, and all open requests finished. Shortly before the limit,
+    /// what is still under way is ended: streams are handed over, and calls are answered with what is known.
     /// \return whether every open request was finished
     bool drainAndStop();
 
@@ -31,6 +33,7 @@
     struct parts;
 
     explicit daemon(const settings& configuration);
+    bool waitForRequests(instant limit) const;
 
     const settings& m_settings;
     std::unique_ptr<parts> m_parts;
--- a/node/generation_gate.cpp
+++ b/node/generation_gate.cpp
@@ -2,6 +2,7 @@
 
 #include "node/gate_pass.h"
 #include "node/node_metrics.h"
+#include "node/node_status.h"
 #include "node/target_directory.h"
 
 #include <algorithm>
@@ -30,9 +31,10 @@
     m_gate.recordLatency(m_deployment, latency);
 }
 
-generation_gate::generation_gate(const target_directory& targets, node_metrics& metrics, std::size_t queueCapacity,
-    std::chrono::milliseconds maxWait, std::uint64_t seed)
+generation_gate::generation_gate(const target_directory& targets, const node_status& status, node_metrics& metrics,
+    std::size_t queueCapacity, std::chrono::milliseconds maxWait, std::uint64_t seed)
     : m_targets(targets)
+    , m_status(status)
     , m_metrics(metrics)
     , m_longestWait(maxWait)
     , m_random(seed)
@@ -90,6 +92,14 @@
     refuse(entry, offered.refused);
     ++m_queued;
     while (!self.admitted && !self.refusal) {
+        if (now >= m_status.workEndsAt.load()) {
+            entry.queue.cancel(offered.number);
+            entry.waiting.erase(offered.number);
+            self.refusal = queue_refusal {};
+            self.refusal->kind = error_kind::NodeDraining;
+            self.refusal->retryAfter = m_settings.minRetryAfter;
+            break;
+        }
         pump(entry, now);
         if (self.admitted || self.refusal)
             break;
--- a/node/generation_gate.h
+++ b/node/generation_gate.h
@@ -21,6 +21,7 @@
 class gate_pass;
 class node_metrics;
 class target_directory;
+struct node_status;
 
 /// A generation that asks for admission.
 struct gate_request {
@@ -37,15 +38,15 @@
 class generation_gate {
 public:
     /// \param maxWait of any request in the queue
-    generation_gate(const target_directory& targets, node_metrics& metrics, std::size_t queueCapacity,
-        std::chrono::milliseconds maxWait, std::uint64_t seed);
+    generation_gate(const target_directory& targets, const node_status& status, node_metrics& metrics,
+        std::size_t queueCapacity, std::chrono::milliseconds maxWait, std::uint64_t seed);
     ~generation_gate();
 
     /// Takes the number of nodes that share the targets.
     void setNodeCount(std::size_t nodes);
 
     /// Waits for admission.
-    /// \return the pass to hold while the generation runs, or Overloaded or QueueTimeout
+    /// \return the pass to hold while the generation runs, or Overloaded, QueueTimeout or NodeDraining
     result<std::unique_ptr<gate_pass>> enter(const gate_request& request);
 
 private:
@@ -73,6 +74,7 @@
     void leave(const deployment_id& deployment);
 
     const target_directory& m_targets;
+    const node_status& m_status;
     node_metrics& m_metrics;
     request_queue_settings m_settings;
     std::chrono::milliseconds m_longestWait;
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -3,6 +3,7 @@
 #include "node/event_channel.h"
 #include "node/generation_names.h"
 #include "node/node_metrics.h"
+#include "node/node_status.h"
 #include "node/target_directory.h"
 #include "node/task_pool.h"
 #include "node/trace_store.h"
@@ -20,6 +21,7 @@
 
     constexpr std::chrono::milliseconds ReconnectGrace { 3000 }; // callers reconnect within a few seconds or not at all
     constexpr std::chrono::milliseconds ProbeTimeout { 250 };
+    constexpr std::chrono::milliseconds StopCheckPeriod { 250 };
     constexpr std::chrono::milliseconds CancelTimeout { 1000 };
     constexpr int HighestPriority = 9;
 
@@ -79,7 +81,7 @@
 void generation_session::wait(instant limit)
 {
     while (!ended() && m_tokens.empty()) {
-        auto until = limit;
+        auto until = std::min(limit, clockNow() + StopCheckPeriod);
         if (m_timer)
             until = std::min(until, *m_timer);
         if (m_disconnected)
@@ -87,6 +89,7 @@
         if (const auto event = m_events->pop(until))
             handle(*event);
         const auto now = clockNow();
+        observePlannedStop(now);
         if (!ended() && m_timer && now >= *m_timer) {
             m_timer.reset();
             execute(m_generation.handle(timer_fired {}, now));
@@ -98,6 +101,16 @@
     }
 }
 
+void generation_session::observePlannedStop(instant now)
+{
+    const auto end = m_services.status.workEndsAt.load();
+    if (ended() || m_draining || end == instant::max())
+        return;
+    m_draining = true;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - now);
+    execute(m_generation.handle(drain_requested { std::max(left, std::chrono::milliseconds(1)) }, now));
+}
+
 void generation_session::callerDisconnected()
 {
     if (m_disconnected)
--- a/node/generation_session.h
+++ b/node/generation_session.h
@@ -25,6 +25,7 @@
 class node_metrics;
 class task_pool;
 class trace_store;
+struct node_status;
 
 /// What a session uses; all of it outlives the session.
 struct session_services {
@@ -35,6 +36,7 @@
     trace_store& traces;
     resume_admission& admission;
     crash_guard& crashes;
+    const node_status& status;
 };
 
 /// Parts of the request that the state machine does not need.
@@ -131,6 +133,7 @@
     void stopReader(const attempt_id& attempt);
     void countUsage();
     void finish(session_end end);
+    void observePlannedStop(instant now);
     void trace(const std::string& line);
 
     session_request m_request;
@@ -142,6 +145,7 @@
     std::optional<instant> m_timer;
     std::optional<instant> m_disconnected;
     std::optional<instant> m_lastToken;
+    bool m_draining = false; ///< the generation knows of the planned stop
     bool m_interrupted = false; ///< the stream broke or stalled since the last token
     std::deque<session_token> m_tokens;
     token_usage m_countedUsage; ///< part of the generation's usage that the metrics include
--- a/node/service_endpoint.cpp
+++ b/node/service_endpoint.cpp
@@ -5,6 +5,7 @@
 #include "core/resume_admission.h"
 #include "core/stable_hash.h"
 #include "core/text.h"
+#include "node/active_call.h"
 #include "node/authenticator.h"
 #include "node/call_driver.h"
 #include "node/crash_guard.h"
@@ -14,7 +15,6 @@
 #include "node/target_limits.h"
 #include "node/team_limits.h"
 #include "node/trace_store.h"
-#include "targets/call_abort.h"
 
 #include <algorithm>
 #include <future>
@@ -67,8 +67,8 @@
 
 service_endpoint::service_endpoint(std::string keyPrefix, const state_keeper& states, const authenticator& callers,
     call_driver& calls, service_client& services, target_directory& targets, crash_guard& crashes,
-    target_limits& targetLimits, team_limits& limits, resume_admission& retries, node_metrics& metrics,
-    trace_store& traces)
+    target_limits& targetLimits, active_calls& active, team_limits& limits, resume_admission& retries,
+    node_metrics& metrics, trace_store& traces)
     : m_keyPrefix(std::move(keyPrefix))
     , m_states(states)
     , m_callers(callers)
@@ -77,6 +77,7 @@
     , m_targets(targets)
     , m_crashes(crashes)
     , m_targetLimits(targetLimits)
+    , m_active(active)
     , m_limits(limits)
     , m_retries(retries)
     , m_metrics(metrics)
@@ -193,11 +194,11 @@
         auto timeouts = dispatch.timeouts;
         timeouts.idle = std::max(
             std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now));
-        call_abort abort;
+        active_call active(m_active);
         const auto address = m_targets.addressOf(send.target);
         m_crashes.attemptStarted(dispatch.fingerprint, send.target, nullptr);
         const auto outcome
-            = address ? m_services.call(*address, dispatch.request, timeouts, abort) : service_outcome {};
+            = address ? m_services.call(*address, dispatch.request, timeouts, active.handle()) : service_outcome {};
         if (outcome.kind == service_outcome_kind::MayHaveRun)
             m_crashes.callLost(send.target);
         m_crashes.attemptEnded(dispatch.fingerprint, send.target, nullptr);
@@ -210,7 +211,7 @@
                 m_targets.recordUnreachable(send.target);
             actions = machine.attemptNotSent(send.ordinal);
         } else {
-            const bool allowed = m_crashes.mayRepeat(dispatch.fingerprint)
+            const bool allowed = !active.handle().aborted() && m_crashes.mayRepeat(dispatch.fingerprint)
                 && m_retries.admit({ team, dispatch.service.text(), 0, false, false }, after).has_value();
             actions = machine.attemptBroken(send.ordinal, allowed);
         }
--- a/node/service_endpoint.h
+++ b/node/service_endpoint.h
@@ -17,6 +17,7 @@
 class call_driver;
 class crash_guard;
 class fleet_state;
+class active_calls;
 class node_metrics;
 class resume_admission;
 class state_keeper;
@@ -49,8 +50,8 @@
 public:
     service_endpoint(std::string keyPrefix, const state_keeper& states, const authenticator& callers,
         call_driver& calls, service_client& services, target_directory& targets, crash_guard& crashes,
-        target_limits& targetLimits, team_limits& limits, resume_admission& retries, node_metrics& metrics,
-        trace_store& traces);
+        target_limits& targetLimits, active_calls& active, team_limits& limits, resume_admission& retries,
+        node_metrics& metrics, trace_store& traces);
 
     /// Serves a call; blocks until its answer.
     service_reply call(const service_call& call);
@@ -77,6 +78,7 @@
     target_directory& m_targets;
     crash_guard& m_crashes;
     target_limits& m_targetLimits;
+    active_calls& m_active;
     team_limits& m_limits;
     resume_admission& m_retries;
     node_metrics& m_metrics;
--- a/node/test/planned_stop.cpp
+++ b/node/test/planned_stop.cpp
@@ -3,6 +3,8 @@
 #include "node/test/node_fixture.h"
 #include "node/test/tcp_handle.h"
 
+#include <nlohmann/json.hpp>
+
 #include <atomic>
 #include <thread>
 #include <vector>
@@ -32,6 +34,8 @@
 
 class planned_stop_test : public node_fixture {
 protected:
+    void configure(settings& changed) override { changed.drainTimeout = m_drainTimeout; }
+
     void TearDown() override
     {
         if (m_stopping.joinable())
@@ -47,15 +51,22 @@
     }
 
     /// Sends a call that runs for \p time.
-    std::thread slowCall(std::chrono::milliseconds time, buffered_response& response)
+    std::thread slowCall(const char* method, std::chrono::milliseconds time, buffered_response& response)
     {
-        EXPECT_EQ(m_service.applyFaults(R"({"delay_ms":)" + std::to_string(time.count()) + R"(,"calls":1})"), "");
-        std::thread caller([this, &response] { response = call("POST", "slow", "{}"); });
+        EXPECT_EQ(m_service.applyFaults(R"({"delay_ms":)" + std::to_string(time.count()) + "}"), "");
+        std::thread caller([this, &response, method] { response = call(method, "slow", "{}"); });
         while (!m_service.runs())
             std::this_thread::sleep_for(5ms);
         return caller;
     }
 
+    static std::string fieldOf(const buffered_response& response, const char* name)
+    {
+        const auto body = nlohmann::json::parse(response.body, nullptr, false);
+        return body.is_object() ? body.value("error", nlohmann::json::object()).value(name, "") : std::string();
+    }
+
+    std::chrono::milliseconds m_drainTimeout { 10'000 };
     std::thread m_stopping;
     std::atomic<bool> m_finished { false };
 };
@@ -63,7 +74,7 @@
 TEST_F(planned_stop_test, the_body_of_a_refused_request_is_not_taken_for_a_request)
 {
     buffered_response slow;
-    auto caller = slowCall(1000ms, slow);
+    auto caller = slowCall("POST", 1000ms, slow);
     stopNode();
     const auto connection = tcp_handle::connected(m_settings.callersListen);
     const auto bytes = callBytes("POST", "", "GET /healthz HTTP/1.1\r\nHost: node\r\n\r\n");
@@ -83,3 +94,72 @@
     m_stopping.join();
     EXPECT_TRUE(m_finished);
 }
+
+class short_stop_test : public planned_stop_test {
+protected:
+    short_stop_test() { m_drainTimeout = 1000ms; }
+
+    /// Stops the node during a call that lasts longer than the stop.
+    buffered_response cutCall(const char* method)
+    {
+        buffered_response response;
+        auto caller = slowCall(method, 4000ms, response);
+        stopNode();
+        caller.join();
+        m_stopping.join();
+        EXPECT_FALSE(m_finished);
+        EXPECT_EQ(m_service.runs(), 1u);
+        EXPECT_EQ(response.result.end, exchange_end::Complete);
+        EXPECT_EQ(fieldOf(response, "run"), "may_have_run") << response.body;
+        return response;
+    }
+};
+
+TEST_F(short_stop_test, a_call_that_outlasts_the_stop_is_answered_before_its_end)
+{
+    const auto response = cutCall("POST");
+    EXPECT_EQ(fieldOf(response, "code"), "outcome_unknown") << response.body;
+}
+
+TEST_F(short_stop_test, a_repeatable_call_that_outlasts_the_stop_is_answered_before_its_end_and_not_sent_again)
+{
+    const auto response = cutCall("GET");
+    EXPECT_EQ(fieldOf(response, "code"), "target_failed") << response.body;
+}
+
+TEST_F(short_stop_test, generations_that_outlast_the_stop_are_handed_over_or_refused)
+{
+    constexpr int Callers = 6;
+    std::vector<buffered_response> responses(Callers);
+    std::vector<std::thread> callers;
+    for (int index = 0; index < Callers; ++index) {
+        callers.emplace_back([this, index, &response = responses[static_cast<std::size_t>(index)]] {
+            const std::string streamed = index % 2 ? "true" : "false";
+            do // a new node gets a small share of the team's limit
+                response = complete(R"({"model":"manuals","prompt":")" + std::to_string(index)
+                    + R"( [length=8000]","max_tokens":8000,"stream":)" + streamed + "}");
+            while (response.status == 429);
+        });
+    }
+    waitUntil("/v1/admin/status", "\"open_requests\":" + std::to_string(Callers));
+    stopNode();
+    for (auto& caller : callers)
+        caller.join();
+    m_stopping.join();
+    EXPECT_FALSE(m_finished);
+    for (int index = 0; index < Callers; ++index) {
+        const auto& response = responses[static_cast<std::size_t>(index)];
+        EXPECT_EQ(response.result.end, exchange_end::Complete) << index;
+        if (response.status == 200) {
+            EXPECT_NE(response.body.rfind("event: reconnect"), std::string::npos)
+                << index << " ends with " << response.body.substr(response.body.size() - 200);
+            EXPECT_EQ(response.body.find("[DONE]"), std::string::npos);
+        } else {
+            EXPECT_EQ(response.status, 503) << response.body;
+            const auto code = fieldOf(response, "code");
+            const bool known = code == "handed_over" || code == "node_draining" || code == "overloaded";
+            EXPECT_TRUE(known) << response.body;
+            EXPECT_EQ(fieldOf(response, "run"), code == "handed_over" ? "may_have_run" : "not_run") << response.body;
+        }
+    }
+}
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -146,6 +146,9 @@
 
     exchange_end classify(httplib::Error error, const target_socket& socket, const call_abort& abort)
     {
+        // The library takes the end of an aborted connection for the end of a body without length.
+        if (abort.aborted() && socket.hasSent() && socket.end() != socket_end::Open)
+            return exchange_end::Aborted;
         if (error == httplib::Error::Success)
             return exchange_end::Complete;
         if (error == httplib::Error::Canceled)
