Do not end a node at a reload signal

SIGHUP had its default action in oriolepickd, which ended the process and cut every request that it held without an answer. Stop signals were blocked only after the settings had been read.

SIGHUP is now ignored with a log line, since settings are read at start only, and all signals are blocked first in main. A signal that arrives before main still ends the process, which then has accepted nothing.

node_process_signals starts the program, sends SIGHUP and then SIGTERM: before, the process ended by signal 1; now it ends as a planned stop with code 0.

--- a/node/main.cpp
+++ b/node/main.cpp
@@ -49,15 +49,29 @@
     return std::move(outcome.value);
 }
 
-int serve(const oriolepick::settings& configuration)
+/// Blocks the signals of a stop and a reload, before any thread starts, so that only sigwait() receives them.
+sigset_t blockSignals()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    sigset_t stopSignals;
-    sigemptyset(&stopSignals);
-    sigaddset(&stopSignals, SIGTERM);
-    sigaddset(&stopSignals, SIGINT);
-    // Blocked before any thread starts, so that only sigwait() below receives them.
-    pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&signals, number);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+void waitForStop(const sigset_t& signals)
+{
+    int received = 0;
+    while (sigwait(&signals, &received) != 0 || received == SIGHUP)
+        oriolepick::logWarning(
+            "signal ignored", { { "signal", "SIGHUP" }, { "reason", "settings are read at start" } });
+    oriolepick::logInfo("signal", { { "number", std::to_string(received) } });
+}
+
+int serve(const oriolepick::settings& configuration, const sigset_t& signals)
+{
     oriolepick::configureLog(configuration.logFormat, configuration.logLevel);
     const auto node = oriolepick::daemon::create(configuration);
     if (!node) {
@@ -69,8 +83,7 @@
         oriolepick::logError("start failed", { { "reason", started.error().message } });
         return Failure;
     }
-    int received = 0;
-    sigwait(&stopSignals, &received);
+    waitForStop(signals);
     return node.value()->drainAndStop() ? Success : Failure;
 }
 
@@ -78,6 +91,7 @@
 
 int main(int argc, char** argv)
 {
+    const auto signals = blockSignals();
     std::map<std::string, docopt::value> options;
     try {
         options = docopt::docopt_parse(Usage, { argv + 1, argv + argc }, true, true);
@@ -99,5 +113,5 @@
     const auto configuration = readSettings(options[checkOnly ? "--check-settings" : "--settings"].asString());
     if (!configuration)
         return WrongUsage;
-    return checkOnly ? Success : serve(*configuration);
+    return checkOnly ? Success : serve(*configuration, signals);
 }
