Log why a call to a service ended without a response

The detail of a lost call (cut, reset, time-out, malformed head, abort by a planned stop) was dropped in oriolepickd, so its log could not tell a faulty target from a stop. Both kinds of calls now log service, target and reason; an abort says that this node made it. Seen in a run of node_planned_stop with the fixture's log at "warn"; no test checks the lines.

Also adds a test of callers that go on sending on kept connections until the node is gone: what got no 200 did not run. It passes on the code as it is.

--- a/node/call_driver.cpp
+++ b/node/call_driver.cpp
@@ -192,16 +192,20 @@
         logError("call dispatched twice", { { "service", service.text() } });
     }
     const auto& dispatch = call->second.dispatch;
-    const bool queued = m_sendTasks.submit([this, action, address = *address, request = dispatch.request,
-                                               timeouts = dispatch.timeouts, fingerprint = dispatch.fingerprint] {
-        active_call active(m_active);
-        m_crashes.attemptStarted(fingerprint, action.target, nullptr);
-        const auto outcome = m_services.call(address, request, timeouts, active.handle());
-        if (outcome.kind == service_outcome_kind::MayHaveRun)
-            m_crashes.callLost(action.target);
-        m_crashes.attemptEnded(fingerprint, action.target, nullptr);
-        m_loop.post([this, action, outcome](instant) { finishSend(action.number, action.target, outcome); });
-    });
+    const bool queued = m_sendTasks.submit(
+        [this, action, address = *address, request = dispatch.request, timeouts = dispatch.timeouts,
+            fingerprint = dispatch.fingerprint, service = dispatch.service.text()] {
+            active_call active(m_active);
+            m_crashes.attemptStarted(fingerprint, action.target, nullptr);
+            const auto outcome = m_services.call(address, request, timeouts, active.handle());
+            if (outcome.kind == service_outcome_kind::MayHaveRun) {
+                logWarning("call ended without a response",
+                    { { "service", service }, { "target", action.target.text() }, { "reason", outcome.detail } });
+                m_crashes.callLost(action.target);
+            }
+            m_crashes.attemptEnded(fingerprint, action.target, nullptr);
+            m_loop.post([this, action, outcome](instant) { finishSend(action.number, action.target, outcome); });
+        });
     if (!queued)
         finishSend(action.number, action.target, {});
 }
--- a/node/service_endpoint.cpp
+++ b/node/service_endpoint.cpp
@@ -9,6 +9,7 @@
 #include "node/authenticator.h"
 #include "node/call_driver.h"
 #include "node/crash_guard.h"
+#include "node/node_log.h"
 #include "node/node_metrics.h"
 #include "node/state_keeper.h"
 #include "node/target_directory.h"
@@ -199,8 +200,12 @@
         m_crashes.attemptStarted(dispatch.fingerprint, send.target, nullptr);
         const auto outcome
             = address ? m_services.call(*address, dispatch.request, timeouts, active.handle()) : service_outcome {};
-        if (outcome.kind == service_outcome_kind::MayHaveRun)
+        if (outcome.kind == service_outcome_kind::MayHaveRun) {
+            logWarning("call ended without a response",
+                { { "service", dispatch.service.text() }, { "target", send.target.text() },
+                    { "reason", outcome.detail } });
             m_crashes.callLost(send.target);
+        }
         m_crashes.attemptEnded(dispatch.fingerprint, send.target, nullptr);
         const auto after = std::chrono::steady_clock::now();
         m_targets.recordFinished(send.target, 0, true, after);
--- a/node/test/planned_stop.cpp
+++ b/node/test/planned_stop.cpp
@@ -163,3 +163,42 @@
         }
     }
 }
+
+TEST_F(planned_stop_test, connections_that_go_on_sending_get_an_answer_or_nothing_of_theirs_ran)
+{
+    constexpr int Callers = 12;
+    constexpr int MaxCalls = 100'000;
+    EXPECT_EQ(m_service.applyFaults(R"({"delay_ms":20})"), "");
+    struct seen_call {
+        std::string key;
+        std::string answer;
+    };
+    std::vector<std::vector<seen_call>> seen(Callers);
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([this, caller, &calls = seen[static_cast<std::size_t>(caller)]] {
+            auto connection = std::make_unique<tcp_handle>(tcp_handle::connected(m_settings.callersListen));
+            for (int number = 0; number < MaxCalls && connection->valid(); ++number) {
+                const auto key = std::to_string(caller) + "-" + std::to_string(number);
+                connection->write(callBytes("POST", key, "{}"));
+                calls.push_back({ key, connection->readMessage() });
+                const auto& answer = calls.back().answer;
+                if (answer.empty() || answer.find("Connection: close") != std::string::npos)
+                    connection = std::make_unique<tcp_handle>(tcp_handle::connected(m_settings.callersListen));
+            }
+        });
+    }
+    while (m_service.runs() < Callers)
+        std::this_thread::sleep_for(1ms);
+    m_stopping = std::thread([this] { m_finished = m_node->drainAndStop(); });
+    for (auto& caller : callers)
+        caller.join();
+    m_stopping.join();
+    EXPECT_TRUE(m_finished);
+    for (const auto& calls : seen) {
+        for (const auto& call : calls) {
+            const bool answered = call.answer.rfind("HTTP/1.1 200", 0) == 0;
+            EXPECT_EQ(m_service.runsOf("one/bench/" + call.key), answered ? 1u : 0u) << call.key << ": " << call.answer;
+        }
+    }
+}
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -206,6 +206,8 @@
     const auto end = classify(error, socket, abort);
     if (end == exchange_end::Complete)
         return { end, {} };
+    if (end == exchange_end::Aborted)
+        return { end, "aborted by this node" };
     return { end, socket.fault().empty() ? httplib::to_string(error) : socket.fault() };
 }
 
