--- a/node/test/cut_responses.cpp
+++ b/node/test/cut_responses.cpp
@@ -169,7 +169,7 @@
     }
 }
 
-// Every second attempt is cut, so that the stream is resumed again and again.
+// The first attempt of each generation is cut.
 TEST_F(cut_responses_test, a_generation_whose_response_is_cut_anywhere_reaches_the_caller_whole)
 {
     constexpr const char* Streamed
