--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -146,6 +146,9 @@
 
     exchange_end classify(httplib::Error error, const target_socket& socket, const call_abort& abort)
     {
+        // The library takes the end of an aborted connection for the end of a body without length.
+        if (abort.aborted() && socket.hasSent() && socket.end() != socket_end::Open)
+            return exchange_end::Aborted;
         if (error == httplib::Error::Success)
             return exchange_end::Complete;
         if (error == httplib::Error::Canceled)
@@ -161,7 +164,7 @@
         case socket_end::Failed:
             return exchange_end::Lost;
         case socket_end::Open: // the library could not make sense of the bytes
-        case socket_end::Overlong:
+        case socket_end::Refused:
             break;
         }
         return exchange_end::Malformed;
@@ -201,7 +204,11 @@
         && !handlers.head(response.status, endToEndHeaders(response.headers)))
         return { exchange_end::Stopped, {} };
     const auto end = classify(error, socket, abort);
-    return { end, end == exchange_end::Complete ? std::string() : httplib::to_string(error) };
+    if (end == exchange_end::Complete)
+        return { end, {} };
+    if (end == exchange_end::Aborted)
+        return { end, "aborted by this node" };
+    return { end, socket.fault().empty() ? httplib::to_string(error) : socket.fault() };
 }
 
 buffered_response exchangeBuffered(const std::string& address, const service_request& request,
