Order the store's versions by its epoch

The platform's table may come back from a copy some seconds old. Its row versions go back and are handed out again, so a conditional commit that was composed before the restore could take effect on a row that another node has written since, and a reader could take a changed row for an unchanged one.

The table service now says in the header Store-Epoch of each response how often it came back from a copy (absent: 0). Rows carry a store_version, ordered by (epoch, number), and a condition carries the epoch of its version. The emulator comes back from a copy with POST /copy and POST /restore, the fake table with copy() and restore().

--- a/core/call_claim.cpp
+++ b/core/call_claim.cpp
@@ -41,7 +41,7 @@
     return actions;
 }
 
-claim_actions call_claim::rowWritten(clock_reading time, std::uint64_t version)
+claim_actions call_claim::rowWritten(clock_reading time, const store_version& version)
 {
     claim_actions actions;
     if (m_step != step::Writing)
@@ -52,7 +52,7 @@
         finish();
         return actions;
     }
-    if (!version) {
+    if (!version.number()) {
         readRow(actions);
         return actions;
     }
--- a/core/call_claim.h
+++ b/core/call_claim.h
@@ -45,7 +45,7 @@
 
 /// Write the row if it still has \c version (nothing: if it is absent). The previous write has completed.
 struct write_call_row {
-    std::optional<std::uint64_t> version;
+    std::optional<store_version> version;
     call_row row;
 };
 /// Withdraw the pending write; call rowDropped() if the write is certain to have no effect.
@@ -97,7 +97,7 @@
     /// \param mayHaveDispatched whether the lost claimer may have dispatched the call
     claim_actions recover(clock_reading time, bool mayHaveDispatched);
 
-    claim_actions rowWritten(clock_reading time, std::uint64_t version);
+    claim_actions rowWritten(clock_reading time, const store_version& version);
     claim_actions rowConflicted(clock_reading time);
     claim_actions rowDropped(clock_reading time); ///< the write was rejected or withdrawn and had no effect
     claim_actions rowRead(clock_reading time, const std::optional<versioned_call_row>& found);
@@ -154,7 +154,7 @@
     goal m_writeGoal = goal::Claim; ///< purpose of the outstanding write
     step m_step = step::Idle;
     bool m_responded = false;
-    std::optional<std::uint64_t> m_version; ///< version that the next write expects
+    std::optional<store_version> m_version; ///< version that the next write expects
     wall_time m_refusedUntil; ///< \c at of the refused row that is being written
     std::optional<error> m_reason; ///< why the call is refused
     std::optional<call_answer> m_answer;
--- a/core/call_row.h
+++ b/core/call_row.h
@@ -5,6 +5,7 @@
 #include "core/error.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "core/store_version.h"
 
 #include <cstdint>
 #include <optional>
@@ -46,7 +47,7 @@
 /// A row with its version in the table.
 struct versioned_call_row {
     call_row row;
-    std::uint64_t version = 0;
+    store_version version;
 };
 
 /// Encodes rows as table values and decodes them.
--- a/core/claim_committer.cpp
+++ b/core/claim_committer.cpp
@@ -128,7 +128,7 @@
 {
     std::vector<write_completion> completions;
     for (std::size_t index = 0; index < m_inFlight.size(); ++index) {
-        const auto version = index < outcome.versions.size() ? outcome.versions[index] : 0;
+        const auto version = index < outcome.versions.size() ? outcome.versions[index] : store_version();
         completions.push_back({ m_inFlight[index].write.owner, write_status::Written, version });
     }
     m_rowsWritten += m_inFlight.size();
@@ -146,7 +146,7 @@
     for (auto& sent : m_inFlight) {
         // A conflict that names no row of the transaction would be retried forever, so every owner reads its row.
         if (!anyKnown || failed.contains(sent.write.key))
-            completions.push_back({ sent.write.owner, write_status::Conflicted, 0 });
+            completions.push_back({ sent.write.owner, write_status::Conflicted, {} });
         else
             rest.push_back(std::move(sent));
     }
@@ -162,7 +162,7 @@
     if (entries.size() == 1) {
         // An earlier send with an unknown outcome may have taken effect, so the owner reads the row.
         const auto end = entries.front().maybeApplied ? write_status::Conflicted : write_status::Rejected;
-        return { { entries.front().write.owner, end, 0 } };
+        return { { entries.front().write.owner, end, {} } };
     }
     for (auto& sent : entries)
         sent.sendAlone = true;
--- a/core/claim_committer.h
+++ b/core/claim_committer.h
@@ -32,7 +32,7 @@
 struct pending_write {
     std::uint64_t owner = 0; ///< chosen by the caller; each owner has at most one pending write
     std::string key;
-    std::optional<std::uint64_t> version; ///< expected version, or nothing if the row must be absent
+    std::optional<store_version> version; ///< expected version, or nothing if the row must be absent
     std::string value;
 };
 
@@ -47,7 +47,7 @@
 struct write_completion {
     std::uint64_t owner = 0;
     write_status end = write_status::Written;
-    std::uint64_t version = 0; ///< new version when Written; 0 if the table did not return it
+    store_version version; ///< new version when Written; number 0 if the table did not return it
 };
 
 /// Groups writes into transactions. A transaction with an unknown outcome is sent again: its conditions prevent a
--- a/core/crash_permit.h
+++ b/core/crash_permit.h
@@ -82,7 +82,7 @@
     bool m_releasing = false;
     bool m_succeeded = false;
     bool m_recordsCrashesOnly = false; ///< the pending write records crashes without requesting the permit
-    std::optional<std::uint64_t> m_version;
+    std::optional<store_version> m_version;
     unsigned m_conflicts = 0;
     wall_time m_heldUntil;
 };
--- a/core/lease_manager.cpp
+++ b/core/lease_manager.cpp
@@ -109,7 +109,7 @@
     }
     const bool inserted = !m_row;
     m_row = table_row { m_key, m_holder + " " + std::to_string(m_commitFencing),
-        m_row ? m_row->version + 1 : std::uint64_t { 1 } };
+        m_row ? m_row->version.next() : store_version(0, 1) };
     m_value = { m_holder, m_commitFencing };
     m_unchangedSince = now;
     m_lastConfirmed = *m_commitSentAt;
--- a/core/table_transaction.h
+++ b/core/table_transaction.h
@@ -2,7 +2,8 @@
 /// Transactions on the platform's table service. The core composes them and an adapter executes them.
 #pragma once
 
-#include <cstdint>
+#include "core/store_version.h"
+
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,13 +14,13 @@
 struct table_row {
     std::string key;
     std::string value;
-    std::uint64_t version = 0; ///< grows by one with each write of the row
+    store_version version; ///< grows with each write of the row
 };
 
 /// A condition that must hold when a transaction commits.
 struct table_condition {
     std::string key;
-    std::optional<std::uint64_t> version; ///< expected version, or nothing if the row must be absent
+    std::optional<store_version> version; ///< expected version, or nothing if the row must be absent
 };
 
 /// A write of one row.
@@ -38,8 +39,8 @@
 struct table_outcome {
     bool committed = false;
     std::vector<std::string> failedKeys; ///< keys whose condition failed, when not committed
-    std::vector<std::uint64_t>
-        versions {}; ///< new version of each write in the same order, 0 for a deletion or if unknown
+    std::vector<store_version>
+        versions {}; ///< new version of each write in the same order, number 0 for a deletion or if unknown
 };
 
 } // namespace oriolepick
--- a/core/test/call_claim.cpp
+++ b/core/test/call_claim.cpp
@@ -30,7 +30,7 @@
     found.row.state = state;
     found.row.claimId = claimId;
     found.row.bodyDigest = 7;
-    found.version = 3;
+    found.version = store_version(0, 3);
     return found;
 }
 
@@ -46,12 +46,12 @@
 {
     const auto first = m_claim.refuse(at(0), { error_kind::LimitExceeded, "limit", {} });
     ASSERT_TRUE(only<write_call_row>(first));
-    const auto second = m_claim.rowWritten(at(1001), 1);
+    const auto second = m_claim.rowWritten(at(1001), store_version(0, 1));
     const auto* write = only<write_call_row>(second);
     ASSERT_TRUE(write);
-    EXPECT_EQ(write->version, 1u);
+    EXPECT_EQ(write->version, store_version(0, 1));
     EXPECT_EQ(write->row.at, at(2001).wall);
-    const auto response = m_claim.rowWritten(at(1500), 2);
+    const auto response = m_claim.rowWritten(at(1500), store_version(0, 2));
     EXPECT_FALSE(m_claim.timerAt());
     ASSERT_EQ(response.size(), 2u);
     EXPECT_EQ(std::get<respond_call>(response[1]).reply.error().kind, error_kind::LimitExceeded);
@@ -61,7 +61,7 @@
 TEST_F(call_claim_rules, a_call_placed_after_its_deadline_is_refused_instead_of_sent)
 {
     m_claim.start(at(0));
-    ASSERT_TRUE(only<choose_call_target>(m_claim.rowWritten(at(10), 1)));
+    ASSERT_TRUE(only<choose_call_target>(m_claim.rowWritten(at(10), store_version(0, 1))));
     const auto late = m_claim.targetChosen(at(5000), target_id(fleet_name("atelier"), "t"));
     ASSERT_TRUE(only<write_call_row>(late));
     EXPECT_EQ(only<write_call_row>(late)->row.state, call_row_state::Refused);
@@ -86,7 +86,7 @@
         const auto actions = recovery.rowRead(at(10), stored(call_row_state::Claimed, "n/1/1"));
         const auto* write = only<write_call_row>(actions);
         ASSERT_TRUE(write);
-        EXPECT_EQ(write->version, 3u);
+        EXPECT_EQ(write->version, store_version(0, 3));
         EXPECT_EQ(write->row.bodyDigest, 7u);
         EXPECT_EQ(write->row.state, mayHaveDispatched ? call_row_state::MayHaveRun : call_row_state::Refused);
     }
@@ -105,7 +105,7 @@
 TEST_F(call_claim_rules, an_answer_whose_write_was_dropped_is_written_later_and_returned_in_time)
 {
     m_claim.start(at(0));
-    m_claim.rowWritten(at(10), 1);
+    m_claim.rowWritten(at(10), store_version(0, 1));
     m_claim.targetChosen(at(20), target_id(fleet_name("atelier"), "t"));
     const call_answer answer { 201, "text/plain", "done" };
     ASSERT_TRUE(only<write_call_row>(m_claim.dispatchAnswered(at(30), answer)));
--- a/core/test/claim_committer.cpp
+++ b/core/test/claim_committer.cpp
@@ -49,9 +49,9 @@
     const auto failed = committer.finishCommit(at(2000), table_outcome { false, { "2" } });
     EXPECT_EQ(owners(failed, write_status::Conflicted), std::vector<std::uint64_t> { 2 });
     EXPECT_EQ(committer.takeCommit(at(2010))->writes.size(), 3u);
-    const auto written = committer.finishCommit(at(2011), table_outcome { true, {}, { 5, 6, 7 } });
+    const auto written = committer.finishCommit(at(2011), table_outcome { true, {}, { { 0, 5 }, { 0, 6 }, { 0, 7 } } });
     EXPECT_EQ(owners(written, write_status::Written), (std::vector<std::uint64_t> { 1, 3, 4 }));
-    EXPECT_EQ(written[1].version, 6u);
+    EXPECT_EQ(written[1].version, store_version(0, 6));
 }
 
 TEST(claim_committer, keeps_two_writes_of_a_key_apart)
--- a/core/test/lease_manager.cpp
+++ b/core/test/lease_manager.cpp
@@ -24,7 +24,7 @@
         if (expected.has_value() != row.has_value() || (row && row->version != *expected))
             return false;
         row = table_row { transaction.writes.at(0).key, *transaction.writes.at(0).value,
-            row ? row->version + 1 : std::uint64_t { 7 } };
+            row ? row->version.next() : store_version(0, 7) };
         return true;
     }
 };
--- a/ports/http_exchange.cpp
+++ b/ports/http_exchange.cpp
@@ -128,6 +128,7 @@
         return errorFor(received.error());
     }
     response.status = received->status;
+    response.storeEpoch = received->get_header_value("Store-Epoch");
     keepConnection(std::move(used));
     return response;
 }
--- a/ports/http_exchange.h
+++ b/ports/http_exchange.h
@@ -23,6 +23,7 @@
 struct http_response {
     int status = 0;
     std::string body;
+    std::string storeEpoch; ///< header Store-Epoch, empty when absent
 };
 
 /// Keeps idle connections to one address and sends one request at a time on each. Thread-safe.
--- a/ports/http_table_service.cpp
+++ b/ports/http_table_service.cpp
@@ -2,6 +2,8 @@
 
 #include "ports/table_json.h"
 
+#include <charconv>
+
 namespace oriolepick {
 
 namespace {
@@ -19,6 +21,17 @@
         return "status " + std::to_string(status);
     }
 
+    /// \return the epoch in the header, 0 when it is absent, or nothing when it is malformed
+    std::optional<store_epoch> epochOf(const http_response& response)
+    {
+        store_epoch epoch = 0;
+        const auto& text = response.storeEpoch;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), epoch);
+        if (!text.empty() && (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()))
+            return std::nullopt;
+        return epoch;
+    }
+
     /// A failed read has no effect, whatever its cause.
     error readFailed(const std::string& detail)
     {
@@ -32,18 +45,33 @@
 {
 }
 
+result<http_response> http_table_service::send(const http_request& request, std::chrono::milliseconds timeout) const
+{
+    auto response = m_exchange.send(request, timeout);
+    if (!response)
+        return response;
+    const auto epoch = epochOf(response.value());
+    if (!epoch)
+        return error { error_kind::PlatformUnknown, "malformed header Store-Epoch: " + response.value().storeEpoch,
+            {} };
+    auto known = m_epoch.load();
+    while (*epoch > known && !m_epoch.compare_exchange_weak(known, *epoch)) { }
+    return response;
+}
+
 result<table_outcome> http_table_service::commit(
     const table_transaction& transaction, std::chrono::milliseconds timeout)
 {
     auto body = encodeTransaction(transaction);
     if (!body)
         return body.error();
-    const auto response = m_exchange.send({ "POST", "/table/commit", std::move(body.value()) }, timeout);
+    const auto response = send({ "POST", "/table/commit", std::move(body.value()) }, timeout);
     if (!response)
         return response.error();
     switch (response.value().status) {
     case StatusOk:
-        return table_outcome { true, {}, parseVersions(response.value().body, transaction.writes) };
+        return table_outcome { true, {},
+            parseVersions(response.value().body, transaction.writes, *epochOf(response.value())) };
     case StatusConditionFailed: {
         auto failed = parseFailedKeys(response.value().body);
         if (!failed)
@@ -62,14 +90,14 @@
 result<std::optional<table_row>> http_table_service::read(
     const std::string& key, std::chrono::milliseconds timeout) const
 {
-    const auto response = m_exchange.send({ "GET", "/table/row?key=" + percentEncode(key, false), {} }, timeout);
+    const auto response = send({ "GET", "/table/row?key=" + percentEncode(key, false), {} }, timeout);
     if (!response)
         return readFailed(response.error().message);
     if (response.value().status == StatusNotFound)
         return std::optional<table_row>();
     if (response.value().status != StatusOk)
         return readFailed(statusText(response.value().status));
-    auto row = parseRow(response.value().body);
+    auto row = parseRow(response.value().body, *epochOf(response.value()));
     if (!row || row.value().key != key)
         return readFailed(row ? "the row has another key" : row.error().message);
     return std::optional<table_row>(std::move(row.value()));
@@ -80,12 +108,12 @@
 {
     const auto target = "/table/scan?prefix=" + percentEncode(prefix, false) + "&after=" + percentEncode(after, false)
         + "&limit=" + std::to_string(limit);
-    const auto response = m_exchange.send({ "GET", target, {} }, timeout);
+    const auto response = send({ "GET", target, {} }, timeout);
     if (!response)
         return readFailed(response.error().message);
     if (response.value().status != StatusOk)
         return readFailed(statusText(response.value().status));
-    auto rows = parseRows(response.value().body);
+    auto rows = parseRows(response.value().body, *epochOf(response.value()));
     if (!rows)
         return readFailed(rows.error().message);
     return rows;
--- a/ports/table_json.cpp
+++ b/ports/table_json.cpp
@@ -64,9 +64,13 @@
         const auto version = versionMember(item, path);
         if (!version)
             return version.error();
-        if (item.size() != 2)
+        const auto* epoch = member(item, "epoch");
+        if (epoch && !epoch->is_number_unsigned())
+            return malformed(path + ".epoch", "an unsigned number is required");
+        if (item.size() != (epoch ? 3U : 2U))
             return malformed(path, "needs \"key\" and either \"absent\":true or \"version\"");
-        return table_condition { std::move(key.value()), version.value() };
+        return table_condition { std::move(key.value()),
+            store_version(epoch ? epoch->get<store_epoch>() : 0, version.value()) };
     }
 
     result<table_write> writeFrom(const json& item, const std::string& path)
@@ -87,7 +91,7 @@
         return table_write { std::move(key.value()), std::move(value.value()) };
     }
 
-    result<table_row> rowFrom(const json& item, const std::string& path)
+    result<table_row> rowFrom(const json& item, const std::string& path, store_epoch epoch)
     {
         if (!item.is_object())
             return malformed(path, "not an object");
@@ -100,12 +104,12 @@
         const auto version = versionMember(item, path);
         if (!version)
             return version.error();
-        return table_row { std::move(key.value()), std::move(value.value()), version.value() };
+        return table_row { std::move(key.value()), std::move(value.value()), store_version(epoch, version.value()) };
     }
 
     json rowJson(const table_row& row)
     {
-        return json { { "key", row.key }, { "value", row.value }, { "version", row.version } };
+        return json { { "key", row.key }, { "value", row.value }, { "version", row.version.number() } };
     }
 
     std::string indexed(const char* name, std::size_t index)
@@ -120,9 +124,12 @@
     auto conditions = json::array();
     for (const auto& condition : transaction.conditions) {
         json item { { "key", condition.key } };
-        if (condition.version)
-            item["version"] = *condition.version;
-        else
+        if (condition.version) {
+            item["version"] = condition.version->number();
+            // A store that was never restored may not know epochs.
+            if (condition.version->epoch())
+                item["epoch"] = condition.version->epoch();
+        } else
             item["absent"] = true;
         conditions.push_back(std::move(item));
     }
@@ -172,19 +179,20 @@
     return transaction;
 }
 
-std::vector<std::uint64_t> parseVersions(std::string_view body, const std::vector<table_write>& writes)
+std::vector<store_version> parseVersions(
+    std::string_view body, const std::vector<table_write>& writes, store_epoch epoch)
 {
     const auto object = json::parse(body.begin(), body.end(), nullptr, false);
     const auto* known = object.is_object() ? member(object, "versions") : nullptr;
     if (!known || !known->is_object())
         return {};
-    std::vector<std::uint64_t> versions;
+    std::vector<store_version> versions;
     versions.reserve(writes.size());
     for (const auto& write : writes) {
         const auto* version = write.value ? member(*known, write.key.c_str()) : nullptr;
         if (write.value && (!version || !version->is_number_unsigned()))
             return {};
-        versions.push_back(version ? version->get<std::uint64_t>() : 0);
+        versions.push_back(version ? store_version(epoch, version->get<std::uint64_t>()) : store_version());
     }
     return versions;
 }
@@ -211,12 +219,12 @@
     return rowJson(row).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-result<table_row> parseRow(std::string_view body)
+result<table_row> parseRow(std::string_view body, store_epoch epoch)
 {
     const auto object = parseObject(body);
     if (!object)
         return object.error();
-    return rowFrom(object.value(), "row");
+    return rowFrom(object.value(), "row", epoch);
 }
 
 std::string encodeRows(const std::vector<table_row>& rows)
@@ -227,7 +235,7 @@
     return json { { "rows", std::move(items) } }.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-result<std::vector<table_row>> parseRows(std::string_view body)
+result<std::vector<table_row>> parseRows(std::string_view body, store_epoch epoch)
 {
     const auto object = parseObject(body);
     if (!object)
@@ -237,7 +245,7 @@
         return items.error();
     std::vector<table_row> rows;
     for (const auto& item : *items.value()) {
-        auto row = rowFrom(item, indexed("rows", rows.size()));
+        auto row = rowFrom(item, indexed("rows", rows.size()), epoch);
         if (!row)
             return row.error();
         rows.push_back(std::move(row.value()));
--- a/ports/table_service.h
+++ b/ports/table_service.h
@@ -31,6 +31,9 @@
     /// \return at most \p limit rows in key order
     virtual result<std::vector<table_row>> scan(const std::string& prefix, const std::string& after, std::size_t limit,
         std::chrono::milliseconds timeout) const = 0;
+
+    /// \return the highest epoch of the store in any response so far; rows carry the epoch of their own response
+    virtual store_epoch epoch() const = 0;
 };
 
 } // namespace oriolepick
--- a/ports/test/platform_json.cpp
+++ b/ports/test/platform_json.cpp
@@ -33,8 +33,9 @@
 
 RC_GTEST_PROP(platform_json, mutated_transactions_are_refused_or_survive, ())
 {
-    const auto text
-        = mutated(encodeTransaction({ { { "a", 3 }, { "b", std::nullopt } }, { { "a", "x" }, { "b", {} } } }).value());
+    const auto text = mutated(
+        encodeTransaction({ { { "a", store_version(0, 3) }, { "b", std::nullopt } }, { { "a", "x" }, { "b", {} } } })
+            .value());
     const auto parsed = parseTransaction(text);
     if (!parsed) {
         RC_ASSERT(parsed.error().kind == error_kind::BadRequest);
@@ -46,10 +47,10 @@
 
 RC_GTEST_PROP(platform_json, mutated_rows_and_instances_are_refused_or_survive, ())
 {
-    const auto rows = parseRows(mutated(encodeRows({ { "k", "v", 1 }, { "l", "w", 2 } })));
+    const auto rows = parseRows(mutated(encodeRows({ { "k", "v", { 0, 1 } }, { "l", "w", { 0, 2 } } })), 0);
     if (rows)
-        RC_ASSERT(parseRows(encodeRows(rows.value())).value().size() == rows.value().size());
-    (void)parseRow(mutated(encodeRow({ "k", "v", 1 })));
+        RC_ASSERT(parseRows(encodeRows(rows.value()), 0).value().size() == rows.value().size());
+    (void)parseRow(mutated(encodeRow({ "k", "v", { 0, 1 } })), 0);
     (void)parseFailedKeys(mutated(R"({"failed":["a","b"]})"));
     const auto instances = parseInstances(mutated(encodeInstances({ { "a:1", availability_zone("z"), "engine" } })));
     if (instances)
--- a/standins/fake_table.h
+++ b/standins/fake_table.h
@@ -23,6 +23,14 @@
     result<std::vector<table_row>> scan(const std::string& prefix, const std::string& after, std::size_t limit,
         std::chrono::milliseconds timeout) const override;
 
+    store_epoch epoch() const override { return m_table.epoch(); }
+
+    /// \return all rows as they are now
+    memory_table::contents copy() const { return m_table.copy(); }
+
+    /// Comes back from \p copy with the next epoch.
+    void restore(memory_table::contents copy) { m_table.restore(std::move(copy)); }
+
     /// Replaces the faults in force.
     void setFaults(const platform_faults& faults);
 
--- a/standins/memory_table.cpp
+++ b/standins/memory_table.cpp
@@ -9,7 +9,7 @@
     const auto found = m_rows.find(condition.key);
     if (found == m_rows.end())
         return !condition.version;
-    return condition.version == found->second.version;
+    return condition.version == store_version(m_epoch, found->second.version);
 }
 
 table_outcome memory_table::commit(const table_transaction& transaction)
@@ -25,12 +25,12 @@
     for (const auto& write : transaction.writes) {
         if (!write.value) {
             m_rows.erase(write.key);
-            outcome.versions.push_back(0);
+            outcome.versions.emplace_back();
             continue;
         }
         auto& row = m_rows[write.key];
         row.value = *write.value;
-        outcome.versions.push_back(++row.version);
+        outcome.versions.emplace_back(m_epoch, ++row.version);
     }
     outcome.committed = true;
     return outcome;
@@ -42,7 +42,7 @@
     const auto found = m_rows.find(key);
     if (found == m_rows.end())
         return std::nullopt;
-    return table_row { key, found->second.value, found->second.version };
+    return table_row { key, found->second.value, store_version(m_epoch, found->second.version) };
 }
 
 std::vector<table_row> memory_table::scan(const std::string& prefix, const std::string& after, std::size_t limit) const
@@ -53,9 +53,28 @@
     for (; next != m_rows.end() && rows.size() < limit; ++next) {
         if (next->first.compare(0, prefix.size(), prefix) != 0)
             break;
-        rows.push_back({ next->first, next->second.value, next->second.version });
+        rows.push_back({ next->first, next->second.value, store_version(m_epoch, next->second.version) });
     }
     return rows;
 }
 
+memory_table::contents memory_table::copy() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_rows;
+}
+
+void memory_table::restore(contents copy)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_rows = std::move(copy);
+    ++m_epoch;
+}
+
+store_epoch memory_table::epoch() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_epoch;
+}
+
 } // namespace oriolepick
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -13,6 +13,7 @@
 #include <charconv>
 #include <deque>
 #include <mutex>
+#include <shared_mutex>
 #include <thread>
 
 namespace oriolepick {
@@ -132,13 +133,37 @@
             std::this_thread::sleep_for(decision.delayBefore);
             if (decision.refuse)
                 return refuse(response, 503, "down");
-            (this->*handle)(request, response);
+            serve(handle, request, response);
             std::this_thread::sleep_for(decision.delayAfter);
             if (decision.loseResponse)
                 loseResponse(response);
         };
     }
 
+    /// Keeps a restore out of the operation, so that the header belongs to what the response says.
+    void serve(operation handle, const httplib::Request& request, httplib::Response& response)
+    {
+        const std::shared_lock<std::shared_mutex> lock(restoring);
+        (this->*handle)(request, response);
+        response.set_header("Store-Epoch", std::to_string(table.epoch()));
+    }
+
+    void keepCopy(const httplib::Request&, httplib::Response& response)
+    {
+        const std::unique_lock<std::shared_mutex> lock(restoring);
+        keptRows = table.copy();
+        keptObjects = objects;
+        answer(response, 200, "{}");
+    }
+
+    void restoreCopy(const httplib::Request&, httplib::Response& response)
+    {
+        const std::unique_lock<std::shared_mutex> lock(restoring);
+        table.restore(keptRows);
+        objects = keptObjects;
+        answer(response, 200, nlohmann::json { { "epoch", table.epoch() } }.dump());
+    }
+
     void commit(const httplib::Request& request, httplib::Response& response)
     {
         const auto transaction = parseTransaction(request.body);
@@ -149,7 +174,7 @@
             return answer(response, 412, nlohmann::json { { "failed", outcome.failedKeys } }.dump());
         auto versions = nlohmann::json::object();
         for (std::size_t index = 0; index < outcome.versions.size(); ++index)
-            versions[transaction.value().writes[index].key] = outcome.versions[index];
+            versions[transaction.value().writes[index].key] = outcome.versions[index].number();
         answer(response, 200, nlohmann::json { { "versions", std::move(versions) } }.dump());
     }
 
@@ -249,6 +274,8 @@
         server.Get("/instances", withFaults(instanceFaults, true, &state::listInstances));
         server.Get("/weights/(.+)/([^/]+)", withFaults(weightFaults, true, &state::loadWeights));
         server.Post("/instances", [this](const auto& request, auto& response) { replaceInstances(request, response); });
+        server.Post("/copy", [this](const auto& request, auto& response) { keepCopy(request, response); });
+        server.Post("/restore", [this](const auto& request, auto& response) { restoreCopy(request, response); });
         server.Post("/faults", [this](const auto& request, auto& response) { setFaults(request, response); });
     }
 
@@ -256,6 +283,9 @@
     memory_table table;
     std::mutex objectMutex;
     std::map<std::string, std::string> objects;
+    std::shared_mutex restoring;
+    memory_table::contents keptRows;
+    std::map<std::string, std::string> keptObjects;
     lagging_instances instances;
     fault_switch tableFaults;
     fault_switch objectFaults;
--- a/standins/platform_emulator.h
+++ b/standins/platform_emulator.h
@@ -26,6 +26,8 @@
 
 /// Serves the protocol of design section 5.3 and the emulator's own paths:
 /// - POST /faults: see fault_json.h
+/// - POST /copy: keeps a copy of the table and the objects
+/// - POST /restore: comes back from that copy with the next Store-Epoch
 /// - POST /instances {"instances":[{"address","zone","kind","state"}]}: replaces the actual list
 class platform_emulator {
 public:
--- a/standins/test/platform_adapters.cpp
+++ b/standins/test/platform_adapters.cpp
@@ -56,11 +56,12 @@
     EXPECT_EQ(again.value().failedKeys, std::vector<std::string> { "call/a/team x/k?&%" });
     const auto row = table.read("call/a/team x/k?&%", 5s).value();
     ASSERT_TRUE(row);
-    EXPECT_EQ(row->version, 1u);
-    const auto second = table.commit({ { { row->key, 1 } }, { { row->key, "next" } } }, 5s).value();
+    EXPECT_EQ(row->version, store_version(0, 1));
+    const auto second = table.commit({ { { row->key, store_version(0, 1) } }, { { row->key, "next" } } }, 5s).value();
     EXPECT_TRUE(second.committed);
-    EXPECT_EQ(second.versions, std::vector<std::uint64_t> { 2 });
-    EXPECT_FALSE(table.commit({ { { row->key, 1 } }, { { row->key, std::nullopt } } }, 5s).value().committed);
+    EXPECT_EQ(second.versions, std::vector<store_version> { store_version(0, 2) });
+    EXPECT_FALSE(
+        table.commit({ { { row->key, store_version(0, 1) } }, { { row->key, std::nullopt } } }, 5s).value().committed);
     EXPECT_TRUE(table.commit(insert("call/b"), 5s).value().committed);
     EXPECT_EQ(table.scan("call/", "call/a/team x/k?&%", 10, 5s).value().size(), 1u);
     EXPECT_EQ(table.scan("call/", "", 1, 5s).value().front().value, "next");
--- a/tool/test/ticket_command.cpp
+++ b/tool/test/ticket_command.cpp
@@ -59,6 +59,7 @@
     {
         return m_table.scan(prefix, after, limit, timeout);
     }
+    store_epoch epoch() const override { return m_table.epoch(); }
 
 private:
     table_service& m_table;
