Order tickets by the store's epoch and number

After the platform's table came back from a copy, nodes kept the number in force that the copy lacked. A different ticket under a lost number was taken for the old one, so the nodes stayed at the old state until the numbers had passed it, and then applied the new tickets on top of the lost ones. A node that started after the restore had the table's state, the others the lost one.

A node's position is now (epoch, number), in messages, in table reads and in the decision whether it is ready. Old nodes send no epoch and count as epoch 0.

--- a/bench/ticket_spread.cpp
+++ b/bench/ticket_spread.cpp
@@ -78,7 +78,7 @@
         else if (const auto* sent = std::get_if<ticket_distributor::send_batch>(&action))
             send(node, sent->peer, sent->batch);
         else if (const auto* applied = std::get_if<ticket_distributor::apply_batch>(&action))
-            perform(node, m_nodes[node].applied(applied->batch.lastNumber()));
+            perform(node, m_nodes[node].applied(store_version(0, applied->batch.lastNumber())));
         else if (const auto* tail = std::get_if<ticket_distributor::read_tail>(&action))
             m_reads.push_back({ m_now + ReadDelay, node, tail->after });
         else if (std::holds_alternative<ticket_distributor::read_head>(action))
@@ -90,7 +90,7 @@
 {
     auto& node = m_nodes[arrived.to];
     if (const auto* announced = std::get_if<ticket_distributor::announce>(&arrived.message))
-        perform(arrived.to, node.peerNumberReceived(m_now, idOf(arrived.from), announced->number));
+        perform(arrived.to, node.peerPositionReceived(m_now, idOf(arrived.from), announced->position));
     else if (const auto* asked = std::get_if<ticket_distributor::fetch>(&arrived.message))
         perform(arrived.to, node.fetchRequested(idOf(arrived.from), asked->after));
     else
@@ -113,7 +113,7 @@
         m_readCount += read.after ? 2 : 1;
         perform(read.node,
             read.after ? m_nodes[read.node].platformBatchRead(m_now, tailAfter(*read.after))
-                       : m_nodes[read.node].headRead(m_now, m_head));
+                       : m_nodes[read.node].headRead(m_now, store_version(0, m_head)));
     }
     for (unsigned index = 0; index < m_nodes.size(); ++index) {
         if (m_nodes[index].nextWake() <= m_now)
--- a/config/state_in_force.cpp
+++ b/config/state_in_force.cpp
@@ -19,7 +19,9 @@
 result<ticket_number> state_in_force::apply(const ticket_batch& batch)
 {
     const std::lock_guard<std::mutex> applying(m_applying);
-    auto state = get();
+    std::shared_ptr<const fleet_state> state = get();
+    if (batch.replaces)
+        state = std::make_shared<fleet_state>();
     if (batch.snapshotNumber > state->number()) {
         auto restored = parseSnapshot(batch.snapshot);
         if (!restored)
@@ -48,7 +50,7 @@
     if (!tail.empty())
         state = state->after(tail);
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (state->number() > m_state->number())
+    if (batch.replaces || state->number() > m_state->number())
         m_state = state;
     return m_state->number();
 }
--- a/config/state_in_force.h
+++ b/config/state_in_force.h
@@ -19,7 +19,8 @@
     /// \return the state in force, never null
     std::shared_ptr<const fleet_state> get() const;
 
-    /// Folds in a batch and publishes the result in one step; tickets up to the number in force are skipped.
+    /// Folds in a batch and publishes the result in one step; tickets up to the number in force are skipped, unless the
+    /// batch replaces the state.
     /// \return the number in force, or TicketInvalid when the batch has a gap or does not parse: nothing changes then
     result<ticket_number> apply(const ticket_batch& batch);
 
--- a/core/test/ticket_distributor.cpp
+++ b/core/test/ticket_distributor.cpp
@@ -38,7 +38,7 @@
     distributor.setPeers({ Peer });
     distributor.wake(Start);
     distributor.platformBatchRead(Start, batch(1, { "1", "2" }, 2));
-    distributor.applied(2);
+    distributor.applied(store_version(0, 2));
     return distributor;
 }
 
@@ -56,10 +56,10 @@
     EXPECT_TRUE(distributor.fetchRequested(Peer, 0).empty()) << "the state in force is not complete";
     const auto taken = distributor.batchReceived(Start, Peer, batch(1, { "1" }, 2));
     ASSERT_TRUE(find<ticket_distributor::apply_batch>(taken));
-    distributor.applied(1);
+    distributor.applied(store_version(0, 1));
     EXPECT_FALSE(distributor.ready()) << "the peer has one more ticket";
     distributor.batchReceived(Start, Peer, batch(2, { "2" }, 2));
-    distributor.applied(2);
+    distributor.applied(store_version(0, 2));
     EXPECT_TRUE(distributor.ready());
 }
 
@@ -75,7 +75,7 @@
 TEST(ticket_distributor, moves_only_forward_and_without_gaps)
 {
     auto distributor = started();
-    EXPECT_TRUE(distributor.applied(1).empty());
+    EXPECT_TRUE(distributor.applied(store_version(0, 1)).empty());
     EXPECT_EQ(distributor.number(), 2u);
     EXPECT_TRUE(distributor.batchReceived(Start, Peer, batch(1, { "x", "y" }, 2)).empty());
     EXPECT_TRUE(distributor.batchReceived(Start, Peer, batch(4, { "4" }, 4)).empty());
@@ -94,14 +94,17 @@
 TEST(ticket_distributor, fetches_from_the_announcer_and_notifies_a_peer_that_is_behind)
 {
     auto distributor = started();
-    const auto fetched = distributor.peerNumberReceived(Start + milliseconds(500), Peer, 3);
+    const auto fetched = distributor.peerPositionReceived(Start + milliseconds(500), Peer, store_version(0, 3));
     ASSERT_TRUE(find<ticket_distributor::fetch>(fetched));
     EXPECT_EQ(find<ticket_distributor::fetch>(fetched)->after, 2u);
-    EXPECT_TRUE(distributor.peerNumberReceived(Start + milliseconds(600), node_id("other"), 3).empty())
+    EXPECT_TRUE(
+        distributor.peerPositionReceived(Start + milliseconds(600), node_id("other"), store_version(0, 3)).empty())
         << "one fetch at a time";
-    EXPECT_EQ(find<ticket_distributor::announce>(distributor.peerNumberReceived(Start, Peer, 1))->number, 2u);
+    EXPECT_EQ(find<ticket_distributor::announce>(distributor.peerPositionReceived(Start, Peer, store_version(0, 1)))
+                  ->position.number(),
+        2u);
     EXPECT_TRUE(find<ticket_distributor::fetch>(
-        distributor.peerNumberReceived(Start + milliseconds(1000), node_id("other"), 3)))
+        distributor.peerPositionReceived(Start + milliseconds(1000), node_id("other"), store_version(0, 3))))
         << "the announcer did not respond in time";
 }
 
@@ -116,7 +119,7 @@
     snapshot.snapshot = "state";
     snapshot.headNumber = 10;
     distributor.batchReceived(Start, Peer, snapshot);
-    distributor.applied(10);
+    distributor.applied(store_version(0, 10));
     EXPECT_TRUE(find<ticket_distributor::send_snapshot>(distributor.fetchRequested(Peer, 1)));
 }
 
@@ -129,7 +132,7 @@
     distributor.setPeers(peers);
     EXPECT_EQ(distributor.pollInterval(), milliseconds(18'500));
     distributor.batchReceived(Start, Peer, batch(3, { "3" }, 3));
-    const auto actions = distributor.applied(3);
+    const auto actions = distributor.applied(store_version(0, 3));
     EXPECT_EQ(actions.size(), 3u);
     EXPECT_TRUE(std::all_of(actions.begin(), actions.end(), [](const ticket_distributor::action& action) {
         return std::holds_alternative<ticket_distributor::announce>(action);
--- a/node/peer_hub.cpp
+++ b/node/peer_hub.cpp
@@ -52,9 +52,9 @@
     m_handlers[bodyCase] = std::move(onMessage);
 }
 
-void peer_hub::watchNumbers(std::function<void(const node_id&, std::uint64_t, instant)> watcher)
+void peer_hub::watchPositions(std::function<void(const node_id&, const store_version&, instant)> watcher)
 {
-    m_numberWatcher = std::move(watcher);
+    m_positionWatcher = std::move(watcher);
 }
 
 void peer_hub::start()
@@ -68,7 +68,9 @@
 {
     message.set_sender(m_self.value());
     message.set_incarnation(m_incarnation);
-    message.set_ticket_number(m_states.current()->number());
+    const auto position = m_states.position();
+    message.set_ticket_number(position.number());
+    message.set_ticket_epoch(position.epoch());
     m_transport.send(peer, message);
 }
 
@@ -82,8 +84,8 @@
         m_metrics.add(counter_metric::BadInput, { { "entrance", "peers" } });
         return;
     }
-    if (m_numberWatcher)
-        m_numberWatcher(sender, message.ticket_number(), now);
+    if (m_positionWatcher)
+        m_positionWatcher(sender, store_version(message.ticket_epoch(), message.ticket_number()), now);
 }
 
 } // namespace oriolepick
--- a/node/peer_hub.h
+++ b/node/peer_hub.h
@@ -5,6 +5,7 @@
 
 #include "core/instant.h"
 #include "core/names.h"
+#include "core/store_version.h"
 #include "transport/peer_transport.h"
 
 #include <cstdint>
@@ -31,12 +32,12 @@
     /// \param bodyCase value of wire::envelope::BodyCase
     void handle(int bodyCase, handler onMessage);
 
-    /// Registers a function that sees the ticket number which every message carries.
-    void watchNumbers(std::function<void(const node_id& sender, std::uint64_t number, instant now)> watcher);
+    /// Registers a function that sees the ticket position which every message carries.
+    void watchPositions(std::function<void(const node_id& sender, const store_version& position, instant now)> watcher);
 
     void start();
 
-    /// Sends a message; sender, incarnation and ticket number are filled in here.
+    /// Sends a message; sender, incarnation and ticket position are filled in here.
     void send(const node_id& peer, wire::envelope&& message);
 
     const node_id& self() const { return m_self; }
@@ -54,7 +55,7 @@
     node_metrics& m_metrics;
     std::map<std::string, std::uint64_t> m_published; ///< counts that the metrics include, by direction
     std::map<int, handler> m_handlers;
-    std::function<void(const node_id&, std::uint64_t, instant)> m_numberWatcher;
+    std::function<void(const node_id&, const store_version&, instant)> m_positionWatcher;
 };
 
 } // namespace oriolepick
--- a/node/state_keeper.cpp
+++ b/node/state_keeper.cpp
@@ -11,9 +11,9 @@
 result<ticket_number> state_keeper::apply(const ticket_batch& batch)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    const auto before = current()->number();
+    const auto before = current();
     auto applied = m_states.apply(batch);
-    if (!applied || applied.value() == before)
+    if (!applied || current() == before)
         return applied;
     const auto state = current();
     for (const auto& onChange : m_listeners)
--- a/node/ticket_driver.cpp
+++ b/node/ticket_driver.cpp
@@ -31,12 +31,17 @@
 {
     peers.handle(
         wire::envelope::kTicketAnnounce, [this](const node_id& sender, const wire::envelope& message, instant now) {
-            execute(m_distributor.peerNumberReceived(now, sender, message.ticket_announce().number()), now);
+            const auto& announced = message.ticket_announce();
+            execute(
+                m_distributor.peerPositionReceived(now, sender, store_version(announced.epoch(), announced.number())),
+                now);
             return true;
         });
     peers.handle(
         wire::envelope::kTicketFetch, [this](const node_id& sender, const wire::envelope& message, instant now) {
-            execute(m_distributor.fetchRequested(sender, message.ticket_fetch().after()), now);
+            execute(
+                m_distributor.fetchRequested(sender, message.ticket_fetch().after(), message.ticket_fetch().whole()),
+                now);
             return true;
         });
     peers.handle(
@@ -46,8 +51,8 @@
                 execute(m_distributor.batchReceived(now, sender, *batch), now);
             return batch.has_value();
         });
-    peers.watchNumbers([this](const node_id& sender, std::uint64_t number, instant now) {
-        execute(m_distributor.peerNumberReceived(now, sender, number), now);
+    peers.watchPositions([this](const node_id& sender, const store_version& position, instant now) {
+        execute(m_distributor.peerPositionReceived(now, sender, position), now);
     });
     loop.whenDue([this] { return std::optional<instant>(m_distributor.nextWake()); },
         [this](instant now) { execute(m_distributor.wake(now), now); });
@@ -67,6 +72,7 @@
 void ticket_driver::execute(const ticket_distributor::actions& actions, instant now)
 {
     m_now = now;
+    m_states.setEpoch(m_distributor.position().epoch());
     for (const auto& action : actions)
         std::visit([this](const auto& typed) { run(typed); }, action);
     if (m_distributor.ready() && !m_status.ready.exchange(true)) {
@@ -78,7 +84,8 @@
 void ticket_driver::run(const ticket_distributor::announce& action)
 {
     wire::envelope message;
-    message.mutable_ticket_announce()->set_number(action.number);
+    message.mutable_ticket_announce()->set_number(action.position.number());
+    message.mutable_ticket_announce()->set_epoch(action.position.epoch());
     m_peers.send(action.peer, std::move(message));
 }
 
@@ -86,6 +93,7 @@
 {
     wire::envelope message;
     message.mutable_ticket_fetch()->set_after(action.after);
+    message.mutable_ticket_fetch()->set_whole(action.whole);
     m_peers.send(action.peer, std::move(message));
 }
 
@@ -99,11 +107,9 @@
 void ticket_driver::run(const ticket_distributor::send_snapshot& action)
 {
     const auto state = m_states.current();
-    ticket_batch batch;
+    auto batch = action.recent;
     batch.snapshotNumber = state->number();
     batch.snapshot = encodeSnapshot(*state);
-    batch.first = state->number() + 1;
-    batch.headNumber = state->number();
     run(ticket_distributor::send_batch { action.peer, std::move(batch) });
 }
 
@@ -113,15 +119,15 @@
         const auto head = m_store.readHead();
         m_loop.post([this, head](instant now) {
             countOperation("ticket_head", head.has_value());
-            execute(m_distributor.headRead(now, head ? std::optional<std::uint64_t>(head.value()) : std::nullopt), now);
+            execute(m_distributor.headRead(now, head ? std::optional<store_version>(head.value()) : std::nullopt), now);
         });
     });
 }
 
 void ticket_driver::run(const ticket_distributor::read_tail& action)
 {
-    m_tasks.submit([this, after = action.after] {
-        auto batch = m_store.readTail(after);
+    m_tasks.submit([this, action] {
+        auto batch = action.whole ? m_store.readWhole() : m_store.readTail(action.after);
         m_loop.post([this, batch = std::move(batch)](instant now) {
             countOperation("ticket_tail", batch.has_value());
             execute(
@@ -131,24 +137,38 @@
     });
 }
 
+void ticket_driver::run(const ticket_distributor::restore_tickets& action)
+{
+    logInfo("the ticket table came back from a copy",
+        { { "head", action.head.text() }, { "restoring", std::to_string(action.tickets.size()) } });
+    m_tasks.submit([this, action] {
+        const auto restored = m_store.restore(action.head, action.tickets);
+        m_loop.post([this, restored](instant now) {
+            countOperation("ticket_restore", restored.has_value());
+            execute(m_distributor.ticketsRestored(now), now);
+        });
+    });
+}
+
 void ticket_driver::run(const ticket_distributor::apply_batch& action)
 {
-    const auto before = m_states.current()->number();
+    const auto before = m_states.current();
     const auto applied = m_states.apply(action.batch);
     if (!applied) {
         // An unreadable ticket is not skipped, because later tickets build on it; it is asked for again.
         m_metrics.add(counter_metric::BadInput, { { "entrance", "tickets" } });
         return;
     }
-    if (applied.value() > before) {
+    if (m_states.current() != before) {
         m_metrics.set(gauge_metric::TicketInForce, {}, static_cast<double>(applied.value()));
-        logInfo("ticket in force", { { "ticket", std::to_string(applied.value()) } });
-        maybeCompact(m_states.current());
+        logInfo("ticket in force",
+            { { "ticket", std::to_string(applied.value()) }, { "epoch", std::to_string(action.batch.epoch) } });
+        maybeCompact(m_states.current(), action.batch.epoch);
     }
-    execute(m_distributor.applied(applied.value()), m_now);
+    execute(m_distributor.applied(store_version(action.batch.epoch, applied.value())), m_now);
 }
 
-void ticket_driver::maybeCompact(const std::shared_ptr<const fleet_state>& state)
+void ticket_driver::maybeCompact(const std::shared_ptr<const fleet_state>& state, store_epoch epoch)
 {
     if (state->number() < m_compactedAt + TicketsPerSnapshot)
         return;
@@ -156,8 +176,8 @@
     // One node writes, chosen like the owner of a grant. When it dies first, the next snapshot is due soon anyway.
     if (grantOwnerOf(team_id(fleet_name("system"), "snapshots"), m_usable) != m_peers.self())
         return;
-    m_tasks.submit([this, state] {
-        const auto written = m_store.compact(state->number(), encodeSnapshot(*state));
+    m_tasks.submit([this, state, epoch] {
+        const auto written = m_store.compact(state->number(), encodeSnapshot(*state), epoch);
         m_loop.post([this, written](instant) { countOperation("ticket_snapshot", written.has_value()); });
     });
 }
--- a/node/ticket_driver.h
+++ b/node/ticket_driver.h
@@ -36,8 +36,9 @@
     void run(const ticket_distributor::send_snapshot& action);
     void run(const ticket_distributor::read_head& action);
     void run(const ticket_distributor::read_tail& action);
+    void run(const ticket_distributor::restore_tickets& action);
     void run(const ticket_distributor::apply_batch& action);
-    void maybeCompact(const std::shared_ptr<const fleet_state>& state);
+    void maybeCompact(const std::shared_ptr<const fleet_state>& state, store_epoch epoch);
     void countOperation(const char* operation, bool succeeded);
 
     ticket_store& m_store;
--- a/ports/ticket_store.cpp
+++ b/ports/ticket_store.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr std::size_t RowsPerRead = 500;
+    constexpr std::size_t RowsPerRestore = 100;
     // A compaction may replace the snapshot between the read of the pointer and of the object.
     constexpr int SnapshotReadAttempts = 3;
 
@@ -24,17 +25,18 @@
 {
 }
 
-result<ticket_number> ticket_store::readHead() const
+result<store_version> ticket_store::readHead() const
 {
+    const auto epoch = m_table.epoch(); // an absent row has none; a lower one than the row's is safe
     const auto row = m_table.read(std::string(TicketHeadKey), m_timeout);
     if (!row)
         return row.error();
     if (!row.value())
-        return ticket_number { 0 };
+        return store_version(epoch, 0);
     const auto number = parseTicketNumber(row.value()->value);
     if (!number)
         return error { error_kind::Internal, "row ticket-head holds '" + row.value()->value + "', not a number" };
-    return *number;
+    return store_version(row.value()->version.epoch(), *number);
 }
 
 result<ticket_batch> ticket_store::readRows(ticket_number after) const
@@ -48,23 +50,89 @@
         if (row.key != ticketRowKey(batch.first + batch.tickets.size()))
             break;
         batch.tickets.push_back(row.value);
+        batch.epoch = row.version.epoch();
     }
     return batch;
 }
 
 result<ticket_batch> ticket_store::readTail(ticket_number after, ticket_number upTo) const
+{
+    auto batch = readConsistently(after, upTo);
+    // Rows that were read before and after a restore belong to two histories.
+    if (batch && batch.value().epoch != m_table.epoch())
+        batch = readConsistently(after, upTo);
+    if (batch && batch.value().epoch < m_table.epoch())
+        return error { error_kind::PlatformUnavailable, "the table came back from a copy during the read" };
+    return batch;
+}
+
+result<ticket_batch> ticket_store::readConsistently(ticket_number after, ticket_number upTo) const
 {
     const auto head = readHead();
     if (!head)
         return head.error();
     auto batch = readRows(after);
-    if (batch && batch.value().tickets.empty() && head.value() > after)
+    if (batch && batch.value().tickets.empty() && head.value().number() > after)
         batch = readSnapshotAndRows(after, upTo);
+    if (!batch)
+        return batch;
+    const bool mixed = !batch.value().tickets.empty() && batch.value().epoch != head.value().epoch();
+    batch.value().headNumber
+        = mixed ? head.value().number() : std::max(head.value().number(), batch.value().lastNumber());
+    // An epoch below the table's makes the caller read again.
+    batch.value().epoch = std::min(head.value().epoch(), mixed ? batch.value().epoch : head.value().epoch());
+    return batch;
+}
+
+result<ticket_batch> ticket_store::readWhole() const
+{
+    auto batch = readTail(0);
+    while (batch && batch.value().lastNumber() < batch.value().headNumber) {
+        const auto next = readTail(batch.value().lastNumber());
+        if (!next)
+            return next;
+        if (next.value().epoch != batch.value().epoch || next.value().snapshotNumber || next.value().tickets.empty())
+            return error { error_kind::PlatformUnavailable, "the ticket rows changed during the read; try again" };
+        const auto& rows = next.value().tickets;
+        batch.value().tickets.insert(batch.value().tickets.end(), rows.begin(), rows.end());
+        batch.value().headNumber = next.value().headNumber;
+    }
     if (batch)
-        batch.value().headNumber = std::max(head.value(), batch.value().lastNumber());
+        batch.value().replaces = true;
     return batch;
 }
 
+result<bool> ticket_store::restore(const store_version& head, const std::vector<std::string>& tickets)
+{
+    const auto row = m_table.read(std::string(TicketHeadKey), m_timeout);
+    if (!row)
+        return row.error();
+    const auto number = row.value() ? parseTicketNumber(row.value()->value) : std::optional<ticket_number>(0);
+    if (!number || *number != head.number() || (row.value() && row.value()->version.epoch() != head.epoch()))
+        return false;
+    std::optional<store_version> version;
+    if (row.value())
+        version = row.value()->version;
+    for (std::size_t done = 0; done < tickets.size();) {
+        table_transaction transaction;
+        transaction.conditions.push_back({ std::string(TicketHeadKey), version });
+        const auto end = std::min(done + RowsPerRestore, tickets.size());
+        for (; done < end; ++done) {
+            const auto key = ticketRowKey(head.number() + done + 1);
+            transaction.conditions.push_back({ key, std::nullopt });
+            transaction.writes.push_back({ key, tickets[done] });
+        }
+        transaction.writes.push_back({ std::string(TicketHeadKey), std::to_string(head.number() + done) });
+        const auto outcome = m_table.commit(transaction, m_timeout);
+        if (!outcome)
+            return outcome.error();
+        if (!outcome.value().committed || outcome.value().versions.empty())
+            return outcome.value().committed && done == tickets.size();
+        version = outcome.value().versions.back();
+    }
+    return true;
+}
+
 result<ticket_batch> ticket_store::readSnapshotAndRows(ticket_number after, ticket_number upTo) const
 {
     for (int attempt = 0; attempt < SnapshotReadAttempts; ++attempt) {
@@ -132,8 +200,13 @@
     }
 }
 
-result<bool> ticket_store::compact(ticket_number number, const std::string& snapshot)
+result<bool> ticket_store::compact(ticket_number number, const std::string& snapshot, store_epoch epoch)
 {
+    const auto head = readHead();
+    if (!head)
+        return head.error();
+    if (head.value().epoch() != epoch || head.value().number() < number)
+        return false;
     ticket_compaction compaction(number, snapshot);
     for (;;) {
         const auto& action = compaction.next();
--- a/ports/ticket_store.h
+++ b/ports/ticket_store.h
@@ -32,14 +32,22 @@
     /// \param timeout for each single operation
     ticket_store(table_service& table, object_store& objects, std::chrono::milliseconds timeout);
 
-    /// \return the last accepted number, 0 for none
-    result<ticket_number> readHead() const;
+    /// \return the last accepted number, 0 for none, in the store's epoch
+    result<store_version> readHead() const;
 
     /// Reads at most one batch after \p after, from a snapshot on when rows have been compacted.
     /// \param upTo the snapshot used is the newest that is not after this number
     result<ticket_batch> readTail(
         ticket_number after, ticket_number upTo = std::numeric_limits<ticket_number>::max()) const;
 
+    /// Reads everything up to the head number, as a batch that replaces the state in force.
+    result<ticket_batch> readWhole() const;
+
+    /// Files accepted tickets again that the table lost when it came back from a copy.
+    /// \param head the position after which they follow
+    /// \return whether all were written; false when the table's head is another one
+    result<bool> restore(const store_version& head, const std::vector<std::string>& tickets);
+
     /// \return the stored text of one ticket, or nothing when it is not accepted or compacted
     result<std::optional<std::string>> readTicket(ticket_number number) const;
 
@@ -51,11 +59,13 @@
 
     /// Writes the snapshot when it is due and removes the rows that the one before covers.
     /// \param number the number of the state that \p snapshot encodes
+    /// \param epoch of the history that the state belongs to; a table of another epoch is left as it is
     /// \return whether the snapshot was written
-    result<bool> compact(ticket_number number, const std::string& snapshot);
+    result<bool> compact(ticket_number number, const std::string& snapshot, store_epoch epoch);
 
 private:
     result<ticket_batch> readRows(ticket_number after) const;
+    result<ticket_batch> readConsistently(ticket_number after, ticket_number upTo) const;
     result<ticket_batch> readSnapshotAndRows(ticket_number after, ticket_number upTo) const;
 
     table_service& m_table;
--- a/tool/test/ticket_world.h
+++ b/tool/test/ticket_world.h
@@ -101,9 +101,10 @@
 
     struct fetch_message {
         std::uint64_t after;
+        bool whole;
     };
     struct announce_message {
-        std::uint64_t number;
+        store_version position;
     };
     using message_body = std::variant<announce_message, fetch_message, ticket_batch>;
     struct message {
@@ -114,7 +115,7 @@
     struct platform_answer {
         unsigned to;
         unsigned incarnation;
-        std::variant<std::optional<std::uint64_t>, std::optional<ticket_batch>> answer;
+        std::variant<std::optional<store_version>, std::optional<ticket_batch>> answer;
     };
     struct world_node {
         std::unique_ptr<ticket_distributor> distributor;
@@ -171,22 +172,21 @@
             auto action = std::move(queue.front());
             queue.pop_front();
             if (auto* announced = std::get_if<ticket_distributor::announce>(&action))
-                send(index, announced->peer, announce_message { announced->number });
+                send(index, announced->peer, announce_message { announced->position });
             else if (auto* asked = std::get_if<ticket_distributor::fetch>(&action))
-                send(index, asked->peer, fetch_message { asked->after });
+                send(index, asked->peer, fetch_message { asked->after, asked->whole });
             else if (auto* sent = std::get_if<ticket_distributor::send_batch>(&action))
                 send(index, sent->peer, std::move(sent->batch));
             else if (auto* snapshot = std::get_if<ticket_distributor::send_snapshot>(&action)) {
                 const auto state = node.state->get();
-                ticket_batch batch;
+                auto batch = snapshot->recent;
                 batch.snapshotNumber = state->number();
                 batch.snapshot = encodeSnapshot(*state);
-                batch.headNumber = state->number();
                 send(index, snapshot->peer, std::move(batch));
             } else if (auto* applied = std::get_if<ticket_distributor::apply_batch>(&action)) {
                 const auto number = node.state->apply(applied->batch);
                 RC_ASSERT(number.has_value());
-                for (auto& next : node.distributor->applied(number.value()))
+                for (auto& next : node.distributor->applied(store_version(applied->batch.epoch, number.value())))
                     queue.push_back(std::move(next));
             } else
                 readPlatform(index, action);
@@ -198,13 +198,13 @@
         platform_faults faults;
         faults.down = m_platformDown || m_cutFromPlatform.count(index);
         m_table.setFaults(faults);
-        platform_answer answer { index, m_nodes[index].incarnation, std::optional<std::uint64_t>() };
+        platform_answer answer { index, m_nodes[index].incarnation, std::optional<store_version>() };
         if (const auto* tail = std::get_if<ticket_distributor::read_tail>(&action)) {
-            const auto batch = m_store.readTail(tail->after);
+            const auto batch = tail->whole ? m_store.readWhole() : m_store.readTail(tail->after);
             answer.answer = batch ? std::optional(batch.value()) : std::optional<ticket_batch>();
         } else {
             const auto head = m_store.readHead();
-            answer.answer = head ? std::optional(head.value()) : std::optional<std::uint64_t>();
+            answer.answer = head ? std::optional(head.value()) : std::optional<store_version>();
         }
         m_table.setFaults({});
         m_answers.push_back(std::move(answer));
@@ -223,9 +223,9 @@
             return;
         auto& distributor = *m_nodes[taken.to].distributor;
         if (const auto* announced = std::get_if<announce_message>(&taken.body))
-            perform(taken.to, distributor.peerNumberReceived(m_now, idOf(taken.from), announced->number));
+            perform(taken.to, distributor.peerPositionReceived(m_now, idOf(taken.from), announced->position));
         else if (const auto* asked = std::get_if<fetch_message>(&taken.body))
-            perform(taken.to, distributor.fetchRequested(idOf(taken.from), asked->after));
+            perform(taken.to, distributor.fetchRequested(idOf(taken.from), asked->after, asked->whole));
         else
             perform(taken.to,
                 distributor.batchReceived(m_now, idOf(taken.from), std::move(std::get<ticket_batch>(taken.body))));
--- a/tool/ticket_command.cpp
+++ b/tool/ticket_command.cpp
@@ -188,12 +188,12 @@
             const auto head = store.readHead();
             if (!head)
                 return fail(head.error());
-            const bool accepted = number <= head.value();
+            const bool accepted = number <= head.value().number();
             if (m_json)
-                print({ { "ticket", number }, { "accepted", accepted }, { "last_accepted", head.value() } });
+                print({ { "ticket", number }, { "accepted", accepted }, { "last_accepted", head.value().number() } });
             else
                 m_environment.out << "ticket " << number << (accepted ? " is accepted" : " is not accepted")
-                                  << "; the next number is " << head.value() + 1 << "\n";
+                                  << "; the next number is " << head.value().number() + 1 << "\n";
             return accepted ? exit_code::Success : exit_code::Failure;
         });
     }
@@ -258,7 +258,8 @@
         if (!head)
             return fail(head.error());
         auto listed = json::array();
-        for (auto number = head.value() > *last ? head.value() - *last + 1 : 1; number <= head.value(); ++number) {
+        for (auto number = head.value().number() > *last ? head.value().number() - *last + 1 : 1;
+             number <= head.value().number(); ++number) {
             const auto text = store.readTicket(number);
             if (!text)
                 return fail(text.error());
@@ -273,7 +274,7 @@
                                   << " objects\t" << change.note << "\n";
         }
         if (m_json)
-            print({ { "last_accepted", head.value() }, { "tickets", listed } });
+            print({ { "last_accepted", head.value().number() }, { "tickets", listed } });
         return exit_code::Success;
     }
 
--- a/tool/ticket_filing.cpp
+++ b/tool/ticket_filing.cpp
@@ -73,9 +73,11 @@
     {
         if (number % SnapshotCheckEvery)
             return;
-        const auto state = readStateAt(store, std::nullopt);
-        const auto written = state ? store.compact(state.value()->number(), encodeSnapshot(*state.value()))
-                                   : result<bool>(state.error());
+        const auto head = store.readHead();
+        const auto state = head ? readStateAt(store, std::nullopt) : head.error();
+        const auto written = state
+            ? store.compact(state.value()->number(), encodeSnapshot(*state.value()), head.value().epoch())
+            : result<bool>(state.error());
         if (!written)
             environment.err << "warning: the snapshot was not written, a later ticket will: " << written.error().message
                             << "\n";
--- a/wire/ticket_codec.cpp
+++ b/wire/ticket_codec.cpp
@@ -18,6 +18,7 @@
     for (const auto& text : batch.tickets)
         out.add_tickets(text);
     out.set_head_number(batch.headNumber);
+    out.set_epoch(batch.epoch);
 }
 
 std::optional<ticket_batch> decode(const wire::ticket_batch& in)
@@ -30,6 +31,7 @@
     batch.first = in.first();
     batch.tickets.assign(in.tickets().begin(), in.tickets().end());
     batch.headNumber = in.head_number();
+    batch.epoch = in.epoch();
     return batch;
 }
 
