Grant leases by the store's epoch

After the table came back from a copy, a lease row showed an earlier holder or was absent. The earlier holder renewed it, or another node inserted it again, while the last holder still gave orders; both gave orders under one fencing number, or under a lower one than targets had seen. A row that was rewritten up to the same version counted as unchanged.

The epoch is now part of a fencing number (its bits from 32 on), so numbers grow over a restore. A lease that was granted in an earlier epoch, and an absent row in a restored table, is taken only after a whole lease duration, also by the holder that the row names. An insertion that took effect in another epoch than the last read gives no lease.

core_lease_manager's random histories with copies and restores failed before: [(0, 0, 0), (0, 1, 0), (0, 0, 0), (6, 0, 0)] gave one fencing number to two nodes.

--- a/core/lease_manager.cpp
+++ b/core/lease_manager.cpp
@@ -2,8 +2,18 @@
 
 #include <absl/strings/numbers.h>
 
+#include <algorithm>
+
 namespace oriolepick {
 
+namespace {
+
+    /// The upper bits of a fencing number are the store's epoch in which it was granted, so that a number grows even
+    /// when a restored row goes back. Targets read numbers as JSON, which keeps 53 bits.
+    constexpr unsigned FencingBits = 32;
+
+} // namespace
+
 lease_manager::lease_manager(const std::string& group, std::string holder, lease_settings settings)
     : m_key("lease/" + group)
     , m_holder(std::move(holder))
@@ -37,9 +47,11 @@
     // After a lost answer, the row shows whether the commit took effect.
     if (!m_rowKnown || m_mustRead)
         return read_row { m_key };
-    if (!m_row)
+    // A restored table may have forgotten a lease that still runs, or show one that has passed to another node.
+    const bool certain = (m_row ? m_value.fencing >> FencingBits : 0) == m_epoch;
+    if (!m_row && certain)
         return makeCommit(now, 1);
-    if (m_value.holder == m_holder) {
+    if (m_value.holder == m_holder && certain) {
         if (now < m_lastConfirmed + m_settings.renewEvery) {
             m_operationPending = false;
             return std::nullopt;
@@ -47,7 +59,7 @@
         return makeCommit(now, m_value.fencing);
     }
     if (now >= m_unchangedSince + m_settings.duration)
-        return makeCommit(now, m_value.fencing + 1);
+        return makeCommit(now, std::max(m_value.fencing, m_epoch << FencingBits) + 1);
     return read_row { m_key };
 }
 
@@ -63,17 +75,19 @@
     return commit_rows { std::move(transaction) };
 }
 
-void lease_manager::rowRead(instant now, const result<std::optional<table_row>>& answer)
+void lease_manager::rowRead(instant now, const result<std::optional<table_row>>& answer, store_epoch epoch)
 {
     m_operationPending = false;
     if (!answer)
         return;
     const auto& row = answer.value();
-    const bool changed = !m_rowKnown || row.has_value() != m_row.has_value() || (row && row->version != m_row->version);
+    const auto rowEpoch = row ? row->version.epoch() : epoch;
+    const bool changed = !m_rowKnown || rowEpoch != m_epoch || row.has_value() != m_row.has_value()
+        || (row && row->version != m_row->version);
     const auto value = row ? parseValue(row->value) : std::nullopt;
     if (row && !value)
         return; // malformed lease: must not be taken over
-    const bool ownRow = value && value->holder == m_holder;
+    const bool ownRow = value && value->holder == m_holder && value->fencing >> FencingBits == rowEpoch;
     if (changed) {
         m_unchangedSince = now;
         if (!ownRow)
@@ -88,6 +102,7 @@
     m_mustRead = false;
     m_rowKnown = true;
     m_row = row;
+    m_epoch = rowEpoch;
     m_value = value.value_or(lease_value {});
 }
 
@@ -107,9 +122,14 @@
         m_mustRead = true;
         return;
     }
+    const auto& versions = answer.value().versions;
+    if (!versions.empty() && versions.front().epoch() != m_epoch) {
+        m_mustRead = true; // an insertion has no version as its condition and took effect after a restore
+        return;
+    }
     const bool inserted = !m_row;
     m_row = table_row { m_key, m_holder + " " + std::to_string(m_commitFencing),
-        m_row ? m_row->version.next() : store_version(0, 1) };
+        m_row ? m_row->version.next() : store_version(m_epoch, 1) };
     m_value = { m_holder, m_commitFencing };
     m_unchangedSince = now;
     m_lastConfirmed = *m_commitSentAt;
--- a/core/lease_manager.h
+++ b/core/lease_manager.h
@@ -1,7 +1,7 @@
 /// \file
 /// Acquires and renews the lease of one target group in its table row, with a fencing number that grows with each
 /// change of holder. Synchronized clocks are not required: a challenger waits until it has observed the row unchanged
-/// for a whole lease duration on its own clock.
+/// for a whole lease duration on its own clock. Nodes do the same once the store came back from a copy.
 #pragma once
 
 #include "core/error.h"
@@ -43,7 +43,8 @@
     /// Must be called at least every renewEvery.
     /// \return the table operation to run now, or nothing
     std::optional<action> wake(instant now);
-    void rowRead(instant now, const result<std::optional<table_row>>& answer);
+    /// \param epoch of the store, for an absent row
+    void rowRead(instant now, const result<std::optional<table_row>>& answer, store_epoch epoch);
     void committed(instant now, const result<table_outcome>& answer);
 
     /// \return the fencing number, or nothing unless this node is certain to hold the lease; must be checked when each
@@ -66,6 +67,7 @@
     lease_settings m_settings;
     std::optional<table_row> m_row; ///< as last read or written
     lease_value m_value; ///< of m_row
+    store_epoch m_epoch = 0; ///< of the last read
     bool m_rowKnown = false;
     instant m_unchangedSince {}; ///< when this version was first seen
     instant m_heldUntil {};
--- a/node/order_driver.cpp
+++ b/node/order_driver.cpp
@@ -122,10 +122,11 @@
     m_tasks.submit([this, name, action = *action] {
         if (const auto* read = std::get_if<lease_manager::read_row>(&action)) {
             const auto row = m_table.read(read->key, m_timeout);
-            m_loop.post([this, name, row](instant later) {
+            const auto epoch = m_table.epoch();
+            m_loop.post([this, name, row, epoch](instant later) {
                 const auto found = m_groups.find(name);
                 if (found != m_groups.end())
-                    found->second.lease->rowRead(later, row);
+                    found->second.lease->rowRead(later, row, epoch);
             });
             return;
         }
--- a/tool/test/order_histories.cpp
+++ b/tool/test/order_histories.cpp
@@ -164,7 +164,7 @@
             m_table.setFaults(faults);
             if (const auto action = lease.wake(m_now)) {
                 if (const auto* read = std::get_if<lease_manager::read_row>(&*action))
-                    lease.rowRead(m_now, m_table.read(read->key, milliseconds(1)));
+                    lease.rowRead(m_now, m_table.read(read->key, milliseconds(1)), m_table.epoch());
                 else
                     lease.committed(m_now,
                         m_table.commit(std::get<lease_manager::commit_rows>(*action).transaction, milliseconds(1)));
