Record an outcome whose claim a restored store forgot

A call was claimed and sent, then the table came back from a copy without the claim. The node found no row when it recorded the outcome, took it for a row that was collected after its retention, and wrote nothing. Each retry of the call ran it again.

A read of an absent row now has the store's epoch. When it is later than the claim's, the outcome is written as a new row; in the same epoch the row was collected, as before. The new test in core_call_claim failed before: no row was written.

--- a/core/call_claim.cpp
+++ b/core/call_claim.cpp
@@ -93,7 +93,7 @@
     return actions;
 }
 
-claim_actions call_claim::rowRead(clock_reading time, const std::optional<versioned_call_row>& found)
+claim_actions call_claim::rowRead(clock_reading time, const std::optional<versioned_call_row>& found, store_epoch epoch)
 {
     claim_actions actions;
     if (m_step != step::Reading)
@@ -108,7 +108,9 @@
     }
     // Without a digest this is a recovery and not a caller's request, and a missing row leaves nothing to recover. The
     // row of a recorded call was removed by the garbage collector.
-    if (m_goal == goal::Record || (m_responded && !m_request.bodyDigest)) {
+    // A store that came back from a copy may have forgotten the claim; a retry must find the outcome.
+    const bool forgotten = m_goal == goal::Record && m_version && m_version->epoch() < epoch;
+    if (!forgotten && (m_goal == goal::Record || (m_responded && !m_request.bodyDigest))) {
         respond(outcomeReply(), actions);
         finish();
         return actions;
--- a/core/call_claim.h
+++ b/core/call_claim.h
@@ -100,7 +100,8 @@
     claim_actions rowWritten(clock_reading time, const store_version& version);
     claim_actions rowConflicted(clock_reading time);
     claim_actions rowDropped(clock_reading time); ///< the write was rejected or withdrawn and had no effect
-    claim_actions rowRead(clock_reading time, const std::optional<versioned_call_row>& found);
+    /// \param epoch of the store, for an absent row
+    claim_actions rowRead(clock_reading time, const std::optional<versioned_call_row>& found, store_epoch epoch = 0);
     claim_actions readFailed(clock_reading time);
 
     claim_actions targetChosen(clock_reading time, const target_id& target);
--- a/core/call_coordinator.cpp
+++ b/core/call_coordinator.cpp
@@ -88,7 +88,7 @@
 }
 
 coordinator_actions call_coordinator::rowRead(
-    clock_reading time, call_number number, const result<std::optional<table_row>>& outcome)
+    clock_reading time, call_number number, const result<std::optional<table_row>>& outcome, store_epoch epoch)
 {
     coordinator_actions out;
     auto* call = find(number);
@@ -112,7 +112,7 @@
             found->row.bodyDigest = call->claim.request().bodyDigest;
         }
     }
-    executeActions(time, *call, call->claim.rowRead(time, found), out);
+    executeActions(time, *call, call->claim.rowRead(time, found, epoch), out);
     commitIfDue(time, out);
     return out;
 }
--- a/core/call_coordinator.h
+++ b/core/call_coordinator.h
@@ -92,7 +92,7 @@
 
     coordinator_actions commitFinished(clock_reading time, const result<table_outcome>& outcome);
     coordinator_actions rowRead(
-        clock_reading time, call_number number, const result<std::optional<table_row>>& outcome);
+        clock_reading time, call_number number, const result<std::optional<table_row>>& outcome, store_epoch epoch = 0);
 
     coordinator_actions targetChosen(clock_reading time, call_number number, const target_id& target);
     coordinator_actions noTarget(clock_reading time, call_number number, std::chrono::milliseconds retryAfter);
--- a/core/test/call_claim.cpp
+++ b/core/test/call_claim.cpp
@@ -121,6 +121,34 @@
     EXPECT_FALSE(m_claim.finished());
 }
 
+TEST_F(call_claim_rules, an_outcome_is_recorded_although_a_restored_store_forgot_the_claim)
+{
+    m_claim.start(at(0));
+    m_claim.rowWritten(at(10), store_version(1, 1));
+    m_claim.targetChosen(at(20), target_id(fleet_name("atelier"), "t"));
+    const call_answer answer { 201, "text/plain", "done" };
+    m_claim.dispatchAnswered(at(30), answer);
+    m_claim.rowConflicted(at(40));
+    const auto actions = m_claim.rowRead(at(50), std::nullopt, 2);
+    const auto* write = only<write_call_row>(actions);
+    ASSERT_TRUE(write) << "a retry of the call would run it again";
+    EXPECT_FALSE(write->version);
+    EXPECT_EQ(write->row.answer, answer);
+    m_claim.rowWritten(at(60), store_version(2, 1));
+    EXPECT_TRUE(m_claim.finished());
+}
+
+TEST_F(call_claim_rules, an_outcome_that_was_collected_is_not_recorded_again)
+{
+    m_claim.start(at(0));
+    m_claim.rowWritten(at(10), store_version(1, 1));
+    m_claim.targetChosen(at(20), target_id(fleet_name("atelier"), "t"));
+    m_claim.dispatchAnswered(at(30), { 201, "text/plain", "done" });
+    m_claim.rowConflicted(at(40));
+    EXPECT_TRUE(only<respond_call>(m_claim.rowRead(at(50), std::nullopt, 1)));
+    EXPECT_TRUE(m_claim.finished());
+}
+
 TEST_F(call_claim_rules, a_follower_of_a_dead_claimer_is_answered_at_once)
 {
     m_claim.start(at(0));
--- a/node/call_driver.cpp
+++ b/node/call_driver.cpp
@@ -148,7 +148,9 @@
 {
     const bool queued = m_tableTasks.submit([this, action] {
         const auto row = m_table.read(action.key, m_tableTimeout);
-        m_loop.post([this, action, row](instant) { execute(m_desk.rowRead(timeNow(), action.number, row)); });
+        const auto epoch = m_table.epoch();
+        m_loop.post(
+            [this, action, row, epoch](instant) { execute(m_desk.rowRead(timeNow(), action.number, row, epoch)); });
     });
     if (!queued)
         m_loop.post([this, action](instant) {
--- a/standins/test/call_world.h
+++ b/standins/test/call_world.h
@@ -266,7 +266,7 @@
             if (fault != call_fault::TableDown && fault != call_fault::TableLost)
                 outcome = table.read(read.key, {});
             deliver(index, m_now + latency(), [this, index, read, outcome] {
-                apply(index, m_nodes[index].desk->rowRead(timeAt(m_nodes[index]), read.number, outcome));
+                apply(index, m_nodes[index].desk->rowRead(timeAt(m_nodes[index]), read.number, outcome, table.epoch()));
             });
         });
     }
