Let the soak's targets fall silent or stop inside answers, and judge requests beside planned work

Targets fall silent for 0.8 to 1.6 s in the middle of an answer and go on, or stop inside its head or body and close or reset. Checked: a request that was read on a kept connection of an undisturbed node, or beside a stop, a reload or a change, ends with an answer or a refusal, and no answer of a sound target is replaced by a failure.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,27 +15,32 @@
     def __init__(self, ports, ledger, seed, key):
         self.ports, self.ledger, self.key = ports, ledger, key
         self.seed = seed
+        self.running = True
         self.random = random.Random(seed)
         self.broken = []  # promises that were broken, with the attempt
         self.refused = []  # attempts that were told "not run"
+        self.cut = []  # requests whose connection ended before their answer did
+        self.failed = []  # requests that a node failed itself
         self.counts = {}
         self.last_success = {}
 
     def fail(self, attempt, promise):
         self.broken.append(f"{promise}: {attempt}")
 
-    async def run_one(self, caller, until):
+    async def run_one(self, caller):
         connection = None
         number = 0
-        while time.monotonic() < until:
+        kept = False
+        while self.running:
             kind = self.random.choice(["safe", "once", "stream"])
             attempt = f"{self.seed}-{caller}-{number}"
             number += 1
             try:
+                kept = connection is not None
                 if connection is None:
                     node = self.random.randrange(len(self.ports))
                     connection = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ports[node]), 1)
-                alive = await asyncio.wait_for(self._exchange(connection, node, kind, attempt), self.PATIENCE_S)
+                alive = await self._exchange_watched(connection, node, kind, attempt, kept)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 self._count(kind, "no answer")
                 alive = False
@@ -46,10 +51,37 @@
         if connection is not None:
             connection[1].close()
 
-    async def run_crashing(self, kind, until):
+    async def run_late(self, node, attempt, stopped, delay):
+        """Opens a connection before a planned stop and uses it some time after the signal, again until it ends."""
+        writer = None
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ports[node]), 1)
+            kind = self.random.choice(["safe", "once", "stream"])
+            alive = await self._exchange_watched((reader, writer), node, kind, attempt, False)
+            await stopped.wait()
+            await asyncio.sleep(delay)
+            number = 0
+            while alive and not reader.at_eof():
+                number += 1
+                alive = await self._exchange_watched((reader, writer), node, kind, f"{attempt}-{number}", True)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            self._count("late", "no answer")
+        if writer is not None:
+            writer.close()
+
+    async def _exchange_watched(self, connection, node, kind, attempt, kept):
+        """Notes when the connection ends without a complete answer, as seen from here."""
+        sent = time.monotonic()
+        try:
+            return await asyncio.wait_for(self._exchange(connection, node, kind, attempt), self.PATIENCE_S)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.cut.append((attempt, kind, node, kept, sent, time.monotonic()))
+            raise
+
+    async def run_crashing(self, kind):
         """Sends one request that crashes its targets again and again, to any node, as a new attempt each time."""
         number = 0
-        while time.monotonic() < until:
+        while self.running:
             node = self.random.randrange(len(self.ports))
             attempt = f"{self.seed}-crash-{kind}-{number}"
             number += 1
@@ -86,6 +118,7 @@
         reader, writer = connection
         method = "POST" if kind == "once" else "GET"
         body = attempt if kind == "once" else ""
+        sent = time.monotonic()
         writer.write(f"{method} /{kind}/{attempt} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
                      f"X-Via: {node}\r\nX-Api-Key: {self.key}\r\nDeadline-Ms: 3000\r\nToken-Counts: 100,50\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -93,10 +126,19 @@
         fields = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip()
                   for line in head.split("\r\n")[1:] if ":" in line}
         if fields.get("transfer-encoding") == "chunked":
-            await self._read_stream(reader, kind, attempt)
+            text = await self._read_chunks(reader)
+            if kind == "stream":
+                self._judge_stream(kind, attempt, text)
+            else:
+                self._judge_whole(kind, attempt, status, fields, text)
         else:
-            answer = (await reader.readexactly(int(fields["content-length"]))).decode()
-            self._judge_whole(kind, attempt, status, fields, answer)
+            length = fields.get("content-length")
+            answer = await (reader.read() if length is None else reader.readexactly(int(length)))
+            self._judge_whole(kind, attempt, status, fields, answer.decode())
+            if status >= 500 and status != 503 and "server-stamp" not in fields:
+                self.failed.append((attempt, kind, node, status, sent, time.monotonic()))
+            if length is None:
+                return False
         return fields.get("connection") != "close"
 
     def _judge_whole(self, kind, attempt, status, fields, answer):
@@ -104,20 +146,22 @@
         if status == 200:
             self.last_success[kind] = time.monotonic()
             if answer != f"answer to {attempt}" or not fields.get("server-stamp", "").endswith("." + attempt):
-                self.fail(attempt, "an answer belongs to another request")
+                self.fail(attempt, "a success is not the whole answer to this request")
         if status in (429, 503):
             self.refused.append(attempt)
         if status in (401, 403, 404):
             self.fail(attempt, "a proper request was denied")
 
-    async def _read_stream(self, reader, kind, attempt):
+    async def _read_chunks(self, reader):
         text = ""
         while True:
             size = int((await reader.readuntil(b"\r\n")).decode(), 16)
             data = await reader.readexactly(size + 2)
             if size == 0:
-                break
+                return text
             text += data[:-2].decode()
+
+    def _judge_stream(self, kind, attempt, text):
         expected = "".join(f"id: {event}\ndata: {attempt} {event}\n\n" for event in range(1, Target.EVENTS + 1))
         self._count(kind, 200)
         self.last_success[kind] = time.monotonic()
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -11,6 +11,7 @@
 LEAVING_S = 4.5  # the default of leaving_bound_ms, and half a second on the way
 PAUSE_CROSSINGS = 2  # by the platform's rules
 BABBLE_S = 8.0  # longer than any caller waits
+SILENCE_S = (0.8, 1.6)  # of a sound target in the middle of an answer
 
 
 async def read_request(reader):
@@ -147,7 +148,8 @@
         self.name, self.service, self.zone, self.ledger, self.is_engine = name, service, zone, ledger, is_engine
         self.born = int(time.time() * 1000)
         self.on_crash = None  # called with this target and the request's headers when a request crashes it
-        self.fault = ""  # "cut", "mute", "extra", "refuse", "error", "babble", "trickle"
+        self.fault = ""  # "cut", "mute", "extra", "refuse", "error", "babble", "trickle", "silence", "stop"
+        self.harms = []  # when it crashed or its links were harmed
         self.leaving = False  # says so in its answers; the store does not know
         self.told = {}  # node -> when it was first told that this target leaves
         self.paused_until = 0.0
@@ -210,9 +212,10 @@
             if now > self.told.setdefault(node, now) + LEAVING_S:
                 self.ignored.append((node, self.told[node], f"{self.name} got {attempt} after it had said that it leaves"))
             echo += "Server-Leaving: 1\r\n"
-        self.ledger.ran(attempt, target, body)
+        self.ledger.ran(attempt, target, body, self)
         if target.endswith("/crash"):
             await asyncio.sleep(0.05 * self.random.random())
+            self.ledger.broken_off.add(attempt)
             self.on_crash(self, target, headers)
             return False
         stamp = f"Server-Stamp: {self.name}.{attempt}\r\n"
@@ -221,6 +224,12 @@
         await asyncio.sleep(0.005 + 0.02 * self.random.random())
         fault = self.fault if self.random.random() < 0.3 else ""
         answer = whole(500 if fault == "error" else 200, f"answer to {attempt}".encode(), echo + stamp)
+        if fault == "silence":
+            return await self._fall_silent(writer, answer, self.random.randrange(1, len(answer)))
+        if fault == "stop":
+            return await self._stop_inside(writer, attempt, echo + stamp)
+        if fault in ("cut", "mute", "extra", "babble"):
+            self.ledger.broken_off.add(attempt)
         if fault == "cut":
             writer.write(answer[:-3])
             return False
@@ -236,9 +245,17 @@
     async def _stream(self, writer, headers, attempt, fields):
         writer.write(f"HTTP/1.1 200 OK\r\n{fields}Content-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n\r\n".encode())
-        for event in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
+        first = int(headers.get("last-event-id", "0")) + 1
+        silent_at = self.random.randint(first, self.EVENTS) if first <= self.EVENTS and self.fault == "silence" else 0
+        for event in range(first, self.EVENTS + 1):
             await asyncio.sleep(self.EVENT_PAUSE_S)
             piece = f"id: {event}\ndata: {attempt} {event}\n\n".encode()
+            if event == silent_at:
+                bytes_of_piece = f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
+                await self._fall_silent(writer, bytes_of_piece, self.random.randrange(len(bytes_of_piece)))
+                continue
+            if self.fault in ("babble", "trickle", "cut"):
+                self.ledger.broken_off.add(attempt)
             if self.fault == "babble":
                 return await self._babble(writer, b"1000000\r\n", b"x" * 65536, 0)
             if self.fault == "trickle":
@@ -251,6 +268,38 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    async def _fall_silent(self, writer, answer, at):
+        """Sends an answer with a silence in its middle, which is no fault."""
+        writer.write(answer[:at])
+        await writer.drain()
+        await asyncio.sleep(self.random.uniform(*SILENCE_S))
+        writer.write(answer[at:])
+        return True
+
+    async def _stop_inside(self, writer, attempt, fields):
+        """Sends a part of an answer of one of three framings and closes or resets the connection."""
+        self.ledger.broken_off.add(attempt)
+        body = f"answer to {attempt}".encode()
+        framing = self.random.choice(["length", "chunks", "close"])
+        head = f"HTTP/1.1 200 OK\r\n{fields}".encode()
+        if framing == "length":
+            answer = head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+        elif framing == "chunks":
+            pieces = [body[:9], body[9:]]
+            answer = head + b"Transfer-Encoding: chunked\r\n\r\n" + b"".join(
+                f"{len(piece):x}\r\n".encode() + piece + b"\r\n" for piece in pieces) + b"0\r\n\r\n"
+        else:
+            answer = head + b"\r\n" + body
+        end_of_head = answer.index(b"\r\n\r\n") + 4
+        inside_head = self.random.random() < 0.5
+        at = self.random.randrange(1, end_of_head) if inside_head else self.random.randrange(end_of_head, len(answer))
+        writer.write(answer[:at])
+        await writer.drain()
+        await asyncio.sleep(0.02 * self.random.random())
+        # Without a length, an orderly end of the connection inside the body would complete the answer.
+        if self.random.random() < 0.5 or (framing == "close" and not inside_head):
+            reset(writer)
+        return False
 
     def _refuse_in_pause(self, writer, node, echo):
         now = time.monotonic()
@@ -288,7 +337,10 @@
     def __init__(self, seed):
         self.seed = seed
         self.runs = {}
+        self.runners = {}  # by attempt: the targets that ran it
+        self.broken_off = set()  # attempts whose target broke off, or answered with anything but one whole answer
         self.foreign = 0  # requests of another run side by side, which still knows an address that is used again here
 
-    def ran(self, attempt, target, body):
-        self.runs.setdefault(attempt, []).append((target, body))
+    def ran(self, attempt, path, body, target):
+        self.runs.setdefault(attempt, []).append((path, body))
+        self.runners.setdefault(attempt, []).append(target)
