Let the soak's store come back from an old copy, and judge configurations in force

Reads from a revision that it does not have get 410. Routes that come, go and move and keys that were withdrawn are asked for in all profiles: a confirmed configuration is in force in time at undisturbed nodes, no process goes back behind one that it has had, targets that the store showed as draining get nothing, and after the calm every added route is served.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,10 +12,12 @@
 
     PATIENCE_S = 3.0
 
-    def __init__(self, ports, ledger, seed, key):
-        self.ports, self.ledger, self.key = ports, ledger, key
+    def __init__(self, nodes, ledger, seed, key, operator):
+        self.nodes, self.ledger, self.key, self.operator = nodes, ledger, key, operator
+        self.ports = [node.port for node in nodes]
         self.seed = seed
         self.running = True
+        self.asked = 0
         self.random = random.Random(seed)
         self.broken = []  # promises that were broken, with the attempt
         self.refused = []  # attempts that were told "not run"
@@ -27,12 +29,12 @@
     def fail(self, attempt, promise):
         self.broken.append(f"{promise}: {attempt}")
 
-    async def run_one(self, caller):
+    async def run_one(self, caller, probes=False):
         connection = None
         number = 0
         kept = False
         while self.running:
-            kind = self.random.choice(["safe", "once", "stream"])
+            kind = self.operator.name_to_probe() if probes else self.random.choice(["safe", "once", "stream"])
             attempt = f"{self.seed}-{caller}-{number}"
             number += 1
             try:
@@ -100,27 +102,32 @@
             await asyncio.sleep(0.1 + 0.3 * self.random.random())
 
     def _count(self, kind, outcome):
+        kind = kind if kind in ("late", "safe", "once", "stream") or kind.startswith("crashing") else "probe"
         self.counts[(kind, outcome)] = self.counts.get((kind, outcome), 0) + 1
 
-    async def status_with_key(self, port, key):
-        """Returns the status of a call with another key, 0 without an answer."""
+    async def ask(self, node, path, key):
+        """Sends one call on its own connection; returns the status, 0 without an answer, and the service that ran it."""
+        self.asked += 1
         try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 1)
-            writer.write(f"GET /safe/key HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {key}-{port}\r\nX-Via: 0\r\n"
-                         f"X-Api-Key: {key}\r\n\r\n".encode())
-            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.PATIENCE_S)
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", node.port), 1)
+            writer.write(f"GET /{path}/key HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {self.seed}-asked-{self.asked}\r\n"
+                         f"X-Via: {node.index}\r\nX-Api-Key: {key}\r\n\r\n".encode())
+            head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.PATIENCE_S)).decode("latin-1")
             writer.close()
-            return int(head.split(b" ", 2)[1])
+            stamp = head.partition("Server-Stamp: ")[2].partition(".")[0]
+            return int(head.split(" ", 2)[1]), self.ledger.services.get(stamp)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            return 0
+            return 0, None
 
     async def _exchange(self, connection, node, kind, attempt):
         reader, writer = connection
         method = "POST" if kind == "once" else "GET"
         body = attempt if kind == "once" else ""
         sent = time.monotonic()
-        writer.write(f"{method} /{kind}/{attempt} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
-                     f"X-Via: {node}\r\nX-Api-Key: {self.key}\r\nDeadline-Ms: 3000\r\nToken-Counts: 100,50\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        incarnation = self.nodes[node].starts
+        path, key = ("safe", kind[4:]) if kind.startswith("key ") else (kind, self.key)
+        writer.write(f"{method} /{path}/{attempt} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
+                     f"X-Via: {node}\r\nX-Api-Key: {key}\r\nDeadline-Ms: 3000\r\nToken-Counts: 100,50\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         status = int(head.split(" ", 2)[1])
         fields = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip()
@@ -135,6 +142,10 @@
             length = fields.get("content-length")
             answer = await (reader.read() if length is None else reader.readexactly(int(length)))
             self._judge_whole(kind, attempt, status, fields, answer.decode())
+            if status in (200, 401, 404) and (path != kind or kind in self.operator.added):
+                service = self.ledger.services.get(fields.get("server-stamp", "").partition(".")[0])
+                outcome = None if status != 200 else "taken" if path != kind else service
+                self.operator.seen.append((time.monotonic(), sent, node, incarnation, kind, outcome, attempt))
             if status >= 500 and status != 503 and "server-stamp" not in fields:
                 self.failed.append((attempt, kind, node, status, sent, time.monotonic()))
             if length is None:
@@ -149,7 +160,8 @@
                 self.fail(attempt, "a success is not the whole answer to this request")
         if status in (429, 503):
             self.refused.append(attempt)
-        if status in (401, 403, 404):
+        judged_later = status == 401 and kind.startswith("key ") or status == 404 and kind in self.operator.added
+        if status in (401, 403, 404) and not judged_later:
             self.fail(attempt, "a proper request was denied")
 
     async def _read_chunks(self, reader):
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -75,21 +75,55 @@
         self.revision = 0
         self.oldest = 0  # changes up to it are forgotten
         self.mode = ""
+        self.away = False
+        self.era = 1
+        self.changes = []  # (when, slot, the row before or None, revision and oldest before)
+        self.disturbances = []
         self.changed = asyncio.Event()
 
+    def disturb(self):
+        self.disturbances.append(time.monotonic())
+
+    def was_disturbed(self, begin, end):
+        return any(begin <= when <= end for when in self.disturbances)
+
     def put(self, table, key, document):
-        self.revision += 1
-        self.rows[(table, key)] = (base64.b64encode(json.dumps(document).encode()).decode(), self.revision, False)
-        self._wake()
+        self._change((table, key), base64.b64encode(json.dumps(document).encode()).decode(), False)
 
     def remove(self, table, key):
+        self._change((table, key), "", True)
+
+    def _change(self, slot, value, removed):
+        self.changes.append((time.monotonic(), slot, self.rows.get(slot), self.revision, self.oldest))
         self.revision += 1
-        self.rows[(table, key)] = ("", self.revision, True)
+        self.rows[slot] = (value, self.revision, removed)
         self._wake()
 
     def forget_history(self):
         self.oldest = self.revision
 
+    def go_away(self):
+        """Nobody reaches the store, writers of its own tables included, until it is restored."""
+        self.away = True
+        self.disturb()
+        for writer in list(self.writers):
+            reset(writer)
+
+    def restore(self, age):
+        """Comes back as it was some seconds ago; returns since when changes are lost."""
+        since = time.monotonic() - age
+        while self.changes and self.changes[-1][0] > since:
+            _, slot, row, self.revision, self.oldest = self.changes.pop()
+            if row is None:
+                del self.rows[slot]
+            else:
+                self.rows[slot] = row
+        self.era += 1
+        self.away = False
+        self.disturb()
+        self._wake()
+        return since
+
     def _wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -103,37 +137,46 @@
         return rows, json.dumps({"rows": rows, "morePages": False, "rowVersion": self.revision, "nowMs": 1}).encode()
 
     async def answer(self, writer, method, target, headers, body):
+        if self.away:
+            reset(writer)
+            return False
         if self.mode == "silent":
             return True
         if self.mode == "down":
-            writer.write(whole(503, b"{}"))
-            return True
+            return self._reply(writer, 503, b"{}")
         path, _, query = target.partition("?")
         fields = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
         if path == "/v1/rows-get":
-            writer.write(whole(200, self._answer_rows(fields["table"], 0)[1]))
-        elif path == "/v1/rows-feed":
+            return self._reply(writer, 200, self._answer_rows(fields["table"], 0)[1])
+        if path == "/v1/rows-feed":
             after = int(fields["afterRev"])
-            if after < self.oldest:
-                writer.write(whole(410, b"{}"))
-                return True
+            if not self.oldest <= after <= self.revision:
+                return self._reply(writer, 410, b"{}")
             end = time.monotonic() + min(int(fields["waitMs"]), 30000) / 1000
+            era = self.era
             rows, page = self._answer_rows(fields["table"], after)
             while not rows and time.monotonic() < end:
                 try:
                     await asyncio.wait_for(asyncio.shield(self.changed.wait()), end - time.monotonic())
                 except asyncio.TimeoutError:
                     break
+                if era != self.era:
+                    return False
                 rows, page = self._answer_rows(fields["table"], after)
-            writer.write(whole(200, page))
-        elif path == "/v1/rows-tx":
-            for row in json.loads(body)["writes"]:
+            return self._reply(writer, 200, page)
+        if path == "/v1/rows-tx":
+            request = json.loads(body)
+            for row in request["writes"]:
                 self.put(row["table"], row["key"], json.loads(base64.b64decode(row["value"])))
+            for row in request["remove"]:
+                self.remove(row["table"], row["key"])
             if self.mode == "lost":
                 return False
-            writer.write(whole(200, json.dumps({"rowVersion": self.revision, "nowMs": 1}).encode()))
-        else:
-            writer.write(whole(404, b"{}"))
+            return self._reply(writer, 200, json.dumps({"rowVersion": self.revision, "nowMs": 1}).encode())
+        return self._reply(writer, 404, b"{}")
+
+    def _reply(self, writer, status, body):
+        writer.write(whole(status, body, f"Store-Era: {self.era}\r\n"))
         return True
 
 
@@ -146,6 +189,12 @@
     def __init__(self, name, service, zone, ledger, is_engine):
         super().__init__()
         self.name, self.service, self.zone, self.ledger, self.is_engine = name, service, zone, ledger, is_engine
+        ledger.services[name] = service
+        self.seq = 0  # of its renewals
+        self.draining = False  # what the store says of it
+        self.drained = None  # when the store was told so
+        self.ended = False  # crashed
+        self.left = False  # and its row was removed
         self.born = int(time.time() * 1000)
         self.on_crash = None  # called with this target and the request's headers when a request crashes it
         self.fault = ""  # "cut", "mute", "extra", "refuse", "error", "babble", "trickle", "silence", "stop"
@@ -179,9 +228,10 @@
         if self.limits[-1][1] is not None and self.limit_named_to.get(node, now) <= now - 0.5:
             self.limited_arrivals.append((now, node))
 
-    def entry(self, address, draining=False):
+    def entry(self, address):
+        self.seq += 1
         return {"service": self.service, "address": address, "zone": self.zone, "version": "v1", "slots": 16,
-                "state": "draining" if draining else "ready", "coldLeftMs": 0, "seq": 1, "born": self.born}
+                "state": "draining" if self.draining else "ready", "coldLeftMs": 0, "seq": self.seq, "born": self.born}
 
     async def answer(self, writer, method, target, headers, body):
         if target == "/v1/report":
@@ -207,6 +257,8 @@
             return True
         if self._refuse_in_pause(writer, node, echo):
             return True
+        if self.drained is not None and time.monotonic() > self.drained + LEAVING_S:
+            self.ignored.append((node, self.drained, f"{self.name} got {attempt} after the store showed it as draining"))
         if self.leaving:
             now = time.monotonic()
             if now > self.told.setdefault(node, now) + LEAVING_S:
@@ -337,6 +389,7 @@
     def __init__(self, seed):
         self.seed = seed
         self.runs = {}
+        self.services = {}  # of targets, by name
         self.runners = {}  # by attempt: the targets that ran it
         self.broken_off = set()  # attempts whose target broke off, or answered with anything but one whole answer
         self.foreign = 0  # requests of another run side by side, which still knows an address that is used again here
