--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,12 +17,10 @@
         self.ports = [node.port for node in nodes]
         self.seed = seed
         self.running = True
-        self.asked = 0
         self.random = random.Random(seed)
         self.broken = []  # promises that were broken, with the attempt
         self.refused = []  # attempts that were told "not run"
-        self.cut = []  # requests whose connection ended before their answer did
-        self.failed = []  # requests that a node failed itself
+        self.unserved = []  # requests that a node failed itself, or whose connection ended before their answer (status 0)
         self.counts = {}
         self.last_success = {}
 
@@ -77,41 +75,32 @@
         try:
             return await asyncio.wait_for(self._exchange(connection, node, kind, attempt), self.PATIENCE_S)
         except (ConnectionError, asyncio.IncompleteReadError):
-            self.cut.append((attempt, kind, node, kept, sent, time.monotonic()))
+            self.unserved.append((attempt, node, kept, 0, sent, time.monotonic()))
             raise
 
     async def run_crashing(self, kind):
         """Sends one request that crashes its targets again and again, to any node, as a new attempt each time."""
         number = 0
         while self.running:
-            node = self.random.randrange(len(self.ports))
             attempt = f"{self.seed}-crash-{kind}-{number}"
             number += 1
-            try:
-                reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ports[node]), 1)
-                writer.write(f"POST /{kind}/crash HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
-                             f"X-Via: {node}\r\nX-Api-Key: {self.key}\r\nToken-Counts: 100,50\r\nContent-Length: 5\r\n\r\ncrash".encode())
-                head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.PATIENCE_S)).decode("latin-1")
-                status = int(head.split(" ", 2)[1])
-                self._count(f"crashing {kind}", status)
-                if status == 503 and attempt in self.ledger.runs:
-                    self.fail(attempt, "a request was refused as not run, but it ran")
-                writer.close()
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                self._count(f"crashing {kind}", "no answer")
+            status, _ = await self.ask(self.random.choice(self.nodes), f"{kind}/crash", self.key, attempt, "crash")
+            self._count(f"crashing {kind}", status or "no answer")
+            if status == 503 and attempt in self.ledger.runs:
+                self.fail(attempt, "a request was refused as not run, but it ran")
             await asyncio.sleep(0.1 + 0.3 * self.random.random())
 
     def _count(self, kind, outcome):
         kind = kind if kind in ("late", "safe", "once", "stream") or kind.startswith("crashing") else "probe"
         self.counts[(kind, outcome)] = self.counts.get((kind, outcome), 0) + 1
 
-    async def ask(self, node, path, key):
-        """Sends one call on its own connection; returns the status, 0 without an answer, and the service that ran it."""
-        self.asked += 1
+    async def ask(self, node, path, key, attempt, body=""):
+        """Sends a call on its own connection; returns the status, 0 without an answer, and the service that ran it."""
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", node.port), 1)
-            writer.write(f"GET /{path}/key HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {self.seed}-asked-{self.asked}\r\n"
-                         f"X-Via: {node.index}\r\nX-Api-Key: {key}\r\n\r\n".encode())
+            writer.write(f"{'POST' if body else 'GET'} /{path} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
+                         f"X-Via: {node.index}\r\nX-Api-Key: {key}\r\nToken-Counts: 100,50\r\n"
+                         f"Content-Length: {len(body)}\r\n\r\n{body}".encode())
             head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.PATIENCE_S)).decode("latin-1")
             writer.close()
             stamp = head.partition("Server-Stamp: ")[2].partition(".")[0]
@@ -127,7 +116,8 @@
         incarnation = self.nodes[node].starts
         path, key = ("safe", kind[4:]) if kind.startswith("key ") else (kind, self.key)
         writer.write(f"{method} /{path}/{attempt} HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: {attempt}\r\n"
-                     f"X-Via: {node}\r\nX-Api-Key: {key}\r\nDeadline-Ms: 3000\r\nToken-Counts: 100,50\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+                     f"X-Via: {node}\r\nX-Api-Key: {key}\r\nDeadline-Ms: 3000\r\nToken-Counts: 100,50\r\n"
+                     f"Content-Length: {len(body)}\r\n\r\n{body}".encode())
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         status = int(head.split(" ", 2)[1])
         fields = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip()
@@ -142,12 +132,13 @@
             length = fields.get("content-length")
             answer = await (reader.read() if length is None else reader.readexactly(int(length)))
             self._judge_whole(kind, attempt, status, fields, answer.decode())
-            if status in (200, 401, 404) and (path != kind or kind in self.operator.added):
-                service = self.ledger.services.get(fields.get("server-stamp", "").partition(".")[0])
-                outcome = None if status != 200 else "taken" if path != kind else service
-                self.operator.seen.append((time.monotonic(), sent, node, incarnation, kind, outcome, attempt))
+            service = self.ledger.services.get(fields.get("server-stamp", "").partition(".")[0])
+            shown = {200: [(f"key {key}", "taken")] + [(kind, service)] * (kind in self.operator.added),
+                     401: [(f"key {key}", None)], 404: [(kind, None)]}
+            self.operator.seen += [(time.monotonic(), sent, node, incarnation, name, outcome, attempt)
+                                   for name, outcome in shown.get(status, [])]
             if status >= 500 and status != 503 and "server-stamp" not in fields:
-                self.failed.append((attempt, kind, node, status, sent, time.monotonic()))
+                self.unserved.append((attempt, node, True, status, sent, time.monotonic()))
             if length is None:
                 return False
         return fields.get("connection") != "close"
@@ -160,8 +151,9 @@
                 self.fail(attempt, "a success is not the whole answer to this request")
         if status in (429, 503):
             self.refused.append(attempt)
-        judged_later = status == 401 and kind.startswith("key ") or status == 404 and kind in self.operator.added
-        if status in (401, 403, 404) and not judged_later:
+        # A node that started after the store lost changes may not know the newest key; the operator judges that.
+        judged_later = {401: kind.startswith("key ") or self.operator.store.era > 1, 404: kind in self.operator.added}
+        if status in (401, 403, 404) and not judged_later.get(status):
             self.fail(attempt, "a proper request was denied")
 
     async def _read_chunks(self, reader):
