Take no row of a restored store for a sign of life of a removed target

Replaces the hold of 10 s by the count of renewals in the restored table: a removed target counts as alive only after more renewals than the copy has, which reach all nodes as an update.

--- a/gateway/test/restore_scenarios.h
+++ b/gateway/test/restore_scenarios.h
@@ -34,6 +34,25 @@
     fleet.at(restore.at, [&fleet, restore] { fleet.restoreStore(restore.age, restore.outage); });
 }
 
+// Restores the store, and again between \p from and \p to after its return.
+inline void restoreAgainAfter(news_simulation& fleet, std::chrono::milliseconds from, std::chrono::milliseconds to)
+{
+    changeEverything(fleet, 25s);
+    const auto first = randomRestore(fleet, 4s, 8s);
+    restoreStore(fleet, first);
+    const auto next = first.returnsAt() + randomTime(fleet, from, to);
+    restoreStore(fleet, { next, randomTime(fleet, 1s, 6s), randomTime(fleet, 300ms, 2s) });
+}
+
+// Nodes are disturbed from shortly before the loss of the store until everything is written again.
+inline void restoreAndDisturb(news_simulation& fleet, const std::vector<trouble>& kinds)
+{
+    changeEverything(fleet, 25s);
+    const auto restore = randomRestore(fleet, 5s, 9s);
+    restoreStore(fleet, restore);
+    fleet.at(restore.at - 2s, [&fleet, kinds, restore] { disturbNodes(fleet, kinds, restore.outage + 5s, 400ms); });
+}
+
 // Targets that start are in force like any other change, unless a node knows only that they were removed.
 inline void expectNewTargetsInTime(news_simulation_settings& settings)
 {
--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -70,9 +70,6 @@
     if (m_targets.count(entry.name) || removal == m_removals.end() || removal->second.wasKnown
         || now >= removal->second.at + m_settings.unknownRemovalHold)
         return false;
-    const auto removedStart = removal->second.startedAt;
-    if (removedStart && entry.startedAt > removedStart)
-        return false;
     removal->second.held = entry;
     return true;
 }
@@ -149,17 +146,16 @@
 }
 
 // A restored registry contains targets that were removed after the copy was made. The copy may have more renewals than
-// this node knew at the removal, so their count is no sign of life: the target is held back until it would have
-// expired.
-void target_tracker::recordForgottenRemovals(const std::vector<target_entry>& entries, instant now)
+// this node knew at the removal, so only renewals after the copy are signs of life.
+void target_tracker::recordForgottenRemovals(const std::vector<target_entry>& entries)
 {
     for (const auto& entry : entries) {
         const auto removal = m_removals.find(entry.name);
         if (removal == m_removals.end() || m_targets.count(entry.name))
             continue;
-        const auto& known = removal->second;
+        auto& known = removal->second;
         if (known.wasKnown && !known.mayReturn && known.startedAt == entry.startedAt)
-            removal->second = { known.startedAt, 0, now, false, true, {} };
+            known.renewalCount = std::max(known.renewalCount, entry.renewalCount);
     }
 }
 
@@ -171,12 +167,16 @@
 void target_tracker::replaceAll(const std::vector<target_entry>& entries, instant now)
 {
     if (isInGrace(now))
-        recordForgottenRemovals(entries, now);
+        recordForgottenRemovals(entries);
     std::set<target_name> present;
     for (const auto& entry : entries) {
         present.insert(entry.name);
         put(entry, now);
     }
+    for (auto& [name, removal] : m_removals) {
+        if (!present.count(name))
+            removal.held.reset();
+    }
     std::vector<target_name> missing;
     for (const auto& [name, target] : m_targets) {
         if (!present.count(name) && !target.expiresAt)
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -106,8 +106,8 @@
     void registryRecovered(instant now);
 
     /// Replaces all registrations by \p entries, as after a complete read of the registry. Within the grace after a
-    /// recovery of the registry, a target that was removed before is held back: the registry may have been restored
-    /// from a copy that is older than the removal.
+    /// recovery of the registry, the entry of a target that was removed before is outdated: the registry may have been
+    /// restored from a copy that is older than the removal.
     void replaceAll(const std::vector<target_entry>& entries, instant now);
 
     void attemptStarted(const target_name& target, instant now);
@@ -204,14 +204,14 @@
         std::uint64_t startedAt;
         std::uint64_t renewalCount;
         instant at;
-        bool wasKnown; // renewalCount is valid; startedAt is, unless it is 0
+        bool wasKnown; // startedAt and renewalCount are valid
         bool mayReturn; // the registration may have expired in an outage of the registry
         std::optional<target_entry> held; // registered again, used after unknownRemovalHold
     };
 
     bool holdBack(const target_entry& entry, instant now);
     bool isInGrace(instant now) const;
-    void recordForgottenRemovals(const std::vector<target_entry>& entries, instant now);
+    void recordForgottenRemovals(const std::vector<target_entry>& entries);
     void admitHeld(instant now);
 
     std::map<target_name, removal_record> m_removals;
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -356,4 +356,32 @@
     EXPECT_EQ(tracker.size(), 0U);
 }
 
+// Guards against a removed target that is used again because a restored registry contains an old registration of it,
+// with more renewals than this node knew at the removal.
+TEST_F(TargetTracker, RemovedTargetInARestoredRegistryIsNotUsed)
+{
+    auto renewed = entry("a");
+    tracker.put(renewed, now);
+    tracker.remove(target_name("a"), now);
+    now += 2s;
+    tracker.registryRecovered(now);
+    renewed.renewalCount = 8;
+    tracker.replaceAll({ renewed }, now);
+    EXPECT_EQ(chosen(), "");
+    renewed.renewalCount = 12;
+    tracker.put(renewed, now + 5s);
+    EXPECT_EQ(chosen(), "a") << "further renewals";
+}
+
+// Guards against a target that is used after it has left, because its late registration was held back and a whole table
+// without it did not end that.
+TEST_F(TargetTracker, TargetThatWasHeldBackAndIsNotInTheTableIsNotUsed)
+{
+    tracker.remove(target_name("a"), now);
+    tracker.put(entry("a"), now + 1s);
+    tracker.replaceAll({}, now + 2s);
+    now += 30s;
+    EXPECT_EQ(chosen(), "");
+}
+
 } // namespace
