Pause before all targets are tried again when none accepts connections

Cause: an attempt that was not sent counts neither against the route's number of targets nor the retry budget, and a request that may be repeated tried all targets again at once.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -192,6 +192,7 @@
     attempt_history m_history;
     std::vector<target_name> m_triedTargets;
     std::optional<availability_zone> m_lostZone; // zone of the last lost target
+    bool m_wasUnsent = false; // the last attempt ended before its request was sent
     std::optional<run_copy> m_copy; // from which the next attempt continues
     std::optional<run_copy> m_requestedCopy; // made on request at the copy holder
     instant m_copyRequestedAt; // last copy request; in the future while lack of memory delays the next one
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -66,6 +66,10 @@
         query.excluded.clear();
         if (m_history.mayRepeat)
             target = m_parts.targetTracker.choose(query, now);
+        if (target && m_wasUnsent) {
+            dispatchAt(now + NoTargetRetryDelay); // no target accepts connections
+            return;
+        }
     }
     if (!target) {
         waitForTarget();
@@ -351,6 +355,7 @@
 {
     const auto now = m_parts.timers.now();
     const bool lost = attemptOutcome == attempt_outcome::Lost;
+    m_wasUnsent = attemptOutcome == attempt_outcome::NotSent;
     endAttempt();
     if (lost && m_target) {
         m_lostZone = m_target->zone;
