--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -30,11 +30,11 @@
         for (const auto& topic : digest.topics) {
             auto& encoded = *out.add_topics();
             encoded.set_known(topic.known);
-            encoded.set_news_revision(topic.changeRevision.stored.number);
-            encoded.set_news_epoch(topic.changeRevision.stored.epoch);
+            encoded.set_news_revision(topic.changeRevision.stored.number());
+            encoded.set_news_epoch(topic.changeRevision.stored.epoch());
             encoded.set_version(topic.changeRevision.version);
-            encoded.set_read_revision(topic.readRevision.number);
-            encoded.set_read_epoch(topic.readRevision.epoch);
+            encoded.set_read_revision(topic.readRevision.number());
+            encoded.set_read_epoch(topic.readRevision.epoch());
             encoded.set_age_ms(clampedAgeMs(topic.age));
         }
         out.set_attempted(digest.sinceFailedAttempt.has_value());
@@ -56,7 +56,7 @@
         for (std::size_t index = 0; index < StoreTopicCount; ++index) {
             const auto& topic = in.topics(static_cast<int>(index));
             const content_revision changed { topic.version(), { topic.news_epoch(), topic.news_revision() } };
-            const store_revision read { topic.read_epoch(), topic.read_revision() };
+            const store_version read { topic.read_epoch(), topic.read_revision() };
             if (topic.age_ms() > MaxAgeMs || read < changed.stored)
                 return std::nullopt;
             digest.topics[index] = { topic.known(), changed, read, std::chrono::milliseconds(topic.age_ms()) };
@@ -236,11 +236,11 @@
 std::string encodeBatch(const news_batch& batch, const packed_rows& rows)
 {
     wire::news_batch encoded;
-    encoded.set_news_revision(batch.changeRevision.stored.number);
-    encoded.set_news_epoch(batch.changeRevision.stored.epoch);
+    encoded.set_news_revision(batch.changeRevision.stored.number());
+    encoded.set_news_epoch(batch.changeRevision.stored.epoch());
     encoded.set_version(batch.changeRevision.version);
-    encoded.set_read_revision(batch.readRevision.number);
-    encoded.set_read_epoch(batch.readRevision.epoch);
+    encoded.set_read_revision(batch.readRevision.number());
+    encoded.set_read_epoch(batch.readRevision.epoch());
     encoded.set_age_ms(clampedAgeMs(batch.age));
     encoded.set_whole(batch.whole);
     encoded.set_rows(rows.bytes);
@@ -262,7 +262,7 @@
         || encoded.age_ms() > MaxAgeMs || encoded.since_recovery_ms() > MaxAgeMs)
         return std::nullopt;
     const content_revision changed { encoded.version(), { encoded.news_epoch(), encoded.news_revision() } };
-    const store_revision read { encoded.read_epoch(), encoded.read_revision() };
+    const store_version read { encoded.read_epoch(), encoded.read_revision() };
     if (read < changed.stored)
         return std::nullopt;
     if (encoded.plain_bytes()) {
--- a/gateway/news_batch.h
+++ b/gateway/news_batch.h
@@ -15,7 +15,7 @@
 /// All rows, or the rows that changed after the requested revision.
 struct news_batch {
     content_revision changeRevision; ///< at the last change that is an update
-    store_revision readRevision; ///< up to which there are no other updates
+    store_version readRevision; ///< up to which there are no other updates
     std::chrono::milliseconds age { 0 }; ///< time since the store was at readRevision
     /// Time since the store was first read after its last outage, as long as expired registrations may return.
     std::optional<std::chrono::milliseconds> sinceRecovery;
--- a/gateway/row_source.h
+++ b/gateway/row_source.h
@@ -2,7 +2,7 @@
 /// Interface by which a gateway reads tables of the platform's store.
 #pragma once
 
-#include "routing/store_revision.h"
+#include "core/store_version.h"
 
 #include <chrono>
 #include <cstdint>
@@ -32,7 +32,7 @@
     row_status status = row_status::Unavailable;
     std::vector<stored_row> rows;
     /// Of the store; the next read starts after this revision. After a failure, only the epoch may be known.
-    store_revision revision;
+    store_version revision;
     std::chrono::milliseconds age { 0 }; ///< time since the store was at the revision
     std::string problem; ///< description of the failure, for the log
 };
@@ -50,7 +50,7 @@
     /// Reads the changes after \p revision, waiting up to \p wait for the first one. If the answer is of a later epoch,
     /// the store was restored and the rows are not all that changed.
     virtual void readChanges(
-        const std::string& table, const store_revision& revision, std::chrono::milliseconds wait, callback done)
+        const std::string& table, const store_version& revision, std::chrono::milliseconds wait, callback done)
         = 0;
 };
 
--- a/gateway/store_synchronizer.cpp
+++ b/gateway/store_synchronizer.cpp
@@ -116,7 +116,7 @@
     const auto& replica = state.follower.replica();
     const auto revision = replica.changeRevision();
     const auto after = replica.isLoaded()
-        ? concatenated(revision.stored.number, "/", revision.stored.epoch, "/", revision.version)
+        ? concatenated(revision.stored.number(), "/", revision.stored.epoch(), "/", revision.version)
         : std::string(AllRows);
     state.pull = std::make_shared<http_client>(m_loop, m_timers, from.value(), MaxPullBytes);
     state.pull->get(concatenated("/news/", nameOf(topic), "/", after),
@@ -179,16 +179,16 @@
 
 // \param after the revision after which changes were requested; nothing if the whole table was
 void store_synchronizer::onRead(
-    store_topic topic, instant startedAt, const std::optional<store_revision>& after, const row_answer& answer)
+    store_topic topic, instant startedAt, const std::optional<store_version>& after, const row_answer& answer)
 {
     const auto now = m_timers.now();
     auto& state = stateOf(topic);
     if (after && table_follower::needsWholeTable(answer, *after)) {
-        const bool restored = answer.revision.epoch > after->epoch;
+        const bool restored = answer.revision.epoch() > after->epoch();
         m_log.write(restored ? "store_restored" : "history_lost",
-            { { "table", state.name }, { "known_epoch", std::to_string(after->epoch) },
-                { "known_revision", std::to_string(after->number) },
-                { "epoch", std::to_string(answer.revision.epoch) } });
+            { { "table", state.name }, { "known_epoch", std::to_string(after->epoch()) },
+                { "known_revision", std::to_string(after->number()) },
+                { "epoch", std::to_string(answer.revision.epoch()) } });
         m_metrics.count(restored ? "registry_restored" : "registry_history_lost");
         readWhole(topic, startedAt);
         return;
@@ -206,7 +206,7 @@
             "store_regained", { { "table", state.name }, { "failures", std::to_string(m_consecutiveFailures) } });
         m_consecutiveFailures = 0;
     }
-    perform(m_gossip.storeResponded(topic, answer.revision.epoch, startedAt, now));
+    perform(m_gossip.storeResponded(topic, answer.revision.epoch(), startedAt, now));
     if (!state.follower.mergeRead(answer, !after)) {
         m_metrics.count("outdated_readings");
         const topic_version old { state.follower.replica().changeRevision(), answer.revision, startedAt };
@@ -233,7 +233,7 @@
     if (!number)
         return std::nullopt;
     if (text.empty())
-        return content_revision { replica.changeRevision().version, { replica.readRevision().epoch, *number } };
+        return content_revision { replica.changeRevision().version, { replica.readRevision().epoch(), *number } };
     const auto epoch = parseNumber<std::uint64_t>(takeUntil(text, '/'));
     const auto version = parseNumber<std::uint64_t>(text);
     if (!epoch || !version)
--- a/gateway/store_synchronizer.h
+++ b/gateway/store_synchronizer.h
@@ -107,7 +107,7 @@
     void readStore(store_topic topic);
     void readWhole(store_topic topic, instant startedAt);
     void onRead(
-        store_topic topic, instant startedAt, const std::optional<store_revision>& after, const row_answer& answer);
+        store_topic topic, instant startedAt, const std::optional<store_version>& after, const row_answer& answer);
     std::optional<content_revision> parseRevision(std::string_view text, const table_replica& replica) const;
     void logReaderChange();
 
--- a/gateway/table_follower.cpp
+++ b/gateway/table_follower.cpp
@@ -8,11 +8,11 @@
 {
 }
 
-bool table_follower::needsWholeTable(const row_answer& answer, const store_revision& after)
+bool table_follower::needsWholeTable(const row_answer& answer, const store_version& after)
 {
     // In a later epoch, the number may have been handed out again, so that the store does not report a lost history.
     return answer.status == row_status::HistoryLost
-        || (answer.status == row_status::Done && answer.revision.epoch > after.epoch);
+        || (answer.status == row_status::Done && answer.revision.epoch() > after.epoch());
 }
 
 bool table_follower::mergeRead(const row_answer& answer, bool whole)
@@ -31,16 +31,16 @@
 }
 
 // The numbers of a store or node that reports no epoch count as those of the known epoch.
-store_revision table_follower::withKnownEpoch(const store_revision& revision) const
+store_version table_follower::withKnownEpoch(const store_version& revision) const
 {
-    return { revision.epoch ? revision.epoch : m_replica.readRevision().epoch, revision.number };
+    return { revision.epoch() ? revision.epoch() : m_replica.readRevision().epoch(), revision.number() };
 }
 
 // A node of an earlier release reports neither epochs nor versions.
 news_batch table_follower::withKnownEpoch(const news_batch& batch) const
 {
     auto known = batch;
-    if (batch.readRevision.epoch)
+    if (batch.readRevision.epoch())
         return known;
     known.readRevision = withKnownEpoch(batch.readRevision);
     known.changeRevision.stored = withKnownEpoch(batch.changeRevision.stored);
--- a/gateway/table_follower.h
+++ b/gateway/table_follower.h
@@ -31,7 +31,7 @@
     /// \param after revision after which the changes were requested
     /// \return whether the changes in \p answer are not all changes, because the store has been restored or has dropped
     /// its history
-    static bool needsWholeTable(const row_answer& answer, const store_revision& after);
+    static bool needsWholeTable(const row_answer& answer, const store_version& after);
 
     /// Merges rows that were read from the store, and passes them to the consumer.
     /// \param whole the answer contains the whole table
@@ -52,7 +52,7 @@
     const table_replica& replica() const { return m_replica; }
 
 private:
-    store_revision withKnownEpoch(const store_revision& revision) const;
+    store_version withKnownEpoch(const store_version& revision) const;
     news_batch withKnownEpoch(const news_batch& batch) const;
 
     consumer m_consumer;
--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -69,10 +69,10 @@
 }
 
 std::vector<stored_row> table_replica::replaceAll(const std::vector<stored_row>& rows,
-    const store_revision& readRevision, const std::optional<content_revision>& pulledRevision)
+    const store_version& readRevision, const std::optional<content_revision>& pulledRevision)
 {
     const bool first = !m_loaded;
-    const bool restored = !first && readRevision.epoch > m_readRevision.epoch;
+    const bool restored = !first && readRevision.epoch() > m_readRevision.epoch();
     std::set<std::string> present;
     std::vector<stored_row> updates;
     for (const auto& row : rows) {
@@ -105,8 +105,7 @@
 }
 
 std::vector<stored_row> table_replica::applyChanges(const std::vector<stored_row>& rows,
-    const store_revision& readRevision, const std::optional<content_revision>& pulledRevision,
-    const row_listener& apply)
+    const store_version& readRevision, const std::optional<content_revision>& pulledRevision, const row_listener& apply)
 {
     std::vector<stored_row> updates;
     for (const auto& row : rows) {
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -46,7 +46,7 @@
     /// later epoch of the store, rows that are outdated by what is known here are not taken over.
     /// \param pulledRevision revision of the last update, if the rows are those of another node; nothing for rows of
     /// the store, whose updates get \p readRevision \return the updates, including removed rows
-    std::vector<stored_row> replaceAll(const std::vector<stored_row>& rows, const store_revision& readRevision,
+    std::vector<stored_row> replaceAll(const std::vector<stored_row>& rows, const store_version& readRevision,
         const std::optional<content_revision>& pulledRevision = {});
 
     /// Applies the changes after readRevision() up to \p readRevision. A removed row keeps the last value that is
@@ -54,7 +54,7 @@
     /// \param pulledRevision as for replaceAll()
     /// \param apply called with each row that is not outdated
     /// \return the updates
-    std::vector<stored_row> applyChanges(const std::vector<stored_row>& rows, const store_revision& readRevision,
+    std::vector<stored_row> applyChanges(const std::vector<stored_row>& rows, const store_version& readRevision,
         const std::optional<content_revision>& pulledRevision = {}, const row_listener& apply = {});
 
     /// Records that other nodes hold the same content under \p changeRevision.
@@ -69,7 +69,7 @@
     bool isLoaded() const { return m_loaded; }
 
     const content_revision& changeRevision() const { return m_changeRevision; }
-    const store_revision& readRevision() const { return m_readRevision; }
+    const store_version& readRevision() const { return m_readRevision; }
     std::size_t size() const { return m_rows.size(); }
 
 private:
@@ -107,7 +107,7 @@
     std::size_t m_historyRows = 0;
     content_revision m_historyFrom; // the history contains all updates after this revision
     content_revision m_changeRevision;
-    store_revision m_readRevision;
+    store_version m_readRevision;
     bool m_loaded = false;
 };
 
--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -31,9 +31,9 @@
     EXPECT_EQ(decoded->sender.value(), "10.0.0.1:7200");
     const auto& digest = std::get<news_digest>(decoded->body);
     EXPECT_EQ(digest.of(store_topic::Configuration).changeRevision, (content_revision { 4, { 2, 7 } }));
-    EXPECT_EQ(digest.of(store_topic::Configuration).readRevision, (store_revision { 2, 12 }));
+    EXPECT_EQ(digest.of(store_topic::Configuration).readRevision, (store_version { 2, 12 }));
     EXPECT_EQ(digest.of(store_topic::Targets).changeRevision, changedAt(9));
-    EXPECT_EQ(digest.of(store_topic::Targets).readRevision, (store_revision { 2, 3 }));
+    EXPECT_EQ(digest.of(store_topic::Targets).readRevision, (store_version { 2, 3 }));
     EXPECT_EQ(digest.of(store_topic::Configuration).age, 30ms);
     EXPECT_EQ(digest.sinceFailedAttempt, 2s);
     EXPECT_EQ(digest.sinceRecovery, 70ms);
--- a/gateway/test/news_simulation.h
+++ b/gateway/test/news_simulation.h
@@ -716,7 +716,7 @@
                     startRead(index, topic, true, startedAt);
                     return;
                 }
-                perform(index, reader.gossip->storeResponded(topic, answer.revision.epoch, startedAt, m_now));
+                perform(index, reader.gossip->storeResponded(topic, answer.revision.epoch(), startedAt, m_now));
                 if (!follower.mergeRead(answer, whole)) {
                     const topic_version old { follower.replica().changeRevision(), answer.revision, startedAt };
                     perform(index, reader.gossip->readEnded(topic, old, m_now));
--- a/gateway/test/node_directory.cpp
+++ b/gateway/test/node_directory.cpp
@@ -28,8 +28,7 @@
         ++calls;
         done(std::move(answer));
     }
-    void readChanges(
-        const std::string&, const store_revision&, std::chrono::milliseconds, row_source::callback) override
+    void readChanges(const std::string&, const store_version&, std::chrono::milliseconds, row_source::callback) override
     {
     }
     void put(const std::string&, const std::string& key, const std::string& value, row_writer::callback done) override
--- a/gateway/test/simulated_store.h
+++ b/gateway/test/simulated_store.h
@@ -30,7 +30,7 @@
 /// \return the number that a request for later changes contains
 inline std::uint64_t numberOf(const known_revision& revision)
 {
-    return revision.number;
+    return revision.number();
 }
 
 /// One table of the simulated store. Its feed contains each change, or only the last one of each row.
--- a/gateway/test/store_synchronizer.cpp
+++ b/gateway/test/store_synchronizer.cpp
@@ -25,16 +25,16 @@
     void readAll(const std::string&, callback done) override { answer("all", {}, std::move(done)); }
 
     void readChanges(
-        const std::string&, const store_revision& revision, std::chrono::milliseconds, callback done) override
+        const std::string&, const store_version& revision, std::chrono::milliseconds, callback done) override
     {
-        answer("after " + std::to_string(revision.number), revision, std::move(done));
+        answer("after " + std::to_string(revision.number()), revision, std::move(done));
     }
 
     std::vector<row_answer> script;
     std::vector<std::string> requests;
 
 private:
-    void answer(const std::string& question, const store_revision& revision, callback done)
+    void answer(const std::string& question, const store_version& revision, callback done)
     {
         row_answer next;
         next.status = row_status::Done;
@@ -48,7 +48,7 @@
         done(std::move(next));
     }
 
-    store_revision m_revision { 1, 1 };
+    store_version m_revision { 1, 1 };
 };
 
 row_answer done(std::uint64_t number, std::vector<stored_row> rows, std::uint64_t epoch = 1)
--- a/routing/content_revision.h
+++ b/routing/content_revision.h
@@ -2,7 +2,7 @@
 /// Order of the contents of a replicated table.
 #pragma once
 
-#include "routing/store_revision.h"
+#include "core/store_version.h"
 
 #include <cstdint>
 #include <tuple>
@@ -13,7 +13,7 @@
 /// because a restored store may return an older content at a later revision.
 struct content_revision {
     std::uint64_t version = 0; ///< assigned by the writer of the rows; 0 for tables without such versions
-    store_revision stored; ///< revision of the store at the last change
+    store_version stored; ///< revision of the store at the last change
 
     friend bool operator==(const content_revision& left, const content_revision& right)
     {
--- a/routing/news_digest.h
+++ b/routing/news_digest.h
@@ -2,8 +2,8 @@
 /// Digest of the versions and ages of the store tables that a node holds. Type names match wire/messages.proto.
 #pragma once
 
+#include "core/store_version.h"
 #include "routing/content_revision.h"
-#include "routing/store_revision.h"
 
 #include <array>
 #include <chrono>
@@ -25,7 +25,7 @@
 struct topic_digest {
     bool known = false; ///< the node holds the topic; otherwise the other fields have no meaning
     content_revision changeRevision; ///< at the last relevant change
-    store_revision readRevision; ///< up to which no other change is relevant
+    store_version readRevision; ///< up to which no other change is relevant
     std::chrono::milliseconds age { 0 }; ///< time since the store was at readRevision
 };
 
--- a/routing/store_gossip.cpp
+++ b/routing/store_gossip.cpp
@@ -24,18 +24,18 @@
     // that this node knows.
     topic_digest withEpochOf(const topic_version& held, topic_digest received)
     {
-        if (received.readRevision.epoch)
+        if (received.readRevision.epoch())
             return received;
-        received.readRevision.epoch = held.readRevision.epoch;
+        received.readRevision = { held.readRevision.epoch(), received.readRevision.number() };
         received.changeRevision
-            = { held.changeRevision.version, { held.readRevision.epoch, received.changeRevision.stored.number } };
+            = { held.changeRevision.version, { held.readRevision.epoch(), received.changeRevision.stored.number() } };
         return received;
     }
 
     // Returns whether a node that holds the content of the store at held.readRevision has a change of the same epoch.
     bool includes(const topic_version& held, const content_revision& change)
     {
-        return change.version == held.changeRevision.version && change.stored.epoch == held.readRevision.epoch
+        return change.version == held.changeRevision.version && change.stored.epoch() == held.readRevision.epoch()
             && change.stored <= held.readRevision;
     }
 
@@ -161,7 +161,7 @@
     const auto asOf = sentAt - received.age;
     m_schedule.recordRead(asOf, digest.reader);
     // Only nodes that read the store announce its recovery: a node that was frozen may learn of a restore much later.
-    if (isRestored(received.readRevision.epoch))
+    if (isRestored(received.readRevision.epoch()))
         out.emplace_back(store_recovered { asOf });
     if (state.held && received.changeRevision > state.held->changeRevision
         && includes(*state.held, received.changeRevision)) {
@@ -263,7 +263,7 @@
     m_readFailed = false;
     for (const auto topic : AllTopics) {
         const auto& held = stateOf(topic).held;
-        stateOf(topic).revisionAtReadStart = held ? held->readRevision : store_revision {};
+        stateOf(topic).revisionAtReadStart = held ? held->readRevision : store_version {};
         out.emplace_back(read_store { topic });
     }
 }
--- a/routing/store_gossip.h
+++ b/routing/store_gossip.h
@@ -51,7 +51,7 @@
 /// Version of a topic that this node holds after a pull or a read.
 struct topic_version {
     content_revision changeRevision;
-    store_revision readRevision;
+    store_version readRevision;
     instant asOf; ///< time at which the store was at readRevision
 };
 
@@ -114,7 +114,7 @@
 
     /// Records that the store responds to a read of \p topic. Called before the rows of the response are applied, since
     /// they may lack registrations that expired during an outage, or were lost when the store was restored.
-    /// \param epoch of the store, see store_revision
+    /// \param epoch of the store, see store_version
     /// \param startedAt start of the read
     actions storeResponded(store_topic topic, std::uint64_t epoch, instant startedAt, instant now);
 
@@ -154,7 +154,7 @@
         node_id pulledFrom;
         instant pullAt; // earliest time of the next pull
         std::optional<instant> behindSince; // time of the first digest that announced the missing version
-        store_revision revisionAtReadStart; // revision held at the start of the read in progress
+        store_version revisionAtReadStart; // revision held at the start of the read in progress
     };
 
     topic_state& stateOf(store_topic topic) { return m_topics[static_cast<std::size_t>(topic)]; }
--- a/routing/test/gossip_simulation.h
+++ b/routing/test/gossip_simulation.h
@@ -225,7 +225,7 @@
             else if (const auto* read = std::get_if<read_store>(&action))
                 startRead(index, read->topic);
             else if (const auto* adopted = std::get_if<adopt_revision>(&action))
-                holdRevision(index, static_cast<std::size_t>(adopted->topic), adopted->changeRevision.stored.number);
+                holdRevision(index, static_cast<std::size_t>(adopted->topic), adopted->changeRevision.stored.number());
         }
         pollLater(index);
     }
@@ -257,10 +257,10 @@
             const auto answered = m_nodes[from].gossip->digest(m_now).of(pull.topic);
             std::optional<topic_version> version;
             const bool unchanged = m_nodes[index].heldRevisions[topic] == heldBefore;
-            if (answered.known && unchanged && answered.changeRevision.stored.number > heldBefore)
+            if (answered.known && unchanged && answered.changeRevision.stored.number() > heldBefore)
                 version = topic_version { answered.changeRevision, answered.readRevision, m_now - answered.age };
             if (version)
-                holdRevision(index, topic, version->changeRevision.stored.number);
+                holdRevision(index, topic, version->changeRevision.stored.number());
             perform(index, m_nodes[index].gossip->pulled(pull.topic, version, m_now));
         });
     }
--- a/routing/test/revisions.h
+++ b/routing/test/revisions.h
@@ -7,7 +7,7 @@
 namespace oriolepick {
 
 /// \return the revision of the store with \p number
-inline store_revision storedAt(std::uint64_t number)
+inline store_version storedAt(std::uint64_t number)
 {
     return { 1, number };
 }
