Write the gateway's own row again after the store has recovered

The store forgets rows that the gateway wrote when it is restored from an older copy. An isolated node wrote its row again within 15 s only, and could not be found by another partition until then.

--- a/gateway/node_directory.cpp
+++ b/gateway/node_directory.cpp
@@ -40,6 +40,12 @@
     m_timers.at(m_timers.now() + CheckPeriod, [this] { check(); });
 }
 
+void node_directory::discoverAgain()
+{
+    m_interval = InitialInterval;
+    m_nextDiscovery = m_timers.now();
+}
+
 void node_directory::check()
 {
     const auto now = m_timers.now();
--- a/gateway/node_directory.h
+++ b/gateway/node_directory.h
@@ -34,6 +34,9 @@
     /// Starts to check periodically whether discovery is needed.
     void start();
 
+    /// Writes the row again at the next check, because the store may have lost it, and reads the rows of other nodes.
+    void discoverAgain();
+
 private:
     void check();
     void runDiscovery();
--- a/gateway/test/node_directory.cpp
+++ b/gateway/test/node_directory.cpp
@@ -85,4 +85,17 @@
     EXPECT_EQ(table.calls, 2) << "one write and one read within 15 s";
 }
 
+// Guards against partitions that do not find each other for long because a restored store has lost their rows.
+TEST_F(NodeDirectory, RowIsWrittenAgainWhenTheStoreMayHaveLostIt)
+{
+    node_directory directory("1", { availability_zone("z"), node_id("10.0.0.1:1") }, table, table, timers,
+        { [] { return false; }, [] { return true; }, [](const auto&) {} }, log, metrics);
+    directory.start();
+    loop.run_for(1'200ms);
+    table.rows.clear();
+    directory.discoverAgain();
+    loop.run_for(600ms);
+    EXPECT_EQ(table.rows.size(), 1U);
+}
+
 } // namespace
--- a/gateway/test/store_synchronizer.cpp
+++ b/gateway/test/store_synchronizer.cpp
@@ -162,6 +162,25 @@
     EXPECT_EQ(reader.events, (std::vector<std::string> { "all 0", "all 1" }));
 }
 
+// Guards against changes that are missed because a restored store has handed out the requested number again.
+TEST_F(StoreSynchronizer, ReadsWholeTableWhenTheStoreWasRestored)
+{
+    runScript({ done(5, { { "a", "1", false } }), done(8, { { "b", "1", false } }, 2),
+        done(8, { { "a", "1", false }, { "b", "1", false }, { "c", "1", false } }, 2), done(9, {}, 2) });
+    EXPECT_EQ(reader.targets.requests, (std::vector<std::string> { "all", "after 5", "all", "after 8" }));
+    EXPECT_EQ(reader.events, (std::vector<std::string> { "all 1", "returned", "all 3" }))
+        << "registrations that the store has lost may return";
+}
+
+// Guards against a restored store whose lower numbers are taken for outdated states for good.
+TEST_F(StoreSynchronizer, TakesLowerNumbersOfALaterEpoch)
+{
+    runScript({ done(50, {}), failed(row_status::HistoryLost), done(3, { { "a", "1", false } }, 2),
+        done(4, { { "a", "2", false } }, 2) });
+    EXPECT_EQ(reader.targets.requests, (std::vector<std::string> { "all", "after 50", "all", "after 3" }));
+    EXPECT_EQ(reader.events.back(), "change a");
+}
+
 TEST_F(StoreSynchronizer, ResumesFromTheSameRevisionAfterAnOutage)
 {
     runScript({ done(5, {}), failed(row_status::Unavailable), failed(row_status::Malformed),
