Keep a removed target with requests in flight out of service after a restore

Found by review, shown by the test: a target that left without draining and still had a request of this node was judged by its last known renewal only, so the older row of a restored store brought it back into service.

--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -49,7 +49,8 @@
 bool target_tracker::isOutdated(const target_entry& entry) const
 {
     const auto known = m_targets.find(entry.name);
-    if (known != m_targets.end()) {
+    const bool isRemoved = known != m_targets.end() && known->second.expiresAt && wasRemovedForGood(entry.name);
+    if (known != m_targets.end() && !isRemoved) {
         const auto& newest = known->second.entry;
         return isEarlierIncarnation(entry, newest.startedAt)
             || (newest.startedAt == entry.startedAt && entry.renewalCount < newest.renewalCount);
@@ -145,17 +146,24 @@
     return m_registryRecoveredAt && now < *m_registryRecoveredAt + m_settings.expiryGrace;
 }
 
+// Returns whether a target was removed other than by the expiry of its registration in an outage of the registry. It
+// may still have attempts in flight.
+bool target_tracker::wasRemovedForGood(const target_name& target) const
+{
+    const auto removal = m_removals.find(target);
+    return removal != m_removals.end() && removal->second.wasKnown && !removal->second.mayReturn;
+}
+
 // A restored registry contains targets that were removed after the copy was made. The copy may have more renewals than
 // this node knew at the removal, so only renewals after the copy are signs of life.
 void target_tracker::recordForgottenRemovals(const std::vector<target_entry>& entries)
 {
     for (const auto& entry : entries) {
         const auto removal = m_removals.find(entry.name);
-        if (removal == m_removals.end() || m_targets.count(entry.name))
-            continue;
-        auto& known = removal->second;
-        if (known.wasKnown && !known.mayReturn && known.startedAt == entry.startedAt)
-            known.renewalCount = std::max(known.renewalCount, entry.renewalCount);
+        const auto target = m_targets.find(entry.name);
+        const bool isRegistered = target != m_targets.end() && !target->second.expiresAt;
+        if (!isRegistered && wasRemovedForGood(entry.name) && removal->second.startedAt == entry.startedAt)
+            removal->second.renewalCount = std::max(removal->second.renewalCount, entry.renewalCount);
     }
 }
 
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -211,6 +211,7 @@
 
     bool holdBack(const target_entry& entry, instant now);
     bool isInGrace(instant now) const;
+    bool wasRemovedForGood(const target_name& target) const;
     void recordForgottenRemovals(const std::vector<target_entry>& entries);
     void admitHeld(instant now);
 
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -373,6 +373,24 @@
     EXPECT_EQ(chosen(), "a") << "further renewals";
 }
 
+// Guards against the same while a request is in flight, so that the target is kept until it ends.
+TEST_F(TargetTracker, RemovedTargetWithARequestInFlightIsNotUsedAgain)
+{
+    auto renewed = entry("a");
+    tracker.put(renewed, now);
+    tracker.attemptStarted(target_name("a"), now);
+    tracker.remove(target_name("a"), now);
+    now += 2s;
+    tracker.registryRecovered(now);
+    renewed.renewalCount = 8;
+    tracker.replaceAll({ renewed }, now);
+    EXPECT_EQ(chosen(), "");
+    renewed.startedAt = 2;
+    renewed.renewalCount = 1;
+    tracker.put(renewed, now);
+    EXPECT_EQ(chosen(), "a") << "a later start";
+}
+
 // Guards against a target that is used after it has left, because its late registration was held back and a whole table
 // without it did not end that.
 TEST_F(TargetTracker, TargetThatWasHeldBackAndIsNotInTheTableIsNotUsed)
