Hold a newer version whose read is older than the held one

Found by review: the replica took a newer configuration from a node that still held the store's previous epoch, while the gossip rejected it for its older read, and requested it again and again until its own read. ANewerVersionOfAnEarlierEpochIsHeld failed before.

--- a/routing/store_gossip.cpp
+++ b/routing/store_gossip.cpp
@@ -194,12 +194,15 @@
 {
     auto& state = stateOf(topic);
     auto& held = state.held;
-    if (held && (version.changeRevision < held->changeRevision || version.readRevision < held->readRevision))
+    if (held
+        && (version.changeRevision < held->changeRevision
+            || (version.changeRevision == held->changeRevision && version.readRevision < held->readRevision)))
         return false;
     const bool isNewer = !held || version.changeRevision > held->changeRevision;
     const auto gain = held ? version.asOf - held->asOf : instant::duration::max();
     const auto asOf = held ? std::max(held->asOf, version.asOf) : version.asOf;
-    held = topic_version { version.changeRevision, version.readRevision, asOf };
+    const auto readRevision = held ? std::max(held->readRevision, version.readRevision) : version.readRevision;
+    held = topic_version { version.changeRevision, readRevision, asOf };
     if (isNewer)
         state.behindSince.reset(); // newer versions are announced again
     if (isNewer || gain > m_settings.antiEntropyPeriod / SameWaveDivisor)
--- a/routing/test/store_gossip.cpp
+++ b/routing/test/store_gossip.cpp
@@ -82,4 +82,21 @@
     EXPECT_LE(reads, 6 * StoreTopicCount) << "four periods pass";
 }
 
+// Guards against a newer configuration that is pulled again and again: a node that still holds the store's previous
+// epoch sends it with an older read.
+TEST_F(StoreGossipRevisions, ANewerVersionOfAnEarlierEpochIsHeld)
+{
+    const content_revision older { 7, { 2, 60 } };
+    const content_revision newer { 8, { 1, 100 } };
+    gossip.tick(now);
+    for (const auto topic : { store_topic::Configuration, store_topic::Targets })
+        gossip.readEnded(topic, topic_version { older, { 2, 75 }, now }, now);
+    news_digest digest;
+    digest.of(store_topic::Configuration) = { true, newer, { 1, 100 }, 20ms };
+    EXPECT_EQ(count<pull_changes>(gossip.receive(node_id("10.0.0.2:1"), digest, now)), 1U);
+    gossip.pulled(store_topic::Configuration, topic_version { newer, { 2, 60 }, now }, now);
+    EXPECT_EQ(gossip.digest(now).of(store_topic::Configuration).changeRevision, newer);
+    EXPECT_EQ(gossip.digest(now).of(store_topic::Configuration).readRevision, (store_version { 2, 75 }));
+}
+
 } // namespace
