--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -67,7 +67,7 @@
         if (m_history.mayRepeat)
             target = m_parts.targetTracker.choose(query, now);
         if (target && m_wasUnsent) {
-            dispatchAt(now + NoTargetRetryDelay); // no target accepts connections
+            waitForTarget(); // no target accepts connections
             return;
         }
     }
