Report a planned stop as complete when the last request ends late, and a failed wait for signals

Found by review: the last pause of the wait could end after the limit although no request was open, and a failing sigwait was logged as an ignored SIGHUP without end. active_calls::abortAll was named end(), and was called while a log line was built.

--- a/node/active_calls.h
+++ b/node/active_calls.h
@@ -28,7 +28,7 @@
 
     /// Ends all calls, also those that begin later.
     /// \return how many were under way
-    std::size_t end()
+    std::size_t abortAll()
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_ended = true;
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -237,7 +237,7 @@
 {
     while (m_parts->status.openRequests > 0 && std::chrono::steady_clock::now() < limit)
         std::this_thread::sleep_for(DrainCheckPeriod);
-    return std::chrono::steady_clock::now() < limit;
+    return m_parts->status.openRequests == 0;
 }
 
 bool daemon::drainAndStop()
@@ -255,10 +255,11 @@
     status.workEndsAt = workEnd;
     const bool finished = waitForRequests(workEnd);
     if (!finished) {
+        const auto abortedCalls = m_parts->active.abortAll();
         logWarning("work ended by the planned stop",
             { { "open", std::to_string(status.openRequests.load()) },
                 { "drain_timeout_ms", std::to_string(m_settings.drainTimeout.count()) },
-                { "calls", std::to_string(m_parts->active.end()) } });
+                { "calls", std::to_string(abortedCalls) } });
         m_parts->loop.post([this](instant) { m_parts->calls.endUnsent(); });
         waitForRequests(limit);
     }
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -63,10 +63,16 @@
 
 void waitForStop(const sigset_t& signals)
 {
-    int received = 0;
-    while (sigwait(&signals, &received) != 0 || received == SIGHUP)
-        oriolepick::logWarning(
-            "signal ignored", { { "signal", "SIGHUP" }, { "reason", "settings are read at start" } });
+    int received = SIGHUP;
+    while (received == SIGHUP) {
+        if (const int problem = sigwait(&signals, &received)) {
+            oriolepick::logError("waiting for signals failed", { { "error", std::to_string(problem) } });
+            return;
+        }
+        if (received == SIGHUP)
+            oriolepick::logWarning(
+                "signal ignored", { { "signal", "SIGHUP" }, { "reason", "settings are read at start" } });
+    }
     oriolepick::logInfo("signal", { { "number", std::to_string(received) } });
 }
 
