--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -258,7 +258,8 @@
         if self._refuse_in_pause(writer, node, echo):
             return True
         if self.drained is not None and time.monotonic() > self.drained + LEAVING_S:
-            self.ignored.append((node, self.drained, f"{self.name} got {attempt} after the store showed it as draining"))
+            self.ignored.append((node, self.drained, f"{self.name} got {attempt} after the store showed it as draining",
+                                 time.monotonic()))
         if self.leaving:
             now = time.monotonic()
             if now > self.told.setdefault(node, now) + LEAVING_S:
