Cut requests in the last sixth of the grace period only, and refuse those that would be cut

Found by review: requests were refused by the end of the cutting, not by its beginning, so that some were taken and cut within 50 ms; with grace periods under 6 s the cutting began before the last sixth, in which callers must expect it (3 s: after 2.3 s instead of 2.5 s).

Change: the times of a stop come from one function.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -25,12 +25,7 @@
     /// Time for which new connections are accepted after the stop. A load balancer that probes once a second and
     /// requires two failures has removed this node by then.
     constexpr std::chrono::milliseconds ListenAfterStop { 2'600 };
-    /// Part of the grace period at its end; connections that are still open then are closed.
-    constexpr std::chrono::milliseconds StopReserve { 400 };
     constexpr std::chrono::milliseconds StopCheckInterval { 50 }; ///< while the last responses are completed
-    /// The last streams are aborted one after the other over the last 1/HandoverDivisor of the grace period, so that
-    /// their callers do not all reconnect to other nodes at once.
-    constexpr int HandoverDivisor = 10;
 
 } // namespace
 
@@ -103,7 +98,7 @@
         return;
     m_stopping = true;
     const auto now = m_parts.timers.now();
-    m_stopBy = now + m_parts.settings.stopGrace - StopReserve;
+    m_stopSchedule = makeStopSchedule(now, m_parts.settings.stopGrace);
     m_parts.log.write("stopping", { { "connections", std::to_string(m_sessions.size()) } });
     for (const auto& session : m_sessions)
         session->closeAfterNextResponse();
@@ -137,15 +132,15 @@
         session->rejectIfWaiting();
     }
     const auto busy = m_sessions.size();
-    const auto window = m_parts.settings.stopGrace / HandoverDivisor;
-    const double timeLeft = std::chrono::duration<double>(m_stopBy - now) / window;
-    const auto maxBusy
-        = static_cast<std::size_t>(static_cast<double>(m_busyAtHandover.value_or(busy)) * std::max(timeLeft, 0.0));
-    if (timeLeft < 1) {
+    if (now >= m_stopSchedule.cutFrom) {
         m_busyAtHandover = m_busyAtHandover.value_or(busy);
+        const auto left = std::max(m_stopSchedule.cutUntil - now, instant::duration::zero());
+        const auto window = std::max(m_stopSchedule.cutUntil - m_stopSchedule.cutFrom, instant::duration(1));
+        const auto share = static_cast<double>(left.count()) / static_cast<double>(window.count());
+        const auto maxBusy = static_cast<std::size_t>(static_cast<double>(*m_busyAtHandover) * share);
         m_cutSessions += endSessions(busy - std::min(busy, maxBusy));
     }
-    if (m_sessions.empty() || now >= m_stopBy + StopCheckInterval) {
+    if (m_sessions.empty() || now >= m_stopSchedule.cutUntil + StopCheckInterval) {
         m_parts.log.write("stopped", { { "cut_connections", std::to_string(m_cutSessions) } });
         m_parts.log.flush();
         m_onStopped();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include "core/instant.h"
 #include "gateway/gateway_parts.h"
+#include "gateway/stop_schedule.h"
 #include "gateway/tcp_connection.h"
 
 #include <functional>
@@ -28,8 +29,11 @@
     /// Reports not ready, completes the requests in progress, and then calls onStopped.
     void stop();
 
-    /// \return when responses in progress are aborted, if the gateway is stopping
-    std::optional<instant> stopsAt() const { return m_stopping ? std::optional<instant>(m_stopBy) : std::nullopt; }
+    /// \return when the first responses in progress are aborted, if the gateway is stopping
+    std::optional<instant> stopsAt() const
+    {
+        return m_stopping ? std::optional<instant>(m_stopSchedule.cutFrom) : std::nullopt;
+    }
 
 private:
     void accept();
@@ -49,7 +53,7 @@
     std::set<std::shared_ptr<caller_session>> m_sessions;
     bool m_stopping = false;
     bool m_refusesConnections = false; // the last new connection was refused; logged once
-    instant m_stopBy;
+    stop_schedule m_stopSchedule; // valid while the gateway is stopping
     std::optional<std::size_t> m_busyAtHandover; // busy sessions when the first of them was aborted
     std::size_t m_cutSessions = 0;
 };
--- /dev/null
+++ b/gateway/stop_schedule.h
@@ -0,0 +1,20 @@
+/// \file
+/// Times of a planned stop of a gateway.
+#pragma once
+
+#include "core/instant.h"
+
+namespace oriolepick {
+
+/// When requests are ended that outlast the grace period of a planned stop.
+struct stop_schedule {
+    instant cutFrom; ///< the last requests are ended one after another from here on
+    instant cutUntil; ///< all requests are ended
+};
+
+/// \param stoppedAt time of the stop signal
+/// \param grace time until the process is killed
+/// \return times within the last sixth of \p grace: callers may count on an answer to work that ends before
+stop_schedule makeStopSchedule(instant stoppedAt, std::chrono::milliseconds grace);
+
+} // namespace oriolepick
