--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -237,7 +237,7 @@
 {
     while (m_parts->status.openRequests > 0 && std::chrono::steady_clock::now() < limit)
         std::this_thread::sleep_for(DrainCheckPeriod);
-    return m_parts->status.openRequests == 0;
+    return std::chrono::steady_clock::now() < limit;
 }
 
 bool daemon::drainAndStop()
