--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -45,7 +45,9 @@
     /// Replaces the table by \p rows, read at \p readRevision. Removed rows among them are not part of the table. In a
     /// later epoch of the store, rows that are outdated by what is known here are not taken over.
     /// \param pulledRevision revision of the last update, if the rows are those of another node; nothing for rows of
-    /// the store, whose updates get \p readRevision \return the updates, including removed rows
+    /// the store, whose updates get \p readRevision
+    ///
+    /// \return the updates, including removed rows
     std::vector<stored_row> replaceAll(const std::vector<stored_row>& rows, const store_version& readRevision,
         const std::optional<content_revision>& pulledRevision = {});
 
