--- a/ports/ticket_store.cpp
+++ b/ports/ticket_store.cpp
@@ -88,7 +88,7 @@
 {
     auto batch = readTail(0);
     while (batch && batch.value().lastNumber() < batch.value().headNumber) {
-        const auto next = readTail(batch.value().lastNumber());
+        auto next = readTail(batch.value().lastNumber());
         if (!next)
             return next;
         if (next.value().epoch != batch.value().epoch || next.value().snapshotNumber || next.value().tickets.empty())
