--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -83,6 +83,7 @@
 
     async def _serve(self, reader, writer):
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        writer.reader = reader  # tells a run whether its channel was closed
         try:
             while True:
                 request = await read_request(reader)
