--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -74,6 +74,7 @@
     address = "127.0.0.1"
 
     async def listen(self):
+        self.writers = set()
         self.server = await asyncio.start_server(self._serve, self.address, 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -83,6 +84,7 @@
 
     async def _serve(self, reader, writer):
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.writers.add(writer)
         writer.reader = reader  # tells a run whether its channel was closed
         try:
             while True:
@@ -93,8 +95,15 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
+    def exit(self):
+        """Ends as a process does: nobody listens any more, and open channels break."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
 
 class Store(Listener):
     """The platform's store: rows with a single counter of versions, and a feed of changes. It has no faults."""
@@ -280,7 +289,8 @@
     async def _beat(self):
         while True:
             for worker in self.workers:
-                self.store.put("servers", worker.name, worker.entry())
+                if worker.server.is_serving():
+                    self.store.put("servers", worker.name, worker.entry())
             await asyncio.sleep(BEAT_S)
 
     async def __aexit__(self, *_):
