--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """Workers that send a second copy of some answers, on a route whose requests run once at most.
 
-A service with one worker is often full and says so ("Not-Executed"). For five seconds that worker, one of two, repeats
-3 in 100 of its answers, late: the copy goes ahead of the next answer on that channel. All copies carry the id of their
-own request.
+A service with one worker is often full and says so ("Not-Executed"). Twice for five seconds that worker, one of two,
+repeats 3 in 100 of its answers, late: the copy goes ahead of the next answer on that channel. All copies carry the id of
+their own request.
 """
 
 import asyncio
@@ -16,11 +16,11 @@
 from deployment import HOST, KEY, Deployment, Worker, play, response, trouble  # noqa: E402
 
 SLOTS = 2
-WORK_S = 0.03
+WORK_S = 0.01
 GATEWAYS = 6  # as at bsr-bench
 CALLERS_PER_GATEWAY = 1
-LENGTH_S = 14
-HARM_FROM_S, HARM_FOR_S = 4, 5.0
+LENGTH_S = 20
+HARMS_FROM_S, HARM_FOR_S = (3, 13), 5.0
 HARMED_SHARE, HARMED_ANSWERS = 0.6, 0.03
 ATTEMPTS = 4
 DEADLINE_MS = 2_500
@@ -30,7 +30,7 @@
     def __init__(self, *arguments, harmed, seed):
         super().__init__(*arguments)
         self.harmed, self.random = harmed, random.Random(seed)
-        self.harmed_from = self.harmed_until = 0.0
+        self.harms = []  # when each begins and ends
         self.answers = self.copies = 0
         self.late = {}  # channel -> the copy that goes ahead of its next answer
 
@@ -53,7 +53,7 @@
             self.record(f"worker {self.name} sends a late copy, of {copy[1]}, ahead of its answer to {attempt}")
             writer.write(copy[0])
         writer.write(answer)
-        if self.harmed and self.harmed_from <= time.monotonic() < self.harmed_until:
+        if self.harmed and any(begin <= time.monotonic() < end for begin, end in self.harms):
             self.answers += 1
             if self.random.random() < HARMED_ANSWERS:
                 self.copies += 1
@@ -91,7 +91,7 @@
             self.record(f"caller of {attempt} gets {status}")
             if status in (429, 503):
                 await asyncio.sleep(min(float(fields.get("retry-after", "0.1")), DEADLINE_MS / 3000))
-            await asyncio.sleep(0.02 * self.random.random())
+            await asyncio.sleep(0.005 * self.random.random())
         if writer:
             writer.close()
 
@@ -112,7 +112,7 @@
         now = time.monotonic()
         if trouble():
             for worker in deployment.workers:
-                worker.harmed_from, worker.harmed_until = now + HARM_FROM_S, now + HARM_FROM_S + HARM_FOR_S
+                worker.harms = [(now + begin, now + begin + HARM_FOR_S) for begin in HARMS_FROM_S]
         answered = {}
         callers = [Caller(number, deployment.gateways[number % GATEWAYS], record, answered)
                    for number in range(GATEWAYS * CALLERS_PER_GATEWAY)]
