Bound the time from the return of the store to the next read

Cause: a node started no read while one was in progress, and the time after which a read without response ended doubled with each of them, from 0.6 to 4 s. A back-off of up to the whole staleness bound followed. All nodes were in this state at once. The grace for expired registrations began with the late first read.

Change: a read without response for 150 ms counts as failed for its own node too; reads overlap on connections of their own. Back-offs end within a quarter of the bound. While the store is away the order of the nodes changes with each attempt, so that a store that serves few is found. The bound includes contact_bound_ms, and the grace ends in time for it.

--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 
 #include "core/names.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -27,6 +28,8 @@
     std::chrono::milliseconds stopGrace { 8'000 }; ///< from the stop signal to the forced exit
     std::chrono::milliseconds leavingBound { 4'000 }; ///< maximal delay until this node learns that a target is leaving
     std::chrono::milliseconds configurationBound { 4'000 }; ///< maximal delay until a configuration is in force
+    /// Time after which a disturbed node, or one whose store was unavailable, must know all that others know.
+    std::chrono::milliseconds contactBound { 4'000 };
     double repeatRatio = 0.8; ///< retries per request, over all nodes
     double repeatSlack = 150; ///< retries over all nodes that are allowed without requests
     std::chrono::milliseconds repeatWindow { 10'000 }; ///< over which requests and retries are counted
@@ -35,4 +38,11 @@
     int logLinesPerSecond = 200; ///< further lines are dropped and counted
 };
 
+/// \return the longest time until a change of the store, or its return, is known here: the least of the bounds that the
+/// settings name
+inline std::chrono::milliseconds newsBound(const gateway_settings& settings)
+{
+    return std::min({ settings.leavingBound, settings.configurationBound, settings.contactBound });
+}
+
 } // namespace oriolepick
--- a/gateway/gateway_settings_json.cpp
+++ b/gateway/gateway_settings_json.cpp
@@ -22,6 +22,7 @@
         visit("stop_grace_ms", settings.stopGrace, numberRule(500, MaxTimeMs));
         visit("leaving_bound_ms", settings.leavingBound, numberRule(200, MaxTimeMs));
         visit("configuration_bound_ms", settings.configurationBound, numberRule(200, MaxTimeMs));
+        visit("contact_bound_ms", settings.contactBound, numberRule(200, MaxTimeMs));
         visit("repeat_ratio", settings.repeatRatio, numberRule(0, 10));
         visit("repeat_slack", settings.repeatSlack, numberRule(0, 1e6));
         visit("repeat_window_ms", settings.repeatWindow, numberRule(1'000, MaxTimeMs));
--- a/gateway/row_source.h
+++ b/gateway/row_source.h
@@ -37,7 +37,8 @@
     std::string problem; ///< description of the failure, for the log
 };
 
-/// Reads tables without blocking. Only one read is in progress at a time; a new read cancels the previous one.
+/// Reads tables without blocking. Reads may overlap, and end in any order. A source limits their number: beyond it, a
+/// new read ends an earlier one, which is then reported as unavailable.
 class row_source {
 public:
     using callback = std::function<void(row_answer)>;
--- a/gateway/store_synchronizer.cpp
+++ b/gateway/store_synchronizer.cpp
@@ -86,7 +86,7 @@
         else if (const auto* changesToPull = std::get_if<pull_changes>(&action))
             pull(changesToPull->topic, changesToPull->from);
         else if (const auto* tableToRead = std::get_if<read_store>(&action))
-            readStore(tableToRead->topic);
+            readStore(*tableToRead);
         else if (const auto* adopted = std::get_if<adopt_revision>(&action))
             stateOf(adopted->topic).follower.adoptRevision(adopted->changeRevision);
         else
@@ -154,35 +154,35 @@
     perform(m_gossip.pulled(topic, follower.version(startedAt - batch->age), now));
 }
 
-void store_synchronizer::readStore(store_topic topic)
+void store_synchronizer::readStore(const read_store& read)
 {
     const auto startedAt = m_timers.now();
-    auto& state = stateOf(topic);
+    auto& state = stateOf(read.topic);
     const auto& replica = state.follower.replica();
     if (!replica.isLoaded()) {
-        readWhole(topic, startedAt);
+        readWhole(read, startedAt);
         return;
     }
     m_metrics.count("store_readings");
     const auto after = replica.readRevision();
     state.store.readChanges(state.name, after, std::chrono::milliseconds(0),
-        [this, topic, startedAt, after](const row_answer& answer) { onRead(topic, startedAt, after, answer); });
+        [this, read, startedAt, after](const row_answer& answer) { onRead(read, startedAt, after, answer); });
 }
 
-void store_synchronizer::readWhole(store_topic topic, instant startedAt)
+void store_synchronizer::readWhole(const read_store& read, instant startedAt)
 {
-    auto& state = stateOf(topic);
+    auto& state = stateOf(read.topic);
     m_metrics.count("store_whole_readings");
     state.store.readAll(
-        state.name, [this, topic, startedAt](const row_answer& answer) { onRead(topic, startedAt, {}, answer); });
+        state.name, [this, read, startedAt](const row_answer& answer) { onRead(read, startedAt, {}, answer); });
 }
 
 // \param after the revision after which changes were requested; nothing if the whole table was
 void store_synchronizer::onRead(
-    store_topic topic, instant startedAt, const std::optional<store_version>& after, const row_answer& answer)
+    const read_store& read, instant startedAt, const std::optional<store_version>& after, const row_answer& answer)
 {
     const auto now = m_timers.now();
-    auto& state = stateOf(topic);
+    auto& state = stateOf(read.topic);
     if (after && table_follower::needsWholeTable(answer, *after)) {
         const bool restored = answer.revision.epoch() > after->epoch();
         m_log.write(restored ? "store_restored" : "history_lost",
@@ -190,14 +190,14 @@
                 { "known_revision", std::to_string(after->number()) },
                 { "epoch", std::to_string(answer.revision.epoch()) } });
         m_metrics.count(restored ? "registry_restored" : "registry_history_lost");
-        readWhole(topic, startedAt);
+        readWhole(read, startedAt);
         return;
     }
     if (answer.status != row_status::Done) {
         m_metrics.count("registry_errors");
         if (!m_consecutiveFailures++)
             m_log.write("store_lost", { { "table", state.name }, { "problem", answer.problem } });
-        perform(m_gossip.readEnded(topic, std::nullopt, now));
+        perform(m_gossip.readEnded(read, std::nullopt, now));
         logReaderChange();
         return;
     }
@@ -206,14 +206,14 @@
             "store_regained", { { "table", state.name }, { "failures", std::to_string(m_consecutiveFailures) } });
         m_consecutiveFailures = 0;
     }
-    perform(m_gossip.storeResponded(topic, answer.revision.epoch(), startedAt, now));
+    perform(m_gossip.storeResponded(read.topic, answer.revision.epoch(), startedAt, now));
     if (!state.follower.mergeRead(answer, !after)) {
         m_metrics.count("outdated_readings");
         const topic_version old { state.follower.replica().changeRevision(), answer.revision, startedAt };
-        perform(m_gossip.readEnded(topic, old, now));
+        perform(m_gossip.readEnded(read, old, now));
         return;
     }
-    perform(m_gossip.readEnded(topic, state.follower.version(startedAt), now));
+    perform(m_gossip.readEnded(read, state.follower.version(startedAt), now));
     logReaderChange();
 }
 
--- a/gateway/store_synchronizer.h
+++ b/gateway/store_synchronizer.h
@@ -104,10 +104,10 @@
     void pull(store_topic topic, const node_id& from);
     void onPulled(store_topic topic, const node_id& from, const content_revision& requestedRevision, instant startedAt,
         const http_client_response& response);
-    void readStore(store_topic topic);
-    void readWhole(store_topic topic, instant startedAt);
+    void readStore(const read_store& read);
+    void readWhole(const read_store& read, instant startedAt);
     void onRead(
-        store_topic topic, instant startedAt, const std::optional<store_version>& after, const row_answer& answer);
+        const read_store& read, instant startedAt, const std::optional<store_version>& after, const row_answer& answer);
     std::optional<content_revision> parseRevision(std::string_view text, const table_replica& replica) const;
     void logReaderChange();
 
--- a/gateway/test/news_simulation.h
+++ b/gateway/test/news_simulation.h
@@ -65,6 +65,9 @@
 /// Runs all nodes by events. Records what undisturbed nodes believe wrongly for longer than the bound.
 class news_simulation : public virtual_time {
 public:
+    static constexpr ms MinResponseTimeout { 600 };
+    static constexpr ms MaxResponseTimeout { 4'000 };
+
     /// One simulated node.
     struct node {
         node_id id;
@@ -79,6 +82,8 @@
         bool cut = false; // disconnected from all other nodes
         bool rejected = false; // by the store
         ms linkDelay { 0 }; // of everything that it sends
+        ms responseTimeout { MinResponseTimeout }; // of its next read, as in platform/store_reader.cpp
+        bool silenced = false; // the store does not respond to this node
         instant startedAt;
         instant frozenUntil;
         instant disturbedUntil;
@@ -127,6 +132,7 @@
         started.pollAt = instant::max();
         started.configVersion = 0;
         started.reads = 0;
+        started.responseTimeout = MinResponseTimeout;
         started.used.clear();
         started.left.clear();
         started.kept.clear();
@@ -167,6 +173,13 @@
         at(time, [this, index] { m_nodes[index].rejected = false; });
     }
 
+    /// The store does not respond to a node, while it serves the others.
+    void silenceNode(std::size_t index, ms time)
+    {
+        m_nodes[index].silenced = true;
+        at(time, [this, index] { m_nodes[index].silenced = false; });
+    }
+
     /// Delays all that a node sends to others, like a link whose queue is full.
     void delayNode(std::size_t index, ms delay, ms time)
     {
@@ -185,9 +198,9 @@
     }
 
     /// All reads and writes of the store fail for \p time.
-    void failStore(ms time)
+    void failStore(ms time, outage_kind kind = outage_kind::Rejecting)
     {
-        m_store.fail(m_now + time);
+        m_store.fail(m_now + time, kind);
         m_outages.push_back({ m_now, m_now + time, m_now + time });
         at(time, [this, epoch = m_store.epoch()] { storeReturned(epoch); });
     }
@@ -282,6 +295,15 @@
         });
     }
 
+    bool isUndisturbed(const node& each) const
+    {
+        return each.running && !each.cut && m_now >= each.frozenUntil
+            && m_now >= each.disturbedUntil + m_settings.contactTime;
+    }
+
+    /// \return the version of the newest configuration that the operator wrote
+    std::uint64_t newestVersion() const { return m_configVersion; }
+
     std::vector<std::string> failures;
     std::size_t checkedTargets = 0;
     std::size_t reads = 0; ///< of the store
@@ -312,6 +334,8 @@
         instant configurationAt; // the store contains the newest configuration again
     };
 
+    static constexpr ms SlowResponse { 1'700 }; // longer than the shortest timeout
+
     static std::size_t topicIndex(store_topic topic) { return static_cast<std::size_t>(topic); }
     std::string time() const
     {
@@ -322,12 +346,6 @@
         m_nodes[index].disturbedUntil = std::max(m_nodes[index].disturbedUntil, m_now + time);
     }
 
-    bool isUndisturbed(const node& each) const
-    {
-        return each.running && !each.cut && m_now >= each.frozenUntil
-            && m_now >= each.disturbedUntil + m_settings.contactTime;
-    }
-
     // Returns when all undisturbed nodes know what was written at changedAt. What they did not know before the store
     // was lost is written again at a time that writtenAgain returns.
     instant dueAt(instant changedAt, ms delay, const std::function<instant(const outage&)>& writtenAgain) const
@@ -624,7 +642,7 @@
             } else if (const auto* pulled = std::get_if<pull_changes>(&action)) {
                 startPull(index, *pulled);
             } else if (const auto* read = std::get_if<read_store>(&action)) {
-                startRead(index, read->topic, false, m_now);
+                startRead(index, *read, false, m_now);
             } else if (const auto* adopted = std::get_if<adopt_revision>(&action)) {
                 m_nodes[index].tables[topicIndex(adopted->topic)].adoptRevision(adopted->changeRevision);
             } else {
@@ -693,13 +711,19 @@
         mostReadsPerSecond = std::max(mostReadsPerSecond, m_lastReads.size());
     }
 
-    void startRead(std::size_t index, store_topic topic, bool whole, instant startedAt)
+    void startRead(std::size_t index, const read_store& read, bool whole, instant startedAt)
     {
+        const auto topic = read.topic;
         auto& each = m_nodes[index];
         countRead(each, topic, whole);
-        if (each.rejected || !m_store.isAvailable(m_now)) {
-            onNode(ms(4), index,
-                [this, index, topic] { perform(index, m_nodes[index].gossip->readEnded(topic, std::nullopt, m_now)); });
+        const bool available = m_store.isAvailable(m_now);
+        const bool slow = !available && m_store.outageKind() == outage_kind::Slow;
+        if (each.rejected || each.silenced || (!available && !slow) || (slow && each.responseTimeout < SlowResponse)) {
+            const bool silent = each.silenced || slow || m_store.outageKind() == outage_kind::Silent;
+            const auto wait = silent && !each.rejected ? each.responseTimeout : ms(4);
+            each.responseTimeout = std::clamp(2 * wait, MinResponseTimeout, MaxResponseTimeout);
+            onNode(wait, index,
+                [this, index, read] { perform(index, m_nodes[index].gossip->readEnded(read, std::nullopt, m_now)); });
             return;
         }
         const auto& replica = each.tables[topicIndex(topic)].replica();
@@ -708,22 +732,23 @@
                             : m_store.readChanges(topic, replica.readRevision(), m_settings.feedHasLastOfEachRow,
                                 m_settings.historyLength, m_now);
         const auto after = replica.readRevision();
-        onNode(ms(4 + m_random.below(4)), index,
-            [this, index, topic, whole, after, startedAt, answer = std::move(answer)] {
-                auto& reader = m_nodes[index];
-                auto& follower = reader.tables[topicIndex(topic)];
-                if (!whole && table_follower::needsWholeTable(answer, after)) {
-                    startRead(index, topic, true, startedAt);
-                    return;
-                }
-                perform(index, reader.gossip->storeResponded(topic, answer.revision.epoch(), startedAt, m_now));
-                if (!follower.mergeRead(answer, whole)) {
-                    const topic_version old { follower.replica().changeRevision(), answer.revision, startedAt };
-                    perform(index, reader.gossip->readEnded(topic, old, m_now));
-                    return;
-                }
-                perform(index, reader.gossip->readEnded(topic, follower.version(startedAt), m_now));
-            });
+        const auto latency = (slow ? SlowResponse : ms(4)) + ms(m_random.below(4));
+        each.responseTimeout = std::max(2 * latency, MinResponseTimeout);
+        onNode(latency, index, [this, index, read, topic, whole, after, startedAt, answer = std::move(answer)] {
+            auto& reader = m_nodes[index];
+            auto& follower = reader.tables[topicIndex(topic)];
+            if (!whole && table_follower::needsWholeTable(answer, after)) {
+                startRead(index, read, true, startedAt);
+                return;
+            }
+            perform(index, reader.gossip->storeResponded(topic, answer.revision.epoch(), startedAt, m_now));
+            if (!follower.mergeRead(answer, whole)) {
+                const topic_version old { follower.replica().changeRevision(), answer.revision, startedAt };
+                perform(index, reader.gossip->readEnded(read, old, m_now));
+                return;
+            }
+            perform(index, reader.gossip->readEnded(read, follower.version(startedAt), m_now));
+        });
     }
 
     news_simulation_settings m_settings;
--- a/gateway/test/simulated_store.h
+++ b/gateway/test/simulated_store.h
@@ -101,12 +101,20 @@
     std::uint64_t m_forgottenUpTo = 0;
 };
 
+/// What happens to requests while the store is unavailable.
+enum class outage_kind {
+    Rejecting, ///< they are refused at once
+    Silent, ///< they are lost, and their connections deliver nothing more
+    Slow, ///< they are answered after seconds
+};
+
 /// All tables with their common revision counter. Reads and writes fail while the store is unavailable.
 class simulated_store {
 public:
     using ms = std::chrono::milliseconds;
 
     bool isAvailable(instant now) const { return now >= m_unavailableUntil; }
+    outage_kind outageKind() const { return m_outageKind; }
     std::uint64_t epoch() const { return m_epoch; }
     const simulated_table& table(store_topic topic) const { return m_state.tables[static_cast<std::size_t>(topic)]; }
 
@@ -138,7 +146,11 @@
         return withRevision(table.changesAfter(numberOf(after), m_state.revision, lastOfEachRow));
     }
 
-    void fail(instant until) { m_unavailableUntil = until; }
+    void fail(instant until, outage_kind kind)
+    {
+        m_unavailableUntil = until;
+        m_outageKind = kind;
+    }
 
     /// Returns to the state of \p time, in a new epoch.
     void restore(instant time, instant now)
@@ -178,6 +190,7 @@
     std::deque<std::pair<instant, state>> m_copies; // oldest first
     std::uint64_t m_epoch = 1;
     instant m_unavailableUntil;
+    outage_kind m_outageKind = outage_kind::Rejecting;
 };
 
 } // namespace oriolepick
--- a/routing/reader_schedule.cpp
+++ b/routing/reader_schedule.cpp
@@ -1,5 +1,8 @@
 #include "routing/reader_schedule.h"
 
+#include "core/stable_hash.h"
+#include "core/text.h"
+
 #include <algorithm>
 
 namespace oriolepick {
@@ -15,9 +18,13 @@
     constexpr int LateRankDivisor = 2;
     constexpr int StartDelayDivisor = 4;
     constexpr int NextAttemptDivisor = 32; ///< four consecutive nodes may be rejected within half of the bound
+    constexpr int MaxRetryDivisor = 4; ///< the back-off of a node that failed, a read and the propagation fit in half
     /// Failed attempts after which the store is considered unavailable; further attempts follow at the rate used
     /// after the loss of the reader.
     constexpr std::uint32_t MaxQuickAttempts = 4;
+    /// Steps between two nodes while the store is considered unavailable: without a response, the nodes that follow
+    /// learn of an attempt only after a while.
+    constexpr std::size_t StepsPerTurn = 2;
     /// Reported attempts closer together than this are the same attempt, received over different paths.
     constexpr std::chrono::milliseconds SameAttemptWindow { 100 };
     /// Periods without a read before another node takes over. About one in twenty nodes misses a gossip wave, and
@@ -40,7 +47,7 @@
     settings.rankStep = bound / RankStepDivisor;
     settings.maxRankDelay = bound / RankDelayDivisor;
     settings.startDelay = std::min(bound / StartDelayDivisor, MaxStartDelay);
-    settings.maxRetryDelay = bound;
+    settings.maxRetryDelay = bound / MaxRetryDivisor;
     return settings;
 }
 
@@ -63,8 +70,10 @@
 void reader_schedule::recordRead(instant at, std::uint32_t reader)
 {
     // Two nodes may both have taken over and read at nearly the same time: the node with the higher rank number
-    // stops reading.
-    if (m_isReader && reader < m_self && m_lastRead && at > *m_lastRead - m_settings.period / 2) {
+    // stops reading. So does a node that the store does not respond to.
+    const bool isPreferred = reader < m_self && m_lastRead && at > *m_lastRead - m_settings.period / 2;
+    const bool isAnswered = reader != m_self && m_unansweredSince && at > *m_unansweredSince;
+    if (m_isReader && (isPreferred || isAnswered)) {
         m_isReader = false;
         m_reader = reader;
     }
@@ -95,33 +104,15 @@
     return true;
 }
 
-void reader_schedule::markReadSlow(instant now)
+void reader_schedule::markReadSlow(instant startedAt, instant now)
 {
-    m_isReadSlow = true;
-    recordFailedAttempt(now);
+    m_unansweredSince = startedAt;
+    recordFailure(startedAt, now);
 }
 
-void reader_schedule::readStarted(instant now)
+void reader_schedule::recordFailure(instant startedAt, instant now)
 {
-    m_readStartedAt = now;
-    m_isReadSlow = false;
-}
-
-void reader_schedule::readEnded(bool done, instant now)
-{
-    if (done) {
-        m_failures = 0;
-        m_retryAt = {};
-        m_isReader = true;
-        m_reader = m_self;
-        if (!m_lastRead || m_readStartedAt > *m_lastRead)
-            m_lastRead = m_readStartedAt;
-        clearFailedAttempts();
-        return;
-    }
-    m_isReader = false;
-    const bool otherNodeReadSince = m_lastRead && *m_lastRead > m_readStartedAt;
-    if (!m_isReadSlow && !otherNodeReadSince)
+    if (!m_lastRead || *m_lastRead <= startedAt) // otherwise the store has responded to a later read
         recordFailedAttempt(now);
     // The fewer nodes there are, the sooner this node retries, but other nodes try first.
     const auto maxDelay = std::min(m_settings.maxRetryDelay, m_settings.period * static_cast<int>(m_nodes + 1));
@@ -130,12 +121,45 @@
     ++m_failures;
 }
 
-// Beyond maxRankDelay, the nodes of a large fleet still take over one after another, in smaller steps.
+void reader_schedule::readEnded(bool done, instant startedAt, bool wasSlow, instant now)
+{
+    // Reads overlap, so this one may have been overtaken by a later read of this node or another one.
+    const bool isOvertaken = m_lastRead && *m_lastRead > startedAt;
+    if (!done) {
+        if (isOvertaken && m_reader == m_self)
+            return;
+        m_isReader = false;
+        if (!wasSlow)
+            recordFailure(startedAt, now);
+        return;
+    }
+    m_failures = 0;
+    m_retryAt = {};
+    m_unansweredSince.reset();
+    if (isOvertaken)
+        return;
+    m_isReader = true;
+    m_reader = m_self;
+    m_lastRead = startedAt;
+    clearFailedAttempts();
+}
+
+// While the store is considered unavailable, the order of the nodes changes with each attempt, so that a store that
+// serves only some of them is found by one of these.
+std::size_t reader_schedule::steps() const
+{
+    if (m_consecutiveAttempts <= MaxQuickAttempts)
+        return m_rank;
+    return StepsPerTurn * (stableHash(concatenated(m_self, "/", m_consecutiveAttempts)) % m_nodes);
+}
+
+// Beyond maxRankDelay, the nodes of a large fleet still take over one after another, in smaller steps. An isolated node
+// cannot learn that another one has taken over.
 std::chrono::milliseconds reader_schedule::rankDelay() const
 {
-    const auto delay = m_settings.rankStep * static_cast<int>(m_rank);
+    const auto delay = m_settings.rankStep * static_cast<int>(steps());
     const auto regular = std::min(delay, m_settings.maxRankDelay);
-    return regular + (delay - regular) / LateRankDivisor;
+    return m_isolated ? regular : regular + (delay - regular) / LateRankDivisor;
 }
 
 instant reader_schedule::dueAt() const
--- a/routing/reader_schedule.h
+++ b/routing/reader_schedule.h
@@ -20,7 +20,7 @@
     std::chrono::milliseconds rankStep { 50 };
     std::chrono::milliseconds maxRankDelay { 1'000 }; ///< up to here the delay grows by rankStep
     std::chrono::milliseconds startDelay { 600 }; ///< a starting node waits this long for digests of other nodes
-    std::chrono::milliseconds maxRetryDelay { 4'000 }; ///< upper bound of the exponential back-off after failed reads
+    std::chrono::milliseconds maxRetryDelay { 1'000 }; ///< upper bound of the exponential back-off after failed reads
 };
 
 /// \param bound longest time until a change reaches any node
@@ -29,7 +29,9 @@
 
 /// Decides when this node reads the store. The node that read last remains the reader. The other nodes receive the
 /// time of each read in digests and take over in the order of their ranks when no digest reports a read. No election
-/// is needed, and an unavailable store is not queried by all nodes. Not synchronized.
+/// is needed, and an unavailable store is not queried by all nodes. How long the store was unavailable, and how often,
+/// does not change when the next read is due: a read without a response counts as failed and delays no other one, and
+/// back-offs are bounded by a fraction of the staleness bound. Not synchronized.
 class reader_schedule {
 public:
     /// \param self rank number of this node, unique among the nodes
@@ -52,14 +54,15 @@
     /// \return whether the attempt is new: no read since is known, and no other attempt at about the same time
     bool recordFailedAttempt(instant at);
 
-    /// Records that this node has sent a read to the store.
-    void readStarted(instant now);
-
-    /// Treats the read in progress as a failed attempt, so that other nodes need not wait for its end.
-    void markReadSlow(instant now);
+    /// Records that the read of this node that started at \p startedAt has no response yet. It counts as a failed
+    /// attempt, so that neither this node nor others wait for its end.
+    void markReadSlow(instant startedAt, instant now);
 
+    /// Records the end of a read of this node.
     /// \param done whether the store responded
-    void readEnded(bool done, instant now);
+    /// \param startedAt start of the read
+    /// \param wasSlow whether the read was recorded as a failed attempt before
+    void readEnded(bool done, instant startedAt, bool wasSlow, instant now);
 
     /// \return the time of the next read by this node unless another read is recorded before
     instant dueAt() const;
@@ -81,6 +84,8 @@
 
 private:
     std::chrono::milliseconds rankDelay() const;
+    std::size_t steps() const;
+    void recordFailure(instant startedAt, instant now);
     void clearFailedAttempts();
 
     reader_schedule_settings m_settings;
@@ -94,8 +99,7 @@
     std::optional<instant> m_lastFailedAttempt;
     instant m_attemptsIgnoredUntil; // attempts up to this time are superseded by a read
     std::uint32_t m_consecutiveAttempts = 0;
-    bool m_isReadSlow = false; // the read in progress was recorded as a failed attempt
-    instant m_readStartedAt;
+    std::optional<instant> m_unansweredSince; // start of the newest read of this node, while it counts as failed
     instant m_retryAt;
     std::uint32_t m_failures = 0;
     std::uint32_t m_reader;
--- a/routing/store_gossip.cpp
+++ b/routing/store_gossip.cpp
@@ -72,13 +72,13 @@
 store_gossip::actions store_gossip::tick(instant now)
 {
     actions out;
-    if (m_readSlowAt && now >= *m_readSlowAt) {
-        m_readSlowAt.reset();
-        m_schedule.markReadSlow(now);
+    if (!mayRead() && now >= m_reads.back().startedAt + m_settings.slowReadThreshold) {
+        m_reads.back().slow = true;
+        m_schedule.markReadSlow(m_reads.back().startedAt, now);
         scheduleDigests(true, now);
     }
     m_schedule.setIsolated(m_lastDigestAt && now > *m_lastDigestAt + m_settings.isolationTimeout);
-    if (!m_pendingReads && now >= readDueAt())
+    if (mayRead() && now >= readDueAt())
         startRead(out, now);
     for (const auto topic : AllTopics) {
         auto& state = stateOf(topic);
@@ -101,12 +101,9 @@
 instant store_gossip::nextDue() const
 {
     auto due = m_antiEntropyAt;
-    if (!m_pendingReads)
-        due = std::min(due, readDueAt());
+    due = std::min(due, mayRead() ? readDueAt() : m_reads.back().startedAt + m_settings.slowReadThreshold);
     if (m_sendDigestsAt)
         due = std::min(due, *m_sendDigestsAt);
-    if (m_readSlowAt)
-        due = std::min(due, *m_readSlowAt);
     for (const auto& state : m_topics) {
         if (!state.pulling && !state.sources.empty())
             due = std::min(due, state.pullAt);
@@ -258,17 +255,21 @@
         sources.end());
 }
 
+// A read that the store leaves unanswered must not delay the next one, since the store may have returned meanwhile.
+bool store_gossip::mayRead() const
+{
+    return m_reads.empty() || m_reads.back().slow;
+}
+
 void store_gossip::startRead(actions& out, instant now)
 {
-    m_schedule.readStarted(now);
-    m_pendingReads = StoreTopicCount;
-    m_readSlowAt = now + m_settings.slowReadThreshold;
-    m_readFailed = false;
+    read_in_progress read { ++m_lastRead, now, {} };
     for (const auto topic : AllTopics) {
         const auto& held = stateOf(topic).held;
-        stateOf(topic).revisionAtReadStart = held ? held->readRevision : store_version {};
-        out.emplace_back(read_store { topic });
+        read.revisionsAtStart[static_cast<std::size_t>(topic)] = held ? held->readRevision : store_version {};
+        out.emplace_back(read_store { topic, read.number });
     }
+    m_reads.push_back(read);
 }
 
 store_gossip::actions store_gossip::storeResponded(
@@ -319,20 +320,28 @@
 }
 
 store_gossip::actions store_gossip::readEnded(
-    store_topic topic, const std::optional<topic_version>& version, instant now)
+    const read_store& read, const std::optional<topic_version>& version, instant now)
 {
     actions out;
+    const auto found = std::find_if(
+        m_reads.begin(), m_reads.end(), [&read](const read_in_progress& each) { return each.number == read.read; });
+    if (found == m_reads.end())
+        return out;
+    const auto startedAt = found->startedAt;
+    auto& state = stateOf(read.topic);
     // A store that returns an older state than before has lost nothing, but its response is outdated.
-    if (!version || version->readRevision < stateOf(topic).revisionAtReadStart)
-        m_readFailed = true;
+    if (!version || version->readRevision < found->revisionsAtStart[static_cast<std::size_t>(read.topic)])
+        found->failed = true;
     else
-        adoptVersion(topic, *version, true, now);
-    if (version)
-        stateOf(topic).behindSince.reset(); // the store has nothing newer than what this node has now
-    if (--m_pendingReads)
+        adoptVersion(read.topic, *version, true, now);
+    // The store has nothing newer than what this node has now, unless the newer version was announced since.
+    if (version && state.behindSince && (!found->slow || *state.behindSince < startedAt))
+        state.behindSince.reset();
+    if (--found->pendingTopics)
         return out;
-    m_readSlowAt.reset();
-    m_schedule.readEnded(!m_readFailed, now);
+    const auto ended = *found;
+    m_reads.erase(found);
+    m_schedule.readEnded(!ended.failed, startedAt, ended.slow, now);
     scheduleDigests(true, now);
     return out;
 }
@@ -341,8 +350,7 @@
 {
     actions out;
     const auto last = m_schedule.lastRead();
-    if (m_schedule.isReader() && !m_pendingReads && last
-        && now > *last + m_settings.antiEntropyPeriod / SameWaveDivisor)
+    if (m_schedule.isReader() && mayRead() && last && now > *last + m_settings.antiEntropyPeriod / SameWaveDivisor)
         startRead(out, now);
     return out;
 }
--- a/routing/store_gossip.h
+++ b/routing/store_gossip.h
@@ -29,9 +29,11 @@
     node_id from;
 };
 
-/// Read a topic from the store, and report the result to readEnded().
+/// Read a topic from the store, and report the result to readEnded(). Reads overlap: the store may answer a later one
+/// while an earlier one is lost.
 struct read_store {
     store_topic topic;
+    std::uint64_t read; ///< number of the read, which all topics have in common
 };
 
 /// Hold the current content of a topic under the revision that other nodes give it. Two nodes that read the same change
@@ -78,7 +80,7 @@
     /// How long nodes inform each other of the recovery of the store; longer than expired registrations are kept.
     std::chrono::milliseconds recoveryNoticePeriod { 3'000 };
     /// A read that takes longer is announced like a failed one, since otherwise each of the other nodes would start
-    /// a read meanwhile.
+    /// a read meanwhile. This node need not wait for its end either.
     std::chrono::milliseconds slowReadThreshold { 150 };
     std::size_t sources = 4; ///< number of remembered nodes that hold a newer version than this node
 };
@@ -125,7 +127,7 @@
     std::optional<std::chrono::milliseconds> sinceRecovery(instant now) const;
 
     /// Records the end of a read from the store; no version if the read failed.
-    actions readEnded(store_topic topic, const std::optional<topic_version>& version, instant now);
+    actions readEnded(const read_store& read, const std::optional<topic_version>& version, instant now);
 
     /// Reads the store ahead of schedule if this node is the reader. Called on a problem that a change in the store
     /// may explain.
@@ -154,7 +156,14 @@
         node_id pulledFrom;
         instant pullAt; // earliest time of the next pull
         std::optional<instant> behindSince; // time of the first digest that announced the missing version
-        store_version revisionAtReadStart; // revision held at the start of the read in progress
+    };
+    struct read_in_progress {
+        std::uint64_t number;
+        instant startedAt;
+        std::array<store_version, StoreTopicCount> revisionsAtStart; // held at the start, by topic
+        std::size_t pendingTopics = StoreTopicCount;
+        bool failed = false;
+        bool slow = false; // announced as a failed attempt
     };
 
     topic_state& stateOf(store_topic topic) { return m_topics[static_cast<std::size_t>(topic)]; }
@@ -168,6 +177,7 @@
     instant readDueAt() const;
     void startPull(actions& out, store_topic topic, instant now);
     static void forgetSource(topic_state& state, const node_id& source);
+    bool mayRead() const;
     void startRead(actions& out, instant now);
     void scheduleDigests(bool fromOutsideZone, instant now);
     std::vector<node_id> randomSubset(const std::vector<node_id>& nodes, std::size_t count);
@@ -191,9 +201,8 @@
     instant m_antiEntropyAt;
     std::optional<instant> m_recoveredAt; // of the store, after its last outage
     std::uint64_t m_epoch = 0; // of the store, the latest that is known
-    std::size_t m_pendingReads = 0;
-    std::optional<instant> m_readSlowAt; // time at which the read in progress counts as slow
-    bool m_readFailed = false;
+    std::vector<read_in_progress> m_reads; // oldest first
+    std::uint64_t m_lastRead = 0; // number of the newest read
 };
 
 /// \return the rank number of \p node, equal on all nodes
--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -26,6 +26,15 @@
 
 } // namespace
 
+target_tracker_settings makeTargetTrackerSettings(
+    std::chrono::milliseconds contactBound, std::chrono::milliseconds leavingBound, std::chrono::milliseconds newsBound)
+{
+    target_tracker_settings settings;
+    settings.expiryGrace = std::min(
+        settings.expiryGrace, std::max(contactBound + leavingBound - newsBound, std::chrono::milliseconds(0)));
+    return settings;
+}
+
 target_tracker::target_tracker(target_tracker_settings settings, seeded_random& random)
     : m_settings(settings)
     , m_random(random)
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -55,6 +55,13 @@
     double crossZonePenalty = 0.02;
 };
 
+/// \param contactBound time after the return of the registry from which on a removal must end the use of a target
+/// \param leavingBound longest use of a target after its removal
+/// \param newsBound longest time until the return of the registry is known
+/// \return settings whose grace for expired registrations ends in time for a target that leaves at the contact bound
+target_tracker_settings makeTargetTrackerSettings(std::chrono::milliseconds contactBound,
+    std::chrono::milliseconds leavingBound, std::chrono::milliseconds newsBound);
+
 /// Requirements of a new attempt.
 struct target_query {
     service_name service;
--- a/routing/test/gossip_simulation.h
+++ b/routing/test/gossip_simulation.h
@@ -223,7 +223,7 @@
             else if (const auto* pull = std::get_if<pull_changes>(&action))
                 startPull(index, *pull);
             else if (const auto* read = std::get_if<read_store>(&action))
-                startRead(index, read->topic);
+                startRead(index, *read);
             else if (const auto* adopted = std::get_if<adopt_revision>(&action))
                 holdRevision(index, static_cast<std::size_t>(adopted->topic), adopted->changeRevision.stored.number());
         }
@@ -265,26 +265,26 @@
         });
     }
 
-    void startRead(std::size_t index, store_topic topic)
+    void startRead(std::size_t index, const read_store& read)
     {
         ++m_calls;
         const auto behavior = m_nodes[index].behavior;
         const auto startedAt = m_now;
         if (behavior != store_behavior::Succeeds) {
             onNode(behavior == store_behavior::TimesOut ? ms(1500) : ms(4), index,
-                [this, index, topic] { perform(index, m_nodes[index].gossip->readEnded(topic, std::nullopt, m_now)); });
+                [this, index, read] { perform(index, m_nodes[index].gossip->readEnded(read, std::nullopt, m_now)); });
             return;
         }
         const auto revision = m_revision;
-        onNode(ms(4 + m_random.below(4)), index, [this, index, topic, startedAt, revision] {
-            const auto kind = static_cast<std::size_t>(topic);
+        onNode(ms(4 + m_random.below(4)), index, [this, index, read, startedAt, revision] {
+            const auto kind = static_cast<std::size_t>(read.topic);
             const auto& changes = m_changes[kind];
             const auto newest = changes.upper_bound(revision);
             const auto news = newest == changes.begin() ? 1 : std::prev(newest)->first;
             holdRevision(index, kind, std::max(news, m_nodes[index].heldRevisions[kind]));
             const topic_version version { changedAt(m_nodes[index].heldRevisions[kind]), storedAt(revision),
                 startedAt };
-            perform(index, m_nodes[index].gossip->readEnded(topic, version, m_now));
+            perform(index, m_nodes[index].gossip->readEnded(read, version, m_now));
         });
     }
 
--- a/routing/test/store_gossip.cpp
+++ b/routing/test/store_gossip.cpp
@@ -15,11 +15,13 @@
 
 class StoreGossipRevisions : public testing::Test {
 protected:
-    // The node reads both topics at \p revision, with the last change at \p changeRevision.
+    // The next read of both topics ends at \p revision, with the last change at \p changeRevision.
     void read(std::uint64_t changeRevision, std::uint64_t revision)
     {
+        ++readNumber;
         for (const auto topic : { store_topic::Configuration, store_topic::Targets })
-            gossip.readEnded(topic, topic_version { changedAt(changeRevision), storedAt(revision), now }, now);
+            gossip.readEnded(
+                { topic, readNumber }, topic_version { changedAt(changeRevision), storedAt(revision), now }, now);
     }
 
     static news_digest digestOf(std::uint64_t changeRevision, std::uint64_t readRevision)
@@ -40,6 +42,7 @@
     }
 
     instant now { 1'000s };
+    std::uint64_t readNumber = 0;
     store_gossip gossip { node_id("10.0.0.1:1"), store_gossip_settings {}, Bound, true, seeded_random(1), now };
 };
 
@@ -90,7 +93,7 @@
     const content_revision newer { 8, { 1, 100 } };
     gossip.tick(now);
     for (const auto topic : { store_topic::Configuration, store_topic::Targets })
-        gossip.readEnded(topic, topic_version { older, { 2, 75 }, now }, now);
+        gossip.readEnded({ topic, 1 }, topic_version { older, { 2, 75 }, now }, now);
     news_digest digest;
     digest.of(store_topic::Configuration) = { true, newer, { 1, 100 }, 20ms };
     EXPECT_EQ(count<pull_changes>(gossip.receive(node_id("10.0.0.2:1"), digest, now)), 1U);
