Ignore late notices of a recovery of the store

A node that was frozen or cut off notices the return of the store seconds later than the others and tells them. They took it for another recovery and kept removed targets for another grace, beyond the bound for targets that leave.

StoreGossipRevisions.ALateNoticeOfARecoveryIsIgnored... guards it.

--- a/routing/store_gossip.cpp
+++ b/routing/store_gossip.cpp
@@ -139,7 +139,7 @@
         if (m_schedule.recordFailedAttempt(sentAt - *digest.sinceFailedAttempt))
             scheduleDigests(!isLocal(from), now); // otherwise each node would query an unavailable store
     }
-    if (digest.sinceRecovery)
+    if (digest.sinceRecovery && mayHaveRecovered(sentAt - *digest.sinceRecovery))
         recordRecovery(out, sentAt - *digest.sinceRecovery, now);
     for (const auto topic : AllTopics)
         receiveTopic(out, topic, from, digest, sentAt, now);
@@ -156,6 +156,7 @@
     auto& state = stateOf(topic);
     const auto received = state.held ? withEpochOf(*state.held, digest.of(topic)) : digest.of(topic);
     const auto asOf = sentAt - received.age;
+    noteRead(asOf);
     m_schedule.recordRead(asOf, digest.reader);
     // Only nodes that read the store announce its recovery: a node that was frozen may learn of a restore much later.
     if (isRestored(received.readRevision.epoch()))
@@ -288,10 +289,26 @@
 store_gossip::actions store_gossip::recoveryNoticed(std::chrono::milliseconds sinceRecovery, instant now)
 {
     actions out;
-    recordRecovery(out, now - sinceRecovery, now);
+    if (mayHaveRecovered(now - sinceRecovery))
+        recordRecovery(out, now - sinceRecovery, now);
     return out;
 }
 
+void store_gossip::noteRead(instant at)
+{
+    if (!m_lastKnownRead || at > *m_lastKnownRead + SameRecoveryWindow)
+        m_availableSince = at;
+    m_lastKnownRead = std::max(m_lastKnownRead.value_or(at), at);
+}
+
+// A node that was frozen or cut off notices a recovery late. The others, which knew of reads all the while, must not
+// keep removed targets again.
+bool store_gossip::mayHaveRecovered(instant at) const
+{
+    return !m_lastKnownRead || at <= m_availableSince + SameRecoveryWindow
+        || at > *m_lastKnownRead + SameRecoveryWindow;
+}
+
 void store_gossip::recordRecovery(actions& out, instant at, instant now)
 {
     if (m_recoveredAt && at <= *m_recoveredAt + SameRecoveryWindow)
@@ -341,6 +358,8 @@
         return out;
     const auto ended = *found;
     m_reads.erase(found);
+    if (!ended.failed)
+        noteRead(startedAt);
     m_schedule.readEnded(!ended.failed, startedAt, ended.slow, now);
     scheduleDigests(true, now);
     return out;
--- a/routing/store_gossip.h
+++ b/routing/store_gossip.h
@@ -171,6 +171,8 @@
         actions& out, store_topic topic, const node_id& from, const news_digest& digest, instant sentAt, instant now);
     bool adoptVersion(store_topic topic, const topic_version& version, bool fromOutsideZone, instant now);
     void recordRecovery(actions& out, instant at, instant now);
+    void noteRead(instant at);
+    bool mayHaveRecovered(instant at) const;
     bool isRestored(std::uint64_t epoch);
     bool isBehind(const news_digest& digest) const;
     bool holdsAll() const;
@@ -200,6 +202,8 @@
     std::optional<instant> m_lastDigestAt; // time of the last digest from any node
     instant m_antiEntropyAt;
     std::optional<instant> m_recoveredAt; // of the store, after its last outage
+    std::optional<instant> m_lastKnownRead; // by any node
+    instant m_availableSince; // first of the known reads that followed each other without an outage
     std::uint64_t m_epoch = 0; // of the store, the latest that is known
     std::vector<read_in_progress> m_reads; // oldest first
     std::uint64_t m_lastRead = 0; // number of the newest read
--- a/routing/test/store_gossip.cpp
+++ b/routing/test/store_gossip.cpp
@@ -85,6 +85,23 @@
     EXPECT_LE(reads, 6 * StoreTopicCount) << "four periods pass";
 }
 
+// Guards against removed targets that are kept again because a node that was frozen notices an earlier recovery late.
+TEST_F(StoreGossipRevisions, ALateNoticeOfARecoveryIsIgnoredByANodeThatKnewOfReadsAllTheWhile)
+{
+    gossip.tick(now);
+    read(97, 150);
+    auto digest = digestOf(97, 150);
+    for (int period = 0; period < 12; ++period) {
+        now += 250ms;
+        EXPECT_EQ(count<store_recovered>(gossip.receive(node_id("10.0.0.2:1"), digest, now)), 0U);
+    }
+    digest.sinceRecovery = 100ms;
+    EXPECT_EQ(count<store_recovered>(gossip.receive(node_id("10.0.0.3:1"), digest, now)), 0U);
+    now += 3s; // without reads
+    digest.sinceRecovery = 20ms;
+    EXPECT_EQ(count<store_recovered>(gossip.receive(node_id("10.0.0.2:1"), digest, now)), 1U);
+}
+
 // Guards against a newer configuration that is pulled again and again: a node that still holds the store's previous
 // epoch sends it with an older read.
 TEST_F(StoreGossipRevisions, ANewerVersionOfAnEarlierEpochIsHeld)
