Send an attempt at most once on a connection to a target

Cause: the same attempt was sent again on the kept connection on which it had been refused. A target that repeats its refusal late sends the copy ahead of the true response, with the same identifier, so the copy was taken for the response to the second send.

Change: a connection remembers its attempts and is not chosen for one of them again. It is closed after 512 attempts, so the memory is bounded. Load reports carry no identifier, so each probe has its own connection. oriolepickd, orders to copy runs and health pages use one connection a request already.

Evidence: platform_repeated_responses; RefusalLate failed on the code before, the other eight kinds passed. All pass now.

--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -254,7 +254,7 @@
                 { "try", std::to_string(m_attempts) }, { "copy", m_continuesCopy ? instruction.resumeFrom->name : "" },
                 { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
     m_parts.targetTracker.attemptStarted(target.name, now);
-    m_link = m_parts.targetConnections.take(target.address, now);
+    m_link = m_parts.targetConnections.take(target.address, m_caller.attempt, now);
     if (m_route->kind == route_kind::Stream)
         startStallDetection();
     else if (m_route->kind == route_kind::Repeatable)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -7,7 +7,6 @@
 #include "gateway/http_endpoint.h"
 #include "gateway/socket_address.h"
 #include "gateway/target_connection_pool.h"
-#include "gateway/target_prober.h"
 #include "gateway/timer_queue.h"
 
 #include <boost/asio/io_context.hpp>
@@ -87,7 +86,6 @@
 void gateway::runHousekeeping()
 {
     m_parts.targetConnections.expire(m_parts.timers.now());
-    m_parts.prober.expire(m_parts.timers.now());
     m_parts.log.flush();
     m_parts.timers.at(m_parts.timers.now() + HousekeepingInterval, [this] { runHousekeeping(); });
 }
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -1,5 +1,7 @@
 #include "gateway/target_connection.h"
 
+#include "core/stable_hash.h"
+
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
@@ -25,6 +27,11 @@
 {
 }
 
+bool target_connection::accepts(std::string_view attempt) const
+{
+    return std::find(m_attempts.begin(), m_attempts.end(), stableHash(attempt)) == m_attempts.end();
+}
+
 void target_connection::send(std::string request, std::string attempt, std::weak_ptr<response_listener> listener)
 {
     m_listener = std::move(listener);
@@ -35,7 +42,7 @@
     m_skippedResponses = 0;
     m_skippedBytes = 0;
     m_awaitingResponse = true;
-    ++m_requests;
+    m_attempts.push_back(stableHash(m_attempt));
     if (!m_connected) {
         m_request = std::move(request);
         if (!m_connecting) {
@@ -139,7 +146,7 @@
     }
     const auto reply = m_dialect.readReply(head);
     // On a connection that was used before, a refusal without identifier may be that of an earlier request.
-    if (reply.attempt.empty() && (!reply.notRun || m_requests > 1)) {
+    if (reply.attempt.empty() && (!reply.notRun || m_attempts.size() > 1)) {
         fail(transport_failure::Malformed);
         return;
     }
@@ -157,7 +164,8 @@
 
 void target_connection::finish()
 {
-    const bool reusable = m_parser->keepAlive() && m_input.empty() && !m_skippedResponses && m_connection->isOpen();
+    const bool reusable = m_parser->keepAlive() && m_input.empty() && !m_skippedResponses
+        && m_attempts.size() < MaxAttempts && m_connection->isOpen();
     m_awaitingResponse = false;
     const auto listener = m_listener.lock();
     m_listener.reset();
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -7,8 +7,11 @@
 #include "gateway/request_dialect.h"
 #include "gateway/tcp_connection.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace oriolepick {
 
@@ -47,15 +50,19 @@
 };
 
 /// Sends one request at a time. Late responses to earlier attempts are recognised by their attempt identifier and
-/// skipped.
+/// skipped. An attempt is sent at most once on a connection: the target may repeat its response to the first send where
+/// the response to the second one is due, and both carry the same identifier.
 class target_connection : public connection_listener, public std::enable_shared_from_this<target_connection> {
 public:
     /// \param dialect outlives this object
     target_connection(boost::asio::io_context& loop, const request_dialect& dialect,
         const tcp_connection_settings& settings, std::string address);
 
+    /// \return whether \p attempt can be sent: it has not been sent on this connection before
+    bool accepts(std::string_view attempt) const;
+
     /// Sends \p request, after establishing the connection if necessary.
-    /// \param attempt identifier of the attempt, which the response must carry
+    /// \param attempt identifier of the attempt, which the response must carry and which accepts() allows
     /// \param listener receives the events of this attempt only
     void send(std::string request, std::string attempt, std::weak_ptr<response_listener> listener);
 
@@ -82,6 +89,8 @@
     void finish();
     void fail(transport_failure failure);
 
+    /// Limit for the attempts on one connection, which are all remembered; the connection is closed when it is reached.
+    static constexpr std::size_t MaxAttempts = 512;
     /// Limit for the response head: twice the limit for callers, since targets echo little of a request.
     static constexpr std::uint32_t MaxHeadBytes = 32'768;
     /// Limit for buffered bytes that the parser cannot consume yet, such as an incomplete line with a chunk size.
@@ -104,7 +113,7 @@
     std::size_t m_skippedBytes = 0;
     bool m_connecting = false;
     bool m_connected = false;
-    std::uint32_t m_requests = 0; // sent on this connection
+    std::vector<std::uint64_t> m_attempts; // hashes of the identifiers sent on this connection
     bool m_awaitingResponse = false;
     bool m_headAccepted = false;
     bool m_skipping = false;
--- a/gateway/target_connection_pool.cpp
+++ b/gateway/target_connection_pool.cpp
@@ -14,13 +14,17 @@
 {
 }
 
-std::shared_ptr<target_connection> target_connection_pool::take(const std::string& address, instant now)
+std::shared_ptr<target_connection> target_connection_pool::take(
+    const std::string& address, std::string_view attempt, instant now)
 {
     auto& idleConnections = m_idleConnections[address];
-    while (!idleConnections.empty()) {
-        auto connection = std::move(idleConnections.back());
-        idleConnections.pop_back();
-        if (connection->isOpen() && now < connection->reusableUntil())
+    for (auto position = idleConnections.size(); position--;) {
+        auto connection = idleConnections[position];
+        const bool isUsable = connection->isOpen() && now < connection->reusableUntil();
+        if (isUsable && !connection->accepts(attempt))
+            continue; // another attempt can use it
+        idleConnections.erase(idleConnections.begin() + static_cast<std::ptrdiff_t>(position));
+        if (isUsable)
             return connection;
         connection->abandon();
     }
--- a/gateway/target_connection_pool.h
+++ b/gateway/target_connection_pool.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oriolepick {
@@ -23,8 +24,10 @@
     target_connection_pool(
         boost::asio::io_context& loop, const request_dialect& dialect, const tcp_connection_settings& settings);
 
-    /// \return the most recently used idle connection to \p address, or a new connection if there is none
-    std::shared_ptr<target_connection> take(const std::string& address, instant now);
+    /// \param attempt identifier of the attempt for which the connection is taken
+    /// \return the most recently used idle connection to \p address that accepts \p attempt, or a new connection if
+    /// there is none
+    std::shared_ptr<target_connection> take(const std::string& address, std::string_view attempt, instant now);
 
     /// Returns a connection to the pool after a complete response.
     void release(std::shared_ptr<target_connection> connection);
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -14,9 +14,6 @@
 namespace {
 
     constexpr std::uint64_t MaxResponseBytes = 32'768; ///< a load report takes about 50 bytes for each running request
-    /// Connections are kept to save a handshake for each probe of a burst, but not longer, since targets close idle
-    /// connections after a few seconds.
-    constexpr std::chrono::seconds MaxIdleTime { 2 };
     constexpr int Success = 200;
     constexpr int Misdirected = 421;
 
@@ -41,7 +38,6 @@
     }
     auto& session = m_sessions[target.name];
     session.address = target.address;
-    session.lastUse = m_timers.now();
     session.startedAt = target.startedAt;
     session.callbacks.push_back(std::move(done));
     if (session.callbacks.size() > 1)
@@ -57,8 +53,7 @@
 void target_prober::sendProbe(const target_entry& target, std::chrono::milliseconds timeout)
 {
     auto& session = m_sessions[target.name];
-    if (!session.client)
-        session.client = std::make_shared<http_client>(m_loop, m_timers, target.address, MaxResponseBytes);
+    session.client = std::make_shared<http_client>(m_loop, m_timers, target.address, MaxResponseBytes);
     session.client->send(m_dialect.writeProbe(target.name, target.address), timeout,
         [this, name = target.name](const http_client_response& response) { finish(name, response); });
 }
@@ -68,7 +63,8 @@
     answer probeAnswer;
     if (response.status == Success)
         probeAnswer.report = m_dialect.readProbe(response.body);
-    auto& session = m_sessions[target];
+    const auto entry = m_sessions.extract(target); // released when this function returns
+    const auto& session = entry.mapped();
     const auto reply = m_dialect.readReply(response.head);
     if (response.status && response.status != Misdirected)
         m_notices.apply(target, session.address, session.startedAt, reply);
@@ -81,23 +77,13 @@
 
 void target_prober::finishUnprobed(const target_name& target)
 {
-    callBack(m_sessions[target], { true, false, std::nullopt });
+    callBack(m_sessions.extract(target).mapped(), { true, false, std::nullopt });
 }
 
-void target_prober::callBack(session& session, const answer& answer)
+void target_prober::callBack(const session& session, const answer& answer)
 {
-    std::vector<callback> callbacks;
-    callbacks.swap(session.callbacks);
-    for (const auto& done : callbacks)
+    for (const auto& done : session.callbacks)
         done(answer);
 }
 
-void target_prober::expire(instant now)
-{
-    for (auto entry = m_sessions.begin(); entry != m_sessions.end();) {
-        const bool idle = entry->second.callbacks.empty() && now >= entry->second.lastUse + MaxIdleTime;
-        entry = idle ? m_sessions.erase(entry) : std::next(entry);
-    }
-}
-
 } // namespace oriolepick
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -25,7 +25,8 @@
 struct http_client_response;
 struct target_entry;
 
-/// Sends probes. Concurrent probes of the same target are merged into one request.
+/// Sends probes. Concurrent probes of the same target are merged into one request. Each request has a connection of its
+/// own: responses to probes carry no identifier, so a target that repeats one on a kept connection would be believed.
 class target_prober {
 public:
     /// The result of a probe.
@@ -49,14 +50,10 @@
     /// \param timeout time limit for the response
     void probe(const target_entry& target, std::chrono::milliseconds timeout, callback done);
 
-    /// Closes connections that have been idle for a while. Call about once a second.
-    void expire(instant now);
-
 private:
     struct session {
         std::shared_ptr<http_client> client;
-        std::vector<callback> callbacks; // not empty while a probe is in progress
-        instant lastUse;
+        std::vector<callback> callbacks;
         std::uint64_t startedAt = 0; // start time of the probed target, to detect a restart at the same address
         std::string address;
     };
@@ -64,7 +61,7 @@
     void sendProbe(const target_entry& target, std::chrono::milliseconds timeout);
     void finish(const target_name& target, const http_client_response& response);
     void finishUnprobed(const target_name& target);
-    void callBack(session& session, const answer& answer);
+    static void callBack(const session& session, const answer& answer);
 
     boost::asio::io_context& m_loop;
     timer_queue& m_timers;
@@ -72,7 +69,7 @@
     const target_tracker& m_targetTracker;
     target_permits& m_permits;
     target_notice_handler& m_notices;
-    std::map<target_name, session> m_sessions;
+    std::map<target_name, session> m_sessions; // of the probes in progress
 };
 
 } // namespace oriolepick
