--- a/bench/bench_stream_path.cpp
+++ b/bench/bench_stream_path.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Measures the path of tokens from an engine to a reader: streams held open, tokens a second, and the time from the
 /// computation of a token to its arrival; directly and, given a node, through it.
+#include "core/memory_budget.h"
 #include "standins/engine_emulator.h"
 #include "standins/program_options.h"
 #include "standins/value_summary.h"
@@ -147,7 +148,8 @@
     request.prompt = promptOf(stream);
     request.seed = options.seed;
     request.maxTokens = MaxPositions;
-    http_engine_client().start(engine, request, {}, reader, reader.abort);
+    static memory_budget memory(std::size_t { 1 } << 30, 16'384);
+    http_engine_client(memory).start(engine, request, {}, reader, reader.abort);
 }
 
 void readThroughNode(const bench_options& options, std::size_t stream, stream_reader& reader)
--- a/config/settings.h
+++ b/config/settings.h
@@ -27,6 +27,7 @@
     std::string callersListen; ///< "ip:port" of the callers' HTTP edge
     std::int64_t callersThreads = 512; ///< connections served at once; one thread each
     std::int64_t maximumBodyBytes = 1 << 20;
+    std::int64_t responseMemoryBytes = 64 << 20; ///< for the responses of targets together
     std::string tlsCertificate; ///< file name; empty for plain HTTP
     std::string tlsKey;
 
--- a/config/settings_json.cpp
+++ b/config/settings_json.cpp
@@ -106,10 +106,12 @@
             "least severe level that is logged" },
     } };
 
-    const std::array<number_field, 3> NumberFields { {
+    const std::array<number_field, 4> NumberFields { {
         { "callers.threads", &settings::callersThreads, 4, 16384, "connections served at once; a stream holds one" },
         { "callers.max_body_bytes", &settings::maximumBodyBytes, 1024, 64 << 20,
             "largest accepted request body, bytes" },
+        { "targets.response_memory_bytes", &settings::responseMemoryBytes, 1 << 20, std::int64_t { 1 } << 40,
+            "memory that the responses of targets may hold together, bytes" },
         { "queue.capacity", &settings::queueCapacity, 1, 100000, "generations that may wait for a target" },
     } };
 
--- a/core/call_row.h
+++ b/core/call_row.h
@@ -8,12 +8,15 @@
 #include "core/store_version.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace oriolepick {
 
+class memory_reservation;
+
 /// States of the row. Only the claimer changes a Claimed row, and only a new claim changes a Refused row.
 enum class call_row_state {
     Claimed, ///< one node may dispatch the call, or has dispatched it
@@ -27,6 +30,7 @@
     int status = 0;
     std::string contentType;
     std::string body;
+    std::shared_ptr<const memory_reservation> memory {}; ///< of the body, if it was received from a target
 
     friend bool operator==(const call_answer& left, const call_answer& right)
     {
--- a/gateway/heap_settings.cpp
+++ b/core/heap_settings.cpp
@@ -1,4 +1,4 @@
-#include "gateway/heap_settings.h"
+#include "core/heap_settings.h"
 
 #include <malloc.h>
 
--- a/core/memory_budget.h
+++ b/core/memory_budget.h
@@ -2,13 +2,14 @@
 /// Limit on the memory that all buffers of a process hold together.
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 
 namespace oriolepick {
 
 /// Memory budget with dynamic thresholds: a buffer may grow as long as its new size does not exceed the bytes that then
 /// remain free. A few buffers may thus become large, while each of many buffers gets little. Together the buffers never
-/// exceed the total by more than the bytes that are guaranteed to each buffer. Not thread-safe.
+/// exceed the total by more than the bytes that are guaranteed to each buffer. Thread-safe.
 class memory_budget {
 public:
     /// \param total bytes for all buffers together
@@ -27,12 +28,15 @@
 
 private:
     friend class memory_reservation;
+    bool mayGrow(std::size_t used, std::size_t held, std::size_t wanted) const;
+    bool tryAdjustUsage(std::size_t held, std::size_t wanted);
     void adjustUsage(std::size_t before, std::size_t after);
+    void recordPeak(std::size_t used);
 
     std::size_t m_total;
     std::size_t m_guaranteedPerBuffer;
-    std::size_t m_used = 0;
-    std::size_t m_peak = 0;
+    std::atomic<std::size_t> m_used { 0 };
+    std::atomic<std::size_t> m_peak { 0 };
 };
 
 } // namespace oriolepick
--- a/core/memory_reservation.h
+++ b/core/memory_reservation.h
@@ -22,9 +22,9 @@
     /// \return false if the budget does not allow the growth; the reservation is then unchanged
     bool tryResize(std::size_t bytes)
     {
-        if (!m_budget.mayGrow(m_bytes, bytes))
+        if (!m_budget.tryAdjustUsage(m_bytes, bytes))
             return false;
-        set(bytes);
+        m_bytes = bytes;
         return true;
     }
 
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -103,7 +103,8 @@
         reject(error_kind::BadRequest, "a line of the request does not end");
         return;
     }
-    if (!m_requestMemory.tryResize(RequestMemoryFactor * m_reader->bodyBytes() + m_input.size())) {
+    if (!m_requestMemory.tryResize(
+            RequestMemoryFactor * (m_reader->headBytes() + m_reader->bodyBytes()) + m_input.size())) {
         m_parts.metrics.count("requests_without_memory");
         reject(error_kind::Overloaded, "this node has no memory for the request");
         return;
--- a/gateway/http_client.cpp
+++ b/gateway/http_client.cpp
@@ -15,13 +15,15 @@
 
 } // namespace
 
-http_client::http_client(
-    boost::asio::io_context& loop, timer_queue& timers, std::string address, std::uint64_t maxBodyBytes)
+http_client::http_client(boost::asio::io_context& loop, timer_queue& timers, std::string address,
+    std::uint64_t maxBodyBytes, memory_budget* memory)
     : m_loop(loop)
     , m_timers(timers)
     , m_address(std::move(address))
     , m_maxBodyBytes(maxBodyBytes)
 {
+    if (memory)
+        m_memory.emplace(*memory);
 }
 
 http_client::~http_client()
@@ -115,6 +117,11 @@
         fail(m_body.size() > m_maxBodyBytes ? "the answer is too large" : "the answer is malformed");
         return;
     }
+    if (!reserveMemory()) {
+        dropConnection();
+        fail("no memory for the answer beside those to others");
+        return;
+    }
     if (!m_parser->isDone())
         return;
     if (!m_parser->keepAlive() || !m_input.empty())
@@ -122,6 +129,12 @@
     finish({ m_parser->head().status, m_parser->head(), std::move(m_body), {}, {} });
 }
 
+// Counts the body twice, since it grows by copying.
+bool http_client::reserveMemory()
+{
+    return !m_memory || m_memory->tryResize(m_input.size() + 2 * m_body.size() + m_parser->headBytes());
+}
+
 void http_client::onEnd(connection_end end)
 {
     m_connected = false;
@@ -147,6 +160,8 @@
     m_timers.cancel(m_timer);
     response.latency
         = std::chrono::duration_cast<std::chrono::milliseconds>(m_firstByteAt.value_or(m_timers.now()) - m_startedAt);
+    if (m_memory)
+        m_memory->set(0);
     auto done = std::move(m_done);
     m_done = nullptr;
     if (done)
--- a/gateway/http_client.h
+++ b/gateway/http_client.h
@@ -2,6 +2,7 @@
 /// An HTTP client for small requests and responses, one at a time on one persistent connection.
 #pragma once
 
+#include "core/memory_reservation.h"
 #include "gateway/http_parser.h"
 #include "gateway/tcp_connection.h"
 #include "gateway/timer_queue.h"
@@ -43,7 +44,10 @@
 public:
     using callback = std::function<void(http_client_response)>;
 
-    http_client(boost::asio::io_context& loop, timer_queue& timers, std::string address, std::uint64_t maxBodyBytes);
+    /// \param memory limits what this client holds of a response together with others; outlives this object. Null for a
+    /// peer that is trusted to end its responses.
+    http_client(boost::asio::io_context& loop, timer_queue& timers, std::string address, std::uint64_t maxBodyBytes,
+        memory_budget* memory = nullptr);
     ~http_client() override;
 
     /// Sends a GET request.
@@ -62,6 +66,7 @@
     void waitUntil(instant due);
     instant dueAt() const;
     void fail(const std::string& problem);
+    bool reserveMemory();
     void finish(http_client_response response);
     void connect();
     void dropConnection();
@@ -75,6 +80,7 @@
     std::string m_request;
     std::string m_input;
     std::string m_body;
+    std::optional<memory_reservation> m_memory; // of m_input, m_body and the head
     callback m_done;
     response_timeouts m_timeouts { std::chrono::milliseconds(0) };
     instant m_startedAt;
--- a/gateway/http_parser.cpp
+++ b/gateway/http_parser.cpp
@@ -15,6 +15,15 @@
 
 namespace {
 
+    /// Limit for the fields of a response: a field takes far more memory than its bytes when it is short.
+    constexpr std::size_t MaxResponseFields = 256;
+
+    // Returns the memory of a field. Short names and values are within the field itself, which still counts them.
+    std::size_t memoryOf(const header_field& field)
+    {
+        return sizeof field + field.name.capacity() + field.value.capacity();
+    }
+
     parse_error parseErrorOf(const error_code& error)
     {
         if (error == http::error::header_limit)
@@ -102,6 +111,7 @@
 void request_parser::on_field_impl(http::field, view name, view value, error_code&)
 {
     m_request.fields.push_back({ text(name), text(value) });
+    m_headBytes += memoryOf(m_request.fields.back());
 }
 
 void request_parser::on_header_impl(error_code& error)
@@ -165,7 +175,12 @@
 
 void response_parser::on_field_impl(http::field, view name, view value, error_code& error)
 {
+    if (m_head.fields.size() >= MaxResponseFields) {
+        error = http::error::header_limit;
+        return;
+    }
     m_head.fields.push_back({ text(name), text(value) });
+    m_headBytes += memoryOf(m_head.fields.back());
     if (containsStatusLine(m_head.fields.back().value))
         error = http::error::bad_value;
 }
--- a/gateway/http_parser.h
+++ b/gateway/http_parser.h
@@ -37,6 +37,8 @@
     bool expectsContinue() const;
 
     /// \return bytes of the body received so far
+    /// \return the memory that the head takes
+    std::size_t headBytes() const { return m_headBytes; }
     std::size_t bodyBytes() const { return m_request.body.size(); }
 
     http_request take();
@@ -57,6 +59,7 @@
 
     http_request m_request;
     parse_error m_parseError = parse_error::None;
+    std::size_t m_headBytes = 0;
     bool m_started = false;
 };
 
@@ -84,6 +87,9 @@
     parse_error parseError() const { return m_parseError; }
     const http_response_head& head() const { return m_head; }
 
+    /// \return the memory that the head takes
+    std::size_t headBytes() const { return m_headBytes; }
+
     /// \return the body bytes received since the last call
     std::string takeBody();
 
@@ -109,6 +115,7 @@
     http_response_head m_head;
     std::string m_body;
     parse_error m_parseError = parse_error::None;
+    std::size_t m_headBytes = 0;
     bool m_started = false;
 };
 
--- a/gateway/replacement_finder.cpp
+++ b/gateway/replacement_finder.cpp
@@ -21,8 +21,10 @@
 } // namespace
 
 replacement_finder::replacement_finder(boost::asio::io_context& loop, timer_queue& timers,
-    const request_dialect& dialect, const active_config& config, target_tracker& tracker, decision_log& log)
+    const request_dialect& dialect, const active_config& config, target_tracker& tracker, decision_log& log,
+    memory_budget& memory)
     : m_loop(loop)
+    , m_memory(memory)
     , m_timers(timers)
     , m_dialect(dialect)
     , m_config(config)
@@ -46,7 +48,7 @@
         return;
     const auto path = m_config.table()->rulesOf(replaced.service)->healthPath;
     auto& call = m_calls[replaced.address];
-    call = std::make_shared<http_client>(m_loop, m_timers, replaced.address, MaxResponseBytes);
+    call = std::make_shared<http_client>(m_loop, m_timers, replaced.address, MaxResponseBytes, &m_memory);
     call->get(path, ResponseTimeout, [this, replaced, startedAt](const http_client_response& response) {
         const auto finished = m_calls.extract(replaced.address); // released when this callback returns
         onResponse(replaced, startedAt, response);
--- a/gateway/replacement_finder.h
+++ b/gateway/replacement_finder.h
@@ -14,6 +14,7 @@
 class active_config;
 class decision_log;
 class http_client;
+class memory_budget;
 class request_dialect;
 class target_tracker;
 struct http_client_response;
@@ -25,7 +26,7 @@
 public:
     /// All references outlive this object.
     replacement_finder(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
-        const active_config& config, target_tracker& tracker, decision_log& log);
+        const active_config& config, target_tracker& tracker, decision_log& log, memory_budget& memory);
 
     /// Queries the health page at the address of \p replaced for the name of the engine that runs there now.
     /// Does nothing when the configuration has more than one service with engines: the address may belong to another
@@ -38,6 +39,7 @@
     void onResponse(const target_entry& replaced, std::uint64_t startedAt, const http_client_response& response);
 
     boost::asio::io_context& m_loop;
+    memory_budget& m_memory; // of incomplete responses
     timer_queue& m_timers;
     const request_dialect& m_dialect;
     const active_config& m_config;
--- a/gateway/run_copy_client.cpp
+++ b/gateway/run_copy_client.cpp
@@ -14,8 +14,10 @@
 
 } // namespace
 
-run_copy_client::run_copy_client(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect)
+run_copy_client::run_copy_client(
+    boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect, memory_budget& memory)
     : m_loop(loop)
+    , m_memory(memory)
     , m_timers(timers)
     , m_dialect(dialect)
 {
@@ -41,7 +43,7 @@
 {
     const auto number = ++m_lastCall;
     auto& call = m_calls[number];
-    call = std::make_shared<http_client>(m_loop, m_timers, address, MaxResponseBytes);
+    call = std::make_shared<http_client>(m_loop, m_timers, address, MaxResponseBytes, &m_memory);
     call->send(std::move(request), ResponseTimeout,
         [this, number, done = std::move(done)](const http_client_response& response) {
             const auto finished = m_calls.extract(number); // released when this callback returns
--- a/gateway/run_copy_client.h
+++ b/gateway/run_copy_client.h
@@ -14,6 +14,7 @@
 namespace oriolepick {
 
 class http_client;
+class memory_budget;
 class request_dialect;
 struct http_client_response;
 
@@ -24,7 +25,8 @@
     using callback = std::function<void(const std::optional<std::string>& handle)>;
 
     /// \param dialect outlives this object
-    run_copy_client(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect);
+    run_copy_client(
+        boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect, memory_budget& memory);
 
     /// Requests a copy of the run of \p attempt from \p source to \p holder; both are addresses "IP:PORT".
     void copyRun(const std::string& source, const std::string& attempt, const std::string& holder, callback done);
@@ -36,6 +38,7 @@
     void send(const std::string& address, std::string request, std::function<void(const http_client_response&)> done);
 
     boost::asio::io_context& m_loop;
+    memory_budget& m_memory; // of incomplete responses
     timer_queue& m_timers;
     const request_dialect& m_dialect;
     std::map<std::uint64_t, std::shared_ptr<http_client>> m_calls;
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -20,10 +20,11 @@
 } // namespace
 
 target_connection::target_connection(boost::asio::io_context& loop, const request_dialect& dialect,
-    const tcp_connection_settings& settings, std::string address)
+    memory_budget& memory, const tcp_connection_settings& settings, std::string address)
     : m_dialect(dialect)
     , m_address(std::move(address))
     , m_connection(std::make_shared<tcp_connection>(boost::asio::ip::tcp::socket(loop), settings))
+    , m_memory(memory)
 {
 }
 
@@ -105,7 +106,7 @@
         m_input.erase(0, used);
         m_skippedBytes += m_skipping ? used : 0;
         if (m_parser->parseError() != parse_error::None || m_input.size() > MaxUnparsedBytes
-            || m_skippedBytes > MaxSkippedBytes) {
+            || m_skippedBytes > MaxSkippedBytes || !m_memory.tryResize(m_input.size() + 2 * m_parser->headBytes())) {
             fail(transport_failure::Malformed);
             return;
         }
@@ -167,6 +168,8 @@
     const bool reusable = m_parser->keepAlive() && m_input.empty() && !m_skippedResponses
         && m_attempts.size() < MaxAttempts && m_connection->isOpen();
     m_awaitingResponse = false;
+    m_parser.reset();
+    m_memory.set(0);
     const auto listener = m_listener.lock();
     m_listener.reset();
     if (!reusable)
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/instant.h"
+#include "core/memory_reservation.h"
 #include "gateway/http_parser.h"
 #include "gateway/request_dialect.h"
 #include "gateway/tcp_connection.h"
@@ -55,7 +56,8 @@
 class target_connection : public connection_listener, public std::enable_shared_from_this<target_connection> {
 public:
     /// \param dialect outlives this object
-    target_connection(boost::asio::io_context& loop, const request_dialect& dialect,
+    /// \param memory limits what all connections hold of incomplete responses; outlives this object
+    target_connection(boost::asio::io_context& loop, const request_dialect& dialect, memory_budget& memory,
         const tcp_connection_settings& settings, std::string address);
 
     /// \return whether \p attempt can be sent: it has not been sent on this connection before
@@ -108,6 +110,7 @@
     std::string m_request;
     std::string m_attempt;
     std::string m_input;
+    memory_reservation m_memory; // of m_input and the head, with its copy in the listener
     instant m_reusableUntil;
     std::size_t m_skippedResponses = 0;
     std::size_t m_skippedBytes = 0;
--- a/gateway/target_connection_pool.cpp
+++ b/gateway/target_connection_pool.cpp
@@ -6,10 +6,11 @@
 
 namespace oriolepick {
 
-target_connection_pool::target_connection_pool(
-    boost::asio::io_context& loop, const request_dialect& dialect, const tcp_connection_settings& settings)
+target_connection_pool::target_connection_pool(boost::asio::io_context& loop, const request_dialect& dialect,
+    memory_budget& memory, const tcp_connection_settings& settings)
     : m_loop(loop)
     , m_dialect(dialect)
+    , m_memory(memory)
     , m_settings(settings)
 {
 }
@@ -29,7 +30,7 @@
         connection->abandon();
     }
     ++m_openedConnections;
-    return std::make_shared<target_connection>(m_loop, m_dialect, m_settings, address);
+    return std::make_shared<target_connection>(m_loop, m_dialect, m_memory, m_settings, address);
 }
 
 void target_connection_pool::release(std::shared_ptr<target_connection> connection)
--- a/gateway/target_connection_pool.h
+++ b/gateway/target_connection_pool.h
@@ -14,6 +14,7 @@
 
 namespace oriolepick {
 
+class memory_budget;
 class request_dialect;
 class target_connection;
 
@@ -21,8 +22,9 @@
 class target_connection_pool {
 public:
     /// \param dialect outlives this object
-    target_connection_pool(
-        boost::asio::io_context& loop, const request_dialect& dialect, const tcp_connection_settings& settings);
+    /// \param memory limits what all connections hold of incomplete responses; outlives this object
+    target_connection_pool(boost::asio::io_context& loop, const request_dialect& dialect, memory_budget& memory,
+        const tcp_connection_settings& settings);
 
     /// \param attempt identifier of the attempt for which the connection is taken
     /// \return the most recently used idle connection to \p address that accepts \p attempt, or a new connection if
@@ -47,6 +49,7 @@
 private:
     boost::asio::io_context& m_loop;
     const request_dialect& m_dialect;
+    memory_budget& m_memory;
     tcp_connection_settings m_settings;
     std::map<std::string, std::vector<std::shared_ptr<target_connection>>> m_idleConnections;
     std::uint64_t m_openedConnections = 0;
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -20,8 +20,9 @@
 } // namespace
 
 target_prober::target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
-    const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices)
+    const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices, memory_budget& memory)
     : m_loop(loop)
+    , m_memory(memory)
     , m_timers(timers)
     , m_dialect(dialect)
     , m_targetTracker(targetTracker)
@@ -53,7 +54,7 @@
 void target_prober::sendProbe(const target_entry& target, std::chrono::milliseconds timeout)
 {
     auto& session = m_sessions[target.name];
-    session.client = std::make_shared<http_client>(m_loop, m_timers, target.address, MaxResponseBytes);
+    session.client = std::make_shared<http_client>(m_loop, m_timers, target.address, MaxResponseBytes, &m_memory);
     session.client->send(m_dialect.writeProbe(target.name, target.address), timeout,
         [this, name = target.name](const http_client_response& response) { finish(name, response); });
 }
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -18,6 +18,7 @@
 namespace oriolepick {
 
 class http_client;
+class memory_budget;
 class request_dialect;
 class target_notice_handler;
 class target_permits;
@@ -43,7 +44,8 @@
     /// \param permits grants the probes of limited targets
     /// \param notices receives the notices in every response
     target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
-        const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices);
+        const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices,
+        memory_budget& memory);
 
     /// Probes \p target. A target that has requested a pause, or whose request limit is used up, is not probed and
     /// counts as alive.
@@ -64,6 +66,7 @@
     static void callBack(const session& session, const answer& answer);
 
     boost::asio::io_context& m_loop;
+    memory_budget& m_memory; // of incomplete responses
     timer_queue& m_timers;
     const request_dialect& m_dialect;
     const target_tracker& m_targetTracker;
--- a/node/call_driver.cpp
+++ b/node/call_driver.cpp
@@ -199,26 +199,28 @@
             fingerprint = dispatch.fingerprint, service = dispatch.service.text()] {
             active_call active(m_active);
             m_crashes.attemptStarted(fingerprint, action.target, nullptr);
-            const auto outcome = m_services.call(address, request, timeouts, active.handle());
-            if (outcome.kind == service_outcome_kind::MayHaveRun) {
+            const auto outcome
+                = std::make_shared<service_outcome>(m_services.call(address, request, timeouts, active.handle()));
+            if (outcome->kind == service_outcome_kind::MayHaveRun) {
                 logWarning("call ended without a response",
-                    { { "service", service }, { "target", action.target.text() }, { "reason", outcome.detail } });
+                    { { "service", service }, { "target", action.target.text() }, { "reason", outcome->detail } });
                 m_crashes.callLost(action.target);
             }
             m_crashes.attemptEnded(fingerprint, action.target, nullptr);
-            m_loop.post([this, action, outcome](instant) { finishSend(action.number, action.target, outcome); });
+            m_loop.post(
+                [this, action, outcome](instant) { finishSend(action.number, action.target, std::move(*outcome)); });
         });
     if (!queued)
         finishSend(action.number, action.target, {});
 }
 
-void call_driver::finishSend(call_number number, const target_id& target, const service_outcome& outcome)
+void call_driver::finishSend(call_number number, const target_id& target, service_outcome outcome)
 {
     m_targets.recordFinished(target, 0, true, std::chrono::steady_clock::now());
     switch (outcome.kind) {
     case service_outcome_kind::Response:
-        execute(m_desk.dispatchAnswered(
-            timeNow(), number, { outcome.status, contentTypeOf(outcome.headers), outcome.body }));
+        execute(m_desk.dispatchAnswered(timeNow(), number,
+            { outcome.status, contentTypeOf(outcome.headers), std::move(outcome.body), std::move(outcome.memory) }));
         break;
     case service_outcome_kind::NotSent: {
         if (!outcome.limited)
--- a/node/call_driver.h
+++ b/node/call_driver.h
@@ -82,7 +82,7 @@
     void run(const answer_caller& action);
     void run(const send_claim_inquiry& action);
     void run(const send_claim_notice& action);
-    void finishSend(call_number number, const target_id& target, const service_outcome& outcome);
+    void finishSend(call_number number, const target_id& target, service_outcome outcome);
     void collectGarbage(instant now);
     void updatePrefixes();
     void registerMessages();
--- a/node/daemon.cpp
+++ b/node/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "config/settings.h"
 #include "core/fleet_state.h"
+#include "core/memory_budget.h"
 #include "node/active_calls.h"
 #include "node/authenticator.h"
 #include "node/call_driver.h"
@@ -53,6 +54,7 @@
     constexpr std::size_t TaskThreads = 16;
     constexpr std::size_t TaskCapacity = 65536;
     constexpr std::size_t TracedRequests = 4096;
+    constexpr std::size_t SmallResponseBytes = 16'384; ///< responses up to this size never lack memory
     constexpr std::chrono::milliseconds TargetPollPeriod { 1000 };
     constexpr std::chrono::milliseconds TargetPollTimeout { 500 };
     constexpr std::chrono::milliseconds DrainCheckPeriod { 50 };
@@ -110,8 +112,10 @@
         , transport(configuration.peersListen)
         , peers(node_id(configuration.peersListen), incarnation, transport, loop, states, metrics)
         , targetLimits(peers, loop, metrics)
-        , engineAdapter(
-              {}, [this](const auto& address, const auto& headers) { targetLimits.recordResponse(address, headers); })
+        , responseMemory(static_cast<std::size_t>(configuration.responseMemoryBytes), SmallResponseBytes)
+        , engineAdapter(responseMemory, {},
+              [this](const auto& address, const auto& headers) { targetLimits.recordResponse(address, headers); })
+        , serviceAdapter(responseMemory)
         , engines(engineAdapter, targetLimits)
         , serviceClient(serviceAdapter, targetLimits)
         , crashes(origin, table, engines, serviceClient, targets, peers, loop, metrics, configuration.platformTimeout)
@@ -178,6 +182,7 @@
     control_loop loop;
     peer_hub peers;
     target_limits targetLimits;
+    memory_budget responseMemory;
     http_engine_client engineAdapter;
     http_service_client serviceAdapter;
     limited_engine_client engines;
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -78,6 +78,21 @@
             });
     }
 
+    /// Sends \p answer, whose memory stays reserved until the caller has received it.
+    void sendAnswer(call_answer&& answer, httplib::Response& response)
+    {
+        response.status = answer.status;
+        if (answer.body.empty()) {
+            response.set_content(answer.body, answer.contentType);
+            return;
+        }
+        const auto held = std::make_shared<call_answer>(std::move(answer));
+        response.set_content_provider(held->body.size(), held->contentType,
+            [held](std::size_t offset, std::size_t length, httplib::DataSink& sink) {
+                return sink.write(held->body.data() + offset, length);
+            });
+    }
+
     /// The kind of an answer that the library gave by itself.
     error_kind kindOf(int status)
     {
@@ -315,12 +330,11 @@
     call.contentType = request.get_header_value("Content-Type");
     call.body = request.body;
     call.arrived = std::chrono::steady_clock::now();
-    const auto served = m_services.services.call(call);
+    auto served = m_services.services.call(call);
     if (!served.reply)
         return answerError(served.reply.error(), response, served.fleet);
     m_services.metrics.add(counter_metric::Requests, { { "fleet", served.fleet }, { "code", "ok" } });
-    response.status = served.reply.value().status;
-    response.set_content(served.reply.value().body, served.reply.value().contentType);
+    sendAnswer(std::move(served.reply.value()), response);
 }
 
 void http_edge::handleLookUp(const httplib::Request& request, httplib::Response& response)
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -1,4 +1,5 @@
 #include "config/settings_json.h"
+#include "core/heap_settings.h"
 #include "node/daemon.h"
 #include "node/node_log.h"
 
@@ -97,6 +98,7 @@
 
 int main(int argc, char** argv)
 {
+    oriolepick::applyHeapSettings();
     const auto signals = blockSignals();
     std::map<std::string, docopt::value> options;
     try {
--- a/node/service_endpoint.cpp
+++ b/node/service_endpoint.cpp
@@ -37,14 +37,14 @@
         });
     }
 
-    call_answer answerOf(const service_outcome& outcome)
+    call_answer answerOf(service_outcome&& outcome)
     {
         std::string type = "application/octet-stream";
         for (const auto& [name, value] : outcome.headers) {
             if (name == "Content-Type" || name == "content-type")
                 type = value;
         }
-        return { outcome.status, type, outcome.body };
+        return { outcome.status, type, std::move(outcome.body), std::move(outcome.memory) };
     }
 
     /// Ends the count of an open request of a team.
@@ -115,6 +115,7 @@
     call_dispatch dispatch { *service, settings->targets, { call.method, call.path, {}, call.body }, {},
         fingerprintOf(concatenated(team.text(), " ", service->text()), call.method, call.path, call.body) };
     dispatch.timeouts.idle = method->timeLimit;
+    dispatch.timeouts.total = method->timeLimit;
     if (!call.contentType.empty())
         dispatch.request.headers.emplace_back("Content-Type", call.contentType);
     const request_key key { team,
@@ -195,10 +196,11 @@
         auto timeouts = dispatch.timeouts;
         timeouts.idle = std::max(
             std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now));
+        timeouts.total = timeouts.idle;
         active_call active(m_active);
         const auto address = m_targets.addressOf(send.target);
         m_crashes.attemptStarted(dispatch.fingerprint, send.target, nullptr);
-        const auto outcome
+        auto outcome
             = address ? m_services.call(*address, dispatch.request, timeouts, active.handle()) : service_outcome {};
         if (outcome.kind == service_outcome_kind::MayHaveRun) {
             logWarning("call ended without a response",
@@ -210,7 +212,7 @@
         const auto after = std::chrono::steady_clock::now();
         m_targets.recordFinished(send.target, 0, true, after);
         if (outcome.kind == service_outcome_kind::Response) {
-            actions = machine.attemptAnswered(send.ordinal, answerOf(outcome));
+            actions = machine.attemptAnswered(send.ordinal, answerOf(std::move(outcome)));
         } else if (outcome.kind == service_outcome_kind::NotSent) {
             if (!outcome.limited)
                 m_targets.recordUnreachable(send.target);
--- a/node/test/http_edge.cpp
+++ b/node/test/http_edge.cpp
@@ -131,7 +131,7 @@
     ASSERT_EQ(
         exchangeBuffered(platform,
             { "POST", "/faults", { { "Content-Type", "application/json" } }, R"({"service":"table","down":true})" }, {},
-            4096, abort)
+            4096, ampleMemory(), abort)
             .status,
         200);
     EXPECT_EQ(runOf(call("POST", "order-9", "{}")), "may_have_run");
--- a/node/test/limited_targets.cpp
+++ b/node/test/limited_targets.cpp
@@ -1,5 +1,6 @@
 // Guards against a target that is sent more requests than the limit it names, because each node keeps the limit by
 // itself or not at all.
+#include "core/test/ample_memory.h"
 #include "node/control_loop.h"
 #include "node/limited_service_client.h"
 #include "node/node_metrics.h"
@@ -102,7 +103,7 @@
     memory_transport transport;
     peer_hub peers;
     target_limits limits;
-    http_service_client adapter;
+    http_service_client adapter { ampleMemory() };
     limited_service_client services;
 };
 
--- a/node/test/node_fixture.h
+++ b/node/test/node_fixture.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "config/settings.h"
+#include "core/test/ample_memory.h"
 #include "core/test/loopback_ports.h"
 #include "node/authenticator.h"
 #include "node/daemon.h"
@@ -72,7 +73,7 @@
             { "POST", "/v1/attempts", { { "Content-Type", "application/json" } },
                 R"({"attempt_id":"first.1","model":"one/manuals","version":"3","adapter":"","prompt":"p [length=2]",)"
                 R"("prefix_token_ids":[],"seed":1,"max_tokens":2,"priority":5})" },
-            {}, 1 << 16, abort);
+            {}, 1 << 16, ampleMemory(), abort);
         ASSERT_EQ(response.status, 200) << response.body;
     }
 
@@ -92,7 +93,8 @@
         const std::string& body = {}) const
     {
         call_abort abort;
-        return exchangeBuffered(m_settings.callersListen, { method, path, headers, body }, {}, 1 << 22, abort);
+        return exchangeBuffered(
+            m_settings.callersListen, { method, path, headers, body }, {}, 1 << 22, ampleMemory(), abort);
     }
 
     buffered_response complete(
--- a/node/test/process_signals.cpp
+++ b/node/test/process_signals.cpp
@@ -28,7 +28,7 @@
 bool serves(const std::string& address)
 {
     call_abort abort;
-    return exchangeBuffered(address, { "GET", "/healthz", {}, {} }, {}, 4096, abort).status == 200;
+    return exchangeBuffered(address, { "GET", "/healthz", {}, {} }, {}, 4096, ampleMemory(), abort).status == 200;
 }
 
 } // namespace
--- a/routing/test/store_gossip.cpp
+++ b/routing/test/store_gossip.cpp
@@ -89,6 +89,7 @@
 TEST_F(StoreGossipRevisions, ALateNoticeOfARecoveryIsIgnoredByANodeThatKnewOfReadsAllTheWhile)
 {
     gossip.tick(now);
+    gossip.storeResponded(store_topic::Targets, storedAt(150).epoch(), now, now);
     read(97, 150);
     auto digest = digestOf(97, 150);
     for (int period = 0; period < 12; ++period) {
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -1,5 +1,6 @@
 #include "standins/caller.h"
 
+#include "core/memory_budget.h"
 #include "targets/call_abort.h"
 #include "targets/event_stream_parser.h"
 #include "targets/http_exchange.h"
@@ -23,6 +24,7 @@
     // A call whose outcome is unknown stays so; a caller asks a few times and then stops.
     constexpr int MaxUnknownAnswers = 3;
     constexpr std::size_t MaxBodyBytes = std::size_t { 1 } << 20;
+    constexpr std::size_t BudgetOfBodies = 16; ///< more than the copies that one exchange reserves
 
     /// The error object in a body.
     struct error_report {
@@ -235,12 +237,13 @@
         { { "Content-Type", "application/json" }, { "Authorization", "Bearer " + traffic.bearer },
             { "Idempotency-Key", key } },
         traffic.method == "GET" ? std::string() : absl::StrCat("{\"order\":\"", key, "\"}") };
+    memory_budget memory(BudgetOfBodies * MaxBodyBytes, 0);
     int unknownAnswers = 0;
     for (std::size_t node = firstNode; clock::now() - begin < plan.patience; ++node) {
         call_abort abort;
         ++report.connections;
-        const auto response = exchangeBuffered(
-            plan.nodes[node % plan.nodes.size()], request, { std::chrono::seconds(1), plan.idle }, MaxBodyBytes, abort);
+        const auto response = exchangeBuffered(plan.nodes[node % plan.nodes.size()], request,
+            { std::chrono::seconds(1), plan.idle }, MaxBodyBytes, memory, abort);
         auto pause = ReconnectPause;
         if (response.result.end == exchange_end::Complete) {
             if (isFinalCallAnswer(response, report, pause)) {
--- a/standins/run_audit.cpp
+++ b/standins/run_audit.cpp
@@ -1,5 +1,6 @@
 #include "standins/run_audit.h"
 
+#include "core/memory_budget.h"
 #include "targets/call_abort.h"
 #include "targets/http_service_client.h"
 
@@ -28,7 +29,10 @@
 recorded_runs readRuns(const std::vector<std::string>& services)
 {
     recorded_runs runs;
-    http_service_client client(std::size_t { 256 } << 20);
+    constexpr std::size_t MaxListBytes = std::size_t { 256 } << 20;
+    constexpr std::size_t MemoryPerListByte = 16; // copies of the list and growth
+    memory_budget memory(MemoryPerListByte * MaxListBytes, 0);
+    http_service_client client(memory, MaxListBytes);
     for (const auto& service : services) {
         call_abort abort;
         const auto outcome = client.call(service, { "GET", "/runs", {}, {} }, {}, abort);
--- a/standins/test/engine_faults.cpp
+++ b/standins/test/engine_faults.cpp
@@ -1,5 +1,6 @@
 // Guards what the HTTP adapter reports when an engine rejects, crashes or breaks the protocol: a wrong reason would
 // make a node say "not run" of work that ran, or lose a stream that could go on.
+#include "core/test/ample_memory.h"
 #include "standins/test/recording_sink.h"
 #include "standins/test/silent_listener.h"
 
@@ -33,7 +34,7 @@
 recording_sink& runCall(recording_sink& sink, const std::string& address, const attempt_request& request)
 {
     call_abort abort;
-    http_engine_client().start(address, request, {}, sink, abort);
+    http_engine_client(ampleMemory()).start(address, request, {}, sink, abort);
     return sink;
 }
 
@@ -82,7 +83,7 @@
     ASSERT_TRUE(engine.start("127.0.0.1:0"));
     const std::string address = engine.address();
     background_call bystander([&](attempt_sink& sink, call_abort& abort) {
-        http_engine_client().start(address, testRequest("[length=90000]", 1), {}, sink, abort);
+        http_engine_client(ampleMemory()).start(address, testRequest("[length=90000]", 1), {}, sink, abort);
     });
     ASSERT_TRUE(bystander.sink().waitForTokens(2));
     recording_sink culprit;
@@ -113,7 +114,7 @@
     EXPECT_EQ(runCall(invalid, engine.address(), malformed).reason(), stream_break::Invalid);
 
     background_call running([&](attempt_sink& sink, call_abort& abort) {
-        http_engine_client().start(engine.address(), testRequest("[length=90000]", 3), {}, sink, abort);
+        http_engine_client(ampleMemory()).start(engine.address(), testRequest("[length=90000]", 3), {}, sink, abort);
     });
     ASSERT_TRUE(running.sink().waitForTokens(1));
     recording_sink again;
@@ -128,8 +129,9 @@
     silent_listener engine;
     recording_sink sink;
     call_abort abort;
-    http_engine_client().start(
-        engine.address(), testRequest("x"), { std::chrono::seconds(20), std::chrono::milliseconds(50) }, sink, abort);
+    http_engine_client(ampleMemory())
+        .start(engine.address(), testRequest("x"), { std::chrono::seconds(20), std::chrono::milliseconds(50) }, sink,
+            abort);
     EXPECT_EQ(sink.reason(), stream_break::Timeout) << sink.detail();
     EXPECT_FALSE(sink.accepted());
 }
--- a/standins/test/engine_reports.cpp
+++ b/standins/test/engine_reports.cpp
@@ -1,4 +1,5 @@
 // Guards state, load, orders and cache events between the HTTP adapter and an emulated engine.
+#include "core/test/ample_memory.h"
 #include "standins/test/recording_sink.h"
 #include "standins/test/silent_listener.h"
 #include "targets/prompt_blocks.h"
@@ -26,7 +27,7 @@
 void runAttempt(engine_emulator& engine, const attempt_request& request, recording_sink& sink)
 {
     call_abort abort;
-    http_engine_client().start(engine.address(), request, {}, sink, abort);
+    http_engine_client(ampleMemory()).start(engine.address(), request, {}, sink, abort);
 }
 
 } // namespace
@@ -37,7 +38,7 @@
     settings.weightBytes = 1;
     engine_emulator engine(settings);
     ASSERT_TRUE(engine.start("127.0.0.1:0"));
-    http_engine_client client;
+    http_engine_client client { ampleMemory() };
     for (const auto kind : { order_kind::Load, order_kind::Role, order_kind::Drain })
         ASSERT_TRUE(client.giveOrder(engine.address(), orderOf(kind, 5), Patience));
     ASSERT_TRUE(eventually([&] { return client.readState(engine.address(), Patience).value().loaded.size() == 2; }));
@@ -62,7 +63,7 @@
     settings.weightBytesPerSecond = 1;
     engine_emulator engine(settings);
     ASSERT_TRUE(engine.start("127.0.0.1:0"));
-    http_engine_client client;
+    http_engine_client client { ampleMemory() };
     ASSERT_TRUE(client.giveOrder(engine.address(), orderOf(order_kind::Load, 1), Patience));
     const auto state = client.readState(engine.address(), Patience);
     ASSERT_TRUE(state.value().loading);
@@ -77,7 +78,7 @@
         settings.checksFencing = checks;
         engine_emulator engine(settings);
         ASSERT_TRUE(engine.start("127.0.0.1:0"));
-        http_engine_client client;
+        http_engine_client client { ampleMemory() };
         ASSERT_TRUE(client.giveOrder(engine.address(), orderOf(order_kind::Drain, 9), Patience));
         const auto stale = client.giveOrder(engine.address(), orderOf(order_kind::Undrain, 8), Patience);
         EXPECT_EQ(stale.has_value(), !checks);
@@ -100,12 +101,13 @@
     ASSERT_TRUE(first.summary() && second.summary());
     EXPECT_EQ(first.summary()->cachedTokens, 0u);
     EXPECT_EQ(second.summary()->cachedTokens, 3 * PromptBlockTokens);
-    const auto events = http_engine_client().readCacheEvents(engine.address(), 0, Patience);
+    const auto events = http_engine_client(ampleMemory()).readCacheEvents(engine.address(), 0, Patience);
     ASSERT_EQ(events.value().events.size(), 3u);
     const auto blocks = promptBlocks(testModel(), manual);
     for (const auto& event : events.value().events)
         EXPECT_NE(std::find(blocks.begin(), blocks.end(), event.block), blocks.end());
-    EXPECT_TRUE(http_engine_client().readCacheEvents(engine.address(), 3, Patience).value().events.empty());
+    EXPECT_TRUE(
+        http_engine_client(ampleMemory()).readCacheEvents(engine.address(), 3, Patience).value().events.empty());
 }
 
 TEST(engine_reports, higher_priority_runs_first)
@@ -116,7 +118,7 @@
     ASSERT_TRUE(engine.start("127.0.0.1:0"));
     const auto begin = [&](const attempt_request& request) {
         return std::make_unique<background_call>([&engine, request](attempt_sink& sink, call_abort& abort) {
-            http_engine_client().start(engine.address(), request, {}, sink, abort);
+            http_engine_client(ampleMemory()).start(engine.address(), request, {}, sink, abort);
         });
     };
     const auto running = begin(testRequest("[length=90000]", 1));
@@ -127,7 +129,7 @@
     urgent.priority = 1;
     const auto high = begin(urgent);
     ASSERT_TRUE(eventually([&] { return engine.batch().currentLoad().waiting == 2; }));
-    ASSERT_TRUE(http_engine_client().cancel(engine.address(), { "node-1.7", 1 }, Patience));
+    ASSERT_TRUE(http_engine_client(ampleMemory()).cancel(engine.address(), { "node-1.7", 1 }, Patience));
     high->join();
     EXPECT_TRUE(high->sink().summary());
     EXPECT_TRUE(eventually([&] { return low->sink().waitForTokens(1); }));
@@ -137,7 +139,7 @@
 TEST(engine_reports, silent_engine_is_another_error_than_an_unreachable_one)
 {
     silent_listener engine;
-    http_engine_client client;
+    http_engine_client client { ampleMemory() };
     constexpr std::chrono::milliseconds Short { 50 };
     EXPECT_EQ(client.readState(engine.address(), Short).error().kind, error_kind::TargetFailed);
     EXPECT_EQ(client.readLoad(engine.address(), Short).error().kind, error_kind::TargetFailed);
@@ -149,9 +151,9 @@
 {
     engine_emulator engine(quickEngine());
     ASSERT_TRUE(engine.start("127.0.0.1:0"));
-    const auto first = http_engine_client().readState(engine.address(), Patience).value().incarnation;
+    const auto first = http_engine_client(ampleMemory()).readState(engine.address(), Patience).value().incarnation;
     EXPECT_NE(first, 0u);
-    EXPECT_EQ(http_engine_client().readState(engine.address(), Patience).value().incarnation, first);
+    EXPECT_EQ(http_engine_client(ampleMemory()).readState(engine.address(), Patience).value().incarnation, first);
 }
 
 TEST(engine_reports, unreachable_engine_is_an_error)
@@ -162,7 +164,7 @@
         ASSERT_TRUE(engine.start("127.0.0.1:0"));
         address = engine.address();
     }
-    http_engine_client client;
+    http_engine_client client { ampleMemory() };
     EXPECT_EQ(client.readState(address, Patience).error().kind, error_kind::NoTarget);
     EXPECT_EQ(client.readLoad(address, Patience).error().kind, error_kind::NoTarget);
     EXPECT_EQ(client.readCacheEvents(address, 0, Patience).error().kind, error_kind::NoTarget);
--- a/standins/test/engine_streams.cpp
+++ b/standins/test/engine_streams.cpp
@@ -1,6 +1,7 @@
 // Guards the life of a stream between the HTTP adapter and an emulated engine: whole answers, continuation from a
 // prefix, attach, supersede, cancel, and abort of a paused engine.
 #include "core/stable_hash.h"
+#include "core/test/ample_memory.h"
 #include "standins/test/recording_sink.h"
 
 #include <gtest/gtest.h>
@@ -32,7 +33,7 @@
     }
 
     std::unique_ptr<engine_emulator> m_engine;
-    http_engine_client m_client;
+    http_engine_client m_client { ampleMemory() };
 };
 
 } // namespace
--- a/standins/test/load_checks.cpp
+++ b/standins/test/load_checks.cpp
@@ -1,5 +1,6 @@
 // Guards the load tool against missing what it is there to find: left out, repeated and mixed tokens, and doubled,
 // lost and wrongly reported calls. A small faulty node stands in for the daemon.
+#include "core/test/ample_memory.h"
 #include "standins/expected_answer.h"
 #include "standins/load_tool.h"
 #include "standins/service_emulator.h"
@@ -78,7 +79,7 @@
         const int times = m_fault == node_fault::CallNever ? 0 : m_fault == node_fault::CallTwice ? 2 : 1;
         for (int time = 0; time < times; ++time) {
             call_abort abort;
-            http_service_client().call(m_service, call, {}, abort);
+            http_service_client(ampleMemory()).call(m_service, call, {}, abort);
         }
         response.set_content("{}", "application/json");
         if (m_fault == node_fault::NotRunAfterCall) {
--- a/standins/test/malformed_responses.cpp
+++ b/standins/test/malformed_responses.cpp
@@ -1,6 +1,7 @@
 // Guards against responses that harm this process: a status line of 50 KB overflowed the stack in the HTTP library's
 // regular expression, and header and chunk lines were collected without a limit. Mutated responses end each call with
 // one outcome.
+#include "core/test/ample_memory.h"
 #include "standins/test/recording_sink.h"
 #include "standins/test/silent_listener.h"
 #include "targets/http_service_client.h"
@@ -18,7 +19,7 @@
     silent_listener listener;
     std::thread server([&] { listener.answerOnce(response); });
     call_abort abort;
-    const auto outcome = http_service_client().call(listener.address(), { "GET", "/", {}, {} }, {}, abort);
+    const auto outcome = http_service_client(ampleMemory()).call(listener.address(), { "GET", "/", {}, {} }, {}, abort);
     server.join();
     return outcome;
 }
@@ -90,7 +91,7 @@
         std::thread server([&] { listener.answerOnce(response); });
         recording_sink sink;
         call_abort abort;
-        http_engine_client().start(listener.address(), testRequest("x"), {}, sink, abort);
+        http_engine_client(ampleMemory()).start(listener.address(), testRequest("x"), {}, sink, abort);
         server.join();
         RC_ASSERT(sink.summary().has_value() != sink.reason().has_value());
         if (response == engineResponse())
--- a/standins/test/service_calls.cpp
+++ b/standins/test/service_calls.cpp
@@ -1,4 +1,5 @@
 // Guards the three outcomes of a call to a plain service: a wrong "not sent" would run a repair order twice.
+#include "core/test/ample_memory.h"
 #include "standins/service_emulator.h"
 #include "standins/test/silent_listener.h"
 #include "targets/call_abort.h"
@@ -22,7 +23,7 @@
     const std::string& address, const service_request& request, const service_timeouts& timeouts = {})
 {
     call_abort abort;
-    return http_service_client().call(address, request, timeouts, abort);
+    return http_service_client(ampleMemory()).call(address, request, timeouts, abort);
 }
 
 struct fault_row {
@@ -112,12 +113,14 @@
     silent_listener service;
     call_abort abort;
     service_outcome outcome;
-    std::thread caller([&] { outcome = http_service_client().call(service.address(), order("k"), {}, abort); });
+    std::thread caller(
+        [&] { outcome = http_service_client(ampleMemory()).call(service.address(), order("k"), {}, abort); });
     service.waitForRequest();
     abort.abort();
     caller.join();
     EXPECT_EQ(outcome.kind, service_outcome_kind::MayHaveRun);
-    EXPECT_EQ(http_service_client().call(service.address(), order("k"), {}, abort).kind, service_outcome_kind::NotSent);
+    EXPECT_EQ(http_service_client(ampleMemory()).call(service.address(), order("k"), {}, abort).kind,
+        service_outcome_kind::NotSent);
 }
 
 TEST(service_calls, too_long_response_may_have_run)
@@ -125,6 +128,6 @@
     service_emulator service(4);
     ASSERT_TRUE(service.start("127.0.0.1:0"));
     call_abort abort;
-    EXPECT_EQ(
-        http_service_client(10).call(service.address(), order("k"), {}, abort).kind, service_outcome_kind::MayHaveRun);
+    EXPECT_EQ(http_service_client(ampleMemory(), 10).call(service.address(), order("k"), {}, abort).kind,
+        service_outcome_kind::MayHaveRun);
 }
--- a/targets/attempt_reader.cpp
+++ b/targets/attempt_reader.cpp
@@ -31,10 +31,12 @@
 
 } // namespace
 
-attempt_reader::attempt_reader(attempt_sink& sink, std::uint32_t from, event_stream_limits limits)
+attempt_reader::attempt_reader(
+    attempt_sink& sink, std::uint32_t from, event_stream_limits limits, memory_budget& memory)
     : m_sink(sink)
     , m_next(from)
     , m_parser(limits)
+    , m_memory(memory)
 {
 }
 
@@ -66,6 +68,9 @@
     const auto status = m_parser.feed(bytes, [this](const stream_event& event) { return takeEvent(event); });
     if (status == event_stream_parser::status::Malformed)
         return breakOff(stream_break::Malformed, m_parser.fault());
+    if (!m_memory.tryResize(m_parser.heldBytes()))
+        return breakOff(stream_break::Malformed,
+            absl::StrCat("no memory for an event of more than ", m_parser.heldBytes(), " bytes beside the others"));
     return status == event_stream_parser::status::Ok;
 }
 
--- a/targets/attempt_reader.h
+++ b/targets/attempt_reader.h
@@ -2,6 +2,7 @@
 /// Turns the response of a streaming engine call into calls of an attempt_sink.
 #pragma once
 
+#include "core/memory_reservation.h"
 #include "targets/engine_client.h"
 #include "targets/event_stream_parser.h"
 #include "targets/http_exchange.h"
@@ -17,7 +18,8 @@
 class attempt_reader {
 public:
     /// \param from position of the first token expected
-    attempt_reader(attempt_sink& sink, std::uint32_t from, event_stream_limits limits);
+    /// \param memory limits what all readers hold of incomplete events; outlives this object
+    attempt_reader(attempt_sink& sink, std::uint32_t from, event_stream_limits limits, memory_budget& memory);
 
     /// Takes the status line and headers. \return whether to read on
     bool takeHead(int status, const header_list& headers);
@@ -38,6 +40,7 @@
     attempt_sink& m_sink;
     std::uint32_t m_next;
     event_stream_parser m_parser;
+    memory_reservation m_memory; ///< of the incomplete event in the parser
     int m_status = 0;
     std::string m_rejection; ///< body of a response other than 200
     bool m_ended = false; ///< the sink got its last call, or stopped
--- a/targets/event_stream_parser.cpp
+++ b/targets/event_stream_parser.cpp
@@ -50,6 +50,11 @@
     return m_fault.empty() ? status::Ok : status::Malformed;
 }
 
+std::size_t event_stream_parser::heldBytes() const
+{
+    return m_line.capacity() + m_event.name.capacity() + m_event.data.capacity() + m_event.id.capacity();
+}
+
 bool event_stream_parser::takeLine(std::string_view line)
 {
     if (hasControlCharacter(line))
--- a/targets/event_stream_parser.h
+++ b/targets/event_stream_parser.h
@@ -42,6 +42,9 @@
     /// Parses the next bytes and calls \p handler for each event that they complete.
     status feed(std::string_view bytes, const event_handler& handler);
 
+    /// \return the memory that the incomplete event takes
+    std::size_t heldBytes() const;
+
     /// \return what is wrong with a malformed stream
     const std::string& fault() const { return m_fault; }
 
--- a/targets/http_engine_client.cpp
+++ b/targets/http_engine_client.cpp
@@ -41,14 +41,14 @@
         },
         [&reader](std::string_view bytes) { return reader.takeBody(bytes); },
     };
-    reader.finish(exchange(address, request, { timeouts.connect, timeouts.idle }, handlers, abort));
+    reader.finish(exchange(address, request, { timeouts.connect, timeouts.idle, {} }, handlers, abort));
 }
 
 buffered_response http_engine_client::callOnce(
     const std::string& address, const service_request& request, std::chrono::milliseconds timeout) const
 {
     call_abort abort;
-    auto response = exchangeBuffered(address, request, { timeout, timeout }, MaxReportBytes, abort);
+    auto response = exchangeBuffered(address, request, { timeout, timeout, timeout }, MaxReportBytes, m_memory, abort);
     if (response.result.end == exchange_end::Complete)
         observe(address, response.headers);
     return response;
@@ -73,7 +73,7 @@
 void http_engine_client::start(const std::string& address, const attempt_request& request,
     const stream_timeouts& timeouts, attempt_sink& sink, call_abort& abort)
 {
-    attempt_reader reader(sink, static_cast<std::uint32_t>(request.prefix.size()), m_limits);
+    attempt_reader reader(sink, static_cast<std::uint32_t>(request.prefix.size()), m_limits, m_memory);
     stream(address,
         { "POST", "/v1/attempts", { { "Content-Type", "application/json" } }, formatAttemptRequest(request) }, timeouts,
         reader, abort);
@@ -82,7 +82,7 @@
 void http_engine_client::attach(const std::string& address, const attempt_id& attempt, std::uint32_t from,
     std::uint64_t readerEpoch, const stream_timeouts& timeouts, attempt_sink& sink, call_abort& abort)
 {
-    attempt_reader reader(sink, from, m_limits);
+    attempt_reader reader(sink, from, m_limits, m_memory);
     stream(address,
         { "GET", absl::StrCat("/v1/attempts/", attempt.text(), "?from=", from, "&reader_epoch=", readerEpoch), {}, {} },
         timeouts, reader, abort);
--- a/targets/http_engine_client.h
+++ b/targets/http_engine_client.h
@@ -12,6 +12,7 @@
 namespace oriolepick {
 
 class attempt_reader;
+class memory_budget;
 struct buffered_response;
 
 /// Makes each call on a connection of its own.
@@ -20,8 +21,10 @@
     /// Receives the headers of each response, on the thread of the call.
     using header_observer = std::function<void(const std::string& address, const header_list& headers)>;
 
-    explicit http_engine_client(event_stream_limits limits = {}, header_observer observer = {})
-        : m_limits(limits)
+    /// \param memory limits what all responses hold together; outlives this object
+    explicit http_engine_client(memory_budget& memory, event_stream_limits limits = {}, header_observer observer = {})
+        : m_memory(memory)
+        , m_limits(limits)
         , m_observer(std::move(observer))
     {
     }
@@ -51,6 +54,7 @@
         result<Value> (*parse)(std::string_view)) const;
     void observe(const std::string& address, const header_list& headers) const;
 
+    memory_budget& m_memory;
     event_stream_limits m_limits;
     header_observer m_observer;
 };
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -1,5 +1,6 @@
 #include "targets/http_exchange.h"
 
+#include "core/memory_reservation.h"
 #include "targets/call_abort.h"
 #include "targets/target_socket.h"
 
@@ -15,6 +16,10 @@
 
 namespace {
 
+    /// A body exists at most this often at a time: as received, in the row of a recorded call and in its encoded forms.
+    constexpr std::size_t CopiesOfBody = 4;
+    constexpr std::size_t BodyGrowthDivisor = 4; ///< grows by a fourth: few copies and little unused memory
+
     struct endpoint {
         std::string host;
         int port = 0;
@@ -182,7 +187,7 @@
         return { exchange_end::NotSent, std::move(fault) };
     if (abort.aborted())
         return { exchange_end::NotSent, "aborted before the connect" };
-    target_socket socket(abort, timeouts.idle);
+    target_socket socket(abort, timeouts.idle, timeouts.total);
     if (auto fault = socket.connect(target->host, target->port, timeouts.connect); !fault.empty())
         return { exchange_end::NotSent, std::move(fault) };
 
@@ -212,10 +217,13 @@
 }
 
 buffered_response exchangeBuffered(const std::string& address, const service_request& request,
-    const service_timeouts& timeouts, std::size_t maxBodyBytes, call_abort& abort)
+    const service_timeouts& timeouts, std::size_t maxBodyBytes, memory_budget& memory, call_abort& abort)
 {
     buffered_response response;
+    const auto reservation = std::make_shared<memory_reservation>(memory);
+    response.memory = reservation;
     bool tooLong = false;
+    bool noMemory = false;
     const response_handlers handlers {
         [&](int status, const header_list& headers) {
             response.status = status;
@@ -223,16 +231,28 @@
             return true;
         },
         [&](std::string_view bytes) {
-            tooLong = response.body.size() + bytes.size() > maxBodyBytes;
-            if (!tooLong)
-                response.body.append(bytes);
-            return !tooLong;
+            const auto size = response.body.size() + bytes.size();
+            tooLong = size > maxBodyBytes;
+            if (!tooLong && size > response.body.capacity()) {
+                const auto capacity = size + size / BodyGrowthDivisor;
+                noMemory = !reservation->tryResize(CopiesOfBody * capacity);
+                if (!noMemory)
+                    response.body.reserve(capacity);
+            }
+            if (tooLong || noMemory)
+                return false;
+            response.body.append(bytes);
+            return true;
         },
     };
     response.result = exchange(address, request, timeouts, handlers, abort);
     if (tooLong)
         response.result
             = { exchange_end::Malformed, absl::StrCat("response body longer than ", maxBodyBytes, " bytes") };
+    if (noMemory)
+        response.result = { exchange_end::Malformed,
+            absl::StrCat(
+                "no memory for a response body of more than ", response.body.size(), " bytes beside the others") };
     return response;
 }
 
@@ -242,7 +262,7 @@
     if (!target)
         return false;
     call_abort abort;
-    target_socket socket(abort, timeout);
+    target_socket socket(abort, timeout, timeout);
     return !socket.connect(target->host, target->port, timeout).empty() && socket.wasRefused();
 }
 
--- a/targets/http_exchange.h
+++ b/targets/http_exchange.h
@@ -10,6 +10,8 @@
 
 namespace oriolepick {
 
+class memory_budget;
+
 /// How an exchange ended.
 enum class exchange_end {
     Complete, ///< The whole response was read.
@@ -39,6 +41,7 @@
     int status = 0;
     header_list headers;
     std::string body;
+    std::shared_ptr<const memory_reservation> memory; ///< of the body and of its copies on the way to the caller
 };
 
 /// Sends one request and reads its response piece by piece. Connections are not reused: on a reused connection a
@@ -49,8 +52,10 @@
 
 /// Sends one request and keeps the response.
 /// \param maxBodyBytes a longer body ends the exchange as Malformed
+/// \param memory limits the bodies of all exchanges together; a body that it does not allow ends the exchange as
+/// Malformed. Outlives the response.
 buffered_response exchangeBuffered(const std::string& address, const service_request& request,
-    const service_timeouts& timeouts, std::size_t maxBodyBytes, call_abort& abort);
+    const service_timeouts& timeouts, std::size_t maxBodyBytes, memory_budget& memory, call_abort& abort);
 
 /// \param address "ip:port"
 /// \return whether the machine there refuses a connection; false also when it does not answer in time
--- a/targets/http_service_client.cpp
+++ b/targets/http_service_client.cpp
@@ -7,7 +7,7 @@
 service_outcome http_service_client::call(
     const std::string& address, const service_request& request, const service_timeouts& timeouts, call_abort& abort)
 {
-    auto response = exchangeBuffered(address, request, timeouts, m_maxBodyBytes, abort);
+    auto response = exchangeBuffered(address, request, timeouts, m_maxBodyBytes, m_memory, abort);
     service_outcome outcome;
     switch (response.result.end) {
     case exchange_end::Complete:
@@ -15,6 +15,7 @@
         outcome.status = response.status;
         outcome.headers = std::move(response.headers);
         outcome.body = std::move(response.body);
+        outcome.memory = std::move(response.memory);
         break;
     case exchange_end::NotSent:
         outcome.kind = service_outcome_kind::NotSent;
--- a/targets/response_guard.cpp
+++ b/targets/response_guard.cpp
@@ -32,7 +32,7 @@
     if (std::exchange(m_inStatusLine, false))
         return m_head.takeStatusLine(line);
     if (line != "\r")
-        return m_head.takeHeaderLine(line);
+        return ++m_headFields <= MaxHeadFields && m_head.takeHeaderLine(line);
     m_inHead = m_head.isContinue();
     m_inStatusLine = m_inHead;
     if (m_inHead)
--- a/targets/response_guard.h
+++ b/targets/response_guard.h
@@ -18,6 +18,7 @@
 public:
     static constexpr std::size_t MaxStatusLineBytes = 256;
     static constexpr std::size_t MaxHeadBytes = 32768;
+    static constexpr std::size_t MaxHeadFields = 256; ///< the library keeps ten times the bytes of a short field
     static constexpr std::size_t MaxUnusedBytes = 65536; ///< after the head, between two pieces of body
 
     /// \return whether \p bytes may be read
@@ -38,6 +39,7 @@
     std::string m_line; ///< of the head, without its LF
     response_head m_head;
     std::size_t m_headBytes = 0;
+    std::size_t m_headFields = 0;
     std::size_t m_unusedBytes = 0;
 };
 
--- a/targets/service_client.h
+++ b/targets/service_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 namespace oriolepick {
 
 class call_abort;
+class memory_reservation;
 
 using header_list = std::vector<std::pair<std::string, std::string>>; ///< names and values in order
 
@@ -34,6 +36,7 @@
     int status = 0; ///< HTTP status of a Response
     header_list headers; ///< of a Response, without hop-by-hop headers
     std::string body;
+    std::shared_ptr<const memory_reservation> memory; ///< of the body and of its copies on the way to the caller
     std::string detail; ///< for logs, when there is no Response
     bool limited = false; ///< NotSent because the target's request limit is used up
 };
@@ -42,6 +45,8 @@
 struct service_timeouts {
     std::chrono::milliseconds connect { 1000 };
     std::chrono::milliseconds idle { 30000 }; ///< longest time without any byte of the response
+    /// Longest time from the connection to the end of the response, however often bytes arrive; 0 for no limit.
+    std::chrono::milliseconds total { 0 };
 };
 
 /// Plain services as this system uses them. Implementations are thread-safe and never send a request twice.
--- a/targets/target_socket.cpp
+++ b/targets/target_socket.cpp
@@ -48,9 +48,10 @@
 
 } // namespace
 
-target_socket::target_socket(call_abort& abort, std::chrono::milliseconds idle)
+target_socket::target_socket(call_abort& abort, std::chrono::milliseconds idle, std::chrono::milliseconds total)
     : m_abort(abort)
     , m_idle(idle)
+    , m_deadline(total.count() ? std::make_optional(std::chrono::steady_clock::now() + total) : std::nullopt)
 {
 }
 
@@ -129,7 +130,9 @@
 
 bool target_socket::wait(short events, std::chrono::milliseconds timeout) const
 {
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    const auto deadline = std::min(std::chrono::steady_clock::now() + timeout, m_deadline.value_or(instant::max()));
+    if (m_deadline && std::chrono::steady_clock::now() >= *m_deadline)
+        return false; // also when more bytes are ready
     for (;;) {
         const auto left
             = std::chrono::ceil<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now()).count();
--- a/targets/target_socket.h
+++ b/targets/target_socket.h
@@ -2,11 +2,13 @@
 /// TCP connection to a target.
 #pragma once
 
+#include "core/instant.h"
 #include "targets/response_guard.h"
 
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <sys/types.h>
@@ -22,7 +24,8 @@
 class target_socket {
 public:
     /// \param idle longest wait for one read or write
-    target_socket(call_abort& abort, std::chrono::milliseconds idle);
+    /// \param total longest use of this socket, 0 for no limit
+    target_socket(call_abort& abort, std::chrono::milliseconds idle, std::chrono::milliseconds total);
     ~target_socket();
     target_socket(const target_socket&) = delete;
     target_socket& operator=(const target_socket&) = delete;
@@ -55,6 +58,7 @@
 
     call_abort& m_abort;
     const std::chrono::milliseconds m_idle;
+    const std::optional<instant> m_deadline;
     int m_socket = -1;
     bool m_sent = false;
     bool m_refused = false;
--- a/targets/test/event_stream_mutation.cpp
+++ b/targets/test/event_stream_mutation.cpp
@@ -1,5 +1,6 @@
 // Guards the parsers of engine streams and reports: mutated bytes in pieces of any size never end the process, tokens
 // are never delivered out of order, and each call ends exactly once.
+#include "core/test/ample_memory.h"
 #include "targets/attempt_reader.h"
 #include "targets/engine_messages.h"
 
@@ -83,7 +84,7 @@
 {
     EXPECT_TRUE(rc::check("mutated stream", [] {
         counting_sink sink;
-        attempt_reader reader(sink, 0, { 512, 2048 });
+        attempt_reader reader(sink, 0, { 512, 2048 }, ampleMemory());
         RC_ASSERT(reader.takeHead(200, { { "content-type", "text/event-stream" } }));
         const std::string bytes = mutate(wholeStream());
         feedInPieces(reader, bytes);
