--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -29,7 +29,7 @@
     std::chrono::milliseconds leavingBound { 4'000 }; ///< maximal delay until this node learns that a target is leaving
     std::chrono::milliseconds configurationBound { 4'000 }; ///< maximal delay until a configuration is in force
     /// Time after which a disturbed node, or one whose store was unavailable, must know all that others know.
-    std::chrono::milliseconds contactBound { 4'000 };
+    std::chrono::milliseconds contactBound { 3'000 };
     double repeatRatio = 0.8; ///< retries per request, over all nodes
     double repeatSlack = 150; ///< retries over all nodes that are allowed without requests
     std::chrono::milliseconds repeatWindow { 10'000 }; ///< over which requests and retries are counted
