--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -28,7 +28,7 @@
     std::chrono::milliseconds stopGrace { 8'000 }; ///< from the stop signal to the forced exit
     std::chrono::milliseconds leavingBound { 4'000 }; ///< maximal delay until this node learns that a target is leaving
     std::chrono::milliseconds configurationBound { 4'000 }; ///< maximal delay until a configuration is in force
-    /// Time after which a disturbed node, or one whose store was unavailable, must know all that others know.
+    /// Maximal delay until this node is up to date after a fault of its own, or after an outage of the store.
     std::chrono::milliseconds contactBound { 3'000 };
     double repeatRatio = 0.8; ///< retries per request, over all nodes
     double repeatSlack = 150; ///< retries over all nodes that are allowed without requests
--- a/gateway/test/outage_scenarios.h
+++ b/gateway/test/outage_scenarios.h
@@ -1,5 +1,5 @@
 /// \file
-/// Scenarios for tests of nodes after outages of the store: what they know once it is back, and how often it is read.
+/// Scenarios for tests of nodes after outages of the store: the age of their tables, and the rate of reads.
 #pragma once
 
 #include "gateway/test/restore_scenarios.h"
--- a/routing/test/reader_schedule.cpp
+++ b/routing/test/reader_schedule.cpp
@@ -120,7 +120,7 @@
 {
     constexpr std::uint32_t Nodes = 300;
     constexpr int Attempts = 3'000;
-    constexpr auto NoticeTime = 200ms; // until the other nodes know that a read has no response
+    constexpr auto NoticeTime = 200ms; // until the other nodes receive the notice of a slow read
     std::vector<reader_schedule> schedules;
     for (std::uint32_t rank = 0; rank < Nodes; ++rank) {
         schedules.push_back(scheduleOf(rank * 7'919));
