Log why a probe failed, how late the node was, and why no retry followed

attempt_failed and target_absent could not tell a target that does not respond from a node that runs late or a connection that was reset, and a broken stream did not tell an empty retry budget from used-up targets.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -120,7 +120,7 @@
     void onLatePermit(const target_entry& next);
     void abandonLateAttempt();
     void retryOrFail(attempt_outcome attemptOutcome);
-    void recordTargetFault(target_fault fault, std::string_view faultName);
+    void recordTargetFault(target_fault fault, std::string_view faultName, std::string_view problem = {});
 
     // responses of targets, in exchange_responses.cpp with the overrides of response_listener
     bool reserveEventMemory(std::size_t additionalBytes);
@@ -140,7 +140,7 @@
     void onProbe(std::uint32_t attempt, const target_prober::answer& answer);
     std::chrono::milliseconds probeInterval() const;
     bool shouldKeepWaiting(instant now) const;
-    void failUnresponsiveTarget(std::string_view faultName);
+    void failUnresponsiveTarget(std::string_view faultName, std::string_view problem = {});
 
     // responses to the caller, in exchange.cpp
     void onDeadline();
@@ -178,6 +178,7 @@
     memory_reservation m_responseMemory; // of m_body and m_events
     stall_detector m_stall;
     instant m_attemptAt;
+    instant m_sentAt; // when the request was passed to the connection, or the attempt began
     bool m_probing = false;
     std::uint32_t m_probesSinceLastEvent = 0;
     std::optional<instant> m_runReportedAt; // when the target last reported that it may hold the run
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -36,6 +36,11 @@
     /// Delay before a run that started without a copy for lack of memory requests one: a third of a typical generation.
     constexpr std::chrono::milliseconds LowMemoryCopyDelay { 2'000 };
 
+    std::chrono::milliseconds toMilliseconds(instant::duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+    }
+
 } // namespace
 
 void exchange::dispatch()
@@ -243,7 +248,7 @@
     m_body = {}; // releases its memory too
     m_events.reset();
     m_responseMemory.set(0);
-    m_attemptAt = now;
+    m_attemptAt = m_sentAt = now;
     m_probing = false;
     m_probesSinceLastEvent = 0;
     m_runReportedAt.reset();
@@ -270,6 +275,7 @@
 void exchange::onSent()
 {
     m_sent = true;
+    m_sentAt = m_parts.timers.now();
 }
 
 void exchange::endAttempt()
@@ -339,16 +345,20 @@
     endAttempt();
 }
 
-void exchange::recordTargetFault(target_fault fault, std::string_view faultName)
+void exchange::recordTargetFault(target_fault fault, std::string_view faultName, std::string_view problem)
 {
-    m_parts.targetTracker.recordFault(m_target->name, fault, m_parts.timers.now());
+    const auto now = m_parts.timers.now();
+    m_parts.targetTracker.recordFault(m_target->name, fault, now);
     m_parts.metrics.count(faultName);
     if (fault != target_fault::AtCapacity)
         m_triedTargets.push_back(m_target->name);
     m_parts.log.write("attempt_failed",
         { { "attempt", m_caller.attempt }, { "request", fingerprintText() }, { "parts", sharedPartsText() },
-            { "target", m_target->name.value() }, { "what", std::string(faultName) },
-            { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
+            { "target", m_target->name.value() }, { "what", std::string(faultName) }, { "why", std::string(problem) },
+            { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" },
+            { "sent", m_sent ? "true" : "false" },
+            { "since_sent_ms", std::to_string(toMilliseconds(now - m_sentAt).count()) },
+            { "node_delay_ms", std::to_string(m_parts.timers.delay().count()) } });
 }
 
 void exchange::retryOrFail(attempt_outcome attemptOutcome)
@@ -365,8 +375,10 @@
         m_requestedCopy.reset();
     }
     auto decision = decideRetry(m_history, attemptOutcome);
+    std::string_view reason = "no further target may be tried";
     if (decision == retry_decision::RetryWithinBudget && !m_parts.retryBudget.take(m_service, now)) {
         m_parts.metrics.count("repeats_denied");
+        reason = "the retry budget of the service is used up";
         decision = attemptOutcome == attempt_outcome::TargetError ? retry_decision::Deliver : retry_decision::Fail;
     }
     switch (decision) {
@@ -383,7 +395,7 @@
     case retry_decision::Fail:
         break;
     }
-    failWith(finalErrorKind(m_history), "no further target may be tried");
+    failWith(finalErrorKind(m_history), reason);
 }
 
 } // namespace oriolepick
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -234,7 +234,7 @@
     if (answer.report && answer.report->mayContain(m_caller.attempt))
         m_runReportedAt = now;
     if (!answer.alive && now >= m_stall.lastProgress() + probeDelay(m_route->longestGap))
-        failUnresponsiveTarget("dead");
+        failUnresponsiveTarget("dead", answer.problem);
 }
 
 // Before the first event a loss costs only time, so the interval grows with each probe.
@@ -258,9 +258,9 @@
         && now < m_stall.lastProgress() + MaxHeldRunObjectives * m_route->objective;
 }
 
-void exchange::failUnresponsiveTarget(std::string_view faultName)
+void exchange::failUnresponsiveTarget(std::string_view faultName, std::string_view problem)
 {
-    recordTargetFault(target_fault::NoResponse, faultName);
+    recordTargetFault(target_fault::NoResponse, faultName, problem);
     if (m_sent) {
         m_parts.crashes.recordLostAttempt(m_suspect, *m_target, m_eventReceived);
         m_history.mayHaveRun = true;
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -34,7 +34,7 @@
 void target_prober::probe(const target_entry& target, std::chrono::milliseconds timeout, callback done)
 {
     if (m_targetTracker.isPaused(target.name, m_timers.now())) {
-        boost::asio::post(m_loop, [done = std::move(done)] { done({ true, false, std::nullopt }); });
+        boost::asio::post(m_loop, [done = std::move(done)] { done({ true, false, std::nullopt, {} }); });
         return;
     }
     auto& session = m_sessions[target.name];
@@ -73,12 +73,13 @@
         || (probeAnswer.report && probeAnswer.report->startedAt && session.startedAt
             && probeAnswer.report->startedAt != session.startedAt);
     probeAnswer.alive = response.status != 0 && !probeAnswer.replaced;
+    probeAnswer.problem = probeAnswer.replaced ? "replaced" : response.problem;
     callBack(session, probeAnswer);
 }
 
 void target_prober::finishUnprobed(const target_name& target)
 {
-    callBack(m_sessions.extract(target).mapped(), { true, false, std::nullopt });
+    callBack(m_sessions.extract(target).mapped(), { true, false, std::nullopt, {} });
 }
 
 void target_prober::callBack(const session& session, const answer& answer)
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -35,6 +35,7 @@
         bool alive = false; ///< the target responded in time
         bool replaced = false; ///< another target uses the address
         std::optional<engine_report> report; ///< nothing when the response could not be decoded
+        std::string problem; ///< why there was no response, for the log
     };
     using callback = std::function<void(const answer&)>;
 
--- a/gateway/timer_queue.cpp
+++ b/gateway/timer_queue.cpp
@@ -47,6 +47,8 @@
 void timer_queue::runDueActions()
 {
     const auto now = this->now();
+    if (!m_actions.empty() && m_actions.begin()->first.first <= now)
+        m_delay = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_actions.begin()->first.first);
     while (!m_actions.empty() && m_actions.begin()->first.first <= now) {
         const auto first = m_actions.begin();
         auto action = std::move(first->second);
--- a/gateway/timer_queue.h
+++ b/gateway/timer_queue.h
@@ -30,6 +30,9 @@
 
     instant now() const { return std::chrono::steady_clock::now(); }
 
+    /// \return how long after its due time the last due action ran: the delay of the event loop
+    std::chrono::milliseconds delay() const { return m_delay; }
+
 private:
     void arm();
     void runDueActions();
@@ -39,6 +42,7 @@
     std::map<timer_handle, instant> m_dueTimes;
     timer_handle m_lastHandle = 0;
     instant m_armedFor = instant::max();
+    std::chrono::milliseconds m_delay { 0 };
 };
 
 } // namespace oriolepick
