Run timers only after the input that arrived by their time has been read

Callers saw requests move between targets, and streams break off, at nodes with little processor time. Cause: when the event loop runs late, the timer queue ran every action that had become due by now, although the sockets were last polled before; a time limit was judged before the response that had arrived within it was read.

An action now runs only after a poll at or after its due time: the loop's timer is armed for that time, and the reactor hands out input before timers. Actions that became due meanwhile run together after one further poll, so a late loop polls once more, and a punctual one as often as before.

gateway_timer_queue failed before: timer_queue.cpp:63, respondedInTime is false. delay() now reports the longest delay of the last second, since the last timer alone was on time again when a limit was judged.

--- a/gateway/timer_queue.h
+++ b/gateway/timer_queue.h
@@ -16,7 +16,9 @@
 /// Identifies a timer; 0 stands for no timer.
 using timer_handle = std::uint64_t;
 
-/// Runs actions at given times, on the event loop.
+/// Runs actions at given times, on the event loop. Before an action runs, the loop has looked for input at or after the
+/// due time of the action: a time limit is not judged before the response that arrived within it, even when the loop
+/// runs late.
 class timer_queue {
 public:
     explicit timer_queue(boost::asio::io_context& loop);
@@ -30,12 +32,15 @@
 
     instant now() const { return std::chrono::steady_clock::now(); }
 
-    /// \return how long after its due time the last due action ran: the delay of the event loop
+    /// \return how late the event loop was at most in the last second or two: the time from the due time of an action
+    /// to its run
     std::chrono::milliseconds delay() const { return m_delay; }
 
 private:
     void arm();
-    void runDueActions();
+    void armFor(instant due);
+    void runDueActions(instant polledAt);
+    void recordDelay(instant due, instant now);
 
     boost::asio::steady_timer m_timer;
     std::map<std::pair<instant, timer_handle>, std::function<void()>> m_actions;
@@ -43,6 +48,7 @@
     timer_handle m_lastHandle = 0;
     instant m_armedFor = instant::max();
     std::chrono::milliseconds m_delay { 0 };
+    instant m_delayAt; // when m_delay was observed
 };
 
 } // namespace oriolepick
