Count the time limit of a response from the request that was really sent

Callers saw streams move or break off at sound targets (what: dead), and targets were left out of the choice (target_absent). Cause: http_client counted the limit of a probe or a read of the store from the start of the connection. A node that ran late noticed the open connection after hundreds of milliseconds, sent its request then, and the limit had already passed; the one extra wait of 20 ms came before the request was sent.

response_wait (core) holds the rule: the limit restarts when something is sent or received, a peer whose input waits in the socket is not unresponsive, and after a late check the peer gets one further moment.

--- a/gateway/connection_check.cpp
+++ b/gateway/connection_check.cpp
@@ -16,14 +16,23 @@
 void connection_check::start(const std::string& address, std::chrono::milliseconds timeout)
 {
     m_self = shared_from_this();
-    m_timer = m_timers.at(m_timers.now() + timeout, [this] {
-        m_timer = 0;
-        finish(outcome::Unknown);
-    });
+    m_wait.emplace(timeout, m_timers.now());
+    startTimer();
     m_connection->setListener(weak_from_this());
     m_connection->connect(address);
 }
 
+void connection_check::startTimer()
+{
+    m_timer = m_timers.at(m_wait->due(), [this] {
+        m_timer = 0;
+        if (m_wait->isUnresponsive(m_timers.now(), m_connection->hasPendingInput()))
+            finish(outcome::Unknown);
+        else
+            startTimer();
+    });
+}
+
 void connection_check::onConnected()
 {
     finish(outcome::Listening);
--- a/gateway/connection_check.h
+++ b/gateway/connection_check.h
@@ -2,11 +2,13 @@
 /// Checks whether a process listens at an address by opening a TCP connection without sending anything.
 #pragma once
 
+#include "core/response_wait.h"
 #include "gateway/tcp_connection.h"
 #include "gateway/timer_queue.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace oriolepick {
@@ -34,11 +36,13 @@
     void onEnd(connection_end end) override;
 
 private:
+    void startTimer();
     void finish(outcome found);
 
     timer_queue& m_timers;
     std::shared_ptr<tcp_connection> m_connection;
     callback m_done;
+    std::optional<response_wait> m_wait;
     timer_handle m_timer = 0;
     std::shared_ptr<connection_check> m_self; // keeps this object alive until the check has finished
 };
--- a/gateway/tcp_connection.cpp
+++ b/gateway/tcp_connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace oriolepick {
@@ -46,7 +47,9 @@
         return;
     }
     configure();
+    m_connecting = true;
     m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code& failed) {
+        self->m_connecting = false;
         if (!self->m_open)
             return;
         if (failed) {
@@ -72,6 +75,16 @@
     startReading();
 }
 
+bool tcp_connection::hasPendingInput()
+{
+    if (!m_open || !m_socket.is_open())
+        return false;
+    pollfd poll {};
+    poll.fd = m_socket.native_handle();
+    poll.events = m_connecting ? POLLOUT : POLLIN;
+    return ::poll(&poll, 1, 0) > 0;
+}
+
 void tcp_connection::read()
 {
     m_reading = true;
--- a/gateway/tcp_connection.h
+++ b/gateway/tcp_connection.h
@@ -77,6 +77,11 @@
     void close();
 
     bool isOpen() const { return m_open; }
+
+    /// \return whether the peer has accepted the connection, sent bytes or ended, and the event loop has not handled
+    /// it yet. Costs a system call.
+    bool hasPendingInput();
+
     std::size_t queuedBytes() const { return m_output.size() + m_writing.size(); }
 
 private:
@@ -94,6 +99,7 @@
     std::string m_output;
     std::string m_writing;
     bool m_open = true;
+    bool m_connecting = false;
     bool m_reading = false;
     bool m_paused = false;
     bool m_writeActive = false;
