Count the patience for an attempt from the request, and read what arrived first

A safe request moved to another target, and its target was backed off (what: late), because the node had noticed late that the connection was open: the patience counted from the choice of the target. A stream was probed, or given up as silent, although its events waited in the socket.

Both now restart with the request that was sent, and look for input that is not read yet before they judge.

platform_late_nodes, ARequestThatIsSentLateStaysAtItsTarget failed before: attempt_failed late, since_sent_ms 0. RequestsOfALateNodeStayAtTheirTargets passed before, too.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -6,6 +6,7 @@
 #include "core/instant.h"
 #include "core/memory_reservation.h"
 #include "core/request_queue.h"
+#include "core/response_wait.h"
 #include "core/stall_detector.h"
 #include "gateway/gateway_parts.h"
 #include "gateway/http_message.h"
@@ -116,6 +117,7 @@
     target_instruction instructionFor(const target_entry& target) const;
     void endAttempt();
     void startAttemptTimeout();
+    void armAttemptTimeout();
     void onAttemptTimeout();
     void onLatePermit(const target_entry& next);
     void abandonLateAttempt();
@@ -179,6 +181,7 @@
     stall_detector m_stall;
     instant m_attemptAt;
     instant m_sentAt; // when the request was passed to the connection, or the attempt began
+    std::optional<response_wait> m_attemptWait; // for the response of a repeatable request
     bool m_probing = false;
     std::uint32_t m_probesSinceLastEvent = 0;
     std::optional<instant> m_runReportedAt; // when the target last reported that it may hold the run
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -249,6 +249,7 @@
     m_events.reset();
     m_responseMemory.set(0);
     m_attemptAt = m_sentAt = now;
+    m_attemptWait.reset();
     m_probing = false;
     m_probesSinceLastEvent = 0;
     m_runReportedAt.reset();
@@ -276,6 +277,11 @@
 {
     m_sent = true;
     m_sentAt = m_parts.timers.now();
+    // The time until the connection was open, and noticed, is not the target's.
+    if (m_attemptWait)
+        m_attemptWait->restart(m_sentAt);
+    if (m_route->kind == route_kind::Stream)
+        m_stall.reattached(m_sentAt);
 }
 
 void exchange::endAttempt()
@@ -291,8 +297,13 @@
 
 void exchange::startAttemptTimeout()
 {
-    const auto due = m_attemptAt + m_parts.responseTimes.patience(m_service, m_route->objective);
-    m_watchTimer = m_parts.timers.at(due, [self = weak_from_this()] {
+    m_attemptWait.emplace(m_parts.responseTimes.patience(m_service, m_route->objective), m_attemptAt);
+    armAttemptTimeout();
+}
+
+void exchange::armAttemptTimeout()
+{
+    m_watchTimer = m_parts.timers.at(m_attemptWait->due(), [self = weak_from_this()] {
         if (const auto exchange = self.lock()) {
             exchange->m_watchTimer = 0;
             exchange->onAttemptTimeout();
@@ -306,6 +317,10 @@
 {
     if (m_finished || !m_link || m_history.answered + 1 >= m_history.maxTargets)
         return;
+    if (!m_attemptWait->isUnresponsive(m_parts.timers.now(), m_link->hasPendingInput())) {
+        armAttemptTimeout();
+        return;
+    }
     auto tried = m_triedTargets;
     tried.push_back(m_target->name);
     const auto next
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -35,6 +35,8 @@
     /// Multiples of the objective after which a run that its engine still holds is considered stuck; the response is
     /// far too late for the caller by then.
     constexpr int MaxHeldRunObjectives = 3;
+    /// Delay before a stream is checked again whose target has sent something that is not read yet.
+    constexpr std::chrono::milliseconds PendingInputDelay { 20 };
     /// Unsent bytes to the caller above which reading from the target pauses.
     constexpr std::size_t MaxUnsentBytes = 262'144;
 
@@ -209,6 +211,10 @@
         scheduleStallCheck(std::max(lastProgressAt + interval, now + interval / 2));
         return;
     }
+    if (m_link->hasPendingInput()) {
+        scheduleStallCheck(now + PendingInputDelay);
+        return;
+    }
     if (now >= m_stall.suspectAt(std::nullopt) && !shouldKeepWaiting(now)) {
         failUnresponsiveTarget("silent");
         return;
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -74,6 +74,10 @@
     /// Pauses or resumes reading; used while the caller is slower than the target.
     void pauseReading(bool paused);
 
+    /// \return whether the target has accepted the connection, responded or closed, and the event loop has not handled
+    /// it yet. Costs a system call.
+    bool hasPendingInput() { return m_connection->hasPendingInput(); }
+
     bool isOpen() const { return m_connection->isOpen(); }
     bool isConnected() const { return m_connected; }
     const std::string& address() const { return m_address; }
