Give up a run for a probe only if the target is gone or silent

Any failed probe ended a run (what: dead), also one whose connection was closed or reset: targets reset connections beyond their maximum, and each probe has a connection of its own. Lack of memory or descriptors at the node condemned the target as well.

A probe now says whether the process is gone (refused, or another target at the address) or was silent; other failures say nothing about the run, and failures of this node are not recorded against the target.

--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -199,6 +199,8 @@
     m_parts.log.write("target_absent",
         { { "attempt", m_caller.attempt }, { "target", target.name.value() }, { "why", answer.problem },
             { "node_delay_ms", std::to_string(m_parts.timers.delay().count()) } });
+    if (answer.failedHere())
+        return;
     if (!answer.replaced) {
         m_parts.targetTracker.recordFault(target.name, target_fault::Unreachable, now);
         return;
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -239,7 +239,10 @@
     const auto now = m_parts.timers.now();
     if (answer.report && answer.report->mayContain(m_caller.attempt))
         m_runReportedAt = now;
-    if (!answer.alive && now >= m_stall.lastProgress() + probeDelay(m_route->longestGap))
+    const bool stalled = now >= m_stall.lastProgress() + probeDelay(m_route->longestGap);
+    if (answer.alive || !stalled || m_link->hasPendingInput())
+        return;
+    if (answer.isGone() || answer.isSilent())
         failUnresponsiveTarget("dead", answer.problem);
 }
 
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -1,6 +1,5 @@
 #include "gateway/target_prober.h"
 
-#include "gateway/http_client.h"
 #include "gateway/request_dialect.h"
 #include "gateway/target_notice_handler.h"
 #include "gateway/target_permits.h"
@@ -34,7 +33,9 @@
 void target_prober::probe(const target_entry& target, std::chrono::milliseconds timeout, callback done)
 {
     if (m_targetTracker.isPaused(target.name, m_timers.now())) {
-        boost::asio::post(m_loop, [done = std::move(done)] { done({ true, false, std::nullopt, {} }); });
+        boost::asio::post(m_loop, [done = std::move(done)] {
+            done({ true, false, std::nullopt, response_failure::None, {} });
+        });
         return;
     }
     auto& session = m_sessions[target.name];
@@ -73,13 +74,14 @@
         || (probeAnswer.report && probeAnswer.report->startedAt && session.startedAt
             && probeAnswer.report->startedAt != session.startedAt);
     probeAnswer.alive = response.status != 0 && !probeAnswer.replaced;
+    probeAnswer.failure = response.failure;
     probeAnswer.problem = probeAnswer.replaced ? "replaced" : response.problem;
     callBack(session, probeAnswer);
 }
 
 void target_prober::finishUnprobed(const target_name& target)
 {
-    callBack(m_sessions.extract(target).mapped(), { true, false, std::nullopt, {} });
+    callBack(m_sessions.extract(target).mapped(), { true, false, std::nullopt, response_failure::None, {} });
 }
 
 void target_prober::callBack(const session& session, const answer& answer)
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/instant.h"
+#include "gateway/http_client.h"
 #include "gateway/tcp_connection.h"
 #include "gateway/timer_queue.h"
 #include "routing/engine_report.h"
@@ -17,13 +18,11 @@
 
 namespace oriolepick {
 
-class http_client;
 class memory_budget;
 class request_dialect;
 class target_notice_handler;
 class target_permits;
 class target_tracker;
-struct http_client_response;
 struct target_entry;
 
 /// Sends probes. Concurrent probes of the same target are merged into one request. Each request has a connection of its
@@ -35,7 +34,21 @@
         bool alive = false; ///< the target responded in time
         bool replaced = false; ///< another target uses the address
         std::optional<engine_report> report; ///< nothing when the response could not be decoded
-        std::string problem; ///< why there was no response, for the log
+        response_failure failure = response_failure::None; ///< why there was no response
+        std::string problem; ///< the failure in words, for the log
+
+        /// \return whether the process that was probed has ended: nothing listens there, or another target does
+        bool isGone() const { return replaced || failure == response_failure::Refused; }
+
+        /// \return whether the target was silent, as one is that hangs, is unreachable or pauses for a while. Other
+        /// failures say nothing about it: targets reset connections beyond their maximum, for example.
+        bool isSilent() const { return failure == response_failure::TimedOut; }
+
+        /// \return whether this node could not probe, for lack of memory or descriptors
+        bool failedHere() const
+        {
+            return failure == response_failure::NoMemory || failure == response_failure::NotConnected;
+        }
     };
     using callback = std::function<void(const answer&)>;
 
