Keep a silent target while nothing may follow it

Callers' streams were cut ('no further target may be tried') at sound targets: the attempt was ended on suspicion, and only then the retry budget or the limits turned out to allow no other.

A suspected target is given up only if the retry limits, the retry budget and another target or a copy let the run go on; otherwise the node keeps waiting and probing until the deadline or a real end of the connection, and logs suspected_target_kept.

platform_silent_targets, AStreamIsNotBrokenOffForSilenceWhenNothingMayFollow failed before: the caller got events 1 to 3 of 6 after 459 ms.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -141,7 +141,10 @@
     void scheduleStallCheck(instant due);
     void onProbe(std::uint32_t attempt, const target_prober::answer& answer);
     std::chrono::milliseconds probeInterval() const;
+    bool canUseCopy(instant now) const;
     bool shouldKeepWaiting(instant now) const;
+    bool canContinueElsewhere(instant now);
+    bool abandonSuspect(std::string_view faultName, std::string_view problem = {});
     void failUnresponsiveTarget(std::string_view faultName, std::string_view problem = {});
 
     // responses to the caller, in exchange.cpp
@@ -182,6 +185,7 @@
     instant m_attemptAt;
     instant m_sentAt; // when the request was passed to the connection, or the attempt began
     std::optional<response_wait> m_attemptWait; // for the response of a repeatable request
+    bool m_suspected = false; // the target is silent, and no other can continue
     bool m_probing = false;
     std::uint32_t m_probesSinceLastEvent = 0;
     std::optional<instant> m_runReportedAt; // when the target last reported that it may hold the run
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -250,6 +250,7 @@
     m_responseMemory.set(0);
     m_attemptAt = m_sentAt = now;
     m_attemptWait.reset();
+    m_suspected = false;
     m_probing = false;
     m_probesSinceLastEvent = 0;
     m_runReportedAt.reset();
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -5,15 +5,18 @@
 #include "gateway/crash_detector.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
 #include "gateway/response_sink.h"
 #include "gateway/run_copy_client.h"
 #include "gateway/stream_stall_settings.h"
 #include "gateway/target_permits.h"
 #include "gateway/target_prober.h"
+#include "routing/node_retry_budget.h"
 #include "routing/prefill_time_estimator.h"
 #include "routing/route_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolepick {
 
@@ -215,10 +218,8 @@
         scheduleStallCheck(now + PendingInputDelay);
         return;
     }
-    if (now >= m_stall.suspectAt(std::nullopt) && !shouldKeepWaiting(now)) {
-        failUnresponsiveTarget("silent");
+    if (now >= m_stall.suspectAt(std::nullopt) && !shouldKeepWaiting(now) && abandonSuspect("silent"))
         return;
-    }
     if (!m_probing) {
         m_probing = true;
         ++m_probesSinceLastEvent;
@@ -242,8 +243,10 @@
     const bool stalled = now >= m_stall.lastProgress() + probeDelay(m_route->longestGap);
     if (answer.alive || !stalled || m_link->hasPendingInput())
         return;
-    if (answer.isGone() || answer.isSilent())
+    if (answer.isGone())
         failUnresponsiveTarget("dead", answer.problem);
+    else if (answer.isSilent())
+        abandonSuspect("dead", answer.problem);
 }
 
 // Before the first event a loss costs only time, so the interval grows with each probe.
@@ -256,17 +259,51 @@
     return std::min(interval * (1 << std::min(m_probesSinceLastEvent, MaxProbeDoublings)), longest);
 }
 
+bool exchange::canUseCopy(instant now) const
+{
+    return m_responseStarted && m_copyHolder && m_parts.targetTracker.canResumeAt(*m_copyHolder, now);
+}
+
 // An overloaded engine prefills prompts one after another and preempts runs, so a run that it still holds is worth
 // waiting for: another engine would have to prefill the prompt again, unless a copy is available.
 bool exchange::shouldKeepWaiting(instant now) const
 {
     const bool reportedRecently = m_runReportedAt && now < *m_runReportedAt + RunReportValidIntervals * probeInterval();
-    const bool copyAvailable
-        = m_responseStarted && m_copyHolder && m_parts.targetTracker.canResumeAt(*m_copyHolder, m_parts.timers.now());
-    return reportedRecently && !copyAvailable
+    return reportedRecently && !canUseCopy(now)
         && now < m_stall.lastProgress() + MaxHeldRunObjectives * m_route->objective;
 }
 
+bool exchange::canContinueElsewhere(instant now)
+{
+    if (!m_sent)
+        return true;
+    auto history = m_history;
+    ++history.lost;
+    if (decideRetry(history, attempt_outcome::Lost) != retry_decision::RetryWithinBudget
+        || !m_parts.retryBudget.mayTake(m_service, now))
+        return false;
+    return canUseCopy(now)
+        || m_parts.targetTracker.choose({ m_service, m_parts.settings.zone, { m_target->name }, m_lostZone }, now);
+}
+
+// Silence alone ends a run only if another target can take it on. Otherwise its target is waited for until the
+// deadline, or until the connection ends. \return whether the attempt has ended
+bool exchange::abandonSuspect(std::string_view faultName, std::string_view problem)
+{
+    if (canContinueElsewhere(m_parts.timers.now())) {
+        failUnresponsiveTarget(faultName, problem);
+        return true;
+    }
+    if (!std::exchange(m_suspected, true)) {
+        m_parts.metrics.count("suspected_targets_kept");
+        m_parts.log.write("suspected_target_kept",
+            { { "attempt", m_caller.attempt }, { "target", m_target->name.value() }, { "what", std::string(faultName) },
+                { "why", std::string(problem) },
+                { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
+    }
+    return false;
+}
+
 void exchange::failUnresponsiveTarget(std::string_view faultName, std::string_view problem)
 {
     recordTargetFault(target_fault::NoResponse, faultName, problem);
--- a/routing/node_retry_budget.cpp
+++ b/routing/node_retry_budget.cpp
@@ -50,14 +50,18 @@
     accountOf(service, now).deposit(m_settings.ratio * m_settings.earnedShare, now);
 }
 
-bool node_retry_budget::take(const service_name& service, instant now)
+bool node_retry_budget::mayTake(const service_name& service, instant now, double reserve)
 {
-    auto& account = accountOf(service, now);
-    if (account.balance(now) < 1) {
+    return accountOf(service, now).balance(now) >= 1 + reserve;
+}
+
+bool node_retry_budget::take(const service_name& service, instant now, double reserve)
+{
+    if (!mayTake(service, now, reserve)) {
         ++m_deniedRetries;
         return false;
     }
-    account.take(now);
+    accountOf(service, now).take(now);
     return true;
 }
 
--- a/routing/node_retry_budget.h
+++ b/routing/node_retry_budget.h
@@ -40,9 +40,14 @@
     /// Counts a request for \p service.
     void recordRequest(const service_name& service, instant now);
 
+    /// \param reserve retries that must be left for others afterwards
+    /// \return whether take() would succeed
+    bool mayTake(const service_name& service, instant now, double reserve = 0);
+
     /// Spends one retry.
+    /// \param reserve retries that must be left for others afterwards
     /// \return false if the budget is exhausted
-    bool take(const service_name& service, instant now);
+    bool take(const service_name& service, instant now, double reserve = 0);
 
     /// \return the number of denied retries
     std::uint64_t deniedRetries() const { return m_deniedRetries; }
