Let a stream that has begun wait for the retry budget

A stream whose target was lost broke off when the retry budget of its service was used up: at a node with few requests a few refusals and suspicions use it up. The users' broken streams had 5 targets allowed, 2 lost and 1 that refused, so only the budget can have denied the next one (by reading; the log did not name it then).

A stream whose caller has a part of it now waits for the budget until its deadline, and one retry of the balance is left for such streams. The rate of retries is unchanged.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -122,6 +122,8 @@
     void onLatePermit(const target_entry& next);
     void abandonLateAttempt();
     void retryOrFail(attempt_outcome attemptOutcome);
+    double retryReserve() const;
+    void waitForRetryBudget();
     void recordTargetFault(target_fault fault, std::string_view faultName, std::string_view problem = {});
 
     // responses of targets, in exchange_responses.cpp with the overrides of response_listener
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -35,6 +35,10 @@
     constexpr std::chrono::milliseconds InitialCopyDelay { 350 };
     /// Delay before a run that started without a copy for lack of memory requests one: a third of a typical generation.
     constexpr std::chrono::milliseconds LowMemoryCopyDelay { 2'000 };
+    /// Interval at which a stream that has begun asks again for a retry: a small share of the pause that routes allow.
+    constexpr std::chrono::milliseconds RetryBudgetPollInterval { 100 };
+    /// Retries of a service that are left for streams that have begun.
+    constexpr double ContinuationReserve = 1;
 
     std::chrono::milliseconds toMilliseconds(instant::duration duration)
     {
@@ -392,8 +396,12 @@
     }
     auto decision = decideRetry(m_history, attemptOutcome);
     std::string_view reason = "no further target may be tried";
-    if (decision == retry_decision::RetryWithinBudget && !m_parts.retryBudget.take(m_service, now)) {
+    if (decision == retry_decision::RetryWithinBudget && !m_parts.retryBudget.take(m_service, now, retryReserve())) {
         m_parts.metrics.count("repeats_denied");
+        if (m_responseStarted) {
+            waitForRetryBudget();
+            return;
+        }
         reason = "the retry budget of the service is used up";
         decision = attemptOutcome == attempt_outcome::TargetError ? retry_decision::Deliver : retry_decision::Fail;
     }
@@ -414,4 +422,24 @@
     failWith(finalErrorKind(m_history), reason);
 }
 
+double exchange::retryReserve() const
+{
+    return m_route->kind == route_kind::Stream && !m_responseStarted ? ContinuationReserve : 0;
+}
+
+// The caller has received a part of the stream, so waiting for a retry is better than breaking the stream off.
+void exchange::waitForRetryBudget()
+{
+    m_waitTimer = m_parts.timers.at(m_parts.timers.now() + RetryBudgetPollInterval, [self = weak_from_this()] {
+        const auto exchange = self.lock();
+        if (!exchange || exchange->m_finished)
+            return;
+        exchange->m_waitTimer = 0;
+        if (exchange->m_parts.retryBudget.take(exchange->m_service, exchange->m_parts.timers.now()))
+            exchange->dispatch();
+        else
+            exchange->waitForRetryBudget();
+    });
+}
+
 } // namespace oriolepick
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -280,7 +280,7 @@
     auto history = m_history;
     ++history.lost;
     if (decideRetry(history, attempt_outcome::Lost) != retry_decision::RetryWithinBudget
-        || !m_parts.retryBudget.mayTake(m_service, now))
+        || !m_parts.retryBudget.mayTake(m_service, now, retryReserve()))
         return false;
     return canUseCopy(now)
         || m_parts.targetTracker.choose({ m_service, m_parts.settings.zone, { m_target->name }, m_lostZone }, now);
--- a/routing/test/node_retry_budget.cpp
+++ b/routing/test/node_retry_budget.cpp
@@ -39,4 +39,17 @@
     EXPECT_EQ(budget.deniedRetries(), 1U);
 }
 
+// Guards against streams that are broken off because restarts of other requests have used up the budget.
+TEST(NodeRetryBudget, TheReserveIsLeftForOthers)
+{
+    node_retry_budget budget(node_retry_budget_settings {});
+    const instant now { 1000s };
+    const service_name service("s");
+    while (budget.take(service, now, 1)) { }
+    EXPECT_FALSE(budget.mayTake(service, now, 1));
+    EXPECT_TRUE(budget.mayTake(service, now));
+    EXPECT_TRUE(budget.take(service, now));
+    EXPECT_FALSE(budget.take(service, now));
+}
+
 } // namespace
