Do not count refusals against a stream that has begun

A stream that had lost its target ended when enough full targets had refused to go on with it, though they never ran it, and though the route limits the targets that run a request. Once the caller has a part of the stream, refusals are limited by the retry budget alone. A refusal of a misaddressed request for a copy no longer counts back twice.

platform_silent_targets, RefusalsDoNotUseUpTheAttemptsOfAStreamThatHasBegun failed before: events 1 to 3 of 6 after 5 refusals.

--- a/gateway/exchange_responses.cpp
+++ b/gateway/exchange_responses.cpp
@@ -112,18 +112,19 @@
     ++m_history.answered;
     if (m_reply.notRun) {
         const bool misaddressed = m_reply.actualTarget && *m_reply.actualTarget != m_target->name;
+        // A target that works but does not hold the copy, or that was not meant, does not use up an attempt. Nor does
+        // one that did not run its part of a stream that has begun; the retry budget limits those.
+        if (m_continuesCopy || misaddressed || m_responseStarted)
+            --m_history.answered;
         if (m_continuesCopy) {
-            --m_history.answered; // the target works, but does not hold the copy
             m_parts.metrics.count("copies_missing");
         } else {
             recordTargetFault(misaddressed ? target_fault::AddressReused : target_fault::AtCapacity,
                 misaddressed ? "misaddressed" : "full");
             m_triedTargets.push_back(m_target->name);
         }
-        if (misaddressed) {
-            --m_history.answered; // the expected target has not received the request
+        if (misaddressed)
             m_parts.onTargetsOutdated();
-        }
         retryOrFail(attempt_outcome::NotRun);
         return;
     }
