Tolerate silence for as long as another prefill takes

A run without a copy was given up after about 0.35 s of silence, although another target has to prefill its prompt again, which takes longer than the second for which a sound target may be silent; the prompt that the silent target had read was lost, and so was a retry.

Without a usable copy, an unanswered probe now ends the attempt only after the estimated prefill time. A refused connection ends it at once.

platform_silent_targets, SilenceIsToleratedForAsLongAsAnotherPrefillTakes failed before: the other target got the request after 351 ms.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -145,6 +145,7 @@
     std::chrono::milliseconds probeInterval() const;
     bool canUseCopy(instant now) const;
     bool shouldKeepWaiting(instant now) const;
+    bool isRestartWorthwhile(instant now) const;
     bool canContinueElsewhere(instant now);
     bool abandonSuspect(std::string_view faultName, std::string_view problem = {});
     void failUnresponsiveTarget(std::string_view faultName, std::string_view problem = {});
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -245,7 +245,7 @@
         return;
     if (answer.isGone())
         failUnresponsiveTarget("dead", answer.problem);
-    else if (answer.isSilent())
+    else if (answer.isSilent() && isRestartWorthwhile(now))
         abandonSuspect("dead", answer.problem);
 }
 
@@ -273,6 +273,15 @@
         && now < m_stall.lastProgress() + MaxHeldRunObjectives * m_route->objective;
 }
 
+// A target that is silent may go on a moment later. Without a copy, another target would have to prefill the prompt
+// again, so the silence is tolerated for as long as that takes.
+bool exchange::isRestartWorthwhile(instant now) const
+{
+    if (!isGeneration() || canUseCopy(now))
+        return true;
+    return now >= m_stall.lastProgress() + m_parts.prefillTimes.estimate(m_service, m_caller.promptTokens);
+}
+
 bool exchange::canContinueElsewhere(instant now)
 {
     if (!m_sent)
