--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -304,6 +304,7 @@
         return true;
     }
     if (!std::exchange(m_suspected, true)) {
+        m_parts.crashes.recordLostAttempt(m_suspect, *m_target, m_eventReceived); // checks whether the target is gone
         m_parts.metrics.count("suspected_targets_kept");
         m_parts.log.write("suspected_target_kept",
             { { "attempt", m_caller.attempt }, { "target", m_target->name.value() }, { "what", std::string(faultName) },
@@ -317,7 +318,8 @@
 {
     recordTargetFault(target_fault::NoResponse, faultName, problem);
     if (m_sent) {
-        m_parts.crashes.recordLostAttempt(m_suspect, *m_target, m_eventReceived);
+        if (!m_suspected)
+            m_parts.crashes.recordLostAttempt(m_suspect, *m_target, m_eventReceived);
         m_history.mayHaveRun = true;
         ++m_history.lost;
     }
