--- a/core/response_wait.cpp
+++ b/core/response_wait.cpp
@@ -8,8 +8,8 @@
     constexpr std::chrono::milliseconds MaxCheckDelay { 20 };
     /// Delay of a check that is put off: a free event loop reads pending input within it.
     constexpr std::chrono::milliseconds DeferralTime { 20 };
-    /// Bounds how long input that is never read can put off the result.
-    constexpr std::uint32_t MaxDeferrals = 50;
+    /// Input that the process does not read within this time after the first check puts off the result no longer.
+    constexpr std::chrono::seconds MaxDeferral { 1 };
 
 } // namespace
 
@@ -22,7 +22,7 @@
 void response_wait::restart(instant now)
 {
     m_due = now + m_limit;
-    m_deferrals = 0;
+    m_deferredSince.reset();
 }
 
 bool response_wait::isUnresponsive(instant now, bool inputPending)
@@ -31,10 +31,11 @@
         return false;
     // After a late check the peer gets a moment in which this process watches; a process that is always late must still
     // reach a result, so this happens once.
-    const bool firstLateCheck = !m_deferrals && now - m_due > MaxCheckDelay;
-    if ((!inputPending && !firstLateCheck) || m_deferrals >= MaxDeferrals)
+    const bool putOff = m_deferredSince ? inputPending && now < *m_deferredSince + MaxDeferral
+                                        : inputPending || now - m_due > MaxCheckDelay;
+    if (!putOff)
         return true;
-    ++m_deferrals;
+    m_deferredSince = m_deferredSince.value_or(now);
     m_due = now + DeferralTime;
     return false;
 }
--- a/core/response_wait.h
+++ b/core/response_wait.h
@@ -4,7 +4,7 @@
 
 #include "core/instant.h"
 
-#include <cstdint>
+#include <optional>
 
 namespace oriolepick {
 
@@ -31,7 +31,7 @@
 private:
     std::chrono::milliseconds m_limit;
     instant m_due;
-    std::uint32_t m_deferrals = 0; // consecutive checks that were put off
+    std::optional<instant> m_deferredSince; // the first check that was put off
 };
 
 } // namespace oriolepick
--- a/gateway/datagram_socket.cpp
+++ b/gateway/datagram_socket.cpp
@@ -44,8 +44,21 @@
             // Other errors report (by ICMP) that an earlier datagram could not be delivered.
             if (!error)
                 m_onReceived({ m_input.data(), size });
+            receiveQueued();
             receive();
         });
 }
 
+// Timers that are due already would run before a further asynchronous receive, and judge answers that have arrived.
+void datagram_socket::receiveQueued()
+{
+    for (std::size_t count = 0; count < MaxQueuedDatagrams; ++count) {
+        boost::system::error_code error;
+        const auto size = m_socket.receive_from(asio::buffer(m_input), m_sender, 0, error);
+        if (error)
+            return; // none is left, or an earlier datagram could not be delivered
+        m_onReceived({ m_input.data(), size });
+    }
+}
+
 } // namespace oriolepick
--- a/gateway/datagram_socket.h
+++ b/gateway/datagram_socket.h
@@ -31,8 +31,10 @@
 
 private:
     void receive();
+    void receiveQueued();
 
     static constexpr std::size_t MaxDatagramBytes = 8'192; ///< a page of members takes a fourth of this
+    static constexpr std::size_t MaxQueuedDatagrams = 64; ///< received in one turn of the event loop
 
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -148,7 +148,7 @@
     bool isRestartWorthwhile(instant now) const;
     bool canContinueElsewhere(instant now);
     bool abandonSuspect(std::string_view faultName, std::string_view problem = {});
-    void failUnresponsiveTarget(std::string_view faultName, std::string_view problem = {});
+    void failUnresponsiveTarget(std::string_view faultName, bool isGone, std::string_view problem);
 
     // responses to the caller, in exchange.cpp
     void onDeadline();
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -255,6 +255,7 @@
     m_attemptAt = m_sentAt = now;
     m_attemptWait.reset();
     m_suspected = false;
+    m_sinkBlocked = false;
     m_probing = false;
     m_probesSinceLastEvent = 0;
     m_runReportedAt.reset();
@@ -343,7 +344,7 @@
         });
         return;
     }
-    if (!m_parts.retryBudget.take(m_service, m_parts.timers.now()))
+    if (!m_parts.retryBudget.take(m_service, m_parts.timers.now(), retryReserve()))
         return;
     abandonLateAttempt();
     dispatch();
@@ -351,7 +352,7 @@
 
 void exchange::onLatePermit(const target_entry& next)
 {
-    if (!m_parts.retryBudget.take(m_service, m_parts.timers.now()))
+    if (!m_parts.retryBudget.take(m_service, m_parts.timers.now(), retryReserve()))
         return;
     abandonLateAttempt();
     send(next);
@@ -408,7 +409,11 @@
     switch (decision) {
     case retry_decision::Retry:
     case retry_decision::RetryWithinBudget:
-        dispatch();
+        // Full targets need a moment until one has a place for a stream that has begun.
+        if (attemptOutcome == attempt_outcome::NotRun && m_responseStarted)
+            dispatchAt(now + RetryBudgetPollInterval);
+        else
+            dispatch();
         return;
     case retry_decision::Deliver:
         if (!m_responseStarted && m_head.status != 503) {
@@ -424,7 +429,7 @@
 
 double exchange::retryReserve() const
 {
-    return m_route->kind == route_kind::Stream && !m_responseStarted ? ContinuationReserve : 0;
+    return isGeneration() && !m_responseStarted ? ContinuationReserve : 0;
 }
 
 // The caller has received a part of the stream, so waiting for a retry is better than breaking the stream off.
@@ -435,7 +440,9 @@
         if (!exchange || exchange->m_finished)
             return;
         exchange->m_waitTimer = 0;
-        if (exchange->m_parts.retryBudget.take(exchange->m_service, exchange->m_parts.timers.now()))
+        const auto now = exchange->m_parts.timers.now();
+        auto& budget = exchange->m_parts.retryBudget;
+        if (budget.mayTake(exchange->m_service, now) && budget.take(exchange->m_service, now))
             exchange->dispatch();
         else
             exchange->waitForRetryBudget();
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -110,7 +110,8 @@
         const auto exchange = self.lock();
         if (!exchange || exchange->m_finished)
             return;
-        if (answer.alive && exchange->hasUsableCopy()) {
+        const bool isUsable = answer.alive || (!answer.isGone() && !answer.isSilent());
+        if (isUsable && exchange->hasUsableCopy()) {
             exchange->sendToCopyHolder(holder);
             return;
         }
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -64,6 +64,7 @@
 {
     m_stall.tokenArrived(m_parts.timers.now());
     m_probesSinceLastEvent = 0;
+    m_suspected = false;
     if (!m_eventReceived)
         m_parts.crashes.recordStart(m_suspect.parts);
     m_eventReceived = true;
@@ -141,7 +142,7 @@
     m_copyRequestPending = true;
     m_parts.permits.acquire(*m_target, [self = weak_from_this(), attempt = m_attempts](bool granted) {
         const auto exchange = self.lock();
-        if (!exchange || exchange->m_finished || attempt != exchange->m_attempts)
+        if (!exchange || exchange->m_finished || !exchange->m_link || attempt != exchange->m_attempts)
             return;
         exchange->m_copyRequestPending = false;
         if (granted && exchange->m_copyHolder)
@@ -156,7 +157,7 @@
     m_parts.copies.copyRun(m_target->address, m_caller.attempt, m_copyHolder->address,
         [self = weak_from_this(), attempt = m_attempts](const std::optional<std::string>& handle) {
             const auto exchange = self.lock();
-            if (exchange && !exchange->m_finished && attempt == exchange->m_attempts)
+            if (exchange && !exchange->m_finished && exchange->m_link && attempt == exchange->m_attempts)
                 exchange->onCopyResponse(handle);
         });
 }
@@ -177,9 +178,9 @@
 
 void exchange::onSinkDrained()
 {
-    if (!m_sinkBlocked || !m_link)
+    if (!std::exchange(m_sinkBlocked, false) || !m_link)
         return;
-    m_sinkBlocked = false;
+    m_stall.reattached(m_parts.timers.now()); // the caller's pause is not the target's
     m_link->pauseReading(false);
 }
 
@@ -244,7 +245,7 @@
     if (answer.alive || !stalled || m_link->hasPendingInput())
         return;
     if (answer.isGone())
-        failUnresponsiveTarget("dead", answer.problem);
+        failUnresponsiveTarget("dead", true, answer.problem);
     else if (answer.isSilent() && isRestartWorthwhile(now))
         abandonSuspect("dead", answer.problem);
 }
@@ -287,7 +288,7 @@
     if (!m_sent)
         return true;
     auto history = m_history;
-    ++history.lost;
+    ++history.answered;
     if (decideRetry(history, attempt_outcome::Lost) != retry_decision::RetryWithinBudget
         || !m_parts.retryBudget.mayTake(m_service, now, retryReserve()))
         return false;
@@ -300,7 +301,7 @@
 bool exchange::abandonSuspect(std::string_view faultName, std::string_view problem)
 {
     if (canContinueElsewhere(m_parts.timers.now())) {
-        failUnresponsiveTarget(faultName, problem);
+        failUnresponsiveTarget(faultName, false, problem);
         return true;
     }
     if (!std::exchange(m_suspected, true)) {
@@ -314,14 +315,15 @@
     return false;
 }
 
-void exchange::failUnresponsiveTarget(std::string_view faultName, std::string_view problem)
+// A silent target may still run the request, so it counts against the targets that the route allows.
+void exchange::failUnresponsiveTarget(std::string_view faultName, bool isGone, std::string_view problem)
 {
     recordTargetFault(target_fault::NoResponse, faultName, problem);
     if (m_sent) {
         if (!m_suspected)
             m_parts.crashes.recordLostAttempt(m_suspect, *m_target, m_eventReceived);
         m_history.mayHaveRun = true;
-        ++m_history.lost;
+        ++(isGone ? m_history.lost : m_history.answered);
     }
     retryOrFail(m_sent ? attempt_outcome::Lost : attempt_outcome::NotSent);
 }
--- a/gateway/http_client.cpp
+++ b/gateway/http_client.cpp
@@ -154,6 +154,9 @@
     case connection_end::Refused:
         fail(response_failure::Refused, "the connection was refused");
         return;
+    case connection_end::Unreachable:
+        fail(response_failure::TimedOut, "the peer cannot be reached");
+        return;
     case connection_end::NotConnected:
         fail(response_failure::NotConnected, "not connected");
         return;
--- a/gateway/http_client.h
+++ b/gateway/http_client.h
@@ -19,8 +19,8 @@
 enum class response_failure {
     None, ///< there is one
     Refused, ///< no process listens at the address
-    NotConnected, ///< no connection for another reason, for example lack of descriptors in this process
-    TimedOut, ///< the peer was silent beyond a time limit
+    NotConnected, ///< no connection could be attempted, for example for lack of descriptors in this process
+    TimedOut, ///< the peer was silent beyond a time limit, or cannot be reached
     ConnectionLost, ///< the peer closed or reset the connection
     Malformed, ///< the peer sent something else, or too much
     NoMemory, ///< this process had no memory for it
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -195,7 +195,7 @@
     if (!m_awaitingResponse)
         return;
     const auto self = shared_from_this();
-    if (end == connection_end::Refused || end == connection_end::NotConnected) {
+    if (end == connection_end::Refused || end == connection_end::Unreachable || end == connection_end::NotConnected) {
         fail(transport_failure::NotSent);
         return;
     }
--- a/gateway/tcp_connection.cpp
+++ b/gateway/tcp_connection.cpp
@@ -54,7 +54,7 @@
             return;
         if (failed) {
             self->end(
-                failed == asio::error::connection_refused ? connection_end::Refused : connection_end::NotConnected);
+                failed == asio::error::connection_refused ? connection_end::Refused : connection_end::Unreachable);
             return;
         }
         if (const auto listener = self->m_listener.lock())
--- a/gateway/tcp_connection.h
+++ b/gateway/tcp_connection.h
@@ -18,7 +18,8 @@
     Closed, ///< closed in an orderly way by the peer
     Reset, ///< reset by the peer, or broken by a network error or timeout
     Refused, ///< no process listens at the address
-    NotConnected, ///< could not be established for another reason
+    Unreachable, ///< could not be established because of the network
+    NotConnected, ///< could not be attempted, for example for lack of descriptors
 };
 
 /// Receives the events of a connection.
--- a/gateway/timer_queue.h
+++ b/gateway/timer_queue.h
@@ -16,9 +16,10 @@
 /// Identifies a timer; 0 stands for no timer.
 using timer_handle = std::uint64_t;
 
-/// Runs actions at given times, on the event loop. Before an action runs, the loop has looked for input at or after the
-/// due time of the action: a time limit is not judged before the response that arrived within it, even when the loop
-/// runs late.
+/// Runs actions at given times, on the event loop. Before an action runs, the loop has polled its sockets at or after
+/// the due time of the action, and has read from those that the poll reported: a time limit is not judged before the
+/// response that arrived within it, even when the loop runs late. A poll reports a limited number of sockets, so
+/// judgements of a single connection also ask for its pending input (see response_wait).
 class timer_queue {
 public:
     explicit timer_queue(boost::asio::io_context& loop);
