Run posted work before timers in the control loop

What callers saw: nothing directly. Limits of membership, permits and calls were judged on a node that was held up, although the answer they waited for was queued.

Cause: the loop took the queue once, ran it, and then judged timers by a later clock reading. What was posted in between waited behind them. The timer of calls read the clock again instead of the loop's time.

Evidence: node_control_loop on, control_loop.cpp:28, "judged.get_future().get() Actual: false Expected: true".

Fix: posted work runs until the queue is empty, up to a bound so that a flood of posts cannot hold timers back; the time at which timers are judged is read after it.

--- a/node/call_driver.cpp
+++ b/node/call_driver.cpp
@@ -64,7 +64,10 @@
     , m_sendTasks(SendThreads, TaskCapacity)
 {
     registerMessages();
-    loop.whenDue([this] { return m_desk.wakeAt(); }, [this](instant) { execute(m_desk.tick(timeNow())); });
+    loop.whenDue([this] { return m_desk.wakeAt(); },
+        [this](instant now) {
+            execute(m_desk.tick({ now, std::chrono::system_clock::now() }));
+        });
     loop.every(CollectPeriod, [this](instant now) { collectGarbage(now); });
 }
 
--- a/node/control_loop.cpp
+++ b/node/control_loop.cpp
@@ -1,12 +1,14 @@
 #include "node/control_loop.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolepick {
 
 namespace {
 
     constexpr std::chrono::milliseconds ShortestWait { 1 }; // work that is due again at once must not spin
+    constexpr int MaxPostedRounds = 16; // before timers run; a steady flood of posts must not hold them back
 
 } // namespace
 
@@ -81,16 +83,24 @@
     return next;
 }
 
+instant control_loop::runPosted(std::unique_lock<std::mutex>& lock)
+{
+    for (int round = 0; !m_posted.empty() && round < MaxPostedRounds; ++round) {
+        const auto posted = std::exchange(m_posted, {});
+        lock.unlock();
+        for (const auto& work : posted)
+            work(std::chrono::steady_clock::now());
+        lock.lock();
+    }
+    return std::chrono::steady_clock::now();
+}
+
 void control_loop::run()
 {
     std::unique_lock<std::mutex> lock(m_mutex);
     while (!m_stopping) {
-        auto posted = std::move(m_posted);
-        m_posted.clear();
+        const auto now = runPosted(lock);
         lock.unlock();
-        for (const auto& work : posted)
-            work(std::chrono::steady_clock::now());
-        const auto now = std::chrono::steady_clock::now();
         const auto next = std::min(runPeriodic(now), runTimed(now));
         lock.lock();
         m_changed.wait_until(lock, next, [this] { return m_stopping || !m_posted.empty(); });
--- a/node/control_loop.h
+++ b/node/control_loop.h
@@ -15,6 +15,7 @@
 
 namespace oriolepick {
 
+/// Posted work runs before timers that are due: it may be the answer that a timer waits for.
 class control_loop {
 public:
     using task = std::function<void(instant now)>;
@@ -48,6 +49,10 @@
     };
 
     void run();
+    /// Runs posted work until none is left, also what is posted meanwhile.
+    /// \param lock held, and released while work runs
+    /// \return the time at which timers are judged; what was posted before it has run
+    instant runPosted(std::unique_lock<std::mutex>& lock);
     instant runPeriodic(instant now);
     instant runTimed(instant now);
 
