Read what has arrived from a target before judging the limit

What callers saw: a probe, state read or call whose response was in the socket in time ended as timed out when the reading thread ran late; a call then ended as "may have run".

Cause: target_socket compared the clock with the total limit before it looked for bytes. The limit also ran from the creation of the socket, so a request could be given up before it was sent.

Evidence: targets_late_reads on, late_reads.cpp:66, exchange ended as 4 (TimedOut) instead of 0 (Complete), and :67, 8,150 of 30,000 bytes; a close that had arrived was a time-out too (:89).

Fix: the limit runs from the first byte written. When it is found to have passed, the bytes that the kernel holds at that moment are counted once and still read, and so is an end; an endless response still ends there. The 3 tests pass, and node_endless_responses still does.

--- a/targets/service_client.h
+++ b/targets/service_client.h
@@ -45,7 +45,7 @@
 struct service_timeouts {
     std::chrono::milliseconds connect { 1000 };
     std::chrono::milliseconds idle { 30000 }; ///< longest time without any byte of the response
-    /// Longest time from the connection to the end of the response, however often bytes arrive; 0 for no limit.
+    /// Longest time from the first byte sent to the end of the response, however often bytes arrive; 0 for no limit.
     std::chrono::milliseconds total { 0 };
 };
 
--- a/targets/target_socket.cpp
+++ b/targets/target_socket.cpp
@@ -10,9 +10,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <system_error>
 #include <unistd.h>
+#include <utility>
 
 namespace oriolepick {
 
@@ -51,7 +53,7 @@
 target_socket::target_socket(call_abort& abort, std::chrono::milliseconds idle, std::chrono::milliseconds total)
     : m_abort(abort)
     , m_idle(idle)
-    , m_deadline(total.count() ? std::make_optional(std::chrono::steady_clock::now() + total) : std::nullopt)
+    , m_total(total)
 {
 }
 
@@ -80,7 +82,7 @@
         m_refused = errno == ECONNREFUSED;
         return describe(errno);
     }
-    if (!wait(POLLOUT, timeout))
+    if (!wait(POLLOUT, m_total.count() ? std::min(timeout, m_total) : timeout))
         return "connect timed out";
     int failure = 0;
     socklen_t size = sizeof failure;
@@ -114,25 +116,44 @@
     while (written < 0 && errno == EINTR);
     if (written < 0)
         m_end = socket_end::Failed;
-    m_sent = m_sent || written > 0;
+    if (written > 0 && !std::exchange(m_sent, true) && m_total.count())
+        m_deadline = std::chrono::steady_clock::now() + m_total;
     return written;
 }
 
-bool target_socket::waitReadable() const
+bool target_socket::waitReadable()
 {
-    return !m_unread.empty() || wait(POLLIN, m_idle);
+    if (!m_unread.empty())
+        return true;
+    return (!isLate() && wait(POLLIN, m_idle)) || (isLate() && hasArrived());
 }
 
 bool target_socket::waitWritable() const
 {
-    return wait(POLLOUT, m_idle);
+    return !isLate() && wait(POLLOUT, m_idle);
+}
+
+bool target_socket::isLate() const
+{
+    return m_deadline && std::chrono::steady_clock::now() >= *m_deadline;
+}
+
+// Counts the bytes once, so that an endless response ends.
+bool target_socket::hasArrived()
+{
+    if (!m_arrivedBytes) {
+        int unread = 0;
+        m_arrivedBytes = ::ioctl(m_socket, FIONREAD, &unread) == 0 ? static_cast<std::size_t>(unread) : 0;
+    }
+    if (*m_arrivedBytes > 0)
+        return true;
+    char next = 0;
+    return ::recv(m_socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) == 0; // the peer has closed
 }
 
 bool target_socket::wait(short events, std::chrono::milliseconds timeout) const
 {
     const auto deadline = std::min(std::chrono::steady_clock::now() + timeout, m_deadline.value_or(instant::max()));
-    if (m_deadline && std::chrono::steady_clock::now() >= *m_deadline)
-        return false; // also when more bytes are ready
     for (;;) {
         const auto left
             = std::chrono::ceil<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now()).count();
@@ -147,14 +168,17 @@
 {
     if (m_end != socket_end::Open)
         return -1;
-    if (!wait(POLLIN, m_idle)) {
+    if (!waitReadable()) {
         m_end = socket_end::TimedOut;
         return -1;
     }
+    const auto size = std::min(m_buffer.size(), std::max<std::size_t>(1, m_arrivedBytes.value_or(m_buffer.size())));
     ssize_t received = 0;
     do
-        received = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
+        received = ::recv(m_socket, m_buffer.data(), size, 0);
     while (received < 0 && errno == EINTR);
+    if (m_arrivedBytes && received > 0)
+        *m_arrivedBytes -= std::min(*m_arrivedBytes, static_cast<std::size_t>(received));
     if (received <= 0) {
         m_end = received ? socket_end::Failed : socket_end::Closed;
         return received;
--- a/targets/target_socket.h
+++ b/targets/target_socket.h
@@ -24,7 +24,8 @@
 class target_socket {
 public:
     /// \param idle longest wait for one read or write
-    /// \param total longest use of this socket, 0 for no limit
+    /// \param total longest time from the first byte written to the last byte read, 0 for no limit. Bytes and an end
+    /// that have arrived when the limit is found to have passed are still read.
     target_socket(call_abort& abort, std::chrono::milliseconds idle, std::chrono::milliseconds total);
     ~target_socket();
     target_socket(const target_socket&) = delete;
@@ -40,7 +41,7 @@
     /// \return bytes written, or less than 0 at the end
     ssize_t write(const char* source, std::size_t size);
 
-    bool waitReadable() const;
+    bool waitReadable();
     bool waitWritable() const;
 
     /// Notes that a piece of the body was given out, see response_guard.
@@ -54,11 +55,15 @@
 
 private:
     bool wait(short events, std::chrono::milliseconds timeout) const;
+    bool isLate() const;
+    bool hasArrived();
     ssize_t fill();
 
     call_abort& m_abort;
     const std::chrono::milliseconds m_idle;
-    const std::optional<instant> m_deadline;
+    const std::chrono::milliseconds m_total;
+    std::optional<instant> m_deadline; ///< once a byte was written
+    std::optional<std::size_t> m_arrivedBytes; ///< unread when the deadline was found to have passed
     int m_socket = -1;
     bool m_sent = false;
     bool m_refused = false;
