Take only a refused connection for the end of an engine

What callers saw: requests that ran on a sound engine were recorded as suspects of a crash, and streams were moved off it.

Cause: "no connection was made" had one name for a refusal, a connect that timed out (50 ms in the check for crashes), and a request that this node did not send because of the target's request limit. crash_guard and attaches took all of them for the end of the process. A target that had left the configuration counted as crashed as well; that was found by reading and has no test of its own.

Fix: an exchange says whether the connection was refused. Reports give NoTarget only then, and streams end as NotSent otherwise, which is no evidence about the target: an attach is tried again.

--- a/node/attempt_reader_thread.cpp
+++ b/node/attempt_reader_thread.cpp
@@ -45,6 +45,8 @@
             switch (reason) {
             case stream_break::ConnectRefused:
                 return m_attach ? breakWith(break_reason::Refused) : reject(reject_reason::NotSent);
+            case stream_break::NotSent:
+                return m_attach ? breakWith(break_reason::Reset) : reject(reject_reason::NotSent);
             case stream_break::NotLoaded:
             case stream_break::Invalid:
                 return reject(reject_reason::NotLoaded);
--- a/node/crash_guard.cpp
+++ b/node/crash_guard.cpp
@@ -278,7 +278,7 @@
 {
     const auto address = m_targets.addressOf(target);
     if (!address)
-        return false;
+        return true; // it left the configuration
     const auto state = m_engines.readState(*address, CrashCheckTimeout);
     if (state)
         return state.value().incarnation == incarnation;
--- a/node/limited_engine_client.cpp
+++ b/node/limited_engine_client.cpp
@@ -34,7 +34,7 @@
     if (m_limits.acquire(address))
         m_engines.attach(address, attempt, from, readerEpoch, timeouts, sink, abort);
     else
-        sink.broken(stream_break::ConnectRefused, limitExceeded(address).message);
+        sink.broken(stream_break::NotSent, limitExceeded(address).message);
 }
 
 result<void> limited_engine_client::cancel(
--- a/node/limited_engine_client.h
+++ b/node/limited_engine_client.h
@@ -9,7 +9,7 @@
 class target_limits;
 
 /// Takes a permit for each request. Without one nothing is sent: a start ends as QueueFull and an attach as
-/// ConnectRefused, a probe counts as alive, a cancellation and an order fail, and reports give LimitExceeded.
+/// NotSent, a probe counts as alive, a cancellation and an order fail, and reports give LimitExceeded.
 class limited_engine_client final : public engine_client {
 public:
     /// Both references outlive this object.
--- a/node/test/tcp_handle.h
+++ b/node/test/tcp_handle.h
@@ -27,16 +27,21 @@
         : m_descriptor(std::exchange(other.m_descriptor, -1))
     {
     }
-    tcp_handle& operator=(tcp_handle&&) = delete;
+    tcp_handle& operator=(tcp_handle&& other) noexcept
+    {
+        std::swap(m_descriptor, other.m_descriptor);
+        return *this;
+    }
     ~tcp_handle() { close(); }
 
+    /// \param backlog connections that wait to be accepted; while there are more, further connects get no answer
     /// \return a socket that listens on a free port of loopback
-    static tcp_handle listening()
+    static tcp_handle listening(int backlog = SOMAXCONN)
     {
         tcp_handle handle(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         const auto address = loopback(0);
         ::bind(handle.m_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-        ::listen(handle.m_descriptor, SOMAXCONN);
+        ::listen(handle.m_descriptor, backlog);
         return handle;
     }
 
@@ -51,7 +56,25 @@
         return handle;
     }
 
+    /// \return a socket whose connect to \p port of loopback has begun
+    static tcp_handle connecting(std::uint16_t port)
+    {
+        tcp_handle handle(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+        const auto target = loopback(port);
+        (void)::connect(handle.m_descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+        return handle;
+    }
+
     tcp_handle accept() const { return tcp_handle(::accept4(m_descriptor, nullptr, nullptr, SOCK_CLOEXEC)); }
+
+    /// Blocks until bytes or the end have arrived.
+    /// \return whether bytes have arrived
+    bool waitReadable() const
+    {
+        char next = 0;
+        return ::recv(m_descriptor, &next, sizeof next, MSG_PEEK) == 1;
+    }
+
     bool valid() const { return m_descriptor >= 0; }
     void shutdown() const { ::shutdown(m_descriptor, SHUT_RDWR); }
 
--- a/targets/attempt_reader.cpp
+++ b/targets/attempt_reader.cpp
@@ -117,7 +117,7 @@
         return;
     switch (exchanged.end) {
     case exchange_end::NotSent:
-        breakOff(stream_break::ConnectRefused, exchanged.detail);
+        breakOff(exchanged.refused ? stream_break::ConnectRefused : stream_break::NotSent, exchanged.detail);
         return;
     case exchange_end::Lost:
         breakOff(stream_break::Reset, exchanged.detail);
--- a/targets/engine_client.h
+++ b/targets/engine_client.h
@@ -100,10 +100,10 @@
     virtual probe_answer probe(const std::string& address, const std::optional<attempt_id>& attempt,
         std::chrono::milliseconds timeout) const = 0;
 
-    /// \return the state, NoTarget when no connection was made, or TargetFailed
+    /// \return the state, NoTarget when nothing listens there, or TargetFailed
     virtual result<engine_state> readState(const std::string& address, std::chrono::milliseconds timeout) const = 0;
 
-    /// \return the load, NoTarget when no connection was made, or TargetFailed
+    /// \return the load, NoTarget when nothing listens there, or TargetFailed
     virtual result<engine_load> readLoad(const std::string& address, std::chrono::milliseconds timeout) const = 0;
 
     /// \param after sequence number of the last event known, 0 for all that the engine keeps
--- a/targets/http_engine_client.cpp
+++ b/targets/http_engine_client.cpp
@@ -59,7 +59,7 @@
     std::chrono::milliseconds timeout, result<Value> (*parse)(std::string_view)) const
 {
     const auto response = callOnce(address, { "GET", path, {}, {} }, timeout);
-    if (response.result.end == exchange_end::NotSent)
+    if (response.result.refused)
         return error { error_kind::NoTarget, absl::StrCat("engine ", address, ": ", response.result.detail), {} };
     if (response.result.end != exchange_end::Complete || response.status != 200)
         return failed(address, response);
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -182,14 +182,14 @@
 {
     const auto target = parseAddress(address);
     if (!target)
-        return { exchange_end::NotSent, absl::StrCat("address \"", address, "\" is not ip:port") };
+        return { exchange_end::NotSent, absl::StrCat("address \"", address, "\" is not ip:port"), true };
     if (auto fault = findFault(request); !fault.empty())
         return { exchange_end::NotSent, std::move(fault) };
     if (abort.aborted())
         return { exchange_end::NotSent, "aborted before the connect" };
     target_socket socket(abort, timeouts.idle, timeouts.total);
     if (auto fault = socket.connect(target->host, target->port, timeouts.connect); !fault.empty())
-        return { exchange_end::NotSent, std::move(fault) };
+        return { exchange_end::NotSent, std::move(fault), socket.wasRefused() };
 
     bool headTaken = false;
     auto httpRequest = makeRequest(request);
--- a/targets/http_exchange.h
+++ b/targets/http_exchange.h
@@ -33,6 +33,7 @@
 struct exchange_result {
     exchange_end end = exchange_end::NotSent;
     std::string detail; ///< for logs, unless Complete
+    bool refused = false; ///< NotSent because nothing listens at the address
 };
 
 /// A response kept in memory.
--- a/targets/stream_break.cpp
+++ b/targets/stream_break.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 12> Words { "connect_refused", "not_loaded", "queue_full", "draining",
-        "invalid", "reset", "truncated", "superseded", "malformed", "unknown_attempt", "timeout", "aborted" };
+    constexpr std::array<std::string_view, 13> Words { "connect_refused", "not_sent", "not_loaded", "queue_full",
+        "draining", "invalid", "reset", "truncated", "superseded", "malformed", "unknown_attempt", "timeout",
+        "aborted" };
     static_assert(static_cast<std::size_t>(stream_break::Aborted) + 1 == Words.size());
 
 } // namespace
--- a/targets/stream_break.h
+++ b/targets/stream_break.h
@@ -8,7 +8,8 @@
 
 /// Closed list of reasons.
 enum class stream_break {
-    ConnectRefused, ///< No connection was made, so no byte was sent: proven not run.
+    ConnectRefused, ///< Nothing listens at the target's address: proven not run.
+    NotSent, ///< No byte was sent, which says nothing about the target: proven not run.
     NotLoaded, ///< Rejected: other model, version or adapter: proven not run.
     QueueFull, ///< Rejected: the engine's queue is full: proven not run.
     Draining, ///< Rejected: the engine takes no new work: proven not run.
