Keep a silent attempt until another target takes over

What callers saw: a generation ended with target_failed some seconds after its target fell silent for a moment, though no other target was there and the target would have gone on.

Cause: when the policy abandoned a stalled attempt, or an attach was not accepted in time, the attempt was cancelled and its target excluded before another target was found. Without one, the search ended after 3 s.

Evidence: core_silent_targets on, silent_targets.cpp:34, with one target that is silent for 4 s: "completed() Actual: false" for "latency_first break true", "waiting break false" and "waiting break true".

Fix: silence places a second attempt that replaces the first only once it has a target. Until then the first is read on; a closed connection or a restarted process still ends it at once. Targets that were silent are tried again when there is no other, like full ones.

--- a/core/attempt_record.h
+++ b/core/attempt_record.h
@@ -42,6 +42,7 @@
     bool unverified = false;
     bool choiceRetried = false; ///< a second choice was requested because the first returned the other attempt's target
     bool accepted = false; ///< its target confirmed it
+    bool replacesFirst = false; ///< the first attempt, which is silent, is given up once this one has a target
     std::optional<finish_reason> pendingFinish; ///< end of the response, kept while unverified
     std::uint32_t extraPrefill = 0; ///< prompt and prefix tokens of this attempt counted as repeated work
     bool reportedLost = false; ///< a peer reported its target as lost
--- a/core/generation.cpp
+++ b/core/generation.cpp
@@ -100,7 +100,10 @@
             requestTarget(*attempt);
         return;
     }
-    startOnTarget(*attempt, event, now);
+    if (isSecond && attempt->replacesFirst)
+        startReplacement(event, now);
+    else
+        startOnTarget(*attempt, event, now);
 }
 
 void generation::on(const no_target& event, instant now)
@@ -109,7 +112,10 @@
     if (!attempt || attempt->phase != attempt_phase::Choosing)
         return;
     if (m_second && attempt == &*m_second) {
-        m_second.reset();
+        if (m_second->replacesFirst)
+            waitForTarget(*m_second, now);
+        else
+            m_second.reset();
         return;
     }
     handleCurrentUnplaced(event, now);
--- a/core/generation.h
+++ b/core/generation.h
@@ -108,6 +108,9 @@
     attempt_purpose nextAttemptPurpose() const;
     void placeCurrent(instant now);
     void placeSecond(attempt_purpose purpose, instant now);
+    void replaceSilentCurrent(instant now);
+    void startReplacement(const target_chosen& event, instant now);
+    void waitForTarget(attempt_record& attempt, instant now);
     bool admit(attempt_record& attempt, bool hedge, instant now);
     void requestTarget(attempt_record& attempt);
     void startOnTarget(attempt_record& attempt, const target_chosen& event, instant now);
@@ -172,13 +175,13 @@
     token_usage m_usage;
 
     std::optional<attempt_record> m_current;
-    std::optional<attempt_record> m_second; ///< hedge or duplicate
+    std::optional<attempt_record> m_second; ///< hedge, duplicate, or replacement of a silent first attempt
     std::vector<retired_attempt> m_retiredAttempts;
     std::uint32_t m_nextOrdinal = 1;
     std::uint32_t m_unprovenDispatches = 0; ///< dispatches without proof that they did not run
 
     std::vector<target_id> m_excluded; ///< targets that failed this request
-    std::vector<target_id> m_fullTargets; ///< targets that rejected this request because they were full
+    std::vector<target_id> m_avoidedTargets; ///< full or silent targets, tried again when there is no other
     std::vector<target_id> m_crashProbes; ///< targets probed to detect whether they crashed
     std::uint32_t m_crashes = 0;
     std::uint32_t m_rejections = 0;
--- a/core/generation_attempts.cpp
+++ b/core/generation_attempts.cpp
@@ -84,6 +84,42 @@
         requestTarget(*m_second);
 }
 
+// Silence does not show that a target has ended, so its attempt goes on until another target takes over.
+void generation::replaceSilentCurrent(instant now)
+{
+    if (m_second && !m_second->replacesFirst) {
+        failCurrentTarget(false, now);
+        return;
+    }
+    if (m_second)
+        return;
+    auto attempt = makeAttempt(nextAttemptPurpose());
+    if (!admit(attempt, false, now))
+        return;
+    attempt.replacesFirst = true;
+    m_second = std::move(attempt);
+    if (m_second->phase == attempt_phase::Choosing)
+        requestTarget(*m_second);
+}
+
+void generation::startReplacement(const target_chosen& event, instant now)
+{
+    m_avoidedTargets.push_back(m_current->target);
+    replaceCurrent(true, now);
+    if (ended())
+        return;
+    m_current->replacesFirst = false;
+    startOnTarget(*m_current, event, now);
+}
+
+void generation::waitForTarget(attempt_record& attempt, instant now)
+{
+    // Targets that were full or silent may serve the request at the next try.
+    m_avoidedTargets.clear();
+    attempt.phase = attempt_phase::Waiting;
+    attempt.due = now + rules().placementRetryDelay;
+}
+
 bool generation::admit(attempt_record& attempt, bool hedge, instant now)
 {
     const resume_request request { m_request.key.team, m_request.targetGroup, m_request.maxTokens - m_position, hedge,
@@ -102,8 +138,8 @@
 {
     attempt.phase = attempt_phase::Choosing;
     choose_target request { attempt.id, attempt.purpose, m_excluded, attempt.nextPosition, rules().preferCached,
-        m_interrupted || attempt.purpose == attempt_purpose::Hedge };
-    request.excluded.insert(request.excluded.end(), m_fullTargets.begin(), m_fullTargets.end());
+        m_interrupted || attempt.purpose == attempt_purpose::Hedge || attempt.replacesFirst };
+    request.excluded.insert(request.excluded.end(), m_avoidedTargets.begin(), m_avoidedTargets.end());
     for (const auto* other : { &m_current, &m_second }) {
         if (*other && (*other)->id != attempt.id && !(*other)->target.empty())
             request.excluded.push_back((*other)->target);
@@ -206,7 +242,7 @@
     }
     if (wasStarting) {
         recordNotRun(*m_current);
-        auto& list = event.reason == reject_reason::QueueFull ? m_fullTargets : m_excluded;
+        auto& list = event.reason == reject_reason::QueueFull ? m_avoidedTargets : m_excluded;
         list.push_back(m_current->target);
     }
     m_current.reset();
@@ -274,10 +310,7 @@
     } else if (now - m_interruptedAt >= rules().resumePlacementTimeout) {
         failWith(error_kind::TargetFailed, event.retryAfter);
     } else {
-        // Targets that were full may accept requests again at the next try.
-        m_fullTargets.clear();
-        m_current->phase = attempt_phase::Waiting;
-        m_current->due = now + rules().placementRetryDelay;
+        waitForTarget(*m_current, now);
     }
 }
 
--- a/core/generation_stall.cpp
+++ b/core/generation_stall.cpp
@@ -70,8 +70,10 @@
     case attempt_phase::Choosing:
         break;
     case attempt_phase::Attaching:
-        if (m_current->due <= now)
-            failCurrentTarget(false, now);
+        if (m_current->due <= now) {
+            m_current->due = now + rules().attachTimeout;
+            replaceSilentCurrent(now);
+        }
         break;
     case attempt_phase::Starting:
     case attempt_phase::Running:
@@ -106,7 +108,7 @@
         m_second->due = now + rules().stall.prefillSlack / 2;
         return;
     }
-    m_excluded.push_back(m_second->target);
+    m_avoidedTargets.push_back(m_second->target);
     retire(m_second, true);
     m_stall.recheckAt = now;
 }
@@ -140,7 +142,7 @@
             placeSecond(attempt_purpose::Hedge, now);
         break;
     case stall_action::Abandon:
-        failCurrentTarget(false, now);
+        replaceSilentCurrent(now);
         break;
     }
 }
--- a/core/generation_tokens.cpp
+++ b/core/generation_tokens.cpp
@@ -49,7 +49,7 @@
     increment(generation_counter::FalseSuspicion);
     m_state = m_interrupted ? generation_state::Resuming : generation_state::Streaming;
     m_stall = {};
-    if (m_second && !rules().duplicate)
+    if (m_second && (m_second->replacesFirst || !rules().duplicate))
         retire(m_second, true);
 }
 
@@ -179,7 +179,7 @@
     m_interrupted = false;
     m_stall = {};
     m_state = generation_state::Streaming;
-    if (m_second && !rules().duplicate)
+    if (m_second && (m_second->replacesFirst || !rules().duplicate))
         retire(m_second, true);
     if (m_position >= m_request.maxTokens)
         finish(finish_reason::Length, now);
