Do not count the time in which a node is held up against others

What callers saw: nothing directly. A node that was held up suspected another whose answer it had not read yet.

Cause: membership allowed for gaps between ticks of more than a probe interval only. A gap of 800 ms let the timeout of a probe expire at once.

Evidence: core_membership on, membership.cpp:138, one change of state after a gap of 800 ms instead of 0.

Fix: timeouts of probes and suspicions are extended by the part of a gap that exceeds the tick interval which the caller has promised. The 14 tests pass; one of them checks that a node with late ticks still finds a death.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -40,10 +40,13 @@
 std::vector<membership_action> membership::tick(instant now)
 {
     actions out;
-    // A gap between ticks means that this process was paused, so an expired timer is no evidence about another node.
+    // A gap between ticks means that this process was held up: answers may have arrived that it has not read, so an
+    // expired timer is no evidence about another node.
     const auto gap = now - m_lastTick;
     if (gap > m_settings.probeInterval)
         compensatePause(gap);
+    else if (gap > MaxTickInterval)
+        compensateDelay(gap - MaxTickInterval);
     m_lastTick = now;
     checkProbe(out, now);
     expireSuspicions(out, now);
@@ -274,9 +277,26 @@
 void membership::compensatePause(instant::duration pause)
 {
     m_probe.reset();
+    postponeSuspicions(pause);
+}
+
+void membership::compensateDelay(instant::duration delay)
+{
+    if (m_probe) {
+        m_probe->indirectAt += delay;
+        m_probe->failAt += delay;
+        m_nextProbe += delay; // replaces the probe
+    }
+    postponeSuspicions(delay);
+}
+
+void membership::postponeSuspicions(instant::duration delay)
+{
+    if (!m_mayHaveSuspects)
+        return;
     for (auto& [node, member] : m_members) {
         if (member.update.state == member_state::Suspect)
-            member.changedAt += pause;
+            member.changedAt += delay;
     }
 }
 
--- a/core/membership.h
+++ b/core/membership.h
@@ -78,7 +78,11 @@
     /// that are not members are contacted again periodically.
     std::vector<membership_action> join(const std::vector<node_id>& seeds, instant now);
 
-    /// Processes all due timers. Must be called at least every 100 ms.
+    /// Longest time between two ticks of a process that is not held up.
+    static constexpr std::chrono::milliseconds MaxTickInterval { 100 };
+
+    /// Processes all due timers. Must be called every MaxTickInterval; timeouts of other nodes do not run while it is
+    /// called later.
     std::vector<membership_action> tick(instant now);
 
     /// Processes a message. Messages with more updates than maxUpdates() are ignored.
@@ -126,6 +130,8 @@
     void expireSuspicions(actions& out, instant now);
     void removeExpired(instant now);
     void compensatePause(instant::duration pause);
+    void compensateDelay(instant::duration delay);
+    void postponeSuspicions(instant::duration delay);
     std::optional<node_id> nextProbeTarget();
     std::optional<node_id> nextReconnectTarget();
     void shuffle(std::vector<node_id>& nodes);
--- a/core/test/membership.cpp
+++ b/core/test/membership.cpp
@@ -122,6 +122,35 @@
     EXPECT_EQ(changes, 1); // without a pause, an unanswered probe causes a suspicion
 }
 
+// Failure: this node is held up for less than a probe interval and suspects a node whose answer it has not read yet.
+TEST(membership, answer_that_waits_while_this_node_is_held_up_prevents_a_suspicion)
+{
+    membership state({ node_id("a"), {}, {}, member_state::Alive, 1 }, {}, seeded_random(1), instant());
+    const member_update other { node_id("b"), {}, {}, member_state::Alive, 1 };
+    state.receive({ other, ack_message {}, {} }, instant());
+    std::vector<membership_action> sent;
+    int time = 0;
+    while (!countOf<send_membership_message>(sent))
+        sent = state.tick(instant(milliseconds(time += 100)));
+    const auto& ping = std::get<ping_message>(std::get<send_membership_message>(sent.front()).message.body);
+    for (int count = 0; count < 3; ++count)
+        state.tick(instant(milliseconds(time += 100)));
+    EXPECT_EQ(countOf<member_changed>(state.tick(instant(milliseconds(time += 800)))), 0);
+    state.receive({ other, ack_message { ping.sequence, other.node }, {} }, instant(milliseconds(time)));
+    for (int count = 0; count < 6; ++count)
+        EXPECT_EQ(countOf<member_changed>(state.tick(instant(milliseconds(time += 100)))), 0);
+}
+
+// Failure: a node that is always a little late never finds that another has died.
+TEST(membership, late_ticks_do_not_hide_a_death)
+{
+    membership state({ node_id("a"), {}, {}, member_state::Alive, 1 }, {}, seeded_random(1), instant());
+    state.receive({ { node_id("b"), {}, {}, member_state::Alive, 1 }, ack_message {}, {} }, instant());
+    for (int time = 0; time < 20'000; time += 250)
+        state.tick(instant(milliseconds(time)));
+    EXPECT_EQ(state.members().at(node_id("b")).update.state, member_state::Dead);
+}
+
 TEST(membership, lost_zone_is_reported_as_a_unit)
 {
     membership_network network(6);
--- a/node/membership_driver.cpp
+++ b/node/membership_driver.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds TickPeriod { 100 };
     constexpr std::size_t StateCount = static_cast<std::size_t>(member_state::Dead) + 1;
 
     member_update selfUpdate(const peer_hub& peers, const availability_zone& zone, const region_name& region)
@@ -37,7 +36,7 @@
             execute(m_membership.receive(*decoded, now), now);
         return decoded.has_value();
     });
-    loop.every(TickPeriod, [this](instant now) { tick(now); });
+    loop.every(membership::MaxTickInterval, [this](instant now) { tick(now); });
 }
 
 void membership_driver::tick(instant now)
