Use a store response that is whole after its limit

What callers saw: a commit counted as unknown, or the store as unavailable, although the whole response was there.

Cause: the limit was compared with the clock at each piece of the body, also when the piece completed it.

Evidence: ports_late_responses on, late_responses.cpp:43, "the platform's response was lost: Canceled".

Fix: the limit is judged only while more of the body is to come. Both tests pass; a response that goes on is still ended at the limit. A node that is held up in the middle of a response of several pieces still drops it.

--- a/ports/http_exchange.cpp
+++ b/ports/http_exchange.cpp
@@ -114,9 +114,11 @@
     outgoing.body = request.body;
     if (!request.body.empty())
         outgoing.set_header("Content-Type", request.contentType);
-    outgoing.content_receiver = [&](const char* bytes, std::size_t size, std::uint64_t, std::uint64_t) {
-        tooLong = response.body.size() + size > m_state->maxResponseBytes;
-        if (tooLong || std::chrono::steady_clock::now() > deadline)
+    outgoing.content_receiver = [&](const char* bytes, std::size_t size, std::uint64_t, std::uint64_t length) {
+        const auto received = response.body.size() + size;
+        tooLong = received > m_state->maxResponseBytes;
+        const bool isComplete = length > 0 && received >= length; // the length is 0 if the response names none
+        if (tooLong || (!isComplete && std::chrono::steady_clock::now() > deadline))
             return false;
         response.body.append(bytes, size);
         return true;
