Count a request as open until its answer has been sent

What callers saw: a planned stop counted requests whose long answers were still being sent as done, and stopped listening while they were sent: new callers were refused a connection instead of getting a 503.

Cause: open_request ended with the handler, before the library writes the body. Only event streams were counted to their end.

Evidence: node_slow_readers on, slow_readers.cpp:68, "open_requests" is not 2 while two answers of 8 MB are being sent. The stop itself did not cut them there: in a trial that read on after 500 ms both arrived whole, since the library's threads were joined.

Fix: the provider of the body owns the count, also of look-ups and of generations that are not streamed, whose bodies were written by one send before. The test passes.

--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -9,6 +9,7 @@
 #include "node/error_body.h"
 #include "node/node_metrics.h"
 #include "node/node_status.h"
+#include "node/open_request.h"
 #include "node/operator_endpoint.h"
 #include "node/process_usage.h"
 #include "node/service_endpoint.h"
@@ -22,6 +23,7 @@
 
 namespace {
 
+    constexpr int SuccessStatus = 200;
     constexpr const char* JsonType = "application/json";
     constexpr const char* CompletionsPath = "/v1/completions";
     constexpr const char* ServicesPath = "/v1/services/";
@@ -32,22 +34,6 @@
     constexpr time_t ReadTimeoutSeconds = 10;
     constexpr time_t WriteTimeoutSeconds = 10;
 
-    /// Counts a request as open for the planned stop.
-    class open_request {
-    public:
-        explicit open_request(node_status& status)
-            : m_status(status)
-        {
-            ++m_status.openRequests;
-        }
-        ~open_request() { --m_status.openRequests; }
-        open_request(const open_request&) = delete;
-        open_request& operator=(const open_request&) = delete;
-
-    private:
-        node_status& m_status;
-    };
-
     void recordProcess(node_metrics& metrics)
     {
         const auto usage = processUsage();
@@ -78,8 +64,8 @@
             });
     }
 
-    /// Sends \p answer, whose memory stays reserved until the caller has received it.
-    void sendAnswer(call_answer&& answer, httplib::Response& response)
+    /// Sends \p answer, whose memory stays reserved and whose request stays open until the answer has been sent.
+    void sendAnswer(call_answer&& answer, std::shared_ptr<open_request> open, httplib::Response& response)
     {
         response.status = answer.status;
         if (answer.body.empty()) {
@@ -88,7 +74,7 @@
         }
         const auto held = std::make_shared<call_answer>(std::move(answer));
         response.set_content_provider(held->body.size(), held->contentType,
-            [held](std::size_t offset, std::size_t length, httplib::DataSink& sink) {
+            [held, open = std::move(open)](std::size_t offset, std::size_t length, httplib::DataSink& sink) {
                 return sink.write(held->body.data() + offset, length);
             });
     }
@@ -279,7 +265,7 @@
 
 void http_edge::handleCompletion(const httplib::Request& request, httplib::Response& response)
 {
-    const open_request open(m_services.status);
+    auto open = std::make_shared<open_request>(m_services.status);
     // After the count: the planned stop waits for each request that did not see it.
     if (refusesWork(request, response))
         return;
@@ -304,17 +290,17 @@
         return answerError(begun.error(), response, fleet);
     }
     if (opened.value().streamed)
-        return sendEvents(stream, response);
-    const auto body = stream->collect();
+        return sendEvents(stream, std::move(open), response);
+    auto body = stream->collect();
     recordEnd(*stream);
     if (!body)
         return answerError(body.error(), response, fleet);
-    response.set_content(body.value(), JsonType);
+    sendAnswer({ SuccessStatus, JsonType, std::move(body.value()), {} }, std::move(open), response);
 }
 
 void http_edge::handleService(const httplib::Request& request, httplib::Response& response)
 {
-    const open_request open(m_services.status);
+    auto open = std::make_shared<open_request>(m_services.status);
     // After the count: the planned stop waits for each request that did not see it.
     if (refusesWork(request, response))
         return;
@@ -334,24 +320,24 @@
     if (!served.reply)
         return answerError(served.reply.error(), response, served.fleet);
     m_services.metrics.add(counter_metric::Requests, { { "fleet", served.fleet }, { "code", "ok" } });
-    sendAnswer(std::move(served.reply.value()), response);
+    sendAnswer(std::move(served.reply.value()), std::move(open), response);
 }
 
 void http_edge::handleLookUp(const httplib::Request& request, httplib::Response& response)
 {
-    const auto reply = m_services.services.lookUp(request.get_header_value("Authorization"), request.matches[1]);
+    auto open = std::make_shared<open_request>(m_services.status);
+    auto reply = m_services.services.lookUp(request.get_header_value("Authorization"), request.matches[1]);
     if (!reply)
         return answerError(reply.error(), response, "unknown");
-    response.status = reply.value().status;
-    response.set_content(reply.value().body, reply.value().contentType);
+    sendAnswer(std::move(reply.value()), std::move(open), response);
 }
 
-void http_edge::sendEvents(const std::shared_ptr<completion_stream>& stream, httplib::Response& response)
+void http_edge::sendEvents(
+    const std::shared_ptr<completion_stream>& stream, std::shared_ptr<open_request> open, httplib::Response& response)
 {
     response.set_header("Cache-Control", "no-store");
-    const auto open = std::make_shared<open_request>(m_services.status);
     response.set_chunked_content_provider(
-        "text/event-stream", [this, stream, open](std::size_t, httplib::DataSink& sink) {
+        "text/event-stream", [this, stream, open = std::move(open)](std::size_t, httplib::DataSink& sink) {
             const auto events = stream->nextEvents(std::chrono::steady_clock::now() + ConnectionCheckPeriod);
             const bool connected = sink.is_writable() && (events.empty() || sink.write(events.data(), events.size()));
             if (connected) {
--- a/node/http_edge.h
+++ b/node/http_edge.h
@@ -21,6 +21,7 @@
 class completion_stream;
 class completions_endpoint;
 class node_metrics;
+class open_request;
 class operator_endpoint;
 class service_endpoint;
 struct node_status;
@@ -57,7 +58,8 @@
     void handleCompletion(const httplib::Request& request, httplib::Response& response);
     void handleService(const httplib::Request& request, httplib::Response& response);
     void handleLookUp(const httplib::Request& request, httplib::Response& response);
-    void sendEvents(const std::shared_ptr<completion_stream>& stream, httplib::Response& response);
+    void sendEvents(const std::shared_ptr<completion_stream>& stream, std::shared_ptr<open_request> open,
+        httplib::Response& response);
     bool refusesConnection(const httplib::Request& request, httplib::Response& response);
     bool refusesWork(const httplib::Request& request, httplib::Response& response);
     void refuse(const error& reason, const httplib::Request& request, httplib::Response& response);
