Close callers' connections only after their last byte is sent

Cause: a session counted as idle, or left gateway::m_sessions, as soon as its response was handed over, though bytes of it were queued. The idle timer began then, too, and the process ended when the set of sessions was empty.

The phase of a connection is now kept by one state machine without sockets and clock, caller_connection_state. A connection is idle from the last byte that the kernel has taken; limits for input count from then. A session stays in the gateway's set until its connection is closed, so a stop waits for it until the cut at the end of the grace period. The cut passes over connections that end already. An end with unsent bytes is logged (unsent_bytes).

--- /dev/null
+++ b/gateway/caller_connection_state.h
@@ -0,0 +1,94 @@
+/// \file
+/// Decides when the connection of a caller closes, so that no response is lost that is still being sent.
+#pragma once
+
+#include "core/instant.h"
+
+#include <optional>
+
+namespace oriolepick {
+
+/// Phases of a caller's connection.
+enum class caller_phase {
+    Idle, ///< no byte of a request was received, and the kernel has all bytes of the last response
+    Reading, ///< a request was received in part
+    Serving, ///< a request is in progress
+    Sending, ///< bytes of a complete response are queued; the next request may arrive
+    Closing, ///< bytes of the last response are queued
+    Lingering, ///< the last response was sent; input is discarded until the caller closes the connection
+    Closed,
+};
+
+/// What follows a complete response.
+enum class after_response {
+    KeepOpen, ///< the next request is read
+    Close, ///< the connection is closed once the response is sent
+    Linger, ///< as Close, but the caller may still be sending
+};
+
+/// What the owner of the connection does next.
+enum class connection_action {
+    None,
+    ReadRequest, ///< read the next request
+    Close, ///< close the connection; nothing is queued
+};
+
+/// State machine of one connection. It is told what happens on the connection, and never closes it by itself.
+class caller_connection_state {
+public:
+    /// \param openedAt when the connection was accepted
+    explicit caller_connection_state(instant openedAt);
+
+    /// \return the phase; Reading and Serving also while bytes of an earlier response are queued
+    caller_phase phase() const;
+
+    /// Bytes of a request were received that is not complete.
+    void receiveInput(instant now);
+
+    /// A request was received completely.
+    void startRequest(instant now);
+
+    /// A response was handed over completely.
+    /// \param unsent whether bytes of it are queued
+    connection_action completeResponse(after_response next, bool unsent, instant now);
+
+    /// The kernel has accepted all queued bytes.
+    connection_action drain(instant now);
+
+    /// The node has ended the request because it stops; the response is sent if there is still time.
+    void endForStop() { m_endedForStop = true; }
+
+    /// The connection was closed.
+    void close();
+
+    /// \return since when input of the caller is awaited; nothing while a request is in progress, bytes are queued or
+    /// the connection closes
+    std::optional<instant> waitingSince() const;
+
+    /// \return until when the connection lingers, valid in that phase
+    instant lingersUntil() const { return m_since + LingerTime; }
+
+    /// \return whether a stopping node may close the connection without losing a request or a response
+    bool mayCloseAtStop(instant now) const;
+
+    /// \return whether the connection ends without further action
+    bool isEnding() const;
+
+private:
+    /// A new connection is not closed by a stop for this time: the first request arrives within a few round trips.
+    static constexpr std::chrono::milliseconds FirstRequestGrace { 300 };
+    /// A caller reads the last response within a round trip and closes.
+    static constexpr std::chrono::milliseconds LingerTime { 500 };
+
+    connection_action finish(instant now);
+
+    instant m_openedAt;
+    instant m_since; // the last input, the last response or its last byte, or the beginning of lingering
+    caller_phase m_phase = caller_phase::Idle; // Sending is derived from Idle and m_unsent
+    bool m_unsent = false;
+    bool m_lingers = false; // when the last response is sent
+    bool m_requestReceived = false;
+    bool m_endedForStop = false;
+};
+
+} // namespace oriolepick
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -22,11 +22,6 @@
     /// A body is kept for retries and, until it is sent, a second time as encoded bytes for the target.
     constexpr std::size_t RequestMemoryFactor = 2;
 
-    /// A new connection is not closed as idle for this time: the first request arrives within a few round trips.
-    constexpr std::chrono::milliseconds FirstRequestGrace { 300 };
-    /// Delay before a rejected connection is closed: a caller reads the error response within a round trip and closes.
-    constexpr std::chrono::milliseconds RejectedCloseDelay { 500 };
-
     caller_limits limitsOf(const active_config& config)
     {
         return config.table() ? config.table()->config().limits : caller_limits {};
@@ -57,7 +52,7 @@
     , m_onClosed(std::move(onClosed))
     , m_requestMemory(parts.memory)
     , m_responseMemory(parts.memory)
-    , m_openedAt(parts.timers.now())
+    , m_state(parts.timers.now())
 {
 }
 
@@ -86,7 +81,8 @@
 void caller_session::onBytes(std::string_view bytes)
 {
     const auto self = shared_from_this();
-    if (m_rejected)
+    const auto phase = m_state.phase();
+    if (phase == caller_phase::Closing || phase == caller_phase::Lingering || phase == caller_phase::Closed)
         return;
     m_input.append(bytes);
     if (m_exchange) {
@@ -117,6 +113,8 @@
         m_continueSent = true;
         m_channel->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    if (m_reader->started())
+        m_state.receiveInput(m_parts.timers.now());
     startInputTimer();
 }
 
@@ -132,48 +130,76 @@
 
 void caller_session::onDrained()
 {
+    const auto self = shared_from_this();
     updateResponseMemory();
     if (m_exchange)
         m_exchange->onSinkDrained();
+    proceed(m_state.drain(m_parts.timers.now()));
 }
 
-std::chrono::milliseconds caller_session::inputTimeout() const
+// Acts on a decision of the state machine. The input timer follows the phase.
+void caller_session::proceed(connection_action action)
 {
+    switch (action) {
+    case connection_action::ReadRequest:
+        readNextRequest();
+        return;
+    case connection_action::Close:
+        close(m_endReason);
+        return;
+    case connection_action::None:
+        startInputTimer();
+        return;
+    }
+}
+
+// The configuration limits how long a connection may be idle and how long the header of a request may take to arrive.
+std::optional<instant> caller_session::inputDue() const
+{
+    if (m_state.phase() == caller_phase::Lingering)
+        return m_state.lingersUntil();
+    const auto since = m_state.waitingSince();
+    if (!since || m_reader->headerDone())
+        return {};
     const auto limits = limitsOf(m_parts.config);
-    return m_reader->started() ? limits.headerTimeout : limits.idleTimeout;
+    return *since + (m_reader->started() ? limits.headerTimeout : limits.idleTimeout);
 }
 
-// Limits how long a connection may be idle and how long the header of a request may take to arrive.
 void caller_session::startInputTimer()
 {
     m_parts.timers.cancel(m_inputTimer);
-    if (!m_reader->headerDone())
-        startInputTimer(m_parts.timers.now());
+    const auto due = inputDue();
+    if (!due)
+        return;
+    m_inputTimer = m_parts.timers.at(*due, [self = weak_from_this()] {
+        if (const auto session = self.lock())
+            session->onInputTimer();
+    });
 }
 
 // A change of the configuration may extend the limit meanwhile, and callers reuse connections by the new one.
-void caller_session::startInputTimer(instant since)
+void caller_session::onInputTimer()
 {
-    const bool started = m_reader->started();
-    m_inputTimer = m_parts.timers.at(since + inputTimeout(), [self = weak_from_this(), started, since] {
-        const auto session = self.lock();
-        if (!session)
-            return;
-        session->m_inputTimer = 0;
-        if (session->m_parts.timers.now() < since + session->inputTimeout()) {
-            session->startInputTimer(since);
-            return;
-        }
-        if (started)
-            session->m_parts.metrics.count("header_timeouts");
-        session->close(started ? "header_timeout" : "idle");
-    });
+    m_inputTimer = 0;
+    const auto due = inputDue();
+    if (!due || m_parts.timers.now() < *due) {
+        startInputTimer();
+        return;
+    }
+    if (m_state.phase() == caller_phase::Lingering) {
+        close(m_endReason);
+        return;
+    }
+    if (m_reader->started())
+        m_parts.metrics.count("header_timeouts");
+    close(m_reader->started() ? "header_timeout" : "idle");
 }
 
 void caller_session::startExchange()
 {
     m_parts.timers.cancel(m_inputTimer);
     m_requestReceivedAt = m_parts.timers.now();
+    m_state.startRequest(m_requestReceivedAt);
     auto request = m_reader->take();
     m_keepAlive = request.keepAlive;
     m_chunked = request.version >= 11;
@@ -193,14 +219,10 @@
     m_requestMemory.set(0);
     const auto response = makeErrorResponse(kind, errorMessage, m_parts.random);
     m_channel->send(formatResponse(response.head, response.body));
-    m_rejected = true;
+    updateResponseMemory();
+    m_endReason = "rejected";
     // Closing with unread input would reset the connection, and the response could be lost.
-    m_inputTimer = m_parts.timers.at(m_parts.timers.now() + RejectedCloseDelay, [self = weak_from_this()] {
-        if (const auto session = self.lock()) {
-            session->m_inputTimer = 0;
-            session->close("rejected");
-        }
-    });
+    proceed(m_state.completeResponse(after_response::Linger, m_channel->queuedBytes() > 0, m_parts.timers.now()));
 }
 
 // A stopping node still answers requests that it has read ahead.
@@ -277,14 +299,12 @@
             self->notifyClosed("response_aborted");
             return;
         }
-        if (self->closesAfterResponse()) {
-            if (!self->m_input.empty())
-                self->logEnd("response_complete");
-            self->m_channel->closeAfterSending();
-            self->notifyClosed("response_complete");
-            return;
-        }
-        self->readNextRequest();
+        const bool closes = self->closesAfterResponse();
+        self->m_endReason = "response_complete";
+        if (closes && !self->m_input.empty())
+            self->logEnd(self->m_endReason);
+        self->proceed(self->m_state.completeResponse(closes ? after_response::Close : after_response::KeepOpen,
+            self->m_channel->queuedBytes() > 0, self->m_parts.timers.now()));
     });
 }
 
@@ -295,8 +315,7 @@
 
 void caller_session::closeIfIdle()
 {
-    const bool isNew = m_parts.timers.now() < m_openedAt + FirstRequestGrace && m_requestReceivedAt == instant();
-    if (isIdle() && !isNew)
+    if (m_state.mayCloseAtStop(m_parts.timers.now()))
         close("node_stops");
 }
 
@@ -308,6 +327,7 @@
 
 void caller_session::abortForShutdown()
 {
+    m_state.endForStop();
     if (m_exchange)
         m_exchange->abortForShutdown(); // closes the connection after the response
     else
@@ -328,24 +348,28 @@
 
 void caller_session::endExchange(std::string_view reason)
 {
-    if (m_exchange && !m_exchange->isFinished()) {
+    const auto phase = m_state.phase();
+    const bool inProgress = m_exchange && !m_exchange->isFinished();
+    if (inProgress || m_channel->queuedBytes() > 0)
         logEnd(reason);
+    if (inProgress)
         m_exchange->cancel();
-    }
-    notifyClosed(reason);
+    notifyClosed(phase == caller_phase::Lingering ? m_endReason : reason);
 }
 
-// Ends with a request in progress, or with unread input, are logged; all ends are counted.
+// Ends with a request in progress, with unread input or with unsent bytes are logged; all ends are counted.
 void caller_session::logEnd(std::string_view reason)
 {
     m_parts.log.write("connection_closed",
         { { "reason", std::string(reason) }, { "attempt", m_exchange ? m_exchange->attempt() : "" },
             { "in_progress", m_exchange && !m_exchange->isFinished() ? "true" : "false" },
-            { "stopping", m_closing ? "true" : "false" }, { "unread_bytes", std::to_string(m_input.size()) } });
+            { "stopping", m_closing ? "true" : "false" }, { "unread_bytes", std::to_string(m_input.size()) },
+            { "unsent_bytes", std::to_string(m_channel->queuedBytes()) } });
 }
 
 void caller_session::notifyClosed(std::string_view reason)
 {
+    m_state.close();
     m_parts.timers.cancel(m_inputTimer);
     if (m_onClosed)
         m_parts.metrics.count(concatenated("connections_closed_", reason));
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/memory_reservation.h"
+#include "gateway/caller_connection_state.h"
 #include "gateway/gateway_parts.h"
 #include "gateway/http_parser.h"
 #include "gateway/response_sink.h"
@@ -14,6 +15,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,19 +40,20 @@
     /// Closes the connection after the next response, because the node is stopping.
     void closeAfterNextResponse();
 
-    /// Closes the connection if no request is in progress.
+    /// Closes the connection if no request is in progress and the caller's last response was sent.
     void closeIfIdle();
 
     /// Rejects the request in progress if it waits for a target and cannot be expected to end before the node stops.
     void rejectIfWaiting();
 
-    /// Aborts the request in progress and closes the connection.
+    /// Aborts the request in progress, or closes the connection if there is none.
     void abortForShutdown();
 
     /// \return when the request in progress was received completely
     instant requestReceivedAt() const { return m_requestReceivedAt; }
 
-    bool isIdle() const { return !m_exchange && !m_rejected && !m_reader->started(); }
+    /// \return whether the connection ends without further action
+    bool isEnding() const { return m_state.isEnding(); }
 
     void onBytes(std::string_view bytes) override;
     void onDrained() override;
@@ -71,9 +74,10 @@
     void updateResponseMemory();
     void onResponseDone();
     bool closesAfterResponse() const;
-    std::chrono::milliseconds inputTimeout() const;
+    void proceed(connection_action action);
+    std::optional<instant> inputDue() const;
     void startInputTimer();
-    void startInputTimer(instant since);
+    void onInputTimer();
     void close(std::string_view reason);
     void endExchange(std::string_view reason);
     void logEnd(std::string_view reason);
@@ -90,7 +94,8 @@
     std::string m_input;
     memory_reservation m_requestMemory; // of the request that is read, and of its copy for a target
     memory_reservation m_responseMemory; // of bytes that are not yet sent to the caller
-    instant m_openedAt;
+    caller_connection_state m_state;
+    std::string_view m_endReason; // of a connection that closes after its last response
     instant m_requestReceivedAt; // the last request; zero before the first one
     timer_handle m_inputTimer = 0;
     bool m_keepAlive = true;
@@ -98,7 +103,6 @@
     bool m_closing = false;
     bool m_streaming = false;
     bool m_continueSent = false;
-    bool m_rejected = false; ///< the last response is sent; further input is discarded
 };
 
 } // namespace oriolepick
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -129,7 +130,8 @@
         session->closeIfIdle();
         session->rejectIfWaiting();
     }
-    const auto busy = m_sessions.size();
+    const auto busy = static_cast<std::size_t>(
+        std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto& session) { return !session->isEnding(); }));
     if (now >= m_stopSchedule.cutFrom) {
         m_busyAtHandover = m_busyAtHandover.value_or(busy);
         const auto left = std::max(m_stopSchedule.cutUntil - now, instant::duration::zero());
@@ -149,7 +151,9 @@
 
 std::size_t gateway::endSessions(std::size_t count)
 {
-    std::vector<std::shared_ptr<caller_session>> sessions(m_sessions.begin(), m_sessions.end());
+    std::vector<std::shared_ptr<caller_session>> sessions;
+    std::copy_if(m_sessions.begin(), m_sessions.end(), std::back_inserter(sessions),
+        [](const auto& session) { return !session->isEnding(); });
     count = std::min(count, sessions.size());
     // The sessions whose requests arrived last are the least likely to complete in time.
     std::sort(sessions.begin(), sessions.end(),
