Shut down sending before a caller's connection is closed

What callers saw: a caller that had sent more than its last request lost the end of the last answer. A rejected caller waited half a second for the end of its connection.

Cause: closing a socket with unread input resets the connection, and the reset destroys what the kernel has not delivered yet. Only rejections discarded input, for a fixed time, with the sending direction left open.

After the last byte of a last response the sending direction is shut down at once, and input is discarded until the caller closes, for 500 ms from its last bytes and 2 s in all.

The limits of lingering are tested in virtual time.

--- a/gateway/caller_connection_state.cpp
+++ b/gateway/caller_connection_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_connection_state.h"
 
+#include <algorithm>
+
 namespace oriolepick {
 
 caller_connection_state::caller_connection_state(instant openedAt)
@@ -35,7 +37,6 @@
         return connection_action::ReadRequest;
     }
     m_phase = caller_phase::Closing;
-    m_lingers = next == after_response::Linger;
     return m_unsent ? connection_action::None : finish(now);
 }
 
@@ -49,13 +50,23 @@
     return connection_action::None;
 }
 
+void caller_connection_state::discardInput(instant now)
+{
+    if (m_phase == caller_phase::Lingering)
+        m_since = now;
+}
+
+instant caller_connection_state::lingersUntil() const
+{
+    return std::min(m_since + LingerTime, m_shutDownAt + MaxLingerTime);
+}
+
 connection_action caller_connection_state::finish(instant now)
 {
-    if (!m_lingers)
-        return connection_action::Close;
     m_phase = caller_phase::Lingering;
     m_since = now;
-    return connection_action::None;
+    m_shutDownAt = now;
+    return connection_action::ShutDownSending;
 }
 
 void caller_connection_state::close()
--- a/gateway/caller_connection_state.h
+++ b/gateway/caller_connection_state.h
@@ -22,15 +22,14 @@
 /// What follows a complete response.
 enum class after_response {
     KeepOpen, ///< the next request is read
-    Close, ///< the connection is closed once the response is sent
-    Linger, ///< as Close, but the caller may still be sending
+    Close, ///< the connection closes once the response is sent
 };
 
 /// What the owner of the connection does next.
 enum class connection_action {
     None,
     ReadRequest, ///< read the next request
-    Close, ///< close the connection; nothing is queued
+    ShutDownSending, ///< shut down the sending direction, and discard input until lingersUntil()
 };
 
 /// State machine of one connection. It is told what happens on the connection, and never closes it by itself.
@@ -45,6 +44,9 @@
     /// Bytes of a request were received that is not complete.
     void receiveInput(instant now);
 
+    /// Input was received and discarded, because the connection closes.
+    void discardInput(instant now);
+
     /// A request was received completely.
     void startRequest(instant now);
 
@@ -66,7 +68,7 @@
     std::optional<instant> waitingSince() const;
 
     /// \return until when the connection lingers, valid in that phase
-    instant lingersUntil() const { return m_since + LingerTime; }
+    instant lingersUntil() const;
 
     /// \return whether a stopping node may close the connection without losing a request or a response
     bool mayCloseAtStop(instant now) const;
@@ -77,16 +79,17 @@
 private:
     /// A new connection is not closed by a stop for this time: the first request arrives within a few round trips.
     static constexpr std::chrono::milliseconds FirstRequestGrace { 300 };
-    /// A caller reads the last response within a round trip and closes.
+    /// From the last input on: a caller reads the last response within a round trip and closes.
     static constexpr std::chrono::milliseconds LingerTime { 500 };
+    static constexpr std::chrono::milliseconds MaxLingerTime { 2'000 }; ///< for a caller that does not stop sending
 
     connection_action finish(instant now);
 
     instant m_openedAt;
-    instant m_since; // the last input, the last response or its last byte, or the beginning of lingering
+    instant m_since; // the last input, or the last response or its last byte
+    instant m_shutDownAt; // when the connection began to linger
     caller_phase m_phase = caller_phase::Idle; // Sending is derived from Idle and m_unsent
     bool m_unsent = false;
-    bool m_lingers = false; // when the last response is sent
     bool m_requestReceived = false;
     bool m_endedForStop = false;
 };
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -82,8 +82,10 @@
 {
     const auto self = shared_from_this();
     const auto phase = m_state.phase();
-    if (phase == caller_phase::Closing || phase == caller_phase::Lingering || phase == caller_phase::Closed)
+    if (phase == caller_phase::Closing || phase == caller_phase::Lingering || phase == caller_phase::Closed) {
+        m_state.discardInput(m_parts.timers.now());
         return;
+    }
     m_input.append(bytes);
     if (m_exchange) {
         m_channel->pauseReading(m_input.size() > MaxReadAheadBytes);
@@ -144,8 +146,10 @@
     case connection_action::ReadRequest:
         readNextRequest();
         return;
-    case connection_action::Close:
-        close(m_endReason);
+    case connection_action::ShutDownSending:
+        // Closing with unread input would reset the connection, and the response could be lost.
+        m_channel->shutDownSending();
+        startInputTimer();
         return;
     case connection_action::None:
         startInputTimer();
@@ -222,7 +226,7 @@
     updateResponseMemory();
     m_endReason = "rejected";
     // Closing with unread input would reset the connection, and the response could be lost.
-    proceed(m_state.completeResponse(after_response::Linger, m_channel->queuedBytes() > 0, m_parts.timers.now()));
+    proceed(m_state.completeResponse(after_response::Close, m_channel->queuedBytes() > 0, m_parts.timers.now()));
 }
 
 // A stopping node still answers requests that it has read ahead.
--- a/gateway/tcp_connection.cpp
+++ b/gateway/tcp_connection.cpp
@@ -145,6 +145,13 @@
         close();
 }
 
+void tcp_connection::shutDownSending()
+{
+    error_code ignored; // fails if the peer has already closed the connection, which reading reports
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    pauseReading(false);
+}
+
 void tcp_connection::close()
 {
     if (!m_open)
--- a/gateway/tcp_connection.h
+++ b/gateway/tcp_connection.h
@@ -73,6 +73,9 @@
     /// Sends the queued bytes, then closes the connection.
     void closeAfterSending();
 
+    /// Shuts down the sending direction, and goes on receiving. No bytes may be queued.
+    void shutDownSending();
+
     /// Closes the connection at once and discards queued bytes.
     void close();
 
--- a/gateway/test/caller_connection_state.cpp
+++ b/gateway/test/caller_connection_state.cpp
@@ -29,21 +29,25 @@
     EXPECT_TRUE(state.mayCloseAtStop(Start + 3s));
 }
 
-TEST_F(CallerConnectionState, ClosesAfterTheLastByteOfTheLastResponse)
+TEST_F(CallerConnectionState, LingersFromTheLastByteOfTheLastResponse)
 {
     EXPECT_EQ(state.completeResponse(after_response::Close, true, Start), connection_action::None);
     EXPECT_EQ(state.phase(), caller_phase::Closing);
     EXPECT_FALSE(state.isEnding()) << "a stop waits for it, or cuts it";
-    EXPECT_EQ(state.drain(Start + 1s), connection_action::Close);
+    EXPECT_EQ(state.drain(Start + 1s), connection_action::ShutDownSending);
+    EXPECT_EQ(state.phase(), caller_phase::Lingering);
+    EXPECT_EQ(state.lingersUntil(), Start + 1s + 500ms);
+    EXPECT_TRUE(state.isEnding());
 }
 
-TEST_F(CallerConnectionState, LingersAfterTheLastByteOfARejection)
+TEST_F(CallerConnectionState, LingersWhileTheCallerSendsButNotWithoutEnd)
 {
-    EXPECT_EQ(state.completeResponse(after_response::Linger, true, Start), connection_action::None);
-    EXPECT_EQ(state.drain(Start + 1s), connection_action::None);
-    EXPECT_EQ(state.phase(), caller_phase::Lingering);
-    EXPECT_GT(state.lingersUntil(), Start + 1s);
-    EXPECT_TRUE(state.isEnding());
+    EXPECT_EQ(state.completeResponse(after_response::Close, false, Start), connection_action::ShutDownSending);
+    state.discardInput(Start + 400ms);
+    EXPECT_EQ(state.lingersUntil(), Start + 900ms);
+    for (auto now = Start; now < Start + 10s; now += 100ms)
+        state.discardInput(now);
+    EXPECT_EQ(state.lingersUntil(), Start + 2s);
 }
 
 TEST_F(CallerConnectionState, TheNextRequestMayArriveWhileAResponseIsSent)
