Answer the first request of a connection beyond the maximum

Such a connection is held until the head of its first request, and gets the 503 of error_kind::Overloaded with Retry-After and the statement that the request did not run. 64 are held at a time, for 2 s each without a request; further ones are closed at once as before, counted (connections_dropped) and logged once a series. Their bodies are not read.

Evidence: RefusedConnectionsAreLoggedOnceAndOpenOnesGoOn, widened by the check of the response, failed on the code before these changes at its status (0 in place of 503); FewConnectionsBeyondTheMaximumAreHeldForTheirRequest failed, since all were closed at once and no line said so. Both pass now.

--- a/gateway/caller_connection_state.h
+++ b/gateway/caller_connection_state.h
@@ -38,6 +38,9 @@
     /// \param openedAt when the connection was accepted
     explicit caller_connection_state(instant openedAt);
 
+    /// \return until when a connection is held whose first request is to be rejected
+    instant refusalDue() const { return m_openedAt + RefusalTimeout; }
+
     /// \return the phase; Reading and Serving also while bytes of an earlier response are queued
     caller_phase phase() const;
 
@@ -79,6 +82,7 @@
 private:
     /// A new connection is not closed by a stop for this time: the first request arrives within a few round trips.
     static constexpr std::chrono::milliseconds FirstRequestGrace { 300 };
+    static constexpr std::chrono::milliseconds RefusalTimeout { 2'000 };
     /// From the last input on: a caller reads the last response within a round trip and closes.
     static constexpr std::chrono::milliseconds LingerTime { 500 };
     static constexpr std::chrono::milliseconds MaxLingerTime { 2'000 }; ///< for a caller that does not stop sending
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -45,10 +45,12 @@
 } // namespace
 
 caller_session::caller_session(boost::asio::io_context& loop, const gateway_parts& parts,
-    std::shared_ptr<tcp_connection> channel, std::function<void(const std::shared_ptr<caller_session>&)> onClosed)
+    std::shared_ptr<tcp_connection> channel, connection_admission admission,
+    std::function<void(const std::shared_ptr<caller_session>&)> onClosed)
     : m_loop(loop)
     , m_parts(parts)
     , m_channel(std::move(channel))
+    , m_admission(admission)
     , m_onClosed(std::move(onClosed))
     , m_requestMemory(parts.memory)
     , m_responseMemory(parts.memory)
@@ -93,6 +95,10 @@
     }
     const auto used = m_reader->put(m_input);
     m_input.erase(0, used);
+    if (m_admission == connection_admission::Refused && m_reader->headerDone()) {
+        reject(error_kind::Overloaded, "this node has its maximum of connections");
+        return;
+    }
     if (m_reader->parseError() != parse_error::None) {
         reject(errorKindOf(m_reader->parseError()), "the request cannot be read");
         return;
@@ -165,6 +171,8 @@
     const auto since = m_state.waitingSince();
     if (!since || m_reader->headerDone())
         return {};
+    if (m_admission == connection_admission::Refused)
+        return m_state.refusalDue();
     const auto limits = limitsOf(m_parts.config);
     return *since + (m_reader->started() ? limits.headerTimeout : limits.idleTimeout);
 }
@@ -216,7 +224,7 @@
 void caller_session::reject(error_kind kind, std::string_view errorMessage)
 {
     m_parts.timers.cancel(m_inputTimer);
-    m_parts.metrics.count("unreadable_requests");
+    m_parts.metrics.count(m_admission == connection_admission::Refused ? "requests_refused" : "unreadable_requests");
     m_keepAlive = false;
     m_input.clear();
     m_reader = std::make_unique<request_parser>(1, 0); // frees the input that was read
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -24,14 +24,21 @@
 class exchange;
 enum class error_kind;
 
+/// What happens to the requests of a connection.
+enum class connection_admission {
+    Served,
+    Refused, ///< the first request is rejected unread, because the node has its maximum of connections
+};
+
 /// Serves one connection. The gateway that accepted the connection owns the session.
 class caller_session : public connection_listener,
                        public response_sink,
                        public std::enable_shared_from_this<caller_session> {
 public:
+    /// \param admission whether the requests are served
     /// \param onClosed called once, when the connection is closed
     caller_session(boost::asio::io_context& loop, const gateway_parts& parts, std::shared_ptr<tcp_connection> channel,
-        std::function<void(const std::shared_ptr<caller_session>&)> onClosed);
+        connection_admission admission, std::function<void(const std::shared_ptr<caller_session>&)> onClosed);
     ~caller_session() override;
 
     /// Starts reading requests.
@@ -88,6 +95,7 @@
     boost::asio::io_context& m_loop;
     const gateway_parts& m_parts;
     std::shared_ptr<tcp_connection> m_channel;
+    connection_admission m_admission;
     std::function<void(const std::shared_ptr<caller_session>&)> m_onClosed;
     std::unique_ptr<request_parser> m_reader;
     std::shared_ptr<exchange> m_exchange;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -25,6 +25,8 @@
     /// Time for which new connections are accepted after the stop. A load balancer that probes once a second and
     /// requires two failures has removed this node by then.
     constexpr std::chrono::milliseconds ListenAfterStop { 2'600 };
+    /// Connections beyond the maximum that are held until their first request is rejected; more are closed at once.
+    constexpr std::size_t MaxRefusedSessions = 64;
     constexpr std::chrono::milliseconds StopCheckInterval { 50 }; ///< while the last responses are completed
 
 } // namespace
@@ -67,17 +69,33 @@
 
 void gateway::addSession(boost::asio::ip::tcp::socket socket)
 {
-    if (m_sessions.size() >= static_cast<std::size_t>(m_parts.settings.maxConnections)) {
+    const bool isRefused
+        = m_sessions.size() - m_refusedSessions >= static_cast<std::size_t>(m_parts.settings.maxConnections);
+    if (isRefused) {
         m_parts.metrics.count("connections_refused");
         if (!std::exchange(m_refusesConnections, true))
             m_parts.log.write(
                 "connections_refused", { { "max_connections", std::to_string(m_parts.settings.maxConnections) } });
-        return;
+        if (m_refusedSessions >= MaxRefusedSessions) {
+            m_parts.metrics.count("connections_dropped");
+            if (!std::exchange(m_dropsConnections, true))
+                m_parts.log.write(
+                    "connections_dropped", { { "refused_connections", std::to_string(m_refusedSessions) } });
+            return;
+        }
+        ++m_refusedSessions;
+    } else {
+        m_refusesConnections = false;
+        m_dropsConnections = false;
     }
-    m_refusesConnections = false;
     auto session = std::make_shared<caller_session>(m_loop, m_parts,
         std::make_shared<tcp_connection>(std::move(socket), tcp_connection_settings {}),
-        [this](const std::shared_ptr<caller_session>& closed) { m_sessions.erase(closed); });
+        isRefused ? connection_admission::Refused : connection_admission::Served,
+        [this, isRefused](const std::shared_ptr<caller_session>& closed) {
+            m_sessions.erase(closed);
+            if (isRefused)
+                --m_refusedSessions;
+        });
     m_sessions.insert(session);
     if (m_stopping)
         session->closeAfterNextResponse();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -52,7 +52,9 @@
     std::unique_ptr<http_endpoint> m_metrics;
     std::set<std::shared_ptr<caller_session>> m_sessions;
     bool m_stopping = false;
+    std::size_t m_refusedSessions = 0; // part of m_sessions
     bool m_refusesConnections = false; // the last new connection was refused; logged once
+    bool m_dropsConnections = false; // and closed without a response; logged once
     stop_schedule m_stopSchedule; // valid while the gateway is stopping
     std::optional<std::size_t> m_busyAtHandover; // busy sessions when the first of them was aborted
     std::size_t m_cutSessions = 0;
