Count a shorter idle timeout from when callers know it

What callers saw: beside a configuration that shortens the idle timeout, a connection was closed by a limit that its caller could not know, while the caller reused it by the limit before.

Cause: the limit in force at this node was applied at once to connections that became idle after the change, and to those whose timer had been extended by a longer limit meanwhile.

idle_limit keeps the limits in force so far. A shorter one counts from the configuration bound after it came into force here, when it is in force everywhere; until then the one before holds. A longer limit applies at once, as before.

Evidence: AShorterIdleTimeoutCountsFromWhenCallersKnowIt failed on the code before these changes ("caller->closed, Actual: true", and the second request got no answer). It passes now. The tests of platform_ended_connections that set a short limit do so with a bound of zero, so that their limits apply at once and they stay as strict; gateway_idle_limit tests series of limits in virtual time.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -7,6 +7,7 @@
 #include "gateway/decision_log.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
 #include "gateway/http_error_response.h"
 #include "routing/route_table.h"
 
@@ -173,8 +174,9 @@
         return {};
     if (m_admission == connection_admission::Refused)
         return m_state.refusalDue();
-    const auto limits = limitsOf(m_parts.config);
-    return *since + (m_reader->started() ? limits.headerTimeout : limits.idleTimeout);
+    if (m_reader->started())
+        return *since + limitsOf(m_parts.config).headerTimeout;
+    return m_parts.config.idleLimit().dueAt(*since, m_parts.settings.configurationBound);
 }
 
 void caller_session::startInputTimer()
