Keep a connection open in a stop unless its response announced the close

What callers saw: in a planned stop a connection was closed after a stream whose head, sent before the stop, had not announced that. A request that the caller sent behind the stream got no answer.

Cause: whether the connection closes was decided again at the end of the response, with the stop begun meanwhile.

The decision is the one that the response announced. The next response announces the close; without a request, the stop closes the connection as idle.

Evidence: ARequestBehindAStreamThatDidNotAnnounceTheCloseIsAnswered failed on the code before these changes ("completeResponses(*caller) == 2, Actual: false") and passes now.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -313,7 +313,7 @@
             self->notifyClosed("response_aborted");
             return;
         }
-        const bool closes = self->closesAfterResponse();
+        const bool closes = !self->m_keepAlive; // as the response has announced
         self->m_endReason = "response_complete";
         if (closes && !self->m_input.empty())
             self->logEnd(self->m_endReason);
