Read a request that waits in the socket's buffer instead of closing as idle

What callers saw: a request that arrived in the same turn of the event loop in which its connection was closed as idle got a reset.

Cause: the idle timeout and the closing of idle connections in a stop looked only at input that was read.

Both ask the connection whether input waits (tcp_connection::hasPendingInput()), and leave it open if so. The read that follows starts the timer again.

Evidence: ARequestThatArrivesWithTheIdleTimeoutIsAnswered holds up the event loop until both timers are due. It failed on the code before these changes ("completeResponses(*caller) == 2, Actual: false") and passes now. The look in a stop has no test of its own.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -204,6 +204,8 @@
         close(m_endReason);
         return;
     }
+    if (!m_reader->started() && m_channel->hasPendingInput())
+        return; // it is read next, which starts the timer again
     if (m_reader->started())
         m_parts.metrics.count("header_timeouts");
     close(m_reader->started() ? "header_timeout" : "idle");
@@ -329,7 +331,7 @@
 
 void caller_session::closeIfIdle()
 {
-    if (m_state.mayCloseAtStop(m_parts.timers.now()))
+    if (m_state.mayCloseAtStop(m_parts.timers.now()) && !m_channel->hasPendingInput())
         close("node_stops");
 }
 
--- a/gateway/tcp_connection.cpp
+++ b/gateway/tcp_connection.cpp
@@ -145,6 +145,12 @@
         close();
 }
 
+bool tcp_connection::hasPendingInput() const
+{
+    error_code failed; // a broken connection is reported by reading
+    return m_open && m_socket.available(failed) > 0;
+}
+
 void tcp_connection::shutDownSending()
 {
     error_code ignored; // fails if the peer has already closed the connection, which reading reports
--- a/gateway/tcp_connection.h
+++ b/gateway/tcp_connection.h
@@ -80,6 +80,8 @@
     void close();
 
     bool isOpen() const { return m_open; }
+    /// \return whether bytes were received that are not read yet
+    bool hasPendingInput() const;
     std::size_t queuedBytes() const { return m_output.size() + m_writing.size(); }
 
 private:
