Read the version of a configuration row once

Nodes with small processors stood still when a large configuration came. The table replica parsed the held document twice and the new one two to three times, only to compare their versions. It keeps the version beside the value now, and reads that of a new value once.

Before, gateway/test/table_replica.cpp:137: readings is 4, expected 2 (then 8 and 12, expected 3). bench_config_versions, one route of 1,500 changed: merge 29.2 to 17.4 ms, pulled 35.5 to 17.8 ms; of 20,000: pulled 480 to 243 ms.

--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -9,8 +9,10 @@
 namespace {
 
     // Returns the last row of each key, so that a row that was removed and added again counts as one change.
-    std::vector<stored_row> lastOfEachKey(const std::vector<stored_row>& rows)
+    std::vector<stored_row> lastOfEachKey(std::vector<stored_row> rows)
     {
+        if (rows.size() < 2)
+            return rows;
         std::set<std::string_view> seen;
         std::vector<stored_row> last;
         for (auto row = rows.rbegin(); row != rows.rend(); ++row) {
@@ -29,10 +31,9 @@
 {
 }
 
-row_effect table_replica::effectOf(const stored_row& row) const
+row_effect table_replica::effectOf(const stored_row& row, const std::optional<std::uint64_t>& version) const
 {
     if (const auto held = heldVersionOf(row.key)) {
-        const auto version = row.removed ? std::nullopt : versionOf(row);
         if (row.removed || (version && *version < *held))
             return row_effect::Outdated;
     } else if (m_classify && m_loaded) {
@@ -43,29 +44,33 @@
 
 // An update of another node is one here too, although this node may see no difference: it may know less than the nodes
 // that pull the row from here.
-row_effect table_replica::effectOfPulled(const stored_row& row, bool mayBeOutdated) const
+row_effect table_replica::effectOfPulled(
+    const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated) const
 {
     const bool isVersioned = heldVersionOf(row.key).has_value();
-    if ((isVersioned || mayBeOutdated) && effectOf(row) == row_effect::Outdated)
+    if ((isVersioned || mayBeOutdated) && effectOf(row, version) == row_effect::Outdated)
         return row_effect::Outdated;
     return row_effect::Update;
 }
 
 std::optional<std::uint64_t> table_replica::versionOf(const stored_row& row) const
 {
-    return m_versionOf ? m_versionOf(row) : std::nullopt;
+    if (!m_versionOf)
+        return std::nullopt;
+    const auto held = m_rows.find(row.key);
+    return held != m_rows.end() && held->second.value == row.value ? held->second.version : m_versionOf(row);
 }
 
 std::optional<std::uint64_t> table_replica::heldVersionOf(const std::string& key) const
 {
-    const auto held = m_versionOf ? m_rows.find(key) : m_rows.end();
-    return held == m_rows.end() ? std::nullopt : versionOf({ key, held->second, false });
+    const auto held = m_rows.find(key);
+    return held == m_rows.end() ? std::nullopt : held->second.version;
 }
 
 bool table_replica::hasChanged(const stored_row& row) const
 {
     const auto known = m_rows.find(row.key);
-    return known == m_rows.end() || row.removed || known->second != row.value;
+    return known == m_rows.end() || row.removed || known->second.value != row.value;
 }
 
 std::vector<stored_row> table_replica::replaceAll(const std::vector<stored_row>& rows,
@@ -75,26 +80,31 @@
     const bool restored = !first && readRevision.epoch() > m_readRevision.epoch();
     std::set<std::string> present;
     std::vector<stored_row> updates;
+    std::vector<std::optional<std::uint64_t>> versions; // of the updates
     for (const auto& row : rows) {
         if (row.removed && !m_rows.count(row.key)) {
-            store(row);
+            store(row, std::nullopt);
             continue;
         }
         if (row.removed)
             continue;
         present.insert(row.key);
-        const auto effect = pulledRevision ? effectOfPulled(row, restored) : effectOf(row);
-        if (effect == row_effect::Update && (!pulledRevision || hasChanged(row)))
+        const auto version = versionOf(row);
+        const auto effect = pulledRevision ? effectOfPulled(row, version, restored) : effectOf(row, version);
+        if (effect == row_effect::Update && (!pulledRevision || hasChanged(row))) {
             updates.push_back(row);
-        else if (effect == row_effect::Renewal)
-            store(row);
+            versions.push_back(version);
+        } else if (effect == row_effect::Renewal) {
+            store(row, version);
+        }
     }
-    for (const auto& [key, value] : m_rows) {
-        if (!present.count(key) && !heldVersionOf(key))
-            updates.push_back({ key, value, true });
+    for (const auto& [key, held] : m_rows) {
+        if (!present.count(key) && !held.version)
+            updates.push_back({ key, held.value, true });
     }
-    for (const auto& row : updates)
-        store(row);
+    versions.resize(updates.size());
+    for (std::size_t index = 0; index < updates.size(); ++index)
+        store(updates[index], versions[index]);
     m_loaded = true;
     m_readRevision = std::max(m_readRevision, readRevision);
     if (first || restored)
@@ -109,17 +119,18 @@
 {
     std::vector<stored_row> updates;
     for (const auto& row : rows) {
-        const auto effect = pulledRevision ? effectOfPulled(row, false) : effectOf(row);
+        const auto version = row.removed ? std::nullopt : versionOf(row);
+        const auto effect = pulledRevision ? effectOfPulled(row, version, false) : effectOf(row, version);
         if (effect == row_effect::Outdated)
             continue;
         const auto applied = withLastValue(row);
-        store(applied);
+        store(applied, version);
         if (effect == row_effect::Update)
             updates.push_back(applied);
         if (apply)
             apply(applied);
     }
-    updates = lastOfEachKey(updates);
+    updates = lastOfEachKey(std::move(updates));
     m_readRevision = std::max(m_readRevision, readRevision);
     appendIfAny(updates, pulledRevision);
     return updates;
@@ -130,10 +141,10 @@
     const auto known = m_rows.find(row.key);
     if (!row.removed || !row.value.empty() || known == m_rows.end())
         return row;
-    return { row.key, known->second, true };
+    return { row.key, known->second.value, true };
 }
 
-void table_replica::store(const stored_row& row)
+void table_replica::store(const stored_row& row, const std::optional<std::uint64_t>& version)
 {
     m_removals.erase(std::remove_if(m_removals.begin(), m_removals.end(),
                          [&row](const stored_row& removal) { return removal.key == row.key; }),
@@ -142,7 +153,7 @@
         m_rows.erase(row.key);
         recordRemoval(row);
     } else {
-        m_rows[row.key] = row.value;
+        m_rows[row.key] = { row.value, version };
     }
 }
 
@@ -208,12 +219,12 @@
             if (batch.revision > *changeRevision)
                 answer.rows.insert(answer.rows.end(), batch.rows.begin(), batch.rows.end());
         }
-        answer.rows = lastOfEachKey(answer.rows);
+        answer.rows = lastOfEachKey(std::move(answer.rows));
         return answer;
     }
     answer.whole = true;
-    for (const auto& [key, value] : m_rows)
-        answer.rows.push_back({ key, value, false });
+    for (const auto& [key, held] : m_rows)
+        answer.rows.push_back({ key, held.value, false });
     answer.rows.insert(answer.rows.end(), m_removals.begin(), m_removals.end());
     return answer;
 }
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -34,7 +34,8 @@
     /// one may be a late write of an earlier state.
     using row_listener = std::function<void(const stored_row&)>;
 
-    /// \return the version that the writer of a row assigned to it; nothing for a row without one
+    /// \return the version that the writer of a row assigned to it; nothing for a row without one. Called once for each
+    /// row that is read or pulled, unless its value is the held one
     using row_version = std::function<std::optional<std::uint64_t>(const stored_row&)>;
 
     /// \param classify if empty, a row is an update when its bytes have changed
@@ -75,18 +76,23 @@
     std::size_t size() const { return m_rows.size(); }
 
 private:
+    struct held_row {
+        std::string value;
+        std::optional<std::uint64_t> version; // reading it from the value may cost as much as decoding the value
+    };
     struct batch {
         content_revision revision;
         std::vector<stored_row> rows;
     };
 
-    row_effect effectOf(const stored_row& row) const;
-    row_effect effectOfPulled(const stored_row& row, bool mayBeOutdated) const;
+    row_effect effectOf(const stored_row& row, const std::optional<std::uint64_t>& version) const;
+    row_effect effectOfPulled(
+        const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated) const;
     std::optional<std::uint64_t> versionOf(const stored_row& row) const;
     std::optional<std::uint64_t> heldVersionOf(const std::string& key) const;
     bool hasChanged(const stored_row& row) const;
     stored_row withLastValue(const stored_row& row) const;
-    void store(const stored_row& row);
+    void store(const stored_row& row, const std::optional<std::uint64_t>& version);
     void recordRemoval(const stored_row& row);
     content_revision revisionOf(
         const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision) const;
@@ -103,7 +109,7 @@
 
     row_classifier m_classify;
     row_version m_versionOf;
-    std::map<std::string, std::string> m_rows;
+    std::map<std::string, held_row> m_rows;
     std::deque<stored_row> m_removals; // with the last known values, oldest first
     std::deque<batch> m_history;
     std::size_t m_historyRows = 0;
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -123,6 +123,28 @@
     EXPECT_EQ(replica.readRevision(), storedAt(40));
 }
 
+// Guards against a large row that is parsed several times only to learn its version.
+TEST(TableReplica, ReadsTheVersionOfARowOnce)
+{
+    int readings = 0;
+    table_replica replica({}, [&readings](const stored_row& each) -> std::optional<std::uint64_t> {
+        ++readings;
+        return each.value.empty() ? std::nullopt : std::optional<std::uint64_t>(std::stoull(each.value));
+    });
+    replica.replaceAll({ row("a", "1") }, storedAt(10));
+    EXPECT_EQ(readings, 1);
+    replica.applyChanges({ row("a", "2") }, storedAt(11));
+    EXPECT_EQ(readings, 2);
+    replica.applyChanges({ row("a", "3") }, storedAt(12), content_revision { 3, storedAt(12) });
+    EXPECT_EQ(readings, 3);
+    replica.replaceAll({ row("a", "3") }, storedAt(13));
+    replica.applyChanges({ row("a", "3") }, storedAt(14));
+    EXPECT_EQ(readings, 3) << "the value is the held one";
+    EXPECT_TRUE(replica.applyChanges({ row("a", "2"), removed("a") }, storedAt(15)).empty()) << "never back";
+    EXPECT_EQ(replica.changeRevision().version, 3U);
+    EXPECT_EQ(replica.changesAfter(std::nullopt).rows.front().value, "3");
+}
+
 // Whichever updates a node misses in between, it ends with the same rows as the node that reads the store.
 RC_GTEST_PROP(TableReplica, FollowersConvergeToTheSameRows, (const std::vector<std::vector<std::uint8_t>>& rounds))
 {
