Release configurations that a later version replaced from the history

A node kept up to 64 whole versions of the configuration row for neighbours that pull changes, although they only ever get the last row of each key. Rows with versions are removed from the history when a later change has the same key. What neighbours get, and how far back the history reaches, stays the same.

Without the removal, gateway/test/table_replica.cpp:155: 19000 bytes of values after 18 changes of a value of 1000 bytes, expected 2000.

--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -1,6 +1,7 @@
 #include "gateway/table_replica.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <string_view>
 
@@ -201,14 +202,42 @@
 {
     m_changeRevision = std::max(m_changeRevision, revision);
     m_historyRows += rows.size();
-    m_history.push_back({ m_changeRevision, std::move(rows) });
+    if (m_versionOf)
+        releaseReplaced(rows);
+    const auto changes = rows.size();
+    m_history.push_back({ m_changeRevision, changes, std::move(rows) });
     while (m_historyRows > std::max(m_rows.size(), MinHistoryRows)) {
         m_historyFrom = m_history.front().revision;
-        m_historyRows -= m_history.front().rows.size();
+        m_historyRows -= m_history.front().changes;
         m_history.pop_front();
     }
 }
 
+// Nodes get only the last row of each key.
+void table_replica::releaseReplaced(const std::vector<stored_row>& rows)
+{
+    const auto isReplaced = [&rows](const stored_row& earlier) {
+        return std::any_of(
+            rows.begin(), rows.end(), [&earlier](const stored_row& row) { return row.key == earlier.key; });
+    };
+    for (auto& batch : m_history)
+        batch.rows.erase(std::remove_if(batch.rows.begin(), batch.rows.end(), isReplaced), batch.rows.end());
+}
+
+std::size_t table_replica::valueBytes() const
+{
+    const auto bytesOf = [](const auto& rows) {
+        return std::accumulate(rows.begin(), rows.end(), std::size_t { 0 },
+            [](std::size_t bytes, const stored_row& row) { return bytes + row.value.size(); });
+    };
+    auto bytes = bytesOf(m_removals);
+    for (const auto& [key, held] : m_rows)
+        bytes += held.value.size();
+    for (const auto& batch : m_history)
+        bytes += bytesOf(batch.rows);
+    return bytes;
+}
+
 news_batch table_replica::changesAfter(const std::optional<content_revision>& changeRevision) const
 {
     news_batch answer;
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -75,6 +75,9 @@
     const store_version& readRevision() const { return m_readRevision; }
     std::size_t size() const { return m_rows.size(); }
 
+    /// \return the size of all values that are kept: those of the table, the last removals and the history
+    std::size_t valueBytes() const;
+
 private:
     struct held_row {
         std::string value;
@@ -82,6 +85,7 @@
     };
     struct batch {
         content_revision revision;
+        std::size_t changes; // number of rows, with those that were released
         std::vector<stored_row> rows;
     };
 
@@ -98,6 +102,7 @@
         const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision) const;
     void appendIfAny(const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision);
     void append(std::vector<stored_row> rows, const content_revision& revision);
+    void releaseReplaced(const std::vector<stored_row>& rows);
     void startHistory(const content_revision& revision);
 
     /// Minimal number of rows that the history may hold. In larger tables, the history may hold as many rows as the
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -145,6 +145,22 @@
     EXPECT_EQ(replica.changesAfter(std::nullopt).rows.front().value, "3");
 }
 
+// Guards against a history that keeps up to 64 versions of a configuration of some hundred kilobytes.
+TEST(TableReplica, HistoryKeepsOnlyTheLastVersionOfARow)
+{
+    table_replica replica({}, [](const stored_row& each) { return std::optional<std::uint64_t>(each.value.front()); });
+    replica.replaceAll({ row("a", std::string(1'000, 1)) }, storedAt(10));
+    for (char version = 2; version < 20; ++version)
+        replica.applyChanges({ row("a", std::string(1'000, version)) }, storedAt(10U + version));
+    EXPECT_EQ(replica.valueBytes(), 2'000U) << "the table and the last change";
+    for (std::uint64_t revision = 10; revision < 29; ++revision) {
+        const auto changes = replica.changesAfter(content_revision { revision - 9, storedAt(revision) });
+        EXPECT_FALSE(changes.whole);
+        ASSERT_EQ(changes.rows.size(), 1U) << revision;
+        EXPECT_EQ(changes.rows.front().value.front(), 19);
+    }
+}
+
 // Whichever updates a node misses in between, it ends with the same rows as the node that reads the store.
 RC_GTEST_PROP(TableReplica, FollowersConvergeToTheSameRows, (const std::vector<std::vector<std::uint8_t>>& rounds))
 {
