Compress changes once for all nodes that pull them

Each pull of the configuration compressed the whole document again, and a node that had received it compressed compressed it anew. Answers with equal rows share the encoded bytes now, and received bytes are passed on if this node would answer with the same rows.

--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -286,4 +286,11 @@
     return batch;
 }
 
+packed_rows packedRowsOf(std::string_view bytes)
+{
+    wire::news_batch encoded;
+    encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+    return { std::move(*encoded.mutable_rows()), encoded.plain_bytes() };
+}
+
 } // namespace oriolepick
--- a/gateway/gateway_message_codec.h
+++ b/gateway/gateway_message_codec.h
@@ -45,4 +45,8 @@
 /// \return the batch, or nothing when it is malformed or larger than any table may be
 std::optional<news_batch> decodeBatch(std::string_view bytes);
 
+/// \param bytes a batch that decodeBatch() accepts
+/// \return its rows as they are encoded
+packed_rows packedRowsOf(std::string_view bytes);
+
 } // namespace oriolepick
--- a/gateway/store_synchronizer.cpp
+++ b/gateway/store_synchronizer.cpp
@@ -49,7 +49,7 @@
     , m_wholeTableLimiter(linkBytesPerSecond * WholeTableShare, WholeTableBacklog)
 {
     for (auto& table : tables)
-        m_tables.push_back({ table.name, table.store, table_follower(std::move(table.consumer)), nullptr, {}, {} });
+        m_tables.push_back({ table.name, table.store, table_follower(std::move(table.consumer)), nullptr, {}, {}, {} });
 }
 
 store_synchronizer::~store_synchronizer()
@@ -129,7 +129,8 @@
     instant startedAt, const http_client_response& response)
 {
     const auto now = m_timers.now();
-    auto& follower = stateOf(topic).follower;
+    auto& state = stateOf(topic);
+    auto& follower = state.follower;
     const auto batch = response.status == Success ? decodeBatch(response.body) : std::nullopt;
     if (!batch) {
         m_metrics.count("news_pulls_failed");
@@ -146,6 +147,8 @@
         perform(m_gossip.pulled(topic, std::nullopt, now));
         return;
     }
+    if (!batch->whole)
+        state.changes.adopt(follower.replica(), requestedRevision, batch->rows, packedRowsOf(response.body));
     if (first)
         m_log.write("news_taken_over",
             { { "topic", std::string(nameOf(topic)) }, { "from", from.value() },
@@ -259,7 +262,7 @@
     batch.age = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - *asOf);
     batch.sinceRecovery = m_gossip.sinceRecovery(m_timers.now());
     if (!batch.whole)
-        return encodeBatch(batch);
+        return encodeBatch(batch, state.changes.pack(state.follower.replica(), batch.rows));
     if (state.whole.bytes.empty() || state.wholeRevision != batch.changeRevision) {
         state.whole = packRows(batch.rows);
         state.wholeRevision = batch.changeRevision;
--- a/gateway/store_synchronizer.h
+++ b/gateway/store_synchronizer.h
@@ -6,6 +6,7 @@
 #include "core/byte_rate_limiter.h"
 #include "core/names.h"
 #include "gateway/gateway_message_codec.h"
+#include "gateway/packed_changes.h"
 #include "gateway/row_source.h"
 #include "gateway/table_follower.h"
 #include "gateway/timer_queue.h"
@@ -95,6 +96,7 @@
         std::shared_ptr<http_client> pull;
         packed_rows whole; // encoded table at wholeRevision, reused for nodes that start together
         content_revision wholeRevision;
+        packed_changes changes;
     };
 
     table_state& stateOf(store_topic topic) { return m_tables[static_cast<std::size_t>(topic)]; }
--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -196,12 +196,14 @@
     m_historyFrom = m_changeRevision;
     m_history.clear();
     m_historyRows = 0;
+    ++m_updates;
 }
 
 void table_replica::append(std::vector<stored_row> rows, const content_revision& revision)
 {
     m_changeRevision = std::max(m_changeRevision, revision);
     m_historyRows += rows.size();
+    ++m_updates;
     if (m_versionOf)
         releaseReplaced(rows);
     const auto changes = rows.size();
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -75,6 +75,9 @@
     const store_version& readRevision() const { return m_readRevision; }
     std::size_t size() const { return m_rows.size(); }
 
+    /// \return a number that rises whenever changesAfter() may return other rows for the same revision
+    std::uint64_t updates() const { return m_updates; }
+
     /// \return the size of all values that are kept: those of the table, the last removals and the history
     std::size_t valueBytes() const;
 
@@ -118,6 +121,7 @@
     std::deque<stored_row> m_removals; // with the last known values, oldest first
     std::deque<batch> m_history;
     std::size_t m_historyRows = 0;
+    std::uint64_t m_updates = 0; // of the history
     content_revision m_historyFrom; // the history contains all updates after this revision
     content_revision m_changeRevision;
     store_version m_readRevision;
