Share routes between configurations, and look them up by hash

Every version held copies of all routes, and requests in progress keep the version that routed them. Versions share the routes that did not change now. A look-up compared the path with each route of its host; it takes one hash look-up for each length of prefixes now.

--- a/routing/route_table.cpp
+++ b/routing/route_table.cpp
@@ -3,6 +3,7 @@
 #include "core/text.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace oriolepick {
 
@@ -21,22 +22,34 @@
 route_table::route_table(routing_config config)
     : m_config(std::move(config))
 {
-    for (const auto& route : m_config.routes)
-        m_routesOfHost[normalizedHost(route.host)].push_back(&route);
-    for (auto& [host, routes] : m_routesOfHost) {
-        std::stable_sort(routes.begin(), routes.end(),
-            [](const route* left, const route* right) { return left->prefix.size() > right->prefix.size(); });
+    for (const auto& each : m_config.routes)
+        add(each);
+    for (const auto& each : m_config.sharedRoutes)
+        add(*each);
+    for (auto& [name, host] : m_hosts) {
+        std::sort(host.prefixSizes.begin(), host.prefixSizes.end(), std::greater<>());
+        host.prefixSizes.erase(std::unique(host.prefixSizes.begin(), host.prefixSizes.end()), host.prefixSizes.end());
     }
 }
 
+void route_table::add(const route& route)
+{
+    auto& host = m_hosts[normalizedHost(route.host)];
+    host.ofPrefix.emplace(route.prefix, &route);
+    host.prefixSizes.push_back(route.prefix.size());
+}
+
 const route* route_table::find(std::string_view host, std::string_view path) const
 {
-    const auto routes = m_routesOfHost.find(normalizedHost(host));
-    if (routes == m_routesOfHost.end())
+    const auto found = m_hosts.find(normalizedHost(host));
+    if (found == m_hosts.end())
         return nullptr;
-    for (const auto* route : routes->second) {
-        if (startsWith(path, route->prefix))
-            return route;
+    for (const auto size : found->second.prefixSizes) {
+        if (size > path.size())
+            continue;
+        const auto route = found->second.ofPrefix.find(path.substr(0, size));
+        if (route != found->second.ofPrefix.end())
+            return route->second;
     }
     return nullptr;
 }
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -11,11 +11,16 @@
 /// An immutable, indexed configuration.
 class route_table {
 public:
+    /// \param config of several routes with the same host and prefix, the first one counts
     explicit route_table(routing_config config);
+    route_table(const route_table&) = delete;
+    route_table& operator=(const route_table&) = delete;
+    route_table(route_table&&) = default;
 
     /// \param host value of the request's host field; port and letter case are ignored
     /// \param path request target without its query
-    /// \return the route with the longest matching prefix, or null
+    /// \return the route with the longest matching prefix, or null. The cost depends on the number of different lengths
+    /// of prefixes, not on that of routes
     const route* find(std::string_view host, std::string_view path) const;
 
     /// \return the team that owns \p key, or null
@@ -31,8 +36,15 @@
     const routing_config& config() const { return m_config; }
 
 private:
+    struct host_routes {
+        std::unordered_map<std::string_view, const route*> ofPrefix;
+        std::vector<std::size_t> prefixSizes; // longest first
+    };
+
+    void add(const route& route);
+
     routing_config m_config;
-    std::unordered_map<std::string, std::vector<const route*>> m_routesOfHost; ///< longest prefix first
+    std::unordered_map<std::string, host_routes> m_hosts; // by normalized name
 };
 
 } // namespace oriolepick
--- a/routing/routing_config.h
+++ b/routing/routing_config.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -91,6 +92,7 @@
 struct routing_config {
     std::uint64_t version = 0;
     std::vector<route> routes;
+    std::vector<std::shared_ptr<const route>> sharedRoutes; ///< further routes, which other versions hold too
     std::map<service_name, service_rules> services;
     std::vector<team_rules> teams;
     std::unordered_map<std::string, std::size_t> teamOfKey; ///< index into teams
--- a/routing/test/route_table.cpp
+++ b/routing/test/route_table.cpp
@@ -1,6 +1,8 @@
 // Guards against requests that reach another service than the one of their route.
 #include "routing/route_table.h"
 
+#include "core/seeded_random.h"
+
 #include <gtest/gtest.h>
 
 using namespace oriolepick;
@@ -34,6 +36,42 @@
     EXPECT_EQ(table.find("c.example", "/x/1"), nullptr);
 }
 
+// Guards against an index that finds another route than a comparison with each of them does.
+TEST(RouteTable, FindsWhatAComparisonWithAllRoutesFinds)
+{
+    seeded_random random(1);
+    const auto path = [&random] {
+        std::string text = "/";
+        for (auto parts = random.below(4); parts; --parts)
+            text += std::string(1 + random.below(2), static_cast<char>('a' + random.below(2))) + "/";
+        return text;
+    };
+    for (int round = 0; round < 200; ++round) {
+        routing_config config;
+        std::vector<route> all;
+        for (auto count = random.below(12); count; --count)
+            all.push_back(routeOf(std::to_string(all.size()), random.below(2) ? "A" : "b", path()));
+        for (std::size_t index = 0; index < all.size(); ++index) {
+            if (index < all.size() / 2)
+                config.routes.push_back(all[index]);
+            else
+                config.sharedRoutes.push_back(std::make_shared<const route>(all[index]));
+        }
+        const route_table table(std::move(config));
+        for (int request = 0; request < 20; ++request) {
+            const auto asked = path() + (random.below(2) ? "x" : "");
+            const route* expected = nullptr;
+            for (const auto& each : all) {
+                if (each.host == "A" && asked.rfind(each.prefix, 0) == 0
+                    && (!expected || each.prefix.size() > expected->prefix.size()))
+                    expected = &each;
+            }
+            const auto* found = table.find("a:80", asked);
+            ASSERT_EQ(found ? found->name : "", expected ? expected->name : "") << asked;
+        }
+    }
+}
+
 TEST(RouteTable, HostIgnoresCaseAndPort)
 {
     const auto table = tableOf({ routeOf("r", "a.Example", "/x/") });
