--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -34,7 +34,8 @@
     /// one may be a late write of an earlier state.
     using row_listener = std::function<void(const stored_row&)>;
 
-    /// \return the version that the writer of a row assigned to it; nothing for a row without one
+    /// \return the version that the writer of a row assigned to it; nothing for a row without one. Called once for each
+    /// row that is read or pulled, unless its value is the held one
     using row_version = std::function<std::optional<std::uint64_t>(const stored_row&)>;
 
     /// \param classify if empty, a row is an update when its bytes have changed
@@ -74,24 +75,37 @@
     const store_version& readRevision() const { return m_readRevision; }
     std::size_t size() const { return m_rows.size(); }
 
+    /// \return a number that rises whenever changesAfter() may return other rows for the same revision
+    std::uint64_t updates() const { return m_updates; }
+
+    /// \return the size of all values that are kept: those of the table, the last removals and the history
+    std::size_t valueBytes() const;
+
 private:
+    struct held_row {
+        std::string value;
+        std::optional<std::uint64_t> version; // reading it from the value may cost as much as decoding the value
+    };
     struct batch {
         content_revision revision;
+        std::size_t changes; // number of rows, with those that were released
         std::vector<stored_row> rows;
     };
 
-    row_effect effectOf(const stored_row& row) const;
-    row_effect effectOfPulled(const stored_row& row, bool mayBeOutdated) const;
+    row_effect effectOf(const stored_row& row, const std::optional<std::uint64_t>& version) const;
+    row_effect effectOfPulled(
+        const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated) const;
     std::optional<std::uint64_t> versionOf(const stored_row& row) const;
     std::optional<std::uint64_t> heldVersionOf(const std::string& key) const;
     bool hasChanged(const stored_row& row) const;
     stored_row withLastValue(const stored_row& row) const;
-    void store(const stored_row& row);
+    void store(const stored_row& row, const std::optional<std::uint64_t>& version);
     void recordRemoval(const stored_row& row);
     content_revision revisionOf(
         const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision) const;
     void appendIfAny(const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision);
     void append(std::vector<stored_row> rows, const content_revision& revision);
+    void releaseReplaced(const std::vector<stored_row>& rows);
     void startHistory(const content_revision& revision);
 
     /// Minimal number of rows that the history may hold. In larger tables, the history may hold as many rows as the
@@ -103,10 +117,11 @@
 
     row_classifier m_classify;
     row_version m_versionOf;
-    std::map<std::string, std::string> m_rows;
+    std::map<std::string, held_row> m_rows;
     std::deque<stored_row> m_removals; // with the last known values, oldest first
     std::deque<batch> m_history;
     std::size_t m_historyRows = 0;
+    std::uint64_t m_updates = 0; // of the history
     content_revision m_historyFrom; // the history contains all updates after this revision
     content_revision m_changeRevision;
     store_version m_readRevision;
