Move the benchmark's configuration documents to the platform's stand-ins

They use names of the users' pages, which belong in platform/; stand-ins for tests and benchmarks stand in platform/test/.

--- a/bench/bench_config_versions.cpp
+++ b/bench/bench_config_versions.cpp
@@ -1,6 +1,5 @@
 // Processor time that one version of the configuration costs a node, by step and by number of routes: the first
 // version, and versions that change one route. Usage: bench_config_versions [seed]
-#include "bench/config_documents.h"
 #include "bench/json_line.h"
 #include "core/seeded_random.h"
 #include "gateway/active_config.h"
@@ -10,6 +9,7 @@
 #include "gateway/timer_queue.h"
 #include "platform/config_applier.h"
 #include "platform/row_page_decoder.h"
+#include "platform/test/config_documents.h"
 #include "routing/route_table.h"
 
 #include <absl/strings/escaping.h>
