Initialize the HTTP library before the platform emulator serves

Cause: the first two requests to the platform emulator initialized a table within the HTTP library at once. The library is built without ThreadSanitizer, which does not see its guards and reported a race. http_listener initialized the library before it started, the platform emulator did not; the other programs start a listener first.

Evidence: build-tsan/node/node_process_signals, 8 at a time, on: 7 of 240 runs failed, each of the two that were read with a race between two threads of the emulator's pool in libcpp-httplib. Ruled out: ASan, 0 of 40; the ports, since each of these runs got its answers from its own node.

Change: the initialization is a file of its own, and the emulator uses it.

--- a/standins/http_listener.cpp
+++ b/standins/http_listener.cpp
@@ -1,13 +1,12 @@
 #include "standins/http_listener.h"
 
 #include "standins/elastic_thread_pool.h"
+#include "standins/http_library.h"
 
 #include <httplib.h>
 
 #include <chrono>
 #include <csignal>
-#include <mutex>
-#include <string_view>
 #include <sys/resource.h>
 #include <sys/socket.h>
 
@@ -33,45 +32,6 @@
         elastic_thread_pool m_pool;
     };
 
-    /// A request in memory; the response is dropped.
-    class request_stream : public httplib::Stream {
-    public:
-        bool is_readable() const override { return true; }
-        bool is_writable() const override { return true; }
-        ssize_t read(char* target, std::size_t size) override
-        {
-            const std::size_t count = m_unread.copy(target, size);
-            m_unread.remove_prefix(count);
-            return static_cast<ssize_t>(count);
-        }
-        ssize_t write(const char*, std::size_t size) override { return static_cast<ssize_t>(size); }
-        void get_remote_ip_and_port(std::string&, int&) const override { }
-        void get_local_ip_and_port(std::string&, int&) const override { }
-        socket_t socket() const override { return -1; }
-
-    private:
-        std::string_view m_unread = "POST / HTTP/1.1\r\nContent-Type: text/plain\r\nContent-Length: 1\r\n\r\nx";
-    };
-
-    class offline_server : public httplib::Server {
-    public:
-        void handleOne()
-        {
-            request_stream stream;
-            bool closed = false;
-            process_request(stream, true, closed, [](httplib::Request&) {});
-        }
-    };
-
-    /// Makes the library's function-local tables before threads share them. The library is built without
-    /// ThreadSanitizer, which therefore cannot see that later threads read them only after they were made, and
-    /// reported a race now and then.
-    void makeLibraryTables()
-    {
-        static std::once_flag made;
-        std::call_once(made, [] { offline_server().handleOne(); });
-    }
-
     sigset_t terminationSignals()
     {
         sigset_t signals;
@@ -106,7 +66,7 @@
 
 bool http_listener::start(const std::string& address)
 {
-    makeLibraryTables();
+    initializeHttpLibrary();
     const auto separator = address.rfind(':');
     if (separator == std::string::npos)
         return false;
--- a/standins/platform_emulator.cpp
+++ b/standins/platform_emulator.cpp
@@ -4,6 +4,7 @@
 #include "ports/table_json.h"
 #include "standins/fault_json.h"
 #include "standins/fault_switch.h"
+#include "standins/http_library.h"
 #include "standins/memory_table.h"
 
 #include <httplib.h>
@@ -309,6 +310,7 @@
 
 result<void> platform_emulator::start()
 {
+    initializeHttpLibrary();
     auto& server = m_state->server;
     const auto threads = m_state->options.threads;
     server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
