Join the threads of the response proxy when they end

What was seen: under ThreadSanitizer node_cut_responses ended with code 66.

Cause: the proxy of the test joined none of its threads before its end, and ThreadSanitizer keeps memory for each until then (CHECK in MapThreadTrace, from pthread_create in the proxy's acceptor). A race was reported before it: a thread of the proxy still wrote to a variable on the stack of the test's body.

Change: the proxy joins ended threads with each connection, and the variable is shared with them.

--- a/node/test/cut_responses.cpp
+++ b/node/test/cut_responses.cpp
@@ -141,10 +141,11 @@
     const auto whole = call("POST", "whole", "{}");
     ASSERT_EQ(whole.status, 200) << whole.body;
     for (const bool reset : { false, true }) {
-        std::atomic<std::size_t> size { 1 }; // set by the thread of the proxy
-        for (std::size_t kept = 0; kept < size; kept += kept < 24 ? 1 : 7) {
-            m_broken->rewrite([&size, kept, reset](const std::string&, const std::string& response) {
-                size = headSize(response);
+        // Set by threads of the proxy, of which some go on after the test.
+        const auto size = std::make_shared<std::atomic<std::size_t>>(1);
+        for (std::size_t kept = 0; kept < *size; kept += kept < 24 ? 1 : 7) {
+            m_broken->rewrite([size, kept, reset](const std::string&, const std::string& response) {
+                *size = headSize(response);
                 return replaced_response { response.substr(0, kept), reset };
             });
             callBoth("head cut after " + std::to_string(kept) + (reset ? " bytes, reset" : " bytes, closed"));
--- a/node/test/response_proxy.h
+++ b/node/test/response_proxy.h
@@ -6,10 +6,10 @@
 
 #include <atomic>
 #include <functional>
+#include <list>
 #include <mutex>
 #include <string>
 #include <thread>
-#include <vector>
 
 namespace oriolepick {
 
@@ -36,8 +36,8 @@
     {
         m_listener.shutdown();
         m_acceptor.join();
-        for (auto& thread : m_exchanges)
-            thread.join();
+        for (auto& each : m_exchanges)
+            each.thread.join();
     }
 
     response_proxy(const response_proxy&) = delete;
@@ -53,16 +53,37 @@
     }
 
 private:
+    struct exchange {
+        std::thread thread;
+        std::atomic<bool> ended { false };
+    };
+
     void accept()
     {
         for (;;) {
             auto client = m_listener.accept();
             if (!client.valid())
                 return;
-            m_exchanges.emplace_back([this, connection = std::move(client)]() mutable { serve(connection); });
+            joinEnded();
+            auto& added = m_exchanges.emplace_back();
+            added.thread = std::thread([this, &added, connection = std::move(client)]() mutable {
+                serve(connection);
+                added.ended = true;
+            });
         }
     }
 
+    /// ThreadSanitizer keeps memory for each thread that is not joined, and has room for some hundreds.
+    void joinEnded()
+    {
+        m_exchanges.remove_if([](exchange& each) {
+            if (!each.ended)
+                return false;
+            each.thread.join();
+            return true;
+        });
+    }
+
     void serve(tcp_handle& client)
     {
         const auto request = client.readMessage();
@@ -87,7 +108,7 @@
     const std::string m_address;
     std::mutex m_mutex;
     rewriter m_rewrite;
-    std::vector<std::thread> m_exchanges; ///< used by the acceptor until it has ended
+    std::list<exchange> m_exchanges; ///< used by the acceptor until it has ended
     std::thread m_acceptor;
 };
 
