Let a probe that was not sent say nothing about its target

What callers would see: a sound target that is given up, or reported as crashed, because the task queue of their own node was full.

Cause: generation_session answered a probe that the queue had dropped with "not alive", which counts as an unanswered probe and as a crash of the target of a second attempt.

Fix: the answer says that the probe was not sent.

--- a/core/generation_events.h
+++ b/core/generation_events.h
@@ -93,6 +93,7 @@
     target_id target;
     bool alive = false;
     bool hasAttempt = false; ///< the target still runs the probed attempt
+    bool notSent = false; ///< this node could not send the probe, which says nothing about the target
 };
 
 /// The timer set by set_timer expired.
--- a/core/generation_stall.cpp
+++ b/core/generation_stall.cpp
@@ -10,12 +10,18 @@
     const auto check = std::find(m_crashProbes.begin(), m_crashProbes.end(), event.target);
     if (check != m_crashProbes.end()) {
         m_crashProbes.erase(check);
-        if (!event.alive || !event.hasAttempt)
+        if (!event.notSent && (!event.alive || !event.hasAttempt))
             emit(report_crash { event.target });
         return;
     }
     if (m_state != generation_state::Suspect || !m_current || m_current->target != event.target || !m_stall.probed)
         return;
+    if (event.notSent) {
+        // The policy decides at the next check, as if it had asked for no probe.
+        m_stall.probed = false;
+        --m_stall.failedProbes;
+        return;
+    }
     if (event.alive && !event.hasAttempt) {
         // The process is alive but does not have the attempt, so it was restarted.
         failCurrentTarget(true, now);
--- a/core/test/generation_life_cycle.cpp
+++ b/core/test/generation_life_cycle.cpp
@@ -230,6 +230,58 @@
     EXPECT_EQ(countOf<start_attempt>(direct.on(target_chosen { hedge, other, direct.world.request.model, {} })), 1);
 }
 
+// Guards against targets that are given up or reported as crashed because this node could not send its probes.
+TEST(generation, probes_that_were_not_sent_condemn_no_target)
+{
+    for (const resume_policy* policy :
+        { static_cast<const resume_policy*>(&LatencyFirst), static_cast<const resume_policy*>(&Waiting) }) {
+        direct_generation direct(*policy);
+        direct.stream();
+        int probes = 0;
+        for (int round = 0; round < 100; ++round) {
+            direct.now += milliseconds(20);
+            const auto actions = direct.on(timer_fired {});
+            EXPECT_EQ(countOf<choose_target>(actions), 0) << policy->name() << " round " << round;
+            EXPECT_EQ(countOf<cancel_attempt>(actions), 0) << policy->name() << " round " << round;
+            if (!countOf<probe_target>(actions))
+                continue;
+            ++probes;
+            const auto after = direct.on(probe_answered { direct.target, false, false, true });
+            EXPECT_EQ(countOf<choose_target>(after), 0) << policy->name() << " round " << round;
+        }
+        EXPECT_GT(probes, 1) << policy->name();
+        // A probe that was sent still counts.
+        int given = 0;
+        for (int round = 0; round < 200 && !given; ++round) {
+            direct.now += milliseconds(20);
+            const auto actions = direct.on(timer_fired {});
+            given += countOf<choose_target>(actions);
+            if (countOf<probe_target>(actions))
+                given += countOf<choose_target>(direct.on(probe_answered { direct.target, false, false }));
+        }
+        EXPECT_EQ(given, 1) << policy->name();
+    }
+}
+
+TEST(generation, an_unsent_probe_of_a_second_attempt_reports_no_crash)
+{
+    for (const bool notSent : { true, false }) {
+        direct_generation direct;
+        direct.stream();
+        for (int round = 0; round < 20; ++round) {
+            direct.now += milliseconds(100);
+            direct.on(timer_fired {});
+        }
+        const attempt_id hedge { "node1", 2 };
+        const target_id other(fleet_name("one"), "engine1");
+        direct.on(target_chosen { hedge, other, direct.world.request.model, {} });
+        direct.on(attempt_accepted { hedge });
+        EXPECT_EQ(countOf<probe_target>(direct.on(attempt_broken { hedge, break_reason::Reset })), 1);
+        const auto actions = direct.on(probe_answered { other, false, false, notSent });
+        EXPECT_EQ(countOf<report_crash>(actions), notSent ? 0 : 1);
+    }
+}
+
 TEST(generation, attaches_without_progress_are_limited)
 {
     direct_generation direct;
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -288,8 +288,11 @@
         const auto answer = engines.probe(address, action.attempt, ProbeTimeout);
         events->push(probe_answered { action.target, answer.alive, answer.hasAttempt.value_or(false) });
     });
-    if (!queued)
-        m_events->push(probe_answered { action.target, false, false });
+    if (!queued) {
+        trace("probe not sent attempt=" + action.attempt.text() + " target=" + action.target.text()
+            + " reason=task queue full");
+        m_events->push(probe_answered { action.target, false, false, true });
+    }
 }
 
 void generation_session::run(const deliver_token& action)
