Measure how long a version of the configuration occupies the event loop

The time is now a histogram, oriolepick_gateway_configuration_seconds, and a field of configuration_applied, _ignored and _rejected. It includes the decoding that the comparison of versions causes.

--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -24,6 +24,9 @@
     /// \param outcome an error code, or "answered"
     void countAnswer(std::string_view kind, std::string_view outcome, std::chrono::milliseconds took);
 
+    /// Records how long the event loop was occupied with one version of the configuration.
+    void observeConfiguration(std::chrono::microseconds took);
+
     /// Counts one event by its name, for example "resumes", "malformed_responses" or "registry_errors".
     void count(std::string_view event);
 
