--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -160,6 +160,34 @@
         add("")
 
 
+CONFIG_STEPS = [("page", "page of the store, at the reader"), ("merge", "decoding, at the reader"), ("pack", "answer to one neighbour"), ("pulled", "decoding, at a neighbour")]
+
+
+def config_page(rows, add):
+    routes = sorted({row["parameters"]["routes"] for row in rows if row["name"] == "config_version"})
+    add("## A change of the configuration at a gateway")
+    add("")
+    add("Processor time of one version that changes one route, and of the first version, in milliseconds (`bench_config_versions`, on 8 arm64 cores beside other work):")
+    add("")
+    add("| step | " + " | ".join(f"{count:,} routes" for count in routes) + f" | first, {routes[-2]:,} routes | first, {routes[-1]:,} |")
+    add("| --- |" + " --- |" * (len(routes) + 2))
+    for step, label in CONFIG_STEPS:
+        changed = [find(rows, "config_version", routes=count, change="one_route")[step] for count in routes]
+        first = [find(rows, "config_version", routes=count, change="first")[step] for count in routes[-2:]]
+        add(f"| {label} | " + " | ".join(f"{value:.2f}" for value in changed + first) + " |")
+    look_up = [find(rows, "config_look_up", routes=count)["look_up"] for count in routes]
+    add("| look-up of a route, microseconds | " + " | ".join(f"{value:.2f}" for value in look_up) + " | | |")
+    add("")
+    for count in routes[-2:]:
+        row = find(rows, "config_version", routes=count, change="one_route")
+        cores = CHANGES_PER_DAY / 86_400 * row["pulled"] / 1e3
+        kb = row["document_bytes"] / 1e3
+        add(f"At {count:,} routes ({kb:,.0f} KB) and {CHANGES_PER_DAY:,} changes a day a neighbour spends {100 * cores:.2f}% of a core (limit for all control {100 * CONTROL_CORES:.1f}%: {verdict(cores, CONTROL_CORES)}) and receives the document, {CHANGES_PER_DAY / 86_400 * kb:,.0f} KB/s before compression.")
+        add("")
+    add("The cost of a change still grows with the number of routes: each version is compared with the one before it as a whole, in one turn of the event loop.")
+    add("")
+
+
 GATEWAY_FIGURES = [
     ("processor, %", "processor_percent_busiest"),
     ("memory, MB", "memory_mb_busiest"),
@@ -241,6 +269,7 @@
     add("Node, engine emulator and readers share one machine in this run, so these figures are a lower bound of what a node alone carries.")
     add("")
     gateway_page(rows, add)
+    config_page(rows, add)
     return "\n".join(lines)
 
 
