--- a/core/test/generation_life_cycle.cpp
+++ b/core/test/generation_life_cycle.cpp
@@ -62,6 +62,15 @@
         on(token_arrived { first, 0, token { 1, "a" } });
     }
 
+    /// Lets the target be silent until the policy has placed a second attempt.
+    void fallSilent()
+    {
+        for (int round = 0; round < 20; ++round) {
+            now += milliseconds(100);
+            on(timer_fired {});
+        }
+    }
+
     generation_simulation world; ///< only provides a valid request
     seeded_random random { 1 };
     instant now { std::chrono::hours(1) };
@@ -218,10 +227,7 @@
 {
     direct_generation direct;
     direct.stream();
-    for (int round = 0; round < 20; ++round) {
-        direct.now += milliseconds(100);
-        direct.on(timer_fired {});
-    }
+    direct.fallSilent();
     const attempt_id hedge { "node1", 2 };
     const auto again = direct.on(target_chosen { hedge, direct.target, direct.world.request.model, {} });
     EXPECT_EQ(countOf<start_attempt>(again), 0);
@@ -268,10 +274,7 @@
     for (const bool notSent : { true, false }) {
         direct_generation direct;
         direct.stream();
-        for (int round = 0; round < 20; ++round) {
-            direct.now += milliseconds(100);
-            direct.on(timer_fired {});
-        }
+        direct.fallSilent();
         const attempt_id hedge { "node1", 2 };
         const target_id other(fleet_name("one"), "engine1");
         direct.on(target_chosen { hedge, other, direct.world.request.model, {} });
