Read a response that a target sent before it closed with the request unread

What callers saw: 502 in place of the answer of a target that responds before it has read a long body and then closes; a request that may be repeated ran four times.

Cause: closing with unread bytes resets the connection. The event loop reports the failed write before the bytes that can be read, and tcp_connection closed at the first failure, with the answer in the buffer of its socket.

Change: on a connection that this side established, a failed write ends sending only; reading goes on until it reports the end. Callers' connections end at once as before: nobody is left who could receive an answer.

Before: platform_early_responses failed, status 502 of 200 for both routes (early_responses.cpp:116), 4 requests of 1 at the target. After: passed.

--- a/gateway/tcp_connection.cpp
+++ b/gateway/tcp_connection.cpp
@@ -47,6 +47,7 @@
         return;
     }
     configure();
+    m_isOutgoing = true;
     m_connecting = true;
     m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code& failed) {
         self->m_connecting = false;
@@ -105,7 +106,7 @@
 
 void tcp_connection::send(std::string_view bytes)
 {
-    if (!m_open)
+    if (!m_open || m_writeFailed)
         return;
     if (!m_writeActive && m_output.empty()) {
         error_code error;
@@ -114,7 +115,7 @@
             bytes.remove_prefix(sent);
         else if (error != asio::error::would_block && error != asio::error::try_again) {
             // Posted, so that the listener is notified only after the code that called send() has returned.
-            asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->end(connection_end::Reset); });
+            asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->onWriteFailed(); });
             return;
         }
     }
@@ -138,7 +139,7 @@
             if (!self->m_open)
                 return;
             if (error) {
-                self->end(connection_end::Reset);
+                self->onWriteFailed();
                 return;
             }
             self->write();
@@ -151,6 +152,18 @@
         });
 }
 
+// The event loop reports a failed write before the bytes that arrived ahead of the failure.
+void tcp_connection::onWriteFailed()
+{
+    if (!m_isOutgoing || m_closing) {
+        end(connection_end::Reset);
+        return;
+    }
+    m_writeFailed = true;
+    m_output.clear();
+    startReading();
+}
+
 void tcp_connection::closeAfterSending()
 {
     m_closing = true;
--- a/gateway/tcp_connection.h
+++ b/gateway/tcp_connection.h
@@ -58,7 +58,8 @@
     /// Sets the receiver of events. Events are dropped once the listener has expired.
     void setListener(std::weak_ptr<connection_listener> listener) { m_listener = std::move(listener); }
 
-    /// Starts to establish the connection to \p address ("IP:PORT").
+    /// Starts to establish the connection to \p address ("IP:PORT"). When sending fails on such a connection, bytes
+    /// that the peer has sent are still received before the end: a server may respond and close before it has read all.
     void connect(const std::string& address);
 
     /// Starts reading on an established connection.
@@ -82,6 +83,9 @@
 
     bool isOpen() const { return m_open; }
 
+    /// \return whether the connection is open and sending has not failed
+    bool canSend() const { return m_open && !m_writeFailed; }
+
     /// \return whether the peer has accepted the connection, sent bytes or ended, and the event loop has not handled
     /// it yet. Costs a system call.
     bool hasPendingInput();
@@ -92,6 +96,7 @@
     void configure();
     void read();
     void write();
+    void onWriteFailed();
     void end(connection_end end);
 
     static constexpr std::size_t ReadBytes = 8'192; ///< common requests would need two reads with a page less
@@ -107,6 +112,8 @@
     bool m_reading = false;
     bool m_paused = false;
     bool m_writeActive = false;
+    bool m_writeFailed = false; // nothing more is sent, and reading reports the end
+    bool m_isOutgoing = false; // established by connect()
     bool m_closing = false;
 };
 
