Do not reuse a connection whose target has not been sent the whole request

A target that responds before it has read a long body and reads on later kept the next request on that connection waiting behind the rest of the body.

Cause: a connection was reusable once its response was complete, also with bytes of the request queued. The time limit of the next request counted from when it was queued.

Change: such a connection closes. Before: the second request had no answer after 5 s (early_responses.cpp:130). After: answered at once, over a connection of its own.

--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -168,7 +168,7 @@
     // A target that responds early may not read the rest of the request for long, and the next one would wait behind
     // it.
     const bool reusable = m_parser->keepAlive() && m_input.empty() && !m_skippedResponses
-        && m_attempts.size() < MaxAttempts && m_connection->canSend();
+        && m_attempts.size() < MaxAttempts && m_connection->canSend() && !m_connection->queuedBytes();
     m_awaitingResponse = false;
     m_parser.reset();
     m_memory.set(0);
