Read each request by the limits in force when it begins

A request on a kept connection got 413 or 431 by limits that had been replaced while the connection was idle, however long ago; one that was being sent was ended by a new version with a shorter time limit or a smaller header.

Cause: the parser of the next request took the limits when the last response ended, and the time limit and the length of a line were read from the configuration in force.

Change: the limits are taken at the first byte of a request and hold for all of it.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -74,13 +74,19 @@
 // Prepares for the next request and parses the part of it that has already arrived.
 void caller_session::readNextRequest()
 {
-    const auto limits = limitsOf(m_parts.config);
-    m_reader = std::make_unique<request_parser>(limits.maxHeaderBytes, limits.maxBodyBytes);
+    startReader();
     m_continueSent = false;
     m_channel->pauseReading(false);
     onBytes({});
 }
 
+void caller_session::startReader()
+{
+    m_limits = limitsOf(m_parts.config);
+    m_limitsVersion = m_parts.config.version();
+    m_reader = std::make_unique<request_parser>(m_limits.maxHeaderBytes, m_limits.maxBodyBytes);
+}
+
 void caller_session::onBytes(std::string_view bytes)
 {
     const auto self = shared_from_this();
@@ -94,6 +100,9 @@
         m_channel->pauseReading(m_input.size() > MaxReadAheadBytes);
         return;
     }
+    // A request is read by the limits that are in force when it begins.
+    if (!m_reader->started() && m_limitsVersion != m_parts.config.version())
+        startReader();
     const auto used = m_reader->put(m_input);
     m_input.erase(0, used);
     if (m_admission == connection_admission::Refused && m_reader->headerDone()) {
@@ -104,7 +113,7 @@
         reject(errorKindOf(m_reader->parseError()), "the request cannot be read");
         return;
     }
-    if (!m_reader->isDone() && m_input.size() > limitsOf(m_parts.config).maxHeaderBytes) {
+    if (!m_reader->isDone() && m_input.size() > m_limits.maxHeaderBytes) {
         reject(error_kind::BadRequest, "a line of the request does not end");
         return;
     }
@@ -175,7 +184,7 @@
     if (m_admission == connection_admission::Refused)
         return m_state.refusalDue();
     if (m_reader->started())
-        return *since + limitsOf(m_parts.config).headerTimeout;
+        return *since + m_limits.headerTimeout;
     return m_parts.config.idleLimit().dueAt(*since, m_parts.settings.configurationBound);
 }
 
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -9,6 +9,7 @@
 #include "gateway/response_sink.h"
 #include "gateway/tcp_connection.h"
 #include "gateway/timer_queue.h"
+#include "routing/routing_config.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -76,6 +77,7 @@
 
 private:
     void readNextRequest();
+    void startReader();
     void startExchange();
     void reject(error_kind kind, std::string_view errorMessage);
     void updateResponseMemory();
@@ -98,6 +100,8 @@
     connection_admission m_admission;
     std::function<void(const std::shared_ptr<caller_session>&)> m_onClosed;
     std::unique_ptr<request_parser> m_reader;
+    caller_limits m_limits; // of the request that is read
+    std::uint64_t m_limitsVersion = 0; // of the configuration that they are from
     std::shared_ptr<exchange> m_exchange;
     std::string m_input;
     memory_reservation m_requestMemory; // of the request that is read, and of its copy for a target
