Avoid engines on network paths that lose packets

New generations prefer engines of other zones for some seconds, and use such a path when the others are full. No target is condemned.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -82,6 +82,7 @@
     bool hasUsableCopy() const;
     void probeCopyHolder(const target_entry& holder);
     void sendToCopyHolder(const target_entry& holder);
+    std::vector<availability_zone> avoidedPaths() const;
     bool pollEngines();
     void onPollResponse(std::size_t index, const target_prober::answer& answer);
     void onPollCompleted();
@@ -137,6 +138,7 @@
     void sendCopyRequest();
     void onCopyResponse(const std::optional<std::string>& handle);
     void forwardEvents();
+    void observePath(std::chrono::milliseconds pause, std::uint64_t count);
     bool forwardEvent(const stream_event& event);
     void startStallDetection();
     void checkForStall();
@@ -203,6 +205,7 @@
     attempt_history m_history;
     std::vector<target_name> m_triedTargets;
     std::optional<availability_zone> m_lostZone; // zone of the last lost target
+    bool m_usesLossyPaths = false; // the engines with better paths have no place
     bool m_wasUnsent = false; // the last attempt ended before its request was sent
     std::optional<run_copy> m_copy; // from which the next attempt continues
     std::optional<run_copy> m_requestedCopy; // made on request at the copy holder
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -65,7 +65,7 @@
     }
     m_copy.reset();
     m_prefilledAlone = false;
-    target_query query { m_service, m_parts.settings.zone, m_triedTargets, m_lostZone };
+    target_query query { m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() };
     if (pollEngines())
         return;
     auto target = m_parts.targetTracker.choose(query, now);
@@ -227,7 +227,7 @@
         m_copyRequestedAt = m_parts.timers.now() + LowMemoryCopyDelay;
         return;
     }
-    target_query query { m_service, m_parts.settings.zone, m_triedTargets, target.zone };
+    target_query query { m_service, m_parts.settings.zone, m_triedTargets, target.zone, avoidedPaths() };
     query.excluded.push_back(target.name);
     m_copyHolder = m_parts.targetTracker.choose(query, m_parts.timers.now());
 }
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -11,6 +11,7 @@
 #include "gateway/run_handover.h"
 #include "gateway/target_permits.h"
 #include "routing/generation_time_estimator.h"
+#include "routing/path_monitor.h"
 #include "routing/prefill_time_estimator.h"
 #include "routing/response_time_estimator.h"
 #include "routing/route_table.h"
@@ -138,6 +139,13 @@
     });
 }
 
+std::vector<availability_zone> exchange::avoidedPaths() const
+{
+    if (m_usesLossyPaths)
+        return {};
+    return m_parts.paths.lossyZones(m_parts.timers.now());
+}
+
 // Polls a few engines for their load, because other nodes send requests to them too, and concurrent prefills delay each
 // other. Engines in the zone of this node are not preferred: after most of a zone is lost, all its nodes would choose
 // the one engine left there.
@@ -149,10 +157,15 @@
         waitInQueue();
         return true;
     }
-    const target_query query { m_service, std::nullopt, m_triedTargets, m_lostZone };
+    const target_query query { m_service, std::nullopt, m_triedTargets, m_lostZone, avoidedPaths() };
     const auto now = m_parts.timers.now();
     m_polledEngines.clear();
     auto candidates = m_parts.targetTracker.candidates(query, PolledEngineCount, now);
+    const auto isOnLossyPath = [&query](const target_entry& target) {
+        return std::find(query.lossyZones.begin(), query.lossyZones.end(), target.zone) != query.lossyZones.end();
+    };
+    if (!candidates.empty() && !isOnLossyPath(candidates.front()))
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isOnLossyPath), candidates.end());
     // A poll would use up a permit. So a limited engine that ranks first gets the request without a poll, and others
     // are left out.
     if (!candidates.empty() && m_parts.permits.isLimited(candidates.front())) {
@@ -228,7 +241,12 @@
     const auto full = [&demand](const polled_engine& engine) { return !canAdmit(engine, demand); };
     if (mayQueue() && !m_polledEngines.empty() && std::all_of(m_polledEngines.begin(), m_polledEngines.end(), full)) {
         m_parts.metrics.count("surveys_without_room");
-        waitInQueue();
+        if (avoidedPaths().empty()) {
+            waitInQueue();
+        } else {
+            m_usesLossyPaths = true; // a place on a lossy path is better than none
+            dispatch();
+        }
         return;
     }
     const auto chosen = chooseEngine(m_polledEngines, demand.total(), load_score_settings {});
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -12,6 +12,7 @@
 #include "gateway/target_permits.h"
 #include "gateway/target_prober.h"
 #include "routing/node_retry_budget.h"
+#include "routing/path_monitor.h"
 #include "routing/prefill_time_estimator.h"
 #include "routing/route_table.h"
 
@@ -47,19 +48,36 @@
 
 void exchange::forwardEvents()
 {
+    const auto pause = m_parts.timers.now() - m_stall.lastProgress();
+    const bool hadEvents = m_eventReceived;
+    std::uint64_t count = 0;
     while (!m_finished && m_link) {
         const auto event = m_events.next();
         if (!event)
             break;
         if (!forwardEvent(*event))
             return;
+        ++count;
     }
+    if (hadEvents && m_target)
+        observePath(std::chrono::duration_cast<std::chrono::milliseconds>(pause), count);
     if (!m_finished && m_link && (m_sink->unsentBytes() > MaxUnsentBytes || !m_sink->canQueueMore())) {
         m_sinkBlocked = true;
         m_link->pauseReading(true);
     }
 }
 
+// Events also arrive together when this node was late to read them.
+void exchange::observePath(std::chrono::milliseconds pause, std::uint64_t count)
+{
+    if (!m_parts.paths.recordEvents(m_target->zone, pause - m_parts.timers.delay(), count, m_parts.timers.now()))
+        return;
+    m_parts.metrics.count("lossy_paths_found");
+    m_parts.log.write("path_lossy",
+        { { "zone", m_target->zone.value() }, { "attempt", m_caller.attempt }, { "target", m_target->name.value() },
+            { "pause_ms", std::to_string(pause.count()) }, { "events", std::to_string(count) } });
+}
+
 bool exchange::forwardEvent(const stream_event& event)
 {
     m_stall.tokenArrived(m_parts.timers.now());
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -19,6 +19,7 @@
 class target_connection_pool;
 class memory_budget;
 class admission_queue;
+class path_monitor;
 class prefill_time_estimator;
 class replacement_finder;
 class request_dialect;
@@ -50,6 +51,7 @@
     node_retry_budget& retryBudget;
     response_time_estimator& responseTimes;
     prefill_time_estimator& prefillTimes;
+    path_monitor& paths;
     generation_time_estimator& generationTimes;
     admission_queue& admissionQueue;
     seeded_random& random;
--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -13,6 +13,7 @@
 
     /// Scores are loads in slots; the penalties rank a target behind all others of its group, but the target is
     /// still chosen if no other remains.
+    constexpr double LossyPathPenalty = 100;
     constexpr double AvoidedZonePenalty = 1'000;
     constexpr double BackoffPenalty = 1'000'000;
     /// Limit of remembered start times: a node sends fewer requests to one target before the target reports them.
@@ -331,6 +332,9 @@
         score += m_settings.crossZonePenalty;
     if (query.avoidedZone && target.entry.zone == *query.avoidedZone)
         score += AvoidedZonePenalty;
+    const auto& lossy = query.lossyZones;
+    if (std::find(lossy.begin(), lossy.end(), target.entry.zone) != lossy.end())
+        score += LossyPathPenalty;
     if (now < target.backoffUntil)
         score += BackoffPenalty;
     return score;
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -68,6 +68,7 @@
     std::optional<availability_zone> zone; ///< targets of this zone are preferred
     std::vector<target_name> excluded; ///< targets that are not chosen, since they were tried before
     std::optional<availability_zone> avoidedZone; ///< targets of this zone are chosen last
+    std::vector<availability_zone> lossyZones {}; ///< targets of other zones are preferred, see path_monitor
 };
 
 /// When a service without an available target may accept requests again.
