Judge a path by the share of its retransmissions

A node with many streams sees some retransmissions at any loss: at the size to design for, a path that loses one packet in a thousand would have counted as lossy all the time.

--- a/routing/path_monitor.h
+++ b/routing/path_monitor.h
@@ -6,7 +6,6 @@
 #include "core/names.h"
 
 #include <cstddef>
-#include <deque>
 #include <map>
 #include <vector>
 
@@ -18,7 +17,10 @@
     std::chrono::milliseconds minPause { 150 };
     /// Events that arrive together after a retransmission. An engine that pauses sends one event when it goes on.
     std::size_t minEvents = 3;
-    std::size_t minRetransmissions = 2; ///< of a zone within the window until its path counts as lossy
+    /// Retransmissions in the last one to two windows until a path counts as lossy, as a number and as a share of all
+    /// groups of events: a node with many streams sees some at a loss that harms few of them.
+    std::size_t minRetransmissions = 2;
+    double minShare = 0.01;
     std::chrono::milliseconds window { 2'000 };
     /// How long a path is avoided after the last retransmission. Without streams on it, nothing else shows that it has
     /// recovered.
@@ -44,14 +46,24 @@
     std::vector<availability_zone> lossyZones(instant now) const;
 
 private:
+    struct counts {
+        std::size_t groups = 0;
+        std::size_t retransmissions = 0;
+    };
+
     struct path {
-        std::deque<instant> retransmissions; // the last ones, oldest first
+        instant windowStart;
+        counts current;
+        counts previous;
         std::chrono::milliseconds hold { 0 };
         instant lossyUntil;
     };
 
+    void advanceWindow(path& path, instant now) const;
+    bool losesPackets(const path& path) const;
+
     path_monitor_settings m_settings;
-    std::map<availability_zone, path> m_paths; // by the zone of the target; only zones with retransmissions
+    std::map<availability_zone, path> m_paths; // by the zone of the target
 };
 
 } // namespace oriolepick
--- a/routing/test/path_monitor.cpp
+++ b/routing/test/path_monitor.cpp
@@ -38,6 +38,16 @@
         EXPECT_FALSE(monitor.recordEvents(Zone, 230ms, 8, Start + minute * 1min));
 }
 
+TEST(PathMonitor, RareLossesAmongManyStreamsDoNot)
+{
+    path_monitor monitor { path_monitor_settings {} };
+    for (int group = 0; group < 100'000; ++group) {
+        const bool isLost = group % 1'000 == 999;
+        monitor.recordEvents(Zone, isLost ? 230ms : 30ms, isLost ? 8 : 1, Start + group * 1ms);
+    }
+    EXPECT_TRUE(monitor.lossyZones(Start + 100s).empty());
+}
+
 RC_GTEST_PROP(PathMonitor, EnginesThatSendOneEventAtATimeAreNotAvoided, ())
 {
     path_monitor monitor { path_monitor_settings {} };
