Answer each request that was read ahead on a caller's connection

cpp-httplib 0.11.4 makes a stream with a read buffer for each request of a connection and drops what it has read beyond the request; with TLS the rest stays in the session, which its wait for the next request does not ask.

The edge's servers override process_and_close_socket with one stream for the life of the connection (caller_stream over a plain or TLS byte_channel). Since input behind a request is now kept, it must not be misread: after a head that cannot be read, a body that the library leaves (GET with a length), or a body that ends early, the answer says "Connection: close" and the connection ends. A caller that has ended its output gets its answers; streams still take that for a close.

--- /dev/null
+++ b/node/caller_stream.h
@@ -0,0 +1,58 @@
+/// \file
+/// The input and output of a caller's connection, as the HTTP library reads and writes them.
+#pragma once
+
+#include <httplib.h>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace oriolepick {
+
+class byte_channel;
+
+/// Lives as long as the connection: input that was read beyond one request belongs to the next one. The library's own
+/// stream lives for one request and drops it.
+class caller_stream final : public httplib::Stream {
+public:
+    /// \param channel outlives the stream
+    /// \param readLimit, writeLimit of each wait for the caller
+    caller_stream(byte_channel& channel, std::chrono::milliseconds readLimit, std::chrono::milliseconds writeLimit);
+
+    /// Waits until a request begins.
+    /// \return false when the connection has ended or nothing came within \p limit
+    bool waitForRequest(std::chrono::milliseconds limit);
+
+    /// Sets how much of the input belongs to the request that is being read.
+    void expectBody(std::uint64_t bytes) { m_expected = bytes; }
+
+    /// Ends the output, and drops input that the caller may still be sending: a socket that is closed with unread
+    /// input resets the connection, and the caller may lose the last answer.
+    void finish();
+
+    bool is_readable() const override;
+    /// \return false also when the caller has closed
+    bool is_writable() const override;
+    ssize_t read(char* target, std::size_t size) override;
+    ssize_t write(const char* source, std::size_t size) override;
+    void get_remote_ip_and_port(std::string& ip, int& port) const override;
+    void get_local_ip_and_port(std::string& ip, int& port) const override;
+    socket_t socket() const override;
+
+private:
+    ssize_t receive(char* target, std::size_t size, std::chrono::milliseconds limit);
+    bool hasUnreadInput() const;
+
+    byte_channel& m_channel;
+    std::chrono::milliseconds m_readLimit;
+    std::chrono::milliseconds m_writeLimit;
+    std::array<char, 4096> m_buffer {};
+    std::string_view m_unread; ///< part of m_buffer
+    std::uint64_t m_expected = 0; ///< bytes of a body that are not read yet
+};
+
+} // namespace oriolepick
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -6,6 +6,7 @@
 #include "node/bounded_task_queue.h"
 #include "node/completion_stream.h"
 #include "node/completions_endpoint.h"
+#include "node/edge_server.h"
 #include "node/error_body.h"
 #include "node/node_metrics.h"
 #include "node/node_status.h"
@@ -79,6 +80,12 @@
             });
     }
 
+    /// \return whether the library had read the request to its end when it gave an answer by itself
+    bool isReadWhole(int status)
+    {
+        return status == 404 || status == 413;
+    }
+
     /// The kind of an answer that the library gave by itself.
     error_kind kindOf(int status)
     {
@@ -92,12 +99,8 @@
 http_edge::http_edge(const settings& configuration, const edge_services& services)
     : m_settings(configuration)
     , m_services(services)
+    , m_server(makeEdgeServer(configuration.tlsCertificate, configuration.tlsKey))
 {
-    if (configuration.tlsCertificate.empty())
-        m_server = std::make_unique<httplib::Server>();
-    else
-        m_server
-            = std::make_unique<httplib::SSLServer>(configuration.tlsCertificate.c_str(), configuration.tlsKey.c_str());
     const auto threads = static_cast<std::size_t>(configuration.callersThreads);
     m_server->new_task_queue = [threads] { return new bounded_task_queue(threads); };
     m_server->set_payload_max_length(static_cast<std::size_t>(configuration.maximumBodyBytes));
@@ -160,6 +163,10 @@
         const int status = response.status;
         m_services.metrics.add(counter_metric::BadInput, { { "entrance", "http" } });
         response.set_content(errorBody({ kindOf(status), "the request cannot be served", {} }), JsonType);
+        if (!isReadWhole(status)) {
+            response.set_header("Connection", "close");
+            closeAfter(response);
+        }
     });
     m_server->set_exception_handler(
         [this](const httplib::Request&, httplib::Response& response, const std::exception_ptr&) {
--- a/node/test/tcp_handle.h
+++ b/node/test/tcp_handle.h
@@ -76,7 +76,9 @@
     }
 
     bool valid() const { return m_descriptor >= 0; }
+    int descriptor() const { return m_descriptor; }
     void shutdown() const { ::shutdown(m_descriptor, SHUT_RDWR); }
+    void endOutput() const { ::shutdown(m_descriptor, SHUT_WR); }
 
     /// Ends the connection; its peer sees a reset instead of an end.
     void reset()
