Refuse requests of the edge whose end is unclear, and limit chunked bodies

cpp-httplib reads the body of a POST without length up to the end of the connection, takes a length that is no number for 0 and the first of several lengths for the right one, and limits no chunked body. A request without length waited 10 s and was refused with 400; what stood behind an unclear length was run as a request; a chunked body could fill the memory.

A request without length and coding now has no body. Unclear lengths are refused with 400, name the header and its value, and end the connection. Reading a chunked body ends at twice the limit of bodies, sizes of chunks included, and is answered with 413. An empty "Content-Length:" cannot be told from none, since the library drops headers without a value.

--- a/node/caller_stream.cpp
+++ b/node/caller_stream.cpp
@@ -92,24 +92,31 @@
 
 ssize_t caller_stream::read(char* target, std::size_t size)
 {
-    ssize_t count = 0;
-    if (m_unread.empty() && size >= m_buffer.size()) {
-        count = receive(target, size, m_readLimit);
-    } else {
-        if (m_unread.empty()) {
-            const auto received = receive(m_buffer.data(), m_buffer.size(), m_readLimit);
-            if (received <= 0)
-                return received;
-            m_unread = std::string_view(m_buffer.data(), static_cast<std::size_t>(received));
-        }
-        count = static_cast<ssize_t>(m_unread.copy(target, size));
-        m_unread.remove_prefix(static_cast<std::size_t>(count));
-    }
-    if (count > 0)
+    if (m_allowed == 0)
+        return -1;
+    const auto count = readUnlimited(target, static_cast<std::size_t>(std::min<std::uint64_t>(size, m_allowed)));
+    if (count > 0) {
         m_expected -= std::min(m_expected, static_cast<std::uint64_t>(count));
+        m_allowed -= static_cast<std::uint64_t>(count);
+    }
     return count;
 }
 
+ssize_t caller_stream::readUnlimited(char* target, std::size_t size)
+{
+    if (m_unread.empty() && size >= m_buffer.size())
+        return receive(target, size, m_readLimit);
+    if (m_unread.empty()) {
+        const auto received = receive(m_buffer.data(), m_buffer.size(), m_readLimit);
+        if (received <= 0)
+            return received;
+        m_unread = std::string_view(m_buffer.data(), static_cast<std::size_t>(received));
+    }
+    const auto count = m_unread.copy(target, size);
+    m_unread.remove_prefix(count);
+    return static_cast<ssize_t>(count);
+}
+
 ssize_t caller_stream::write(const char* source, std::size_t size)
 {
     for (;;) {
--- a/node/caller_stream.h
+++ b/node/caller_stream.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,9 @@
     /// Sets how much of the input belongs to the request that is being read.
     void expectBody(std::uint64_t bytes) { m_expected = bytes; }
 
+    /// Sets how many bytes more may be read of this request; reading then fails.
+    void limitInput(std::uint64_t bytes) { m_allowed = bytes; }
+
     /// Ends the output, and drops input that the caller may still be sending: a socket that is closed with unread
     /// input resets the connection, and the caller may lose the last answer.
     void finish();
@@ -44,6 +48,7 @@
     socket_t socket() const override;
 
 private:
+    ssize_t readUnlimited(char* target, std::size_t size);
     ssize_t receive(char* target, std::size_t size, std::chrono::milliseconds limit);
     bool hasUnreadInput() const;
 
@@ -53,6 +58,7 @@
     std::array<char, 4096> m_buffer {};
     std::string_view m_unread; ///< part of m_buffer
     std::uint64_t m_expected = 0; ///< bytes of a body that are not read yet
+    std::uint64_t m_allowed = std::numeric_limits<std::uint64_t>::max(); ///< see limitInput()
 };
 
 } // namespace oriolepick
--- a/node/edge_server.cpp
+++ b/node/edge_server.cpp
@@ -19,6 +19,9 @@
 
     constexpr std::uint64_t UnknownLength = std::numeric_limits<std::uint64_t>::max();
 
+    /// Largest ratio of a chunked body with the sizes of its chunks to the limit of bodies.
+    constexpr std::uint64_t MaxChunkedOverhead = 2;
+
     std::chrono::milliseconds limitOf(time_t seconds, time_t microseconds)
     {
         return std::chrono::ceil<std::chrono::milliseconds>(
@@ -72,9 +75,16 @@
             bool closed = false;
             bool bodyIsRead = false;
             stream.expectBody(UnknownLength); // until the head is understood
+            stream.limitInput(UnknownLength);
             const bool processed = this->process_request(stream, last, closed, [&](httplib::Request& request) {
                 request.ssl = session;
                 stream.expectBody(bodyBytes(request));
+                // The library limits only bodies of a known length.
+                if (request.has_header("Transfer-Encoding"))
+                    stream.limitInput(MaxChunkedOverhead * this->payload_max_length_);
+                // Without a length it reads a body up to the end of the connection.
+                else if (mayHaveBody(request) && !request.has_header("Content-Length"))
+                    request.headers.emplace("Content-Length", "0");
                 bodyIsRead = !leavesBody(request);
                 if (bodyIsRead)
                     return;
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -13,6 +13,7 @@
 #include "node/open_request.h"
 #include "node/operator_endpoint.h"
 #include "node/process_usage.h"
+#include "node/request_framing.h"
 #include "node/service_endpoint.h"
 
 #include <httplib.h>
@@ -147,8 +148,9 @@
 void http_edge::addRoutes()
 {
     m_server->set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
-        return refusesConnection(request, response) ? httplib::Server::HandlerResponse::Handled
-                                                    : httplib::Server::HandlerResponse::Unhandled;
+        return refusesConnection(request, response) || refusesFraming(request, response)
+            ? httplib::Server::HandlerResponse::Handled
+            : httplib::Server::HandlerResponse::Unhandled;
     });
     m_server->set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
         // Callers that know of the close do not send a request that crosses with it.
@@ -157,12 +159,14 @@
         if (response.has_header("Connection"))
             response.headers.erase("Keep-Alive");
     });
-    m_server->set_error_handler([this](const httplib::Request&, httplib::Response& response) {
+    m_server->set_error_handler([this](const httplib::Request& request, httplib::Response& response) {
         if (response.has_header("Content-Type")) // an answer of this class
             return;
         const int status = response.status;
+        if (isTooLarge(request)) // chunked, and read only in part
+            response.status = errorResponseFor(error_kind::BodyTooLarge).status;
         m_services.metrics.add(counter_metric::BadInput, { { "entrance", "http" } });
-        response.set_content(errorBody({ kindOf(status), "the request cannot be served", {} }), JsonType);
+        response.set_content(errorBody({ kindOf(response.status), "the request cannot be served", {} }), JsonType);
         if (!isReadWhole(status)) {
             response.set_header("Connection", "close");
             closeAfter(response);
@@ -232,6 +236,22 @@
     return true;
 }
 
+bool http_edge::refusesFraming(const httplib::Request& request, httplib::Response& response)
+{
+    const auto fault = findFramingFault(request);
+    if (fault.empty())
+        return false;
+    answerError({ error_kind::BadRequest, fault, {} }, response, "unknown");
+    response.set_header("Connection", "close");
+    closeAfter(response);
+    return true;
+}
+
+bool http_edge::isTooLarge(const httplib::Request& request) const
+{
+    return request.body.size() > static_cast<std::size_t>(m_settings.maximumBodyBytes);
+}
+
 bool http_edge::refusesWork(const httplib::Request& request, httplib::Response& response)
 {
     if (m_services.status.draining)
@@ -239,6 +259,8 @@
     else if (!m_services.status.ready)
         refuse({ error_kind::NodeNotReady, "this node does not know the state in force yet", RefusalRetryAfter },
             request, response);
+    else if (isTooLarge(request))
+        refuse({ error_kind::BodyTooLarge, "the body is too long", {} }, request, response);
     else
         return false;
     return true;
--- a/node/http_edge.h
+++ b/node/http_edge.h
@@ -61,6 +61,8 @@
     void sendEvents(const std::shared_ptr<completion_stream>& stream, std::shared_ptr<open_request> open,
         httplib::Response& response);
     bool refusesConnection(const httplib::Request& request, httplib::Response& response);
+    bool refusesFraming(const httplib::Request& request, httplib::Response& response);
+    bool isTooLarge(const httplib::Request& request) const;
     bool refusesWork(const httplib::Request& request, httplib::Response& response);
     void refuse(const error& reason, const httplib::Request& request, httplib::Response& response);
     void answerError(const error& problem, httplib::Response& response, const std::string& fleet,
--- a/node/request_framing.h
+++ b/node/request_framing.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace httplib {
 struct Request;
@@ -10,6 +11,12 @@
 
 namespace oriolepick {
 
+/// \return what leaves open where the body ends, empty for nothing
+std::string findFramingFault(const httplib::Request& request);
+
+/// \return whether the request's method may have a body that the HTTP library reads
+bool mayHaveBody(const httplib::Request& request);
+
 /// \return whether the HTTP library answers the request without reading the body that follows it
 bool leavesBody(const httplib::Request& request);
 
