Read answers that targets give before they have read the whole request

A target that answered a long request early and closed or reset the connection, or read no further, lost its answer: the failed or late write of the rest ended the exchange as Lost or TimedOut, although the answer had arrived. The caller got a failure with unknown outcome instead of the refusal.

target_socket drops the rest of a request when a write fails or comes to its limit while an answer is there, and as soon as an error answer (4xx, 5xx) is there that the target's full buffers hold up. After a failed write the end of the input counts as a failure, so that a body without length is not taken for whole.

--- a/targets/target_socket.cpp
+++ b/targets/target_socket.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+    constexpr std::chrono::milliseconds RefusalCheckPeriod { 20 };
+
     struct socket_address {
         sockaddr_storage storage {};
         socklen_t size = 0;
@@ -106,7 +108,12 @@
 
 ssize_t target_socket::write(const char* source, std::size_t size)
 {
-    if (!waitWritable()) {
+    if (m_dropsOutput)
+        return static_cast<ssize_t>(size);
+    if (!waitForOutput()) {
+        m_dropsOutput = hasInput();
+        if (m_dropsOutput)
+            return static_cast<ssize_t>(size);
         m_end = socket_end::TimedOut;
         return -1;
     }
@@ -114,8 +121,13 @@
     do
         written = ::send(m_socket, source, size, MSG_NOSIGNAL);
     while (written < 0 && errno == EINTR);
-    if (written < 0)
+    if (written < 0) {
+        m_outputFailed = true;
+        m_dropsOutput = m_sent && hasInput();
+        if (m_dropsOutput)
+            return static_cast<ssize_t>(size);
         m_end = socket_end::Failed;
+    }
     if (written > 0 && !std::exchange(m_sent, true) && m_total.count())
         m_deadline = std::chrono::steady_clock::now() + m_total;
     return written;
@@ -133,6 +145,33 @@
     return !isLate() && wait(POLLOUT, m_idle);
 }
 
+bool target_socket::waitForOutput() const
+{
+    const auto limit = std::chrono::steady_clock::now() + m_idle;
+    while (!isLate() && std::chrono::steady_clock::now() < limit) {
+        if (wait(POLLOUT, RefusalCheckPeriod))
+            return true;
+        if (hasRefusal())
+            return false;
+    }
+    return false;
+}
+
+// Targets may stream a successful answer while they read; after an error they may read no further (RFC 9112, 9.5).
+bool target_socket::hasRefusal() const
+{
+    constexpr std::size_t StatusAt = std::string_view("HTTP/1.1 ").size();
+    std::array<char, StatusAt + 1> begin {};
+    const auto peeked = ::recv(m_socket, begin.data(), begin.size(), MSG_PEEK | MSG_DONTWAIT);
+    return peeked == static_cast<ssize_t>(begin.size()) && (begin.back() == '4' || begin.back() == '5');
+}
+
+bool target_socket::hasInput() const
+{
+    char next = 0;
+    return ::recv(m_socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool target_socket::isLate() const
 {
     return m_deadline && std::chrono::steady_clock::now() >= *m_deadline;
@@ -177,6 +216,9 @@
     do
         received = ::recv(m_socket, m_buffer.data(), size, 0);
     while (received < 0 && errno == EINTR);
+    // The reset that ended the output was reported there; after it, a body without length may have been cut.
+    if (received == 0 && m_outputFailed)
+        received = -1;
     if (m_arrivedBytes && received > 0)
         *m_arrivedBytes -= std::min(*m_arrivedBytes, static_cast<std::size_t>(received));
     if (received <= 0) {
--- a/targets/target_socket.h
+++ b/targets/target_socket.h
@@ -38,7 +38,9 @@
     /// \return bytes read, or 0 or less at the end, see end()
     ssize_t read(char* target, std::size_t size);
 
-    /// \return bytes written, or less than 0 at the end
+    /// Once the target has answered and takes no more of the request, the rest of the request is dropped, so that the
+    /// answer can be read; the connection is of no use for another request then.
+    /// \return bytes written or dropped, or less than 0 at the end
     ssize_t write(const char* source, std::size_t size);
 
     bool waitReadable();
@@ -55,6 +57,9 @@
 
 private:
     bool wait(short events, std::chrono::milliseconds timeout) const;
+    bool waitForOutput() const;
+    bool hasRefusal() const;
+    bool hasInput() const;
     bool isLate() const;
     bool hasArrived();
     ssize_t fill();
@@ -66,6 +71,8 @@
     std::optional<std::size_t> m_arrivedBytes; ///< unread when the deadline was found to have passed
     int m_socket = -1;
     bool m_sent = false;
+    bool m_dropsOutput = false; ///< the target answered before it took the whole request
+    bool m_outputFailed = false;
     bool m_refused = false;
     socket_end m_end = socket_end::Open;
     response_guard m_guard;
