--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -6,12 +6,14 @@
 #include "node/bounded_task_queue.h"
 #include "node/completion_stream.h"
 #include "node/completions_endpoint.h"
+#include "node/edge_server.h"
 #include "node/error_body.h"
 #include "node/node_metrics.h"
 #include "node/node_status.h"
 #include "node/open_request.h"
 #include "node/operator_endpoint.h"
 #include "node/process_usage.h"
+#include "node/request_framing.h"
 #include "node/service_endpoint.h"
 
 #include <httplib.h>
@@ -79,6 +81,12 @@
             });
     }
 
+    /// \return whether the library had read the request to its end when it gave an answer by itself
+    bool isReadWhole(int status)
+    {
+        return status == 404 || status == 413;
+    }
+
     /// The kind of an answer that the library gave by itself.
     error_kind kindOf(int status)
     {
@@ -92,12 +100,8 @@
 http_edge::http_edge(const settings& configuration, const edge_services& services)
     : m_settings(configuration)
     , m_services(services)
+    , m_server(makeEdgeServer(configuration.tlsCertificate, configuration.tlsKey))
 {
-    if (configuration.tlsCertificate.empty())
-        m_server = std::make_unique<httplib::Server>();
-    else
-        m_server
-            = std::make_unique<httplib::SSLServer>(configuration.tlsCertificate.c_str(), configuration.tlsKey.c_str());
     const auto threads = static_cast<std::size_t>(configuration.callersThreads);
     m_server->new_task_queue = [threads] { return new bounded_task_queue(threads); };
     m_server->set_payload_max_length(static_cast<std::size_t>(configuration.maximumBodyBytes));
@@ -144,8 +148,9 @@
 void http_edge::addRoutes()
 {
     m_server->set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
-        return refusesConnection(request, response) ? httplib::Server::HandlerResponse::Handled
-                                                    : httplib::Server::HandlerResponse::Unhandled;
+        return refusesConnection(request, response) || refusesFraming(request, response)
+            ? httplib::Server::HandlerResponse::Handled
+            : httplib::Server::HandlerResponse::Unhandled;
     });
     m_server->set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
         // Callers that know of the close do not send a request that crosses with it.
@@ -154,12 +159,18 @@
         if (response.has_header("Connection"))
             response.headers.erase("Keep-Alive");
     });
-    m_server->set_error_handler([this](const httplib::Request&, httplib::Response& response) {
+    m_server->set_error_handler([this](const httplib::Request& request, httplib::Response& response) {
         if (response.has_header("Content-Type")) // an answer of this class
             return;
         const int status = response.status;
+        if (isTooLarge(request)) // chunked, and read only in part
+            response.status = errorResponseFor(error_kind::BodyTooLarge).status;
         m_services.metrics.add(counter_metric::BadInput, { { "entrance", "http" } });
-        response.set_content(errorBody({ kindOf(status), "the request cannot be served", {} }), JsonType);
+        response.set_content(errorBody({ kindOf(response.status), "the request cannot be served", {} }), JsonType);
+        if (!isReadWhole(status)) {
+            response.set_header("Connection", "close");
+            closeAfter(response);
+        }
     });
     m_server->set_exception_handler(
         [this](const httplib::Request&, httplib::Response& response, const std::exception_ptr&) {
@@ -225,6 +236,22 @@
     return true;
 }
 
+bool http_edge::refusesFraming(const httplib::Request& request, httplib::Response& response)
+{
+    const auto fault = findFramingFault(request);
+    if (fault.empty())
+        return false;
+    answerError({ error_kind::BadRequest, fault, {} }, response, "unknown");
+    response.set_header("Connection", "close");
+    closeAfter(response);
+    return true;
+}
+
+bool http_edge::isTooLarge(const httplib::Request& request) const
+{
+    return request.body.size() > static_cast<std::size_t>(m_settings.maximumBodyBytes);
+}
+
 bool http_edge::refusesWork(const httplib::Request& request, httplib::Response& response)
 {
     if (m_services.status.draining)
@@ -232,6 +259,8 @@
     else if (!m_services.status.ready)
         refuse({ error_kind::NodeNotReady, "this node does not know the state in force yet", RefusalRetryAfter },
             request, response);
+    else if (isTooLarge(request))
+        refuse({ error_kind::BodyTooLarge, "the body is too long", {} }, request, response);
     else
         return false;
     return true;
