Order registrations by one comparable version

Cause: target_tracker compared start and count in four places with different rules. A removal kept the higher count of an earlier start in place of the later start that had left, and an entry without a start was compared with nothing, so both came back after their removal.

Change: routing/registration_version.h is the incarnation and the renewal within it with a total order; isOutdated(), remove() and the removals that a restored store forgot use it alone.

--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace oriolepick {
@@ -18,12 +17,6 @@
     /// Limit of remembered start times: a node sends fewer requests to one target before the target reports them.
     constexpr std::size_t MaxRecentStarts = 16;
 
-    // An entry without a start time may be of any incarnation.
-    bool isEarlierIncarnation(const target_entry& entry, std::uint64_t startedAt)
-    {
-        return entry.startedAt && entry.startedAt < startedAt;
-    }
-
 } // namespace
 
 target_tracker_settings makeTargetTrackerSettings(
@@ -59,25 +52,19 @@
 {
     const auto known = m_targets.find(entry.name);
     const bool isRemoved = known != m_targets.end() && known->second.expiresAt && wasRemovedForGood(entry.name);
-    if (known != m_targets.end() && !isRemoved) {
-        const auto& newest = known->second.entry;
-        return isEarlierIncarnation(entry, newest.startedAt)
-            || (newest.startedAt == entry.startedAt && entry.renewalCount < newest.renewalCount);
-    }
-    const auto found = m_removals.find(entry.name);
-    if (found == m_removals.end() || !found->second.wasKnown)
+    if (known != m_targets.end() && !isRemoved)
+        return entry.version() < known->second.entry.version();
+    const auto removal = m_removals.find(entry.name);
+    if (removal == m_removals.end() || !removal->second.last)
         return false;
-    const auto& removal = found->second;
-    return isEarlierIncarnation(entry, removal.startedAt)
-        || (removal.startedAt == entry.startedAt
-            && entry.renewalCount <= removal.renewalCount + (removal.mayReturn ? 0 : m_settings.maxUnseenRenewals));
+    return entry.version() <= removal->second.last->after(removal->second.mayReturn ? 0 : m_settings.maxUnseenRenewals);
 }
 
 // Returns whether a target that was removed before this node knew it is not added yet: the entry may be a late renewal.
 bool target_tracker::holdBack(const target_entry& entry, instant now)
 {
     const auto removal = m_removals.find(entry.name);
-    if (m_targets.count(entry.name) || removal == m_removals.end() || removal->second.wasKnown
+    if (m_targets.count(entry.name) || removal == m_removals.end() || removal->second.last
         || now >= removal->second.at + m_settings.unknownRemovalHold)
         return false;
     removal->second.held = entry;
@@ -129,18 +116,13 @@
 {
     const bool inGrace = isInGrace(now);
     const auto found = m_targets.find(target);
-    const auto newest = [&]() -> std::optional<target_entry> {
-        if (found == m_targets.end()
-            || (last && !isEarlierIncarnation(*last, found->second.entry.startedAt)
-                && last->renewalCount >= found->second.entry.renewalCount))
-            return last;
-        return found->second.entry;
-    }();
-    auto& removal = m_removals.try_emplace(target, removal_record { 0, 0, now, false, false, {} }).first->second;
+    auto newest = last ? std::make_optional(last->version()) : std::nullopt;
+    if (found != m_targets.end())
+        newest = std::max(newest, std::make_optional(found->second.entry.version()));
+    auto& removal = m_removals.try_emplace(target, removal_record { {}, now, false, {} }).first->second;
     removal.held.reset();
-    const auto order = std::make_tuple(removal.wasKnown, removal.startedAt, removal.renewalCount);
-    if (newest && std::make_tuple(true, newest->startedAt, newest->renewalCount) > order)
-        removal = { newest->startedAt, newest->renewalCount, now, true, inGrace, {} };
+    if (newest > removal.last)
+        removal = { newest, now, inGrace, {} };
     if (found == m_targets.end())
         return;
     if (!inGrace && !found->second.inFlight) {
@@ -160,7 +142,7 @@
 bool target_tracker::wasRemovedForGood(const target_name& target) const
 {
     const auto removal = m_removals.find(target);
-    return removal != m_removals.end() && removal->second.wasKnown && !removal->second.mayReturn;
+    return removal != m_removals.end() && removal->second.last && !removal->second.mayReturn;
 }
 
 // A restored registry contains targets that were removed after the copy was made. The copy may have more renewals than
@@ -171,8 +153,8 @@
         const auto removal = m_removals.find(entry.name);
         const auto target = m_targets.find(entry.name);
         const bool isRegistered = target != m_targets.end() && !target->second.expiresAt;
-        if (!isRegistered && wasRemovedForGood(entry.name) && removal->second.startedAt == entry.startedAt)
-            removal->second.renewalCount = std::max(removal->second.renewalCount, entry.renewalCount);
+        if (!isRegistered && wasRemovedForGood(entry.name) && entry.version().renews(*removal->second.last))
+            removal->second.last = entry.version();
     }
 }
 
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -4,6 +4,7 @@
 
 #include "core/instant.h"
 #include "core/names.h"
+#include "routing/registration_version.h"
 #include "routing/routing_names.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -29,6 +30,9 @@
     bool draining = false; ///< the target accepts no new requests
     std::uint64_t startedAt = 0; ///< start of this incarnation in Unix milliseconds, 0 if not reported
     std::uint64_t renewalCount = 0; ///< increases with each renewal of the registration within one incarnation
+
+    /// \return the place of this registration among those of the target
+    registration_version version() const { return { startedAt, renewalCount }; }
 };
 
 /// Thresholds of target_tracker.
@@ -208,10 +212,8 @@
     seeded_random& m_random;
     /// Last known state of a removed target.
     struct removal_record {
-        std::uint64_t startedAt;
-        std::uint64_t renewalCount;
+        std::optional<registration_version> last; // the last one known, unless the target was not known
         instant at;
-        bool wasKnown; // startedAt and renewalCount are valid
         bool mayReturn; // the registration may have expired in an outage of the registry
         std::optional<target_entry> held; // registered again, used after unknownRemovalHold
     };
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -402,4 +402,33 @@
     EXPECT_EQ(chosen(), "");
 }
 
+// Guards against a target that is used after it has left, because the start that left had fewer renewals than an
+// earlier start that this node still knew.
+TEST_F(TargetTracker, LateRenewalOfARemovedLaterStartIsOutdated)
+{
+    auto earlier = entry("a");
+    earlier.renewalCount = 9;
+    tracker.put(earlier, now);
+    auto last = entry("a");
+    last.startedAt = 2;
+    last.renewalCount = 1;
+    tracker.remove(target_name("a"), now, last);
+    EXPECT_TRUE(tracker.isOutdated(last));
+    tracker.put(last, now);
+    EXPECT_EQ(chosen(), "");
+}
+
+// Guards against a removed target that is used again, since a node found a process of its name whose start it cannot
+// know.
+TEST_F(TargetTracker, ATargetFoundWithoutItsStartIsOlderThanItsRemoval)
+{
+    tracker.put(entry("a"), now);
+    tracker.remove(target_name("a"), now);
+    auto found = entry("a");
+    found.startedAt = 0;
+    EXPECT_TRUE(tracker.isOutdated(found));
+    tracker.put(found, now);
+    EXPECT_EQ(chosen(), "");
+}
+
 } // namespace
