Suspend a target whose registration another writer overwrote

Cause: an entry that cannot be decoded counted as a removal. The true target's renewals then had to pass the three that a removed target may have sent before, so it was out of service for four heartbeats, and other nodes took its connections for those of a crashed target.

Change: such a target gets no new requests until its next renewal, which is passed on to all nodes; what it said before, draining too, still holds. In a whole table it is no removal.

Tests: with the former handling (remove() in recordOverwritten()), AnOverwrittenRegistrationSuspendsTheTargetUntilItsNextRenewal fails at routing/test/target_tracker.cpp:443, 449 and 451, and AnOverwrittenRegistrationInAWholeTableIsNoRemoval at 477.

--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -39,7 +39,7 @@
     if (isOutdated(entry))
         return false;
     const auto found = m_targets.find(entry.name);
-    if (found == m_targets.end() || found->second.expiresAt)
+    if (found == m_targets.end() || found->second.expiresAt || found->second.isOverwritten)
         return true;
     const auto& known = found->second.entry;
     const bool wasUnregistered = !known.renewalCount && entry.renewalCount; // found without the registry
@@ -109,6 +109,7 @@
     const bool drains = target.entry.draining && target.entry.startedAt == entry.startedAt;
     target.entry = entry;
     target.entry.draining = entry.draining || drains;
+    target.isOverwritten = false;
     target.expiresAt.reset();
 }
 
@@ -158,16 +159,26 @@
     }
 }
 
+void target_tracker::recordOverwritten(const target_name& target)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.isOverwritten = true;
+}
+
 void target_tracker::registryRecovered(instant now)
 {
     m_registryRecoveredAt = now;
 }
 
-void target_tracker::replaceAll(const std::vector<target_entry>& entries, instant now)
+void target_tracker::replaceAll(
+    const std::vector<target_entry>& entries, instant now, const std::vector<target_name>& overwritten)
 {
     if (isInGrace(now))
         recordForgottenRemovals(entries);
-    std::set<target_name> present;
+    std::set<target_name> present(overwritten.begin(), overwritten.end());
+    for (const auto& name : overwritten)
+        recordOverwritten(name);
     for (const auto& entry : entries) {
         present.insert(entry.name);
         put(entry, now);
@@ -267,7 +278,7 @@
 
 bool target_tracker::isInService(const state& target, instant now)
 {
-    return !target.entry.draining && !target.hasShutdownNotice && !target.replaced
+    return !target.entry.draining && !target.hasShutdownNotice && !target.replaced && !target.isOverwritten
         && (!target.expiresAt || now < *target.expiresAt);
 }
 
@@ -363,7 +374,8 @@
 {
     const auto found = m_targets.find(target);
     if (found != m_targets.end()
-        && (found->second.entry.draining || found->second.hasShutdownNotice || found->second.replaced))
+        && (found->second.entry.draining || found->second.hasShutdownNotice || found->second.replaced
+            || found->second.isOverwritten))
         return true;
     if (found != m_targets.end() && !found->second.expiresAt)
         return false;
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -113,13 +113,19 @@
     /// \param last the last registration that another node knew, if any
     void remove(const target_name& target, instant now, const std::optional<target_entry>& last = {});
 
+    /// Records that another writer's entry, which names no target, stands in place of the registration of \p target.
+    /// The target gets no new requests until its next renewal.
+    void recordOverwritten(const target_name& target);
+
     /// Records that the registry has recovered from an outage.
     void registryRecovered(instant now);
 
     /// Replaces all registrations by \p entries, as after a complete read of the registry. Within the grace after a
     /// recovery of the registry, the entry of a target that was removed before is outdated: the registry may have been
     /// restored from a copy that is older than the removal.
-    void replaceAll(const std::vector<target_entry>& entries, instant now);
+    /// \param overwritten targets whose registrations are overwritten, as for recordOverwritten()
+    void replaceAll(
+        const std::vector<target_entry>& entries, instant now, const std::vector<target_name>& overwritten = {});
 
     void attemptStarted(const target_name& target, instant now);
     void attemptEnded(const target_name& target);
@@ -158,7 +164,8 @@
     bool takesRequests(const target_name& target, instant now) const;
 
     /// \return whether \p target ends as planned: it drains, has announced its shutdown, or was removed a while ago. A
-    /// target that leaves without notice still serves for a while after its removal.
+    /// target that leaves without notice still serves for a while after its removal. Neither is one whose registration
+    /// is overwritten taken for crashed.
     bool leavesAsPlanned(const target_name& target, instant now) const;
 
     /// \return whether \p target has requested a pause that covers \p now
@@ -196,6 +203,7 @@
         instant pausedUntil; // requested in a response
         instant limitedUntil; // no permit is available
         std::chrono::milliseconds limitSpread { 0 };
+        bool isOverwritten = false; // another writer's entry stands in place of the registration
         std::optional<instant> expiresAt; // removed from the registry but kept until this time
     };
 
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -431,4 +431,50 @@
     EXPECT_EQ(chosen(), "");
 }
 
+// Guards against a target that is in service while another writer's entry stands in place of its registration, and
+// against one that is out of service for several renewals after that.
+TEST_F(TargetTracker, AnOverwrittenRegistrationSuspendsTheTargetUntilItsNextRenewal)
+{
+    auto known = entry("a");
+    known.renewalCount = 7;
+    tracker.put(known, now);
+    tracker.recordOverwritten(target_name("a"));
+    EXPECT_EQ(chosen(), "");
+    EXPECT_TRUE(tracker.leavesAsPlanned(target_name("a"), now)) << "no sign of a crash";
+    auto late = known;
+    late.renewalCount = 6;
+    tracker.put(late, now);
+    EXPECT_EQ(chosen(), "") << "written before the other entry";
+    known.renewalCount = 8;
+    EXPECT_TRUE(tracker.isUpdate(known)) << "other nodes have suspended the target, too";
+    tracker.put(known, now);
+    EXPECT_EQ(chosen(), "a");
+    known.renewalCount = 9;
+    EXPECT_FALSE(tracker.isUpdate(known));
+}
+
+TEST_F(TargetTracker, AnOverwrittenRegistrationEndsNoDraining)
+{
+    auto known = entry("a");
+    known.draining = true;
+    tracker.put(known, now);
+    tracker.replaceAll({}, now, { target_name("a") });
+    known.draining = false;
+    known.renewalCount = 1;
+    tracker.put(known, now);
+    EXPECT_EQ(chosen(), "");
+}
+
+// Guards against a suspended target that a complete read of the registry takes for a removed one.
+TEST_F(TargetTracker, AnOverwrittenRegistrationInAWholeTableIsNoRemoval)
+{
+    tracker.put(entry("a"), now);
+    tracker.replaceAll({}, now, { target_name("a") });
+    EXPECT_EQ(chosen(), "");
+    auto renewed = entry("a");
+    renewed.renewalCount = 1;
+    tracker.put(renewed, now);
+    EXPECT_EQ(chosen(), "a");
+}
+
 } // namespace
