Give an address one owner that the next renewal confirms

Cause: an entry at a known target's address with a later start marked that target as replaced, and its own renewals did not take that back. An entry under its name with another service moved it there. Of two targets with one address both were used when the later start was read first.

Change: routing/address_claims keeps the targets that name an address. The one renewed last owns it, at first the one that started last; others are not used. An entry that moves a target or an address to another service is used from its own next renewal on, unless the known target renews before. Renewals at a contested address go to all nodes, and whole tables are applied in the order of starts.

--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace oriolepick {
@@ -39,9 +40,11 @@
     if (isOutdated(entry))
         return false;
     const auto found = m_targets.find(entry.name);
-    if (found == m_targets.end() || found->second.expiresAt || found->second.isOverwritten)
+    if (found == m_targets.end() || found->second.expiresAt || found->second.isOverwritten || found->second.isDisplaced)
         return true;
     const auto& known = found->second.entry;
+    if (entry.version().renews(known.version()) && m_claims.isContested(known.address))
+        return true;
     const bool wasUnregistered = !known.renewalCount && entry.renewalCount; // found without the registry
     return wasUnregistered || known.service != entry.service || known.address != entry.address
         || known.zone != entry.zone || known.slots != entry.slots || (entry.draining && !known.draining)
@@ -83,22 +86,109 @@
         put(entry, now);
 }
 
-void target_tracker::put(const target_entry& entry, instant now)
+// Returns whether the entry moves its target, or the address of another target, to another service. A target keeps its
+// service, and its address from start to end.
+bool target_tracker::contradicts(const target_entry& entry) const
+{
+    const auto found = m_targets.find(entry.name);
+    if (found != m_targets.end() && !found->second.expiresAt) {
+        const auto& known = found->second.entry;
+        const bool isSameStart = known.startedAt == entry.startedAt;
+        if (known.service != entry.service || (isSameStart && known.address != entry.address))
+            return true;
+        if (isSameStart)
+            return false;
+    }
+    const auto* owner = m_claims.ownerOf(entry.address);
+    return owner && *owner != entry.name && ownsAddress(*owner)
+        && m_targets.find(*owner)->second.entry.service != entry.service;
+}
+
+// Returns whether the entry is not used yet: it contradicts what is known, and was not renewed since it was first seen.
+bool target_tracker::holdUnconfirmed(const target_entry& entry)
+{
+    const auto earlier = m_unconfirmed.find(entry.name);
+    const bool isConfirmed = earlier != m_unconfirmed.end() && !earlier->second.isRefuted
+        && earlier->second.entry.service == entry.service && earlier->second.entry.address == entry.address
+        && entry.version().renews(earlier->second.entry.version());
+    const bool isHeld = contradicts(entry) && !isConfirmed;
+    dropUnconfirmed(entry.name);
+    if (!isHeld)
+        return false;
+    recordOverwritten(entry.name);
+    m_claims.add(entry.address, entry.name);
+    m_unconfirmed[entry.name] = { entry };
+    return true;
+}
+
+void target_tracker::dropUnconfirmed(const target_name& target)
 {
-    if (isOutdated(entry) || holdBack(entry, now))
+    const auto unconfirmed = m_unconfirmed.extract(target);
+    if (!unconfirmed)
         return;
-    auto& atAddress = m_newestByAddress[entry.address];
-    if (atAddress != entry.name) {
-        const auto other = m_targets.find(atAddress);
-        const bool isNewest = other == m_targets.end() || other->second.entry.startedAt <= entry.startedAt;
-        if (isNewest && other != m_targets.end() && other->second.entry.startedAt < entry.startedAt)
-            // The target ended without notice, and its own registration expires only later.
-            other->second.replaced = true;
-        if (isNewest)
-            atAddress = entry.name;
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end() || known->second.entry.address != unconfirmed.mapped().entry.address)
+        m_claims.remove(unconfirmed.mapped().entry.address, target);
+}
+
+void target_tracker::refuteOthers(const target_entry& renewed)
+{
+    for (const auto& other : m_claims.othersOf(renewed.address)) {
+        const auto unconfirmed = m_unconfirmed.find(other);
+        if (unconfirmed != m_unconfirmed.end())
+            unconfirmed->second.isRefuted = true;
     }
+}
+
+// Returns whether an owner of an address still holds it against others.
+bool target_tracker::ownsAddress(const target_name& target) const
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && !found->second.expiresAt && !found->second.replaced;
+}
+
+void target_tracker::settleOwner(const target_name& target, bool isRenewal)
+{
+    auto& claimant = m_targets[target];
+    const auto& address = claimant.entry.address;
+    m_claims.add(address, target);
+    if (claimant.replaced)
+        return;
+    const auto* owner = m_claims.ownerOf(address);
+    if (owner && *owner != target && ownsAddress(*owner)) {
+        auto& other = m_targets[*owner];
+        // Both may have ended without notice, and their registrations expire only later.
+        const bool takesOver = isRenewal
+            || std::tie(other.entry.startedAt, *owner) < std::tie(claimant.entry.startedAt, claimant.entry.name);
+        (takesOver ? other : claimant).isDisplaced = true;
+        if (!takesOver)
+            return;
+    }
+    claimant.isDisplaced = false;
+    m_claims.setOwner(address, target);
+}
+
+// Another process than the owner responds at the address.
+void target_tracker::passOnAddress(const target_entry& former)
+{
+    const auto* owner = m_claims.ownerOf(former.address);
+    if (!owner || *owner != former.name)
+        return;
+    for (const auto& other : m_claims.othersOf(former.address)) {
+        if (m_targets.count(other) && ownsAddress(other))
+            settleOwner(other, false);
+    }
+}
+
+void target_tracker::put(const target_entry& entry, instant now)
+{
+    if (isOutdated(entry) || holdBack(entry, now) || holdUnconfirmed(entry))
+        return;
     auto& target = m_targets[entry.name];
-    if (target.entry.startedAt != entry.startedAt || target.entry.address != entry.address) {
+    const bool isNewStart = target.entry.startedAt != entry.startedAt || target.entry.address != entry.address;
+    const bool isRenewal = !isNewStart && !target.expiresAt && entry.version().renews(target.entry.version());
+    if (isNewStart) {
+        m_claims.remove(target.entry.address, entry.name);
         target.consecutiveFaults = 0;
         target.backoffUntil = {};
         target.replaced = false;
@@ -111,6 +201,9 @@
     target.entry.draining = entry.draining || drains;
     target.isOverwritten = false;
     target.expiresAt.reset();
+    settleOwner(entry.name, isRenewal);
+    if (isRenewal)
+        refuteOthers(entry);
 }
 
 void target_tracker::remove(const target_name& target, instant now, const std::optional<target_entry>& last)
@@ -122,6 +215,7 @@
         newest = std::max(newest, std::make_optional(found->second.entry.version()));
     auto& removal = m_removals.try_emplace(target, removal_record { {}, now, false, {} }).first->second;
     removal.held.reset();
+    dropUnconfirmed(target);
     if (newest > removal.last)
         removal = { newest, now, inGrace, {} };
     if (found == m_targets.end())
@@ -130,6 +224,8 @@
         erase(found);
         return;
     }
+    if (!inGrace)
+        m_claims.remove(found->second.entry.address, target);
     found->second.expiresAt = inGrace ? *m_registryRecoveredAt + m_settings.expiryGrace : now;
 }
 
@@ -179,9 +275,16 @@
     std::set<target_name> present(overwritten.begin(), overwritten.end());
     for (const auto& name : overwritten)
         recordOverwritten(name);
-    for (const auto& entry : entries) {
-        present.insert(entry.name);
-        put(entry, now);
+    // In one order at all nodes: of two targets with one address, the earlier one is known first.
+    std::vector<const target_entry*> ordered;
+    for (const auto& entry : entries)
+        ordered.push_back(&entry);
+    std::sort(ordered.begin(), ordered.end(), [](const auto* left, const auto* right) {
+        return std::tie(left->startedAt, left->name) < std::tie(right->startedAt, right->name);
+    });
+    for (const auto* entry : ordered) {
+        present.insert(entry->name);
+        put(*entry, now);
     }
     for (auto& [name, removal] : m_removals) {
         if (!present.count(name))
@@ -192,6 +295,10 @@
         if (!present.count(name) && !target.expiresAt)
             missing.push_back(name);
     }
+    for (const auto& [name, unconfirmed] : m_unconfirmed) {
+        if (!present.count(name))
+            missing.push_back(name);
+    }
     for (const auto& name : missing)
         remove(name, now);
 }
@@ -246,6 +353,7 @@
     auto& state = found->second;
     if (fault == target_fault::AddressReused) {
         state.replaced = true;
+        passOnAddress(state.entry);
         return;
     }
     if (fault == target_fault::AtCapacity) {
@@ -278,8 +386,8 @@
 
 bool target_tracker::isInService(const state& target, instant now)
 {
-    return !target.entry.draining && !target.hasShutdownNotice && !target.replaced && !target.isOverwritten
-        && (!target.expiresAt || now < *target.expiresAt);
+    return !target.entry.draining && !target.hasShutdownNotice && !target.replaced && !target.isDisplaced
+        && !target.isOverwritten && (!target.expiresAt || now < *target.expiresAt);
 }
 
 bool target_tracker::isUsable(const state& target, instant now)
@@ -294,9 +402,7 @@
 
 target_tracker::target_map::iterator target_tracker::erase(target_map::iterator target)
 {
-    const auto newest = m_newestByAddress.find(target->second.entry.address);
-    if (newest != m_newestByAddress.end() && newest->second == target->first)
-        m_newestByAddress.erase(newest);
+    m_claims.remove(target->second.entry.address, target->first);
     return m_targets.erase(target);
 }
 
@@ -375,7 +481,7 @@
     const auto found = m_targets.find(target);
     if (found != m_targets.end()
         && (found->second.entry.draining || found->second.hasShutdownNotice || found->second.replaced
-            || found->second.isOverwritten))
+            || found->second.isDisplaced || found->second.isOverwritten))
         return true;
     if (found != m_targets.end() && !found->second.expiresAt)
         return false;
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -4,11 +4,10 @@
 
 #include "core/instant.h"
 #include "core/names.h"
+#include "routing/address_claims.h"
 #include "routing/registration_version.h"
 #include "routing/routing_names.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -106,6 +105,11 @@
 
     /// Adds or renews a registration. An outdated one is ignored, and a draining target remains draining until its
     /// removal, because renewals may reach the registry late.
+    ///
+    /// Of several targets with one address, one is used: the last one that was renewed, at first the one that started
+    /// last. An entry may be another writer's, which renews nothing. So an entry that names another service than is
+    /// known of its target, or of the target at its address, is used from its own next renewal on; until then a known
+    /// target of this name gets no requests, and its next renewal ends that.
     void put(const target_entry& entry, instant now);
 
     /// Removes a registration. Within the grace after the recovery of the registry, the target is kept until the
@@ -198,7 +202,8 @@
         std::deque<instant> recentStarts; // start times of the last attempts, oldest first
         std::uint32_t consecutiveFaults = 0;
         instant backoffUntil;
-        bool replaced = false; // another target uses the address; not used until a new incarnation registers
+        bool replaced = false; // another process responds at the address; not used until a new incarnation registers
+        bool isDisplaced = false; // another target owns the address; not used until the next renewal
         bool hasShutdownNotice = false; // announced in a response; the registry may report the shutdown later or never
         instant pausedUntil; // requested in a response
         instant limitedUntil; // no permit is available
@@ -207,6 +212,12 @@
         std::optional<instant> expiresAt; // removed from the registry but kept until this time
     };
 
+    /// An entry that is not used yet, because it contradicts what is known.
+    struct unconfirmed_entry {
+        target_entry entry;
+        bool isRefuted = false; // the known target was renewed since
+    };
+
     using target_map = std::map<target_name, state>; // ordered, so that decisions do not depend on the hash order
 
     target_map::iterator erase(target_map::iterator target);
@@ -227,6 +238,13 @@
     };
 
     bool holdBack(const target_entry& entry, instant now);
+    bool contradicts(const target_entry& entry) const;
+    bool holdUnconfirmed(const target_entry& entry);
+    void dropUnconfirmed(const target_name& target);
+    void refuteOthers(const target_entry& renewed);
+    bool ownsAddress(const target_name& target) const;
+    void settleOwner(const target_name& target, bool isRenewal);
+    void passOnAddress(const target_entry& former);
     bool isInGrace(instant now) const;
     bool wasRemovedForGood(const target_name& target) const;
     void recordForgottenRemovals(const std::vector<target_entry>& entries);
@@ -234,7 +252,8 @@
 
     std::map<target_name, removal_record> m_removals;
     target_map m_targets;
-    absl::flat_hash_map<std::string, target_name> m_newestByAddress; // newest target by address
+    std::map<target_name, unconfirmed_entry> m_unconfirmed;
+    address_claims m_claims;
     std::optional<instant> m_registryRecoveredAt;
 };
 
