--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -4,10 +4,10 @@
 
 #include "core/instant.h"
 #include "core/names.h"
+#include "routing/address_claims.h"
+#include "routing/registration_version.h"
 #include "routing/routing_names.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -29,6 +29,9 @@
     bool draining = false; ///< the target accepts no new requests
     std::uint64_t startedAt = 0; ///< start of this incarnation in Unix milliseconds, 0 if not reported
     std::uint64_t renewalCount = 0; ///< increases with each renewal of the registration within one incarnation
+
+    /// \return the place of this registration among those of the target
+    registration_version version() const { return { startedAt, renewalCount }; }
 };
 
 /// Thresholds of target_tracker.
@@ -103,6 +106,11 @@
 
     /// Adds or renews a registration. An outdated one is ignored, and a draining target remains draining until its
     /// removal, because renewals may reach the registry late.
+    ///
+    /// Of several targets with one address, one is used: the last one that was renewed, at first the one that started
+    /// last. An entry may be another writer's, which renews nothing. So an entry that names another service than is
+    /// known of its target, or of the target at its address, is used from its own next renewal on; until then a known
+    /// target of this name gets no requests, and its next renewal ends that.
     void put(const target_entry& entry, instant now);
 
     /// Removes a registration. Within the grace after the recovery of the registry, the target is kept until the
@@ -110,13 +118,19 @@
     /// \param last the last registration that another node knew, if any
     void remove(const target_name& target, instant now, const std::optional<target_entry>& last = {});
 
+    /// Records that another writer's entry, which names no target, stands in place of the registration of \p target.
+    /// The target gets no new requests until its next renewal.
+    void recordOverwritten(const target_name& target);
+
     /// Records that the registry has recovered from an outage.
     void registryRecovered(instant now);
 
     /// Replaces all registrations by \p entries, as after a complete read of the registry. Within the grace after a
     /// recovery of the registry, the entry of a target that was removed before is outdated: the registry may have been
     /// restored from a copy that is older than the removal.
-    void replaceAll(const std::vector<target_entry>& entries, instant now);
+    /// \param overwritten targets whose registrations are overwritten, as for recordOverwritten()
+    void replaceAll(
+        const std::vector<target_entry>& entries, instant now, const std::vector<target_name>& overwritten = {});
 
     void attemptStarted(const target_name& target, instant now);
     void attemptEnded(const target_name& target);
@@ -155,7 +169,8 @@
     bool takesRequests(const target_name& target, instant now) const;
 
     /// \return whether \p target ends as planned: it drains, has announced its shutdown, or was removed a while ago. A
-    /// target that leaves without notice still serves for a while after its removal.
+    /// target that leaves without notice still serves for a while after its removal. Neither is one whose registration
+    /// is overwritten taken for crashed.
     bool leavesAsPlanned(const target_name& target, instant now) const;
 
     /// \return whether \p target has requested a pause that covers \p now
@@ -188,14 +203,22 @@
         std::deque<instant> recentStarts; // start times of the last attempts, oldest first
         std::uint32_t consecutiveFaults = 0;
         instant backoffUntil;
-        bool replaced = false; // another target uses the address; not used until a new incarnation registers
+        bool replaced = false; // another process responds at the address; not used until a new incarnation registers
+        bool isDisplaced = false; // another target owns the address; not used until the next renewal
         bool hasShutdownNotice = false; // announced in a response; the registry may report the shutdown later or never
         instant pausedUntil; // requested in a response
         instant limitedUntil; // no permit is available
         std::chrono::milliseconds limitSpread { 0 };
+        bool isOverwritten = false; // another writer's entry stands in place of the registration
         std::optional<instant> expiresAt; // removed from the registry but kept until this time
     };
 
+    /// An entry that is not used yet, because it contradicts what is known.
+    struct unconfirmed_entry {
+        target_entry entry;
+        bool isRefuted = false; // the known target was renewed since
+    };
+
     using target_map = std::map<target_name, state>; // ordered, so that decisions do not depend on the hash order
 
     target_map::iterator erase(target_map::iterator target);
@@ -209,15 +232,20 @@
     seeded_random& m_random;
     /// Last known state of a removed target.
     struct removal_record {
-        std::uint64_t startedAt;
-        std::uint64_t renewalCount;
+        std::optional<registration_version> last; // the last one known, unless the target was not known
         instant at;
-        bool wasKnown; // startedAt and renewalCount are valid
         bool mayReturn; // the registration may have expired in an outage of the registry
         std::optional<target_entry> held; // registered again, used after unknownRemovalHold
     };
 
     bool holdBack(const target_entry& entry, instant now);
+    bool contradicts(const target_entry& entry) const;
+    bool holdUnconfirmed(const target_entry& entry);
+    void dropUnconfirmed(const target_name& target);
+    void refuteOthers(const target_entry& renewed);
+    bool ownsAddress(const target_name& target) const;
+    void settleOwner(const target_name& target, bool isRenewal);
+    void passOnAddress(const target_entry& former);
     bool isInGrace(instant now) const;
     bool wasRemovedForGood(const target_name& target) const;
     void recordForgottenRemovals(const std::vector<target_entry>& entries);
@@ -225,7 +253,8 @@
 
     std::map<target_name, removal_record> m_removals;
     target_map m_targets;
-    absl::flat_hash_map<std::string, target_name> m_newestByAddress; // newest target by address
+    std::map<target_name, unconfirmed_entry> m_unconfirmed;
+    address_claims m_claims;
     std::optional<instant> m_registryRecoveredAt;
 };
 
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -402,4 +402,79 @@
     EXPECT_EQ(chosen(), "");
 }
 
+// Guards against a target that is used after it has left, because the start that left had fewer renewals than an
+// earlier start that this node still knew.
+TEST_F(TargetTracker, LateRenewalOfARemovedLaterStartIsOutdated)
+{
+    auto earlier = entry("a");
+    earlier.renewalCount = 9;
+    tracker.put(earlier, now);
+    auto last = entry("a");
+    last.startedAt = 2;
+    last.renewalCount = 1;
+    tracker.remove(target_name("a"), now, last);
+    EXPECT_TRUE(tracker.isOutdated(last));
+    tracker.put(last, now);
+    EXPECT_EQ(chosen(), "");
+}
+
+// Guards against a removed target that is used again, since a node found a process of its name whose start it cannot
+// know.
+TEST_F(TargetTracker, ATargetFoundWithoutItsStartIsOlderThanItsRemoval)
+{
+    tracker.put(entry("a"), now);
+    tracker.remove(target_name("a"), now);
+    auto found = entry("a");
+    found.startedAt = 0;
+    EXPECT_TRUE(tracker.isOutdated(found));
+    tracker.put(found, now);
+    EXPECT_EQ(chosen(), "");
+}
+
+// Guards against a target that is in service while another writer's entry stands in place of its registration, and
+// against one that is out of service for several renewals after that.
+TEST_F(TargetTracker, AnOverwrittenRegistrationSuspendsTheTargetUntilItsNextRenewal)
+{
+    auto known = entry("a");
+    known.renewalCount = 7;
+    tracker.put(known, now);
+    tracker.recordOverwritten(target_name("a"));
+    EXPECT_EQ(chosen(), "");
+    EXPECT_TRUE(tracker.leavesAsPlanned(target_name("a"), now)) << "no sign of a crash";
+    auto late = known;
+    late.renewalCount = 6;
+    tracker.put(late, now);
+    EXPECT_EQ(chosen(), "") << "written before the other entry";
+    known.renewalCount = 8;
+    EXPECT_TRUE(tracker.isUpdate(known)) << "other nodes have suspended the target, too";
+    tracker.put(known, now);
+    EXPECT_EQ(chosen(), "a");
+    known.renewalCount = 9;
+    EXPECT_FALSE(tracker.isUpdate(known));
+}
+
+TEST_F(TargetTracker, AnOverwrittenRegistrationEndsNoDraining)
+{
+    auto known = entry("a");
+    known.draining = true;
+    tracker.put(known, now);
+    tracker.replaceAll({}, now, { target_name("a") });
+    known.draining = false;
+    known.renewalCount = 1;
+    tracker.put(known, now);
+    EXPECT_EQ(chosen(), "");
+}
+
+// Guards against a suspended target that a complete read of the registry takes for a removed one.
+TEST_F(TargetTracker, AnOverwrittenRegistrationInAWholeTableIsNoRemoval)
+{
+    tracker.put(entry("a"), now);
+    tracker.replaceAll({}, now, { target_name("a") });
+    EXPECT_EQ(chosen(), "");
+    auto renewed = entry("a");
+    renewed.renewalCount = 1;
+    tracker.put(renewed, now);
+    EXPECT_EQ(chosen(), "a");
+}
+
 } // namespace
