Handle what has come in before a session judges its targets late

generation_session::wait judged its timer after one event while others were queued, and at once after the node had been held up, before its reading threads got round to their connections. Events counted from the time at which they were handled, so that a response that had come in before the deadline was dropped after it.

Events are handled with the time at which they came in.

--- a/node/attempt_reader_thread.h
+++ b/node/attempt_reader_thread.h
@@ -41,6 +41,9 @@
     /// Ends the read; no event follows once the thread has noticed.
     void abort() { m_abort.abort(); }
 
+    /// \return whether the engine has sent something that is not read yet
+    bool hasPendingInput() const { return m_abort.hasPendingInput(); }
+
 private:
     call_abort m_abort;
     std::thread m_thread;
--- a/node/event_channel.h
+++ b/node/event_channel.h
@@ -12,6 +12,12 @@
 
 namespace oriolepick {
 
+/// An event and the time at which it came in.
+struct arrived_event {
+    generation_event event;
+    instant arrived;
+};
+
 /// Many writers, one reader. Thread-safe.
 class event_channel {
 public:
@@ -19,13 +25,13 @@
     {
         {
             std::lock_guard<std::mutex> lock(m_mutex);
-            m_events.push_back(std::move(event));
+            m_events.push_back({ std::move(event), std::chrono::steady_clock::now() });
         }
         m_changed.notify_one();
     }
 
     /// \return the next event, or nothing when none came until \p limit
-    std::optional<generation_event> pop(instant limit)
+    std::optional<arrived_event> pop(instant limit)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
         if (!m_changed.wait_until(lock, limit, [this] { return !m_events.empty(); }))
@@ -35,10 +41,16 @@
         return event;
     }
 
+    bool empty() const
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        return m_events.empty();
+    }
+
 private:
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::deque<generation_event> m_events;
+    std::deque<arrived_event> m_events;
 };
 
 } // namespace oriolepick
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -75,7 +75,8 @@
 {
     trace("admitted deployment=" + m_request.deployment.text()
         + " version=" + m_request.generation.model.version.value());
-    execute(m_generation.start(clockNow()));
+    m_handledUntil = clockNow();
+    execute(m_generation.start(m_handledUntil));
 }
 
 void generation_session::wait(instant limit)
@@ -83,24 +84,38 @@
     while (!ended() && m_tokens.empty()) {
         auto until = std::min(limit, clockNow() + StopCheckPeriod);
         if (m_timer)
-            until = std::min(until, *m_timer);
+            until = std::min(until, m_timer->due());
         if (m_disconnected)
             until = std::min(until, *m_disconnected + ReconnectGrace);
-        if (const auto event = m_events->pop(until))
-            handle(*event);
+        if (const auto next = m_events->pop(until))
+            handle(next->event, next->arrived);
         const auto now = clockNow();
         observePlannedStop(now);
-        if (!ended() && m_timer && now >= *m_timer) {
-            m_timer.reset();
-            execute(m_generation.handle(timer_fired {}, now));
-        }
+        checkTimer(now);
         if (!ended() && m_disconnected && now >= *m_disconnected + ReconnectGrace)
-            handle(caller_gone {});
+            handle(caller_gone {}, now);
         if (now >= limit)
             return;
     }
 }
 
+// What has come in, or waits to be read, goes before a judgement about a target that this node made late.
+void generation_session::checkTimer(instant now)
+{
+    if (ended() || !m_timer || !m_timer->isUnresponsive(now, hasPendingInput()))
+        return;
+    m_timer.reset();
+    m_handledUntil = std::max(m_handledUntil, now);
+    execute(m_generation.handle(timer_fired {}, m_handledUntil));
+}
+
+bool generation_session::hasPendingInput() const
+{
+    return !m_events->empty() || std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& entry) {
+        return entry.second.reader && entry.second.reader->hasPendingInput();
+    });
+}
+
 void generation_session::observePlannedStop(instant now)
 {
     const auto end = m_services.status.workEndsAt.load();
@@ -108,7 +123,8 @@
         return;
     m_draining = true;
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - now);
-    execute(m_generation.handle(drain_requested { std::max(left, std::chrono::milliseconds(1)) }, now));
+    m_handledUntil = std::max(m_handledUntil, now);
+    execute(m_generation.handle(drain_requested { std::max(left, std::chrono::milliseconds(1)) }, m_handledUntil));
 }
 
 void generation_session::callerDisconnected()
@@ -127,9 +143,10 @@
     return tokens;
 }
 
-void generation_session::handle(const generation_event& event)
+void generation_session::handle(const generation_event& event, instant arrived)
 {
-    const auto now = clockNow();
+    m_handledUntil = std::max(m_handledUntil, arrived);
+    const auto now = m_handledUntil;
     if (const auto* arrived = std::get_if<token_arrived>(&event)) {
         auto& running = m_attempts[arrived->attempt];
         if (!running.started && running.counted) {
@@ -345,7 +362,8 @@
 
 void generation_session::run(const set_timer& action)
 {
-    m_timer = action.at;
+    const auto now = clockNow();
+    m_timer.emplace(std::chrono::ceil<std::chrono::milliseconds>(action.at - now), now);
 }
 
 void generation_session::run(const report_crash& action)
--- a/node/generation_session.h
+++ b/node/generation_session.h
@@ -5,6 +5,7 @@
 
 #include "core/generation.h"
 #include "core/placement.h"
+#include "core/response_wait.h"
 #include "node/attempt_reader_thread.h"
 #include "node/crash_guard.h"
 #include "node/request_permit.h"
@@ -112,7 +113,9 @@
         std::unique_ptr<attempt_reader_thread> reader;
     };
 
-    void handle(const generation_event& event);
+    void handle(const generation_event& event, instant arrived);
+    void checkTimer(instant now);
+    bool hasPendingInput() const;
     void execute(const generation_actions& actions);
     void run(const choose_target& action);
     void run(const start_attempt& action);
@@ -142,7 +145,8 @@
     generation m_generation;
     std::map<attempt_id, running_attempt> m_attempts;
     std::uint64_t m_readerEpoch;
-    std::optional<instant> m_timer;
+    std::optional<response_wait> m_timer;
+    instant m_handledUntil; ///< no event is handled as if it came before an earlier one
     std::optional<instant> m_disconnected;
     std::optional<instant> m_lastToken;
     bool m_draining = false; ///< the generation knows of the planned stop
--- a/targets/call_abort.cpp
+++ b/targets/call_abort.cpp
@@ -1,5 +1,6 @@
 #include "targets/call_abort.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace oriolepick {
@@ -18,6 +19,13 @@
     return m_aborted;
 }
 
+bool call_abort::hasPendingInput() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    pollfd polled { m_socket, POLLIN, 0 }; // poll() skips a negative descriptor
+    return ::poll(&polled, 1, 0) == 1 && (polled.revents & POLLIN);
+}
+
 void call_abort::watchSocket(int socket)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/targets/call_abort.h
+++ b/targets/call_abort.h
@@ -20,6 +20,9 @@
     /// \return whether abort() was called
     bool aborted() const;
 
+    /// \return whether the call has a connection with bytes or an end that are not read yet. Thread-safe.
+    bool hasPendingInput() const;
+
     /// Used by adapters: makes abort() shut down \p socket, also before and during its connect.
     void watchSocket(int socket);
 
