End a planned stop without waiting for callers that do not read

After the grace period, and the time for the answers to work that was ended, a stop still waited for threads that send to a caller who does not read: up to the write limit of 10 s after the caller's last read, again and again for one who reads slowly.

Once the edge stops, a write that the caller does not take fails within 100 ms. Requests whose answers can be written get them as before.

--- a/node/caller_stream.cpp
+++ b/node/caller_stream.cpp
@@ -18,6 +18,8 @@
     /// Callers that have an answer and its end close at once; others may not hold the thread.
     constexpr std::chrono::milliseconds MaxTimeOfUnreadInput { 500 };
 
+    constexpr std::chrono::milliseconds CutCheckPeriod { 100 };
+
     using address_query = int (*)(int, sockaddr*, socklen_t*);
 
     void describeEnd(int socket, address_query query, std::string& ip, int& port)
@@ -41,11 +43,12 @@
 
 } // namespace
 
-caller_stream::caller_stream(
-    byte_channel& channel, std::chrono::milliseconds readLimit, std::chrono::milliseconds writeLimit)
+caller_stream::caller_stream(byte_channel& channel, std::chrono::milliseconds readLimit,
+    std::chrono::milliseconds writeLimit, const std::atomic<bool>& cut)
     : m_channel(channel)
     , m_readLimit(readLimit)
     , m_writeLimit(writeLimit)
+    , m_cut(cut)
 {
 }
 
@@ -87,7 +90,7 @@
     char next = 0;
     if (::recv(socket(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) == 0)
         return false;
-    return waitForSocket(socket(), POLLOUT, m_writeLimit);
+    return waitForOutput(POLLOUT);
 }
 
 ssize_t caller_stream::read(char* target, std::size_t size)
@@ -123,11 +126,21 @@
         const auto outcome = m_channel.write(source, size);
         if (outcome.count > 0 || size == 0)
             return std::max<ssize_t>(outcome.count, 0);
-        if (!outcome.wanted || !waitForSocket(socket(), outcome.wanted, m_writeLimit))
+        if (!outcome.wanted || !waitForOutput(outcome.wanted))
             return -1;
     }
 }
 
+bool caller_stream::waitForOutput(short events) const
+{
+    const auto limit = std::chrono::steady_clock::now() + m_writeLimit;
+    while (!waitForSocket(socket(), events, CutCheckPeriod)) {
+        if (m_cut || std::chrono::steady_clock::now() >= limit)
+            return false;
+    }
+    return true;
+}
+
 void caller_stream::get_remote_ip_and_port(std::string& ip, int& port) const
 {
     describeEnd(socket(), &::getpeername, ip, port);
--- a/node/caller_stream.h
+++ b/node/caller_stream.h
@@ -5,6 +5,7 @@
 #include <httplib.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -22,7 +23,9 @@
 public:
     /// \param channel outlives the stream
     /// \param readLimit, writeLimit of each wait for the caller
-    caller_stream(byte_channel& channel, std::chrono::milliseconds readLimit, std::chrono::milliseconds writeLimit);
+    /// \param cut while it is true, output that the caller does not take fails at once; outlives the stream
+    caller_stream(byte_channel& channel, std::chrono::milliseconds readLimit, std::chrono::milliseconds writeLimit,
+        const std::atomic<bool>& cut);
 
     /// Waits until a request begins.
     /// \return false when the connection has ended or nothing came within \p limit
@@ -51,10 +54,12 @@
     ssize_t readUnlimited(char* target, std::size_t size);
     ssize_t receive(char* target, std::size_t size, std::chrono::milliseconds limit);
     bool hasUnreadInput() const;
+    bool waitForOutput(short events) const;
 
     byte_channel& m_channel;
     std::chrono::milliseconds m_readLimit;
     std::chrono::milliseconds m_writeLimit;
+    const std::atomic<bool>& m_cut;
     std::array<char, 4096> m_buffer {};
     std::string_view m_unread; ///< part of m_buffer
     std::uint64_t m_expected = 0; ///< bytes of a body that are not read yet
--- a/node/edge_server.cpp
+++ b/node/edge_server.cpp
@@ -42,7 +42,12 @@
     /// \tparam Base a server of the library
     template <typename Base> class connection_server : public Base {
     public:
-        using Base::Base;
+        template <typename... Arguments>
+        explicit connection_server(const std::atomic<bool>& cut, Arguments... arguments)
+            : Base(arguments...)
+            , m_cut(cut)
+        {
+        }
 
     protected:
         /// Serves the requests of one connection until it ends.
@@ -50,7 +55,7 @@
         bool serveRequests(byte_channel& channel, ssl_st* session)
         {
             caller_stream stream(channel, limitOf(this->read_timeout_sec_, this->read_timeout_usec_),
-                limitOf(this->write_timeout_sec_, this->write_timeout_usec_));
+                limitOf(this->write_timeout_sec_, this->write_timeout_usec_), m_cut);
             bool served = false;
             // A request that has arrived before a stop is answered.
             for (auto left = this->keep_alive_max_count_; left > 0 && stream.waitForRequest(idleLimit()); --left) {
@@ -95,9 +100,14 @@
                 stream.expectBody(0);
             return processed && bodyIsRead && !closed;
         }
+
+        const std::atomic<bool>& m_cut;
     };
 
     class plain_server final : public connection_server<httplib::Server> {
+    public:
+        using connection_server::connection_server;
+
     private:
         bool process_and_close_socket(socket_t socket) override
         {
@@ -130,11 +140,12 @@
 
 } // namespace
 
-std::unique_ptr<httplib::Server> makeEdgeServer(const std::string& certificate, const std::string& key)
+std::unique_ptr<httplib::Server> makeEdgeServer(
+    const std::string& certificate, const std::string& key, const std::atomic<bool>& cut)
 {
     if (certificate.empty())
-        return std::make_unique<plain_server>();
-    return std::make_unique<tls_server>(certificate.c_str(), key.c_str());
+        return std::make_unique<plain_server>(cut);
+    return std::make_unique<tls_server>(cut, certificate.c_str(), key.c_str());
 }
 
 } // namespace oriolepick
--- a/node/http_edge.cpp
+++ b/node/http_edge.cpp
@@ -100,7 +100,7 @@
 http_edge::http_edge(const settings& configuration, const edge_services& services)
     : m_settings(configuration)
     , m_services(services)
-    , m_server(makeEdgeServer(configuration.tlsCertificate, configuration.tlsKey))
+    , m_server(makeEdgeServer(configuration.tlsCertificate, configuration.tlsKey, m_cut))
 {
     const auto threads = static_cast<std::size_t>(configuration.callersThreads);
     m_server->new_task_queue = [threads] { return new bounded_task_queue(threads); };
@@ -142,6 +142,7 @@
 
 void http_edge::stop()
 {
+    m_cut = true;
     m_server->stop();
 }
 
--- a/node/http_edge.h
+++ b/node/http_edge.h
@@ -4,6 +4,7 @@
 
 #include "core/error.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -49,7 +50,8 @@
     /// Serves until stop(); blocks.
     void serve();
 
-    /// Ends serve(); connections that are being served are closed.
+    /// Ends serve(); requests that are being served get their answers, but nothing waits any longer for callers that do
+    /// not read them.
     void stop();
 
 private:
@@ -71,6 +73,7 @@
 
     const settings& m_settings;
     edge_services m_services;
+    std::atomic<bool> m_cut { false }; ///< callers that do not read are no longer waited for
     std::unique_ptr<httplib::Server> m_server;
     int m_socket = -1; ///< the listening socket, owned by the server
 };
--- a/node/test/pipelined_tls_requests.cpp
+++ b/node/test/pipelined_tls_requests.cpp
@@ -8,6 +8,7 @@
 #include <openssl/ssl.h>
 #include <openssl/x509.h>
 
+#include <atomic>
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -41,7 +42,8 @@
     const auto certificatePath = testing::TempDir() + "pipelined_tls_certificate.pem";
     const auto keyPath = testing::TempDir() + "pipelined_tls_key.pem";
     writeCertificate(certificatePath, keyPath);
-    const auto server = makeEdgeServer(certificatePath, keyPath);
+    const std::atomic<bool> cut { false };
+    const auto server = makeEdgeServer(certificatePath, keyPath, cut);
     ASSERT_TRUE(server->is_valid());
     server->set_keep_alive_timeout(1);
     server->Post("/echo", [](const httplib::Request& request, httplib::Response& response) {
--- a/node/test/slow_readers.cpp
+++ b/node/test/slow_readers.cpp
@@ -1,4 +1,5 @@
-// Guards against answers that a planned stop does not wait for: an answer counts as open until it has been sent.
+// Guards against answers that a planned stop does not wait for, since an answer counts as open until it has been sent,
+// and against a stop that waits without end for callers that do not read.
 #include "node/test/node_fixture.h"
 #include "node/test/tcp_handle.h"
 
@@ -79,3 +80,24 @@
     EXPECT_TRUE(finished);
     m_node.reset();
 }
+
+class silent_readers_test : public slow_readers_test {
+protected:
+    void configure(settings& changed) override
+    {
+        slow_readers_test::configure(changed);
+        changed.drainTimeout = 1000ms;
+    }
+};
+
+TEST_F(silent_readers_test, a_planned_stop_ends_soon_after_its_grace_period_when_callers_do_not_read)
+{
+    const auto caller = tcp_handle::connected(m_settings.callersListen);
+    ASSERT_TRUE(caller.write("GET /v1/services/booking/orders HTTP/1.1\r\nHost: node\r\n"
+                             "Authorization: Bearer bench\r\n\r\n"));
+    ASSERT_TRUE(caller.waitReadable());
+    const auto begun = std::chrono::steady_clock::now();
+    EXPECT_FALSE(m_node->drainAndStop());
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 8s) << "a write waits for a caller for 10 s";
+    m_node.reset();
+}
