Corroborate the silence of probed targets before backing off

Cause: a node whose link is full, or that was frozen, gets no response from several sound targets at once and backed off from each of them for 0.7 s and more; nothing corroborated such a finding. Merged probes counted as several consecutive faults.

Change: routing/absence_evidence decides. A silent target is absent once another target has responded to a probe of the same time, or after 100 ms, unless targets of several zones were silent together without any response. gateway/absence_detector drives it and records the fault. Targets that refuse or break the connection, or that were replaced, are handled as before. Streamed events are no evidence, since they keep arriving through a full link.

--- /dev/null
+++ b/gateway/absence_detector.cpp
@@ -0,0 +1,75 @@
+#include "gateway/absence_detector.h"
+
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
+
+namespace oriolepick {
+
+namespace {
+
+    /// Longer than the time limit of a poll, and short against the back-off.
+    constexpr std::chrono::milliseconds CorroborationWindow { 100 };
+
+} // namespace
+
+absence_detector::absence_detector(
+    target_tracker& targetTracker, timer_queue& timers, decision_log& log, gateway_metrics& metrics)
+    : m_targetTracker(targetTracker)
+    , m_timers(timers)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_evidence(CorroborationWindow)
+{
+}
+
+absence_detector::~absence_detector()
+{
+    m_timers.cancel(m_timer);
+}
+
+void absence_detector::recordResponse(const target_name& target, instant sentAt)
+{
+    m_evidence.recordResponse(target, sentAt, m_timers.now());
+    m_undecided.erase(target);
+    if (!m_undecided.empty())
+        decide();
+}
+
+void absence_detector::recordSilence(const silent_probe_report& silence)
+{
+    const auto& target = silence.target;
+    if (!m_undecided.try_emplace(target.name, silence).second)
+        return;
+    m_evidence.recordSilence({ target.name, target.zone, silence.sentAt, silence.due }, m_timers.now());
+    decide();
+}
+
+void absence_detector::decide()
+{
+    for (const auto& finding : m_evidence.takeFindings(m_timers.now())) {
+        if (const auto silence = m_undecided.extract(finding.target))
+            apply(silence.mapped(), finding.absent);
+    }
+    m_timers.cancel(m_timer);
+    if (m_undecided.empty())
+        return;
+    m_timer = m_timers.at(m_evidence.nextDue(), [this] {
+        m_timer = 0;
+        decide();
+    });
+}
+
+void absence_detector::apply(const silent_probe_report& silence, bool absent)
+{
+    const auto* current = m_targetTracker.find(silence.target.name);
+    if (!current || current->startedAt != silence.target.startedAt)
+        return; // the target was registered anew
+    m_metrics.count(absent ? "targets_absent" : "target_absences_unproven");
+    m_log.write(absent ? "target_absent" : "target_absence_unproven",
+        { { "attempt", silence.attempt }, { "target", silence.target.name.value() }, { "why", silence.problem },
+            { "node_delay_ms", std::to_string(m_timers.delay().count()) } });
+    if (absent)
+        m_targetTracker.recordFault(silence.target.name, target_fault::Unreachable, m_timers.now());
+}
+
+} // namespace oriolepick
--- /dev/null
+++ b/gateway/absence_detector.h
@@ -0,0 +1,54 @@
+/// \file
+/// Backs off from targets that do not respond to probes.
+#pragma once
+
+#include "core/instant.h"
+#include "gateway/timer_queue.h"
+#include "routing/absence_evidence.h"
+#include "routing/target_tracker.h"
+
+#include <map>
+#include <string>
+
+namespace oriolepick {
+
+class decision_log;
+class gateway_metrics;
+
+/// A probe without a response, with what the log says about it.
+struct silent_probe_report {
+    target_entry target; ///< as it was registered when the probe was sent
+    std::string attempt; ///< of the caller, empty if the probe belongs to none
+    std::string problem; ///< the failure in words
+    instant sentAt;
+    instant due; ///< end of the time limit
+};
+
+/// Drives absence_evidence for one node: targets that are found absent get a fault in the target tracker, those whose
+/// silence speaks against this node do not.
+class absence_detector {
+public:
+    /// All references outlive this object.
+    absence_detector(target_tracker& targetTracker, timer_queue& timers, decision_log& log, gateway_metrics& metrics);
+    ~absence_detector();
+
+    /// Records that \p target responded to a probe that was sent at \p sentAt.
+    void recordResponse(const target_name& target, instant sentAt);
+
+    /// Records a probe without a response. The decision follows at once or within a tenth of a second.
+    void recordSilence(const silent_probe_report& silence);
+
+private:
+    void decide();
+    void apply(const silent_probe_report& silence, bool absent);
+
+    target_tracker& m_targetTracker;
+    timer_queue& m_timers;
+    decision_log& m_log;
+    gateway_metrics& m_metrics;
+    absence_evidence m_evidence;
+    std::map<target_name, silent_probe_report> m_undecided;
+    timer_handle m_timer = 0;
+};
+
+} // namespace oriolepick
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -2,6 +2,7 @@
 /// Choice of an engine for a generation: the holder of its copy, or the best of a few engines that are polled for load.
 #include "gateway/exchange.h"
 
+#include "gateway/absence_detector.h"
 #include "gateway/admission_queue.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
@@ -193,6 +194,10 @@
 
 void exchange::recordFailedProbe(const target_entry& target, const target_prober::answer& answer)
 {
+    if (answer.isSilent()) {
+        m_parts.absences.recordSilence({ target, m_caller.attempt, answer.problem, answer.sentAt, answer.due });
+        return;
+    }
     const auto now = m_parts.timers.now();
     const auto* current = m_parts.targetTracker.find(target.name);
     if (!current || current->startedAt != target.startedAt)
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -10,6 +10,7 @@
 namespace oriolepick {
 
 class response_time_estimator;
+class absence_detector;
 class active_config;
 class run_copy_client;
 class crash_detector;
@@ -42,6 +43,7 @@
     target_tracker& targetTracker;
     target_permits& permits;
     target_prober& prober;
+    absence_detector& absences;
     target_notice_handler& notices;
     run_copy_client& copies;
     crash_detector& crashes;
--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -1,5 +1,6 @@
 #include "gateway/target_prober.h"
 
+#include "gateway/absence_detector.h"
 #include "gateway/request_dialect.h"
 #include "gateway/target_notice_handler.h"
 #include "gateway/target_permits.h"
@@ -19,7 +20,8 @@
 } // namespace
 
 target_prober::target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
-    const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices, memory_budget& memory)
+    const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices,
+    absence_detector& absences, memory_budget& memory)
     : m_loop(loop)
     , m_memory(memory)
     , m_timers(timers)
@@ -27,6 +29,7 @@
     , m_targetTracker(targetTracker)
     , m_permits(permits)
     , m_notices(notices)
+    , m_absences(absences)
 {
 }
 
@@ -34,7 +37,7 @@
 {
     if (m_targetTracker.isPaused(target.name, m_timers.now())) {
         boost::asio::post(m_loop, [done = std::move(done)] {
-            done({ true, false, std::nullopt, response_failure::None, {} });
+            done({ true, false, std::nullopt, response_failure::None, {}, {}, {} });
         });
         return;
     }
@@ -55,6 +58,8 @@
 void target_prober::sendProbe(const target_entry& target, std::chrono::milliseconds timeout)
 {
     auto& session = m_sessions[target.name];
+    session.sentAt = m_timers.now();
+    session.due = session.sentAt + timeout;
     session.client = std::make_shared<http_client>(m_loop, m_timers, target.address, MaxResponseBytes, &m_memory);
     session.client->send(m_dialect.writeProbe(target.name, target.address), timeout,
         [this, name = target.name](const http_client_response& response) { finish(name, response); });
@@ -76,12 +81,16 @@
     probeAnswer.alive = response.status != 0 && !probeAnswer.replaced;
     probeAnswer.failure = response.failure;
     probeAnswer.problem = probeAnswer.replaced ? "replaced" : response.problem;
+    probeAnswer.sentAt = session.sentAt;
+    probeAnswer.due = session.due;
+    if (!probeAnswer.isSilent() && !probeAnswer.failedHere())
+        m_absences.recordResponse(target, session.sentAt);
     callBack(session, probeAnswer);
 }
 
 void target_prober::finishUnprobed(const target_name& target)
 {
-    callBack(m_sessions.extract(target).mapped(), { true, false, std::nullopt, response_failure::None, {} });
+    callBack(m_sessions.extract(target).mapped(), { true, false, std::nullopt, response_failure::None, {}, {}, {} });
 }
 
 void target_prober::callBack(const session& session, const answer& answer)
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -18,6 +18,7 @@
 
 namespace oriolepick {
 
+class absence_detector;
 class memory_budget;
 class request_dialect;
 class target_notice_handler;
@@ -36,6 +37,8 @@
         std::optional<engine_report> report; ///< nothing when the response could not be decoded
         response_failure failure = response_failure::None; ///< why there was no response
         std::string problem; ///< the failure in words, for the log
+        instant sentAt; ///< when the probe was sent
+        instant due; ///< end of its time limit
 
         /// \return whether the process that was probed has ended: nothing listens there, or another target does
         bool isGone() const { return replaced || failure == response_failure::Refused; }
@@ -57,9 +60,10 @@
     /// \param targetTracker holds which targets have requested a pause and are not probed
     /// \param permits grants the probes of limited targets
     /// \param notices receives the notices in every response
+    /// \param absences receives the targets that responded
     target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
         const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices,
-        memory_budget& memory);
+        absence_detector& absences, memory_budget& memory);
 
     /// Probes \p target. A target that has requested a pause, or whose request limit is used up, is not probed and
     /// counts as alive.
@@ -72,6 +76,8 @@
         std::vector<callback> callbacks;
         std::uint64_t startedAt = 0; // start time of the probed target, to detect a restart at the same address
         std::string address;
+        instant sentAt;
+        instant due; // end of the time limit
     };
 
     void sendProbe(const target_entry& target, std::chrono::milliseconds timeout);
@@ -86,6 +92,7 @@
     const target_tracker& m_targetTracker;
     target_permits& m_permits;
     target_notice_handler& m_notices;
+    absence_detector& m_absences;
     std::map<target_name, session> m_sessions; // of the probes in progress
 };
 
--- /dev/null
+++ b/routing/absence_evidence.h
@@ -0,0 +1,78 @@
+/// \file
+/// Decides whether targets that did not respond to probes are absent, or whether this node could not reach anything.
+#pragma once
+
+#include "core/instant.h"
+#include "core/names.h"
+#include "routing/routing_names.h"
+
+#include <optional>
+#include <vector>
+
+namespace oriolepick {
+
+/// A probe to which a target did not respond in time.
+struct silent_probe {
+    target_name target;
+    availability_zone zone; ///< of the target
+    instant sentAt;
+    instant due; ///< end of the time limit
+};
+
+/// The result for one silent target.
+struct absence_finding {
+    target_name target;
+    bool absent = false; ///< false: the silence speaks against this node or its link
+};
+
+/// Corroborates the silence of targets. A silent target is absent
+/// - as soon as another target has responded, within the same time limit, to a probe sent no later than the end of the
+///   limit and answered after the silent probe was sent: the link of this node works;
+/// - when a window passes without such a response, unless targets in several zones are silent within it. Zones fail one
+///   at a time, so the link of this node is the more likely cause then.
+///
+/// Only responses to probes count: through a full link, events of streams keep arriving long after they were sent.
+/// Targets that fail in another way than by silence need no corroboration. Pure: the owner calls takeFindings() after
+/// each change and at nextDue(). Not synchronized.
+class absence_evidence {
+public:
+    /// \param window time after a silent probe for which a decision may wait; at least the time limit of the probes,
+    /// so that those sent just before its end can be answered
+    explicit absence_evidence(std::chrono::milliseconds window);
+
+    /// Records that \p target responded to a probe that was sent at \p sentAt. An undecided silence of this target is
+    /// forgotten.
+    void recordResponse(const target_name& target, instant sentAt, instant now);
+
+    /// Records that \p probe got no response. Ignored while an earlier silence of the target is undecided.
+    void recordSilence(const silent_probe& probe, instant now);
+
+    /// \return what was decided since the last call
+    std::vector<absence_finding> takeFindings(instant now);
+
+    /// \return when the next decision is due without further events; instant::max() without undecided silences
+    instant nextDue() const;
+
+private:
+    struct response {
+        target_name target;
+        instant sentAt;
+        instant receivedAt;
+    };
+    struct silence {
+        silent_probe probe;
+        instant recordedAt;
+        bool corroborated = false; // another target responded
+        bool decided = false; // kept to be compared with others
+    };
+
+    static bool corroborates(const response& response, const silent_probe& probe);
+    bool isInSeveralZones(const silence& silence) const;
+
+    std::chrono::milliseconds m_window;
+    std::vector<silence> m_silences;
+    std::optional<response> m_lastResponse;
+    std::optional<response> m_lastResponseOfOther; // of another target than m_lastResponse
+};
+
+} // namespace oriolepick
