Judge the silence of queried nodes after reading their datagrams

Cause: a query for the copy of a run ended after 30 ms although answers that had arrived in time waited in the datagram socket behind others, or the event loop was held up.

Change: run_handover judges its time limit by response_wait, with the pending input of the datagram socket. datagram_socket gains hasPendingInput().

--- a/gateway/datagram_socket.cpp
+++ b/gateway/datagram_socket.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <poll.h>
+
 namespace oriolepick {
 
 namespace asio = boost::asio;
@@ -35,6 +37,14 @@
     return !error;
 }
 
+bool datagram_socket::hasPendingInput()
+{
+    pollfd poll {};
+    poll.fd = m_socket.native_handle();
+    poll.events = POLLIN;
+    return ::poll(&poll, 1, 0) > 0;
+}
+
 void datagram_socket::receive()
 {
     m_socket.async_receive_from(
--- a/gateway/datagram_socket.h
+++ b/gateway/datagram_socket.h
@@ -29,6 +29,9 @@
     /// \return whether the kernel accepted the datagram
     bool send(const std::string& address, std::string_view bytes);
 
+    /// \return whether a datagram waits to be received. Costs a system call.
+    bool hasPendingInput();
+
 private:
     void receive();
     void receiveQueued();
--- a/gateway/run_handover.cpp
+++ b/gateway/run_handover.cpp
@@ -23,10 +23,11 @@
 
 } // namespace
 
-run_handover::run_handover(
-    const node_id& self, send_function send, timer_queue& timers, decision_log& log, gateway_metrics& metrics)
+run_handover::run_handover(const node_id& self, send_function send, std::function<bool()> isInputPending,
+    timer_queue& timers, decision_log& log, gateway_metrics& metrics)
     : m_self(self)
     , m_send(std::move(send))
+    , m_isInputPending(std::move(isInputPending))
     , m_timers(timers)
     , m_log(log)
     , m_metrics(metrics)
@@ -82,17 +83,29 @@
         return;
     }
     const auto number = ++m_lastQueryNumber;
-    auto& query = m_pendingQueries[number];
-    query.done = std::move(done);
-    query.pendingResponses = responsible.size();
-    query.timer = m_timers.at(m_timers.now() + QueryTimeout, [this, number] {
-        m_metrics.count("run_questions_unanswered");
-        completeQuery(number, std::nullopt);
-    });
+    m_pendingQueries.emplace(
+        number, pending_query { std::move(done), response_wait(QueryTimeout, m_timers.now()), responsible.size() });
+    armQueryTimer(number);
     for (const auto& node : responsible)
         m_send(node, run_question { requestHash, number });
 }
 
+void run_handover::armQueryTimer(std::uint64_t number)
+{
+    auto& query = m_pendingQueries.at(number);
+    query.timer = m_timers.at(query.wait.due(), [this, number] { onQueryTimer(number); });
+}
+
+void run_handover::onQueryTimer(std::uint64_t number)
+{
+    if (!m_pendingQueries.at(number).wait.isUnresponsive(m_timers.now(), m_isInputPending())) {
+        armQueryTimer(number);
+        return;
+    }
+    m_metrics.count("run_questions_unanswered");
+    completeQuery(number, std::nullopt);
+}
+
 void run_handover::completeQuery(std::uint64_t number, const std::optional<run_record>& record)
 {
     auto pending = m_pendingQueries.extract(number);
--- a/gateway/run_handover.h
+++ b/gateway/run_handover.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/names.h"
+#include "core/response_wait.h"
 #include "gateway/run_messages.h"
 #include "gateway/timer_queue.h"
 #include "routing/run_directory.h"
@@ -25,8 +26,9 @@
     using send_function = std::function<void(const node_id& to, const run_message& message)>;
     using find_callback = std::function<void(const std::optional<run_record>& record)>;
 
-    run_handover(
-        const node_id& self, send_function send, timer_queue& timers, decision_log& log, gateway_metrics& metrics);
+    /// \param isInputPending returns whether messages of other nodes wait to be read
+    run_handover(const node_id& self, send_function send, std::function<bool()> isInputPending, timer_queue& timers,
+        decision_log& log, gateway_metrics& metrics);
     ~run_handover();
 
     /// Sets the nodes that are considered alive, without this node.
@@ -51,11 +53,14 @@
 private:
     struct pending_query {
         find_callback done;
+        response_wait wait;
         std::size_t pendingResponses = 0;
         timer_handle timer = 0;
     };
 
     std::vector<node_id> responsibleNodesFor(const request_hash& requestHash, std::size_t count) const;
+    void armQueryTimer(std::uint64_t number);
+    void onQueryTimer(std::uint64_t number);
     void completeQuery(std::uint64_t number, const std::optional<run_record>& record);
     void onRunQuery(const node_id& from, const run_question& query);
     void onRunQueryResult(const run_answer& answer);
@@ -63,6 +68,7 @@
 
     node_id m_self;
     send_function m_send;
+    std::function<bool()> m_isInputPending;
     timer_queue& m_timers;
     decision_log& m_log;
     gateway_metrics& m_metrics;
--- a/gateway/test/run_handover.cpp
+++ b/gateway/test/run_handover.cpp
@@ -34,9 +34,13 @@
                     ++messages;
                     if (deadNodes.count(to))
                         return;
+                    if (to == slowReader) {
+                        queued.push_back([this, name, to, message] { nodes[to]->receive(name, message); });
+                        return;
+                    }
                     boost::asio::post(loop, [this, name, to, message] { nodes[to]->receive(name, message); });
                 },
-                timers, log, metrics);
+                [this] { return !queued.empty(); }, timers, log, metrics);
         }
         for (const auto& name : names) {
             std::vector<node_id> others;
@@ -69,6 +73,19 @@
 
     void deliverMessages() { loop.run_for(5ms); }
 
+    void runUntilRead()
+    {
+        while (slowReader)
+            loop.run_one_for(10ms);
+    }
+
+    void readQueued()
+    {
+        slowReader.reset();
+        for (const auto& message : std::exchange(queued, {}))
+            message();
+    }
+
     boost::asio::io_context loop;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { loop.get_executor() };
     timer_queue timers { loop };
@@ -78,6 +95,8 @@
     std::map<node_id, std::unique_ptr<run_handover>> nodes;
     std::set<node_id> deadNodes;
     int messages = 0;
+    std::optional<node_id> slowReader; // node whose socket the messages in queued wait in
+    std::vector<std::function<void()>> queued;
 };
 
 TEST_F(RunHandover, AnyNodeFindsTheRunOfADeadNode)
@@ -122,6 +141,22 @@
     EXPECT_FALSE(find(names[3], 7)) << "also when no node responds";
 }
 
+// A burst of datagrams: an answer arrives in time behind others, and is read late.
+TEST_F(RunHandover, AnAnswerThatWaitsInTheSocketIsNotLate)
+{
+    nodes[names[0]]->publish(record(1), {});
+    deliverMessages();
+    deadNodes = { names[0] };
+    for (const auto& name : names) {
+        if (deadNodes.count(name))
+            continue;
+        slowReader = name;
+        timers.at(timers.now() + 45ms, [this] { readQueued(); });
+        EXPECT_TRUE(find(name, 1)) << name;
+        runUntilRead();
+    }
+}
+
 TEST_F(RunHandover, FormerNodeOfTheRunIsNotifiedOnce)
 {
     int taken = 0;
