Judge the silence of limit owners after reading their datagrams

Cause: an owner counted as unresponsive for a second, and its deputy issued another permit, when its answer had arrived within 60 ms but waited in the datagram socket, or the event loop ran late. A grant that was read later than 60 ms was not used.

Change: target_limiter judges the answer of an owner by response_wait with the pending input of the datagram socket. A permit is valid for 0.2 s from its request, so the bound on requests becomes L * (t + 0.7 s) + 1. oriolepickd gets the rule for late checks only.

--- a/core/target_limiter.cpp
+++ b/core/target_limiter.cpp
@@ -146,17 +146,22 @@
     result.decision = permit_decision::Pending;
     result.number = ++m_lastNumber;
     const bool isDeputy = *owner != record.owners.front();
-    request(result.actions, result.number, { target, incarnation, *owner, {}, isDeputy }, record, now);
+    request(result.actions, result.number, makePending(target, incarnation, *owner, isDeputy, now), record, now);
     return result;
 }
 
+target_limiter::pending_permit target_limiter::makePending(
+    const limited_target& target, std::uint64_t incarnation, const node_id& owner, bool deputyAsked, instant now) const
+{
+    return { target, incarnation, owner, deputyAsked, now, response_wait(m_settings.answerTimeout, now) };
+}
+
 void target_limiter::request(
-    actions& out, std::uint64_t number, pending_permit pending, target_record& record, instant now)
+    actions& out, std::uint64_t number, const pending_permit& pending, target_record& record, instant now)
 {
     const permit_request body { number, statementOf(record, now), std::exchange(record.refused, 0) };
     out.push_back(send_target_limit_message { pending.owner, { pending.target, record.zone, body } });
-    pending.due = now + m_settings.answerTimeout;
-    m_pending[number] = std::move(pending);
+    m_pending.insert_or_assign(number, pending);
 }
 
 bool target_limiter::applyAnswer(target_record& record, const permit_answer& answer, instant now)
@@ -218,7 +223,7 @@
     const auto found = m_pending.find(answer.number);
     if (found == m_pending.end() || found->second.target != message.target || found->second.owner != from)
         return; // the answer came after the timeout
-    const bool expired = now > found->second.due; // the process was suspended
+    const bool expired = now > found->second.askedAt + m_settings.permitValidity; // the process was suspended
     m_pending.erase(found);
     m_unresponsiveUntil.erase(from);
     mergeStatement(out, message.target, message.zone, answer.known.limit, now - answer.known.age, true, now);
@@ -228,12 +233,12 @@
     out.push_back(permit_decided { answer.number, answer.granted && !expired });
 }
 
-target_limiter::actions target_limiter::tick(instant now)
+target_limiter::actions target_limiter::tick(instant now, bool inputPending)
 {
     actions out;
     std::vector<std::uint64_t> expired;
-    for (const auto& [number, pending] : m_pending) {
-        if (pending.due <= now)
+    for (auto& [number, pending] : m_pending) {
+        if (pending.wait.isUnresponsive(now, inputPending))
             expired.push_back(number);
     }
     for (const auto number : expired)
@@ -266,7 +271,7 @@
         out.push_back(permit_decided { number, applyAnswer(record, issue(record, now), now) });
         return;
     }
-    request(out, number, { pending.target, pending.incarnation, *deputy, {}, true }, record, now);
+    request(out, number, makePending(pending.target, pending.incarnation, *deputy, true, now), record, now);
 }
 
 void target_limiter::removeUnused(instant now)
@@ -289,7 +294,7 @@
 {
     auto due = std::min(m_removeAt, m_noticesDue);
     for (const auto& [number, pending] : m_pending)
-        due = std::min(due, pending.due);
+        due = std::min(due, pending.wait.due());
     return due;
 }
 
--- a/core/target_limiter.h
+++ b/core/target_limiter.h
@@ -5,6 +5,7 @@
 #include "core/instant.h"
 #include "core/names.h"
 #include "core/permit_bucket.h"
+#include "core/response_wait.h"
 #include "core/target_limit_messages.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -83,6 +84,9 @@
 struct target_limiter_settings {
     /// The owner of a limit answers within a round trip. Then its deputy is asked, and after that the permit is denied.
     std::chrono::milliseconds answerTimeout { 60 };
+    /// From the request for a permit. A process that was held up for longer doesn't use the permit: it would add to
+    /// those that were issued since.
+    std::chrono::milliseconds permitValidity { 200 };
     std::chrono::milliseconds unresponsiveTime { 1'000 }; ///< for which an owner that did not answer is not asked
     /// A new owner grants half of the limit for this time, in which the previous owner may still be asked by nodes with
     /// another membership view.
@@ -101,12 +105,12 @@
 /// each request that it would send to the target, so the limit is used by the nodes that have callers, however many
 /// nodes there are.
 ///
-/// Let L be the limit. With equal membership views, all nodes together send at most L * (t + 0.5 s) + 1 requests in any
-/// time t. A node that is not the owner in its own view, or has become the owner just now, issues at most L / 2, so the
-/// sum stays within 1.5 L during one change of the owner. An owner repeats its claim to all nodes while the limit is in
-/// use, and nodes report better claims to each other, so nodes with wrong membership views find the same owner. A group
-/// of nodes that reaches less than two thirds of all known nodes issues its share of L only, so the sum over partitions
-/// is at most 4/3 L.
+/// Let L be the limit. With equal membership views, all nodes together send at most L * (t + 0.7 s) + 1 requests in any
+/// time t: the bucket holds the permits of 0.5 s, and a permit is used within 0.2 s. A node that is not the owner in
+/// its own view, or has become the owner just now, issues at most L / 2, so the sum stays within 1.5 L during one
+/// change of the owner. An owner repeats its claim to all nodes while the limit is in use, and nodes report better
+/// claims to each other, so nodes with wrong membership views find the same owner. A group of nodes that reaches less
+/// than two thirds of all known nodes issues its share of L only, so the sum over partitions is at most 4/3 L.
 ///
 /// A node that does not know of a limit sends without permits. It learns of the limit from the target's response, from
 /// the owner's notice to all nodes, or from a permit_answer. Not synchronized.
@@ -138,7 +142,8 @@
     actions receive(const node_id& from, const target_limit_message& message, instant now);
 
     /// Performs all due work. Call at nextDue() or later.
-    actions tick(instant now);
+    /// \param inputPending messages of other nodes wait to be read
+    actions tick(instant now, bool inputPending = false);
 
     /// \return the time of the next due work of tick()
     instant nextDue() const;
@@ -188,8 +193,9 @@
         limited_target target;
         std::uint64_t incarnation;
         node_id owner;
-        instant due;
         bool deputyAsked;
+        instant askedAt;
+        response_wait wait;
     };
     using record_map = absl::flat_hash_map<limited_target, target_record>;
 
@@ -212,7 +218,9 @@
     permit_answer issue(target_record& record, instant now);
     bool applyAnswer(target_record& record, const permit_answer& answer, instant now);
     limit_statement statementOf(const target_record& record, instant now) const;
-    void request(actions& out, std::uint64_t number, pending_permit pending, target_record& record, instant now);
+    void request(actions& out, std::uint64_t number, const pending_permit& pending, target_record& record, instant now);
+    pending_permit makePending(const limited_target& target, std::uint64_t incarnation, const node_id& owner,
+        bool deputyAsked, instant now) const;
     void onAnswer(actions& out, const node_id& from, const target_limit_message& message, const permit_answer& answer,
         instant now);
     void sendDueNotices(actions& out, instant now);
--- a/gateway/target_permits.cpp
+++ b/gateway/target_permits.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-target_permits::target_permits(const limit_node& self, sender send, target_tracker& targetTracker, timer_queue& timers,
-    decision_log& log, gateway_metrics& metrics)
+target_permits::target_permits(const limit_node& self, sender send, std::function<bool()> isInputPending,
+    target_tracker& targetTracker, timer_queue& timers, decision_log& log, gateway_metrics& metrics)
     : m_send(std::move(send))
+    , m_isInputPending(std::move(isInputPending))
     , m_targetTracker(targetTracker)
     , m_timers(timers)
     , m_log(log)
@@ -158,7 +159,7 @@
     m_tickDue = due;
     m_tickTimer = m_timers.at(due, [this] {
         m_tickTimer = 0;
-        perform(m_limiter.tick(m_timers.now()));
+        perform(m_limiter.tick(m_timers.now(), m_isInputPending()));
     });
 }
 
--- a/gateway/target_permits.h
+++ b/gateway/target_permits.h
@@ -24,8 +24,9 @@
     using callback = std::function<void(bool granted)>;
 
     /// All references outlive this object.
-    target_permits(const limit_node& self, sender send, target_tracker& targetTracker, timer_queue& timers,
-        decision_log& log, gateway_metrics& metrics);
+    /// \param isInputPending returns whether messages of other nodes wait to be read
+    target_permits(const limit_node& self, sender send, std::function<bool()> isInputPending,
+        target_tracker& targetTracker, timer_queue& timers, decision_log& log, gateway_metrics& metrics);
     ~target_permits();
 
     /// Sets the membership view, see target_limiter::setNodes().
@@ -58,6 +59,7 @@
     void scheduleTick();
 
     sender m_send;
+    std::function<bool()> m_isInputPending;
     target_tracker& m_targetTracker;
     timer_queue& m_timers;
     decision_log& m_log;
--- a/node/target_limits.cpp
+++ b/node/target_limits.cpp
@@ -26,6 +26,7 @@
     {
         target_limiter_settings settings;
         settings.answerTimeout = AnswerTimeout;
+        settings.permitValidity = AnswerTimeout;
         return settings;
     }
 
