Merge only probes with the same time limit

Cause: probes of one target in progress were merged under the limit of the first caller. The check of a stream ended with the 60 ms of a poll and found a sound target silent; a poll behind such a check waited beyond its limit.

Change: the prober merges probes with equal limits only.

--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -41,36 +41,39 @@
         });
         return;
     }
-    auto& session = m_sessions[target.name];
+    const session_key key(target.name, timeout);
+    auto& session = m_sessions[key];
     session.address = target.address;
     session.startedAt = target.startedAt;
     session.callbacks.push_back(std::move(done));
     if (session.callbacks.size() > 1)
         return;
-    m_permits.acquire(target, [this, target, timeout](bool granted) {
+    m_permits.acquire(target, [this, key](bool granted) {
         if (granted)
-            sendProbe(target, timeout);
+            sendProbe(key);
         else // the caller does not expect its callback before probe() returns
-            boost::asio::post(m_loop, [this, name = target.name] { finishUnprobed(name); });
+            boost::asio::post(m_loop, [this, key] { finishUnprobed(key); });
     });
 }
 
-void target_prober::sendProbe(const target_entry& target, std::chrono::milliseconds timeout)
+void target_prober::sendProbe(const session_key& key)
 {
-    auto& session = m_sessions[target.name];
+    const auto& [target, timeout] = key;
+    auto& session = m_sessions[key];
     session.sentAt = m_timers.now();
     session.due = session.sentAt + timeout;
-    session.client = std::make_shared<http_client>(m_loop, m_timers, target.address, MaxResponseBytes, &m_memory);
-    session.client->send(m_dialect.writeProbe(target.name, target.address), timeout,
-        [this, name = target.name](const http_client_response& response) { finish(name, response); });
+    session.client = std::make_shared<http_client>(m_loop, m_timers, session.address, MaxResponseBytes, &m_memory);
+    session.client->send(m_dialect.writeProbe(target, session.address), timeout,
+        [this, key](const http_client_response& response) { finish(key, response); });
 }
 
-void target_prober::finish(const target_name& target, const http_client_response& response)
+void target_prober::finish(const session_key& key, const http_client_response& response)
 {
+    const auto& target = key.first;
     answer probeAnswer;
     if (response.status == Success)
         probeAnswer.report = m_dialect.readProbe(response.body);
-    const auto entry = m_sessions.extract(target); // released when this function returns
+    const auto entry = m_sessions.extract(key); // released when this function returns
     const auto& session = entry.mapped();
     const auto reply = m_dialect.readReply(response.head);
     if (response.status && response.status != Misdirected)
@@ -88,9 +91,9 @@
     callBack(session, probeAnswer);
 }
 
-void target_prober::finishUnprobed(const target_name& target)
+void target_prober::finishUnprobed(const session_key& key)
 {
-    callBack(m_sessions.extract(target).mapped(), { true, false, std::nullopt, response_failure::None, {}, {}, {} });
+    callBack(m_sessions.extract(key).mapped(), { true, false, std::nullopt, response_failure::None, {}, {}, {} });
 }
 
 void target_prober::callBack(const session& session, const answer& answer)
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oriolepick {
@@ -26,8 +27,9 @@
 class target_tracker;
 struct target_entry;
 
-/// Sends probes. Concurrent probes of the same target are merged into one request. Each request has a connection of its
-/// own: responses to probes carry no identifier, so a target that repeats one on a kept connection would be believed.
+/// Sends probes. Concurrent probes of the same target with the same time limit are merged into one request. Each
+/// request has a connection of its own: responses to probes carry no identifier, so a target that repeats one on a kept
+/// connection would be believed.
 class target_prober {
 public:
     /// The result of a probe.
@@ -80,9 +82,11 @@
         instant due; // end of the time limit
     };
 
-    void sendProbe(const target_entry& target, std::chrono::milliseconds timeout);
-    void finish(const target_name& target, const http_client_response& response);
-    void finishUnprobed(const target_name& target);
+    using session_key = std::pair<target_name, std::chrono::milliseconds>; // with the time limit
+
+    void sendProbe(const session_key& key);
+    void finish(const session_key& key, const http_client_response& response);
+    void finishUnprobed(const session_key& key);
     static void callBack(const session& session, const answer& answer);
 
     boost::asio::io_context& m_loop;
@@ -93,7 +97,7 @@
     target_permits& m_permits;
     target_notice_handler& m_notices;
     absence_detector& m_absences;
-    std::map<target_name, session> m_sessions; // of the probes in progress
+    std::map<session_key, session> m_sessions; // of the probes in progress
 };
 
 } // namespace oriolepick
