Report the loss of a kept run when its target is found gone

Cause: a run that is kept on suspicion reports its target once to the crash detector. When the target still listened then and ended later, nothing checked it again: the crash was not counted against its request.

Change: failUnresponsiveTarget reports the lost attempt also for a suspected target if it is gone, as a broken connection does already.

Measured: platform_silent_targets, ATargetThatEndsDuringItsSilenceCountsAsCrashed, before: line 127 failed (no `target_crashed` within 2 s), now it passes; platform_crashing_requests and platform_crashing_parts pass.

--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -320,7 +320,7 @@
 {
     recordTargetFault(target_fault::NoResponse, faultName, problem);
     if (m_sent) {
-        if (!m_suspected)
+        if (!m_suspected || isGone) // the check of a suspected target may have ended while it still listened
             m_parts.crashes.recordLostAttempt(m_suspect, *m_target, m_eventReceived);
         m_history.mayHaveRun = true;
         ++(isGone ? m_history.lost : m_history.answered);
