--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -14,10 +14,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oriolepick {
 
+class absence_detector;
 class memory_budget;
 class request_dialect;
 class target_notice_handler;
@@ -25,8 +27,9 @@
 class target_tracker;
 struct target_entry;
 
-/// Sends probes. Concurrent probes of the same target are merged into one request. Each request has a connection of its
-/// own: responses to probes carry no identifier, so a target that repeats one on a kept connection would be believed.
+/// Sends probes. Concurrent probes of the same target with the same time limit are merged into one request. Each
+/// request has a connection of its own: responses to probes carry no identifier, so a target that repeats one on a kept
+/// connection would be believed.
 class target_prober {
 public:
     /// The result of a probe.
@@ -36,6 +39,8 @@
         std::optional<engine_report> report; ///< nothing when the response could not be decoded
         response_failure failure = response_failure::None; ///< why there was no response
         std::string problem; ///< the failure in words, for the log
+        instant sentAt; ///< when the probe was sent
+        instant due; ///< end of its time limit
 
         /// \return whether the process that was probed has ended: nothing listens there, or another target does
         bool isGone() const { return replaced || failure == response_failure::Refused; }
@@ -57,9 +62,10 @@
     /// \param targetTracker holds which targets have requested a pause and are not probed
     /// \param permits grants the probes of limited targets
     /// \param notices receives the notices in every response
+    /// \param absences receives the targets that responded
     target_prober(boost::asio::io_context& loop, timer_queue& timers, const request_dialect& dialect,
         const target_tracker& targetTracker, target_permits& permits, target_notice_handler& notices,
-        memory_budget& memory);
+        absence_detector& absences, memory_budget& memory);
 
     /// Probes \p target. A target that has requested a pause, or whose request limit is used up, is not probed and
     /// counts as alive.
@@ -72,11 +78,15 @@
         std::vector<callback> callbacks;
         std::uint64_t startedAt = 0; // start time of the probed target, to detect a restart at the same address
         std::string address;
+        instant sentAt;
+        instant due; // end of the time limit
     };
 
-    void sendProbe(const target_entry& target, std::chrono::milliseconds timeout);
-    void finish(const target_name& target, const http_client_response& response);
-    void finishUnprobed(const target_name& target);
+    using session_key = std::pair<target_name, std::chrono::milliseconds>; // with the time limit
+
+    void sendProbe(const session_key& key);
+    void finish(const session_key& key, const http_client_response& response);
+    void finishUnprobed(const session_key& key);
     static void callBack(const session& session, const answer& answer);
 
     boost::asio::io_context& m_loop;
@@ -86,7 +96,8 @@
     const target_tracker& m_targetTracker;
     target_permits& m_permits;
     target_notice_handler& m_notices;
-    std::map<target_name, session> m_sessions; // of the probes in progress
+    absence_detector& m_absences;
+    std::map<session_key, session> m_sessions; // of the probes in progress
 };
 
 } // namespace oriolepick
