Share the values of rows instead of copying them

A version of the configuration was held three times at rest (replica, history, decoder) and up to nine times while it was taken. The value of a row is now an immutable text with several owners (core/shared_text.h), which the replica, its history, its answers and the decoder share.

--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -134,14 +134,14 @@
         return answer.record ? std::optional<run_message>(answer) : std::nullopt;
     }
 
+    // Returns a string without spare capacity, since packed rows are kept.
     std::string deflated(const std::string& plain)
     {
         auto size = compressBound(static_cast<uLong>(plain.size()));
         std::string bytes(size, '\0');
         compress2(reinterpret_cast<Bytef*>(bytes.data()), &size, reinterpret_cast<const Bytef*>(plain.data()),
             static_cast<uLong>(plain.size()), Z_BEST_SPEED);
-        bytes.resize(size);
-        return bytes;
+        return bytes.substr(0, size);
     }
 
     std::optional<std::string> inflated(const std::string& bytes, std::size_t plainBytes)
@@ -157,6 +157,26 @@
         return plain;
     }
 
+    bool parseRows(const wire::news_batch& batch, wire::news_rows& rows)
+    {
+        if (!batch.plain_bytes())
+            return rows.ParseFromString(batch.rows());
+        const auto plain = inflated(batch.rows(), batch.plain_bytes());
+        return plain && rows.ParseFromString(*plain);
+    }
+
+    std::string serialized(const std::vector<stored_row>& rows)
+    {
+        wire::news_rows encoded;
+        for (const auto& row : rows) {
+            auto& added = *encoded.add_rows();
+            added.set_key(row.key);
+            added.set_value(row.value.string());
+            added.set_removed(row.removed);
+        }
+        return encoded.SerializeAsString();
+    }
+
 } // namespace
 
 std::string encodeDatagram(const node_datagram& datagram)
@@ -220,14 +240,7 @@
 
 packed_rows packRows(const std::vector<stored_row>& rows)
 {
-    wire::news_rows encoded;
-    for (const auto& row : rows) {
-        auto& added = *encoded.add_rows();
-        added.set_key(row.key);
-        added.set_value(row.value);
-        added.set_removed(row.removed);
-    }
-    auto plain = encoded.SerializeAsString();
+    auto plain = serialized(rows);
     if (plain.size() < MinDeflateBytes)
         return { std::move(plain), 0 };
     return { deflated(plain), static_cast<std::uint32_t>(plain.size()) };
@@ -265,14 +278,8 @@
     const store_version read { encoded.read_epoch(), encoded.read_revision() };
     if (read < changed.stored)
         return std::nullopt;
-    if (encoded.plain_bytes()) {
-        auto plain = inflated(encoded.rows(), encoded.plain_bytes());
-        if (!plain)
-            return std::nullopt;
-        encoded.set_rows(std::move(*plain));
-    }
     wire::news_rows rows;
-    if (!rows.ParseFromString(encoded.rows()))
+    if (!parseRows(encoded, rows))
         return std::nullopt;
     news_batch batch;
     batch.changeRevision = changed;
--- a/gateway/row_source.h
+++ b/gateway/row_source.h
@@ -2,6 +2,7 @@
 /// Interface by which a gateway reads tables of the platform's store.
 #pragma once
 
+#include "core/shared_text.h"
 #include "core/store_version.h"
 
 #include <chrono>
@@ -15,7 +16,7 @@
 /// A row, or the tombstone of a removed row.
 struct stored_row {
     std::string key;
-    std::string value; ///< uninterpreted bytes; of a removed row the last known ones, if any
+    shared_text value; ///< uninterpreted bytes; of a removed row the last known ones, if any
     bool removed = false;
 };
 
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -78,12 +78,13 @@
     /// \return a number that rises whenever changesAfter() may return other rows for the same revision
     std::uint64_t updates() const { return m_updates; }
 
-    /// \return the size of all values that are kept: those of the table, the last removals and the history
+    /// \return the size of all values that are kept: those of the table, the last removals and the history. A value
+    /// that several of them share counts for each
     std::size_t valueBytes() const;
 
 private:
     struct held_row {
-        std::string value;
+        shared_text value;
         std::optional<std::uint64_t> version; // reading it from the value may cost as much as decoding the value
     };
     struct batch {
