Index routes by host and prefix in one flat set

A table of its own for each host took 60 bytes a route with 7 hosts, and more with more hosts; requests in progress keep the tables of earlier versions. One flat set of pointers takes 12. The lengths of prefixes are those of all hosts together.

--- a/routing/route_table.cpp
+++ b/routing/route_table.cpp
@@ -2,6 +2,8 @@
 
 #include "core/text.h"
 
+#include <absl/hash/hash.h>
+
 #include <algorithm>
 #include <functional>
 
@@ -9,47 +11,64 @@
 
 namespace {
 
-    std::string normalizedHost(std::string_view host)
+    std::string_view withoutPort(std::string_view host)
     {
         const auto colon = host.rfind(':');
-        if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos)
-            host = host.substr(0, colon);
-        return lowerCased(host);
+        return colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos
+            ? host.substr(0, colon)
+            : host;
     }
 
 } // namespace
 
+route_table::route_key::route_key(const route* route)
+    : route_key(route->host, route->prefix)
+{
+}
+
+route_table::route_key::route_key(std::string_view host, std::string_view prefix)
+    : host(withoutPort(host))
+    , prefix(prefix)
+{
+}
+
+std::size_t route_table::key_hash::operator()(const route_key& key) const
+{
+    return absl::HashOf(lowerCased(key.host), key.prefix);
+}
+
+bool route_table::key_equal::operator()(const route_key& left, const route_key& right) const
+{
+    return left.prefix == right.prefix && equalsIgnoringCase(left.host, right.host);
+}
+
 route_table::route_table(routing_config config)
     : m_config(std::move(config))
 {
+    m_routes.reserve(m_config.routes.size() + m_config.sharedRoutes.size());
     for (const auto& each : m_config.routes)
         add(each);
     for (const auto& each : m_config.sharedRoutes)
         add(*each);
-    for (auto& [name, host] : m_hosts) {
-        std::sort(host.prefixSizes.begin(), host.prefixSizes.end(), std::greater<>());
-        host.prefixSizes.erase(std::unique(host.prefixSizes.begin(), host.prefixSizes.end()), host.prefixSizes.end());
-    }
+    std::sort(m_prefixSizes.begin(), m_prefixSizes.end(), std::greater<>());
 }
 
 void route_table::add(const route& route)
 {
-    auto& host = m_hosts[normalizedHost(route.host)];
-    host.ofPrefix.emplace(route.prefix, &route);
-    host.prefixSizes.push_back(route.prefix.size());
+    m_routes.insert(&route);
+    const auto size = route.prefix.size();
+    if (std::find(m_prefixSizes.begin(), m_prefixSizes.end(), size) == m_prefixSizes.end())
+        m_prefixSizes.push_back(size);
 }
 
 const route* route_table::find(std::string_view host, std::string_view path) const
 {
-    const auto found = m_hosts.find(normalizedHost(host));
-    if (found == m_hosts.end())
-        return nullptr;
-    for (const auto size : found->second.prefixSizes) {
+    for (const auto size : m_prefixSizes) {
         if (size > path.size())
             continue;
-        const auto route = found->second.ofPrefix.find(path.substr(0, size));
-        if (route != found->second.ofPrefix.end())
-            return route->second;
+        const auto found = m_routes.find(route_key(host, path.substr(0, size)));
+        if (found != m_routes.end())
+            return *found;
     }
     return nullptr;
 }
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -4,7 +4,11 @@
 
 #include "routing/routing_config.h"
 
+#include <absl/container/flat_hash_set.h>
+
+#include <cstddef>
 #include <string_view>
+#include <vector>
 
 namespace oriolepick {
 
@@ -20,7 +24,7 @@
     /// \param host value of the request's host field; port and letter case are ignored
     /// \param path request target without its query
     /// \return the route with the longest matching prefix, or null. The cost depends on the number of different lengths
-    /// of prefixes, not on that of routes
+    /// of prefixes in the configuration, not on that of routes
     const route* find(std::string_view host, std::string_view path) const;
 
     /// \return the team that owns \p key, or null
@@ -36,15 +40,34 @@
     const routing_config& config() const { return m_config; }
 
 private:
-    struct host_routes {
-        std::unordered_map<std::string_view, const route*> ofPrefix;
-        std::vector<std::size_t> prefixSizes; // longest first
+    struct route_key {
+        explicit route_key(const route* route);
+        route_key(std::string_view host, std::string_view prefix);
+
+        std::string_view host; // without a port, in any letter case
+        std::string_view prefix;
+    };
+    struct key_hash {
+        using is_transparent = void;
+        std::size_t operator()(const route_key& key) const;
+        std::size_t operator()(const route* route) const { return operator()(route_key(route)); }
+    };
+    struct key_equal {
+        using is_transparent = void;
+        bool operator()(const route_key& left, const route_key& right) const;
+        bool operator()(const route* left, const route* right) const
+        {
+            return operator()(route_key(left), route_key(right));
+        }
+        bool operator()(const route* left, const route_key& right) const { return operator()(route_key(left), right); }
+        bool operator()(const route_key& left, const route* right) const { return operator()(left, route_key(right)); }
     };
 
     void add(const route& route);
 
     routing_config m_config;
-    std::unordered_map<std::string, host_routes> m_hosts; // by normalized name
+    absl::flat_hash_set<const route*, key_hash, key_equal> m_routes;
+    std::vector<std::size_t> m_prefixSizes; // longest first
 };
 
 } // namespace oriolepick
