--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -6,6 +6,8 @@
 #include "wire/messages.pb.h"
 #include "wire/target_limit_codec.h"
 
+#include <google/protobuf/io/gzip_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl.h>
 #include <zlib.h>
 
 #include <algorithm>
@@ -134,47 +136,91 @@
         return answer.record ? std::optional<run_message>(answer) : std::nullopt;
     }
 
-    // Returns a string without spare capacity, since packed rows are kept.
-    std::string deflated(const std::string& plain)
+    wire::news_rows encodedRows(const std::vector<stored_row>& rows)
     {
-        auto size = compressBound(static_cast<uLong>(plain.size()));
-        std::string bytes(size, '\0');
-        compress2(reinterpret_cast<Bytef*>(bytes.data()), &size, reinterpret_cast<const Bytef*>(plain.data()),
-            static_cast<uLong>(plain.size()), Z_BEST_SPEED);
-        return bytes.substr(0, size);
+        wire::news_rows encoded;
+        for (const auto& row : rows) {
+            auto& added = *encoded.add_rows();
+            added.set_key(row.key);
+            added.set_value(row.value.string());
+            added.set_removed(row.removed);
+        }
+        return encoded;
     }
 
-    std::optional<std::string> inflated(const std::string& bytes, std::size_t plainBytes)
+    // Compresses while it encodes: rows may take megabytes.
+    std::string deflated(const wire::news_rows& rows)
     {
-        if (plainBytes > MaxBatchBytes)
-            return std::nullopt;
-        std::string plain(plainBytes, '\0');
-        auto written = static_cast<uLongf>(plainBytes);
-        const auto status = uncompress(reinterpret_cast<Bytef*>(plain.data()), &written,
-            reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uLong>(bytes.size()));
-        if (status != Z_OK || written != plainBytes)
-            return std::nullopt;
-        return plain;
+        std::string bytes;
+        google::protobuf::io::GzipOutputStream::Options options;
+        options.format = google::protobuf::io::GzipOutputStream::ZLIB;
+        options.compression_level = Z_BEST_SPEED;
+        {
+            google::protobuf::io::StringOutputStream output(&bytes);
+            google::protobuf::io::GzipOutputStream deflating(&output, options);
+            rows.SerializeToZeroCopyStream(&deflating);
+            deflating.Close();
+        }
+        bytes.shrink_to_fit(); // packed rows are kept
+        return bytes;
     }
 
-    bool parseRows(const wire::news_batch& batch, wire::news_rows& rows)
+    /// Decompresses as much as is read.
+    class inflating_reader : public google::protobuf::io::CopyingInputStream {
+    public:
+        /// \param bytes must outlive this object
+        explicit inflating_reader(const std::string& bytes)
+        {
+            m_stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data())); // zlib does not write to it
+            m_stream.avail_in = static_cast<uInt>(bytes.size());
+            m_status = inflateInit(&m_stream);
+        }
+
+        ~inflating_reader() override { inflateEnd(&m_stream); }
+        inflating_reader(const inflating_reader&) = delete;
+        inflating_reader& operator=(const inflating_reader&) = delete;
+
+        int Read(void* buffer, int size) override
+        {
+            if (m_status != Z_OK)
+                return m_status == Z_STREAM_END ? 0 : -1;
+            m_stream.next_out = static_cast<Bytef*>(buffer);
+            m_stream.avail_out = static_cast<uInt>(size);
+            m_status = inflate(&m_stream, Z_NO_FLUSH);
+            const int read = size - static_cast<int>(m_stream.avail_out);
+            return read || isAtEnd() ? read : -1;
+        }
+
+        /// \return whether all was read and its checksum is right
+        bool isAtEnd() const { return m_status == Z_STREAM_END; }
+
+    private:
+        z_stream m_stream {};
+        int m_status;
+    };
+
+    // Decompresses while it decodes. Returns nothing if the rows are malformed or do not have the declared size.
+    std::optional<wire::news_rows> inflated(const std::string& bytes, std::uint32_t plainBytes)
     {
-        if (!batch.plain_bytes())
-            return rows.ParseFromString(batch.rows());
-        const auto plain = inflated(batch.rows(), batch.plain_bytes());
-        return plain && rows.ParseFromString(*plain);
+        wire::news_rows rows;
+        if (plainBytes > MaxBatchBytes)
+            return std::nullopt;
+        inflating_reader reader(bytes);
+        google::protobuf::io::CopyingInputStreamAdaptor input(&reader);
+        const void* rest = nullptr;
+        int restBytes = 0;
+        if (!rows.ParseFromBoundedZeroCopyStream(&input, static_cast<int>(plainBytes)) || input.Next(&rest, &restBytes)
+            || !reader.isAtEnd())
+            return std::nullopt;
+        return rows;
     }
 
-    std::string serialized(const std::vector<stored_row>& rows)
+    std::optional<wire::news_rows> decodedRows(const wire::news_batch& batch)
     {
-        wire::news_rows encoded;
-        for (const auto& row : rows) {
-            auto& added = *encoded.add_rows();
-            added.set_key(row.key);
-            added.set_value(row.value.string());
-            added.set_removed(row.removed);
-        }
-        return encoded.SerializeAsString();
+        if (batch.plain_bytes())
+            return inflated(batch.rows(), batch.plain_bytes());
+        wire::news_rows rows;
+        return rows.ParseFromString(batch.rows()) ? std::optional(std::move(rows)) : std::nullopt;
     }
 
 } // namespace
@@ -240,10 +286,11 @@
 
 packed_rows packRows(const std::vector<stored_row>& rows)
 {
-    auto plain = serialized(rows);
-    if (plain.size() < MinDeflateBytes)
-        return { std::move(plain), 0 };
-    return { deflated(plain), static_cast<std::uint32_t>(plain.size()) };
+    const auto encoded = encodedRows(rows);
+    const auto plainBytes = encoded.ByteSizeLong();
+    if (plainBytes < MinDeflateBytes)
+        return { encoded.SerializeAsString(), 0 };
+    return { deflated(encoded), static_cast<std::uint32_t>(plainBytes) };
 }
 
 std::string encodeBatch(const news_batch& batch, const packed_rows& rows)
@@ -278,8 +325,8 @@
     const store_version read { encoded.read_epoch(), encoded.read_revision() };
     if (read < changed.stored)
         return std::nullopt;
-    wire::news_rows rows;
-    if (!parseRows(encoded, rows))
+    auto rows = decodedRows(encoded);
+    if (!rows)
         return std::nullopt;
     news_batch batch;
     batch.changeRevision = changed;
@@ -288,7 +335,7 @@
     if (encoded.has_since_recovery_ms())
         batch.sinceRecovery = std::chrono::milliseconds(encoded.since_recovery_ms());
     batch.whole = encoded.whole();
-    for (auto& row : *rows.mutable_rows())
+    for (auto& row : *rows->mutable_rows())
         batch.rows.push_back({ std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed() });
     return batch;
 }
