Let routes share equal lists of services

Each route held a list of its own, 72 bytes with its block. The buffer of the compression shrinks to 8 KB, below the size that is allocated with mmap().

--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -19,6 +19,7 @@
     /// The registrations of 12,000 targets take 4 MB.
     constexpr std::size_t MaxBatchBytes = 16'777'216;
     constexpr std::size_t MinDeflateBytes = 1'024; ///< smaller batches fit into one packet without compression
+    constexpr int DeflateBufferBytes = 8'192;
     constexpr std::uint64_t MaxClockMs = 1'000'000'000'000'000; ///< longer than any machine runs
     constexpr std::uint32_t MaxAgeMs = 3'600'000; ///< one hour; larger ages are invalid
 
@@ -155,6 +156,7 @@
         google::protobuf::io::GzipOutputStream::Options options;
         options.format = google::protobuf::io::GzipOutputStream::ZLIB;
         options.compression_level = Z_BEST_SPEED;
+        options.buffer_size = DeflateBufferBytes;
         {
             google::protobuf::io::StringOutputStream output(&bytes);
             google::protobuf::io::GzipOutputStream deflating(&output, options);
--- a/routing/routing_config.h
+++ b/routing/routing_config.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/names.h"
+#include "core/shared_list.h"
 #include "routing/routing_names.h"
 
 #include <algorithm>
@@ -28,6 +29,11 @@
 struct service_share {
     service_name service;
     std::uint32_t weight = 1; ///< relative to the other shares of the route
+
+    friend bool operator==(const service_share& left, const service_share& right)
+    {
+        return left.service == right.service && left.weight == right.weight;
+    }
 };
 
 /// Requests of one host whose path begins with a prefix.
@@ -43,7 +49,7 @@
     std::chrono::milliseconds longestGap { 0 }; ///< longest time between two events of a stream, 0 if none is declared
     std::uint32_t priority = 0; ///< 0 is the most urgent
     std::uint32_t maxTargets = 1; ///< maximum number of targets that may receive one request
-    std::vector<service_share> services; ///< never empty
+    shared_list<service_share> services; ///< never empty
 
     /// \return whether a request may run again after an incomplete run
     bool mayRepeat() const { return kind == route_kind::Repeatable || (kind == route_kind::Stream && resumable); }
