--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -139,6 +139,28 @@
     EXPECT_FALSE(decodeBatch(encodeBatch(batch, packed))) << "declares 2 GB of rows";
 }
 
+// Guards against rows that are taken over although their checksum or their declared size is wrong.
+TEST(GatewayMessageCodec, IncompleteOrAlteredRowsAreRejected)
+{
+    news_batch batch;
+    batch.changeRevision = changedAt(3);
+    batch.readRevision = storedAt(3);
+    batch.rows.push_back({ "key", std::string(50'000, 'v'), false });
+    const auto packed = packRows(batch.rows);
+    ASSERT_GT(packed.plainBytes, 0U);
+    ASSERT_TRUE(decodeBatch(encodeBatch(batch, packed)));
+    const auto isRejected = [&](std::string bytes, std::uint32_t plainBytes) {
+        return !decodeBatch(encodeBatch(batch, { std::move(bytes), plainBytes }));
+    };
+    for (std::size_t missing = 1; missing <= packed.bytes.size(); ++missing)
+        EXPECT_TRUE(isRejected(packed.bytes.substr(0, packed.bytes.size() - missing), packed.plainBytes)) << missing;
+    auto altered = packed.bytes;
+    altered.back() = static_cast<char>(altered.back() ^ 1);
+    EXPECT_TRUE(isRejected(altered, packed.plainBytes)) << "checksum";
+    EXPECT_TRUE(isRejected(packed.bytes, packed.plainBytes - 1));
+    EXPECT_TRUE(isRejected(packed.bytes, packed.plainBytes + 1));
+}
+
 RC_GTEST_PROP(GatewayMessageCodec, RowsRoundTrip,
     (const std::vector<std::pair<std::string, std::string>>& rows, std::uint32_t number, std::uint32_t epoch))
 {
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -161,6 +161,20 @@
     }
 }
 
+// Guards against a copy of a large configuration for each place that holds it, and for each answer to another node.
+TEST(TableReplica, HoldsAndHandsOutTheValueThatItReceived)
+{
+    table_replica replica({}, [](const stored_row& each) { return std::optional<std::uint64_t>(each.value.size()); });
+    replica.replaceAll({ row("a", "1") }, storedAt(10));
+    const auto received = row("a", std::string(1'000, 'x'));
+    const auto* bytes = received.value.string().data();
+    const auto updates = replica.applyChanges({ received }, storedAt(11), {},
+        [bytes](const stored_row& applied) { EXPECT_EQ(applied.value.string().data(), bytes); });
+    EXPECT_EQ(updates.at(0).value.string().data(), bytes);
+    EXPECT_EQ(replica.changesAfter(changedAt(10)).rows.at(0).value.string().data(), bytes);
+    EXPECT_EQ(replica.changesAfter(std::nullopt).rows.at(0).value.string().data(), bytes);
+}
+
 // Whichever updates a node misses in between, it ends with the same rows as the node that reads the store.
 RC_GTEST_PROP(TableReplica, FollowersConvergeToTheSameRows, (const std::vector<std::vector<std::uint8_t>>& rounds))
 {
