--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -184,6 +184,11 @@
         kb = row["document_bytes"] / 1e3
         add(f"At {count:,} routes ({kb:,.0f} KB) and {CHANGES_PER_DAY:,} changes a day a neighbour spends {100 * cores:.2f}% of a core (limit for all control {100 * CONTROL_CORES:.1f}%: {verdict(cores, CONTROL_CORES)}) and receives the document, {CHANGES_PER_DAY / 86_400 * kb:,.0f} KB/s before compression.")
         add("")
+    for count in routes[-2:]:
+        held = find(rows, "config_memory", routes=count, part="further_routes_pulled")
+        peak = find(rows, "config_memory", routes=count, part="one_route_pulled")["peak"]
+        add(f"At {count:,} routes a neighbour holds {held['held'] / 1e3:,.0f} KB for a version ({held['held_by_route']:.0f} bytes a route), and {peak / 1e3:,.0f} KB more while it takes the next one (`bench_config_memory`).")
+        add("")
     add("The cost of a change still grows with the number of routes: each version is compared with the one before it as a whole, in one turn of the event loop.")
     add("")
 
