Do not take a response for whole whose connection has failed

A failed write takes the error of the socket, so reading reports an orderly end afterwards: a response without length that had been cut by a reset counted as complete. A connection whose write had just failed could also be reused until the posted failure ran, and the next request was dropped without being sent.

The second part was found by reading, and has no test of its own.

--- a/gateway/http_client.cpp
+++ b/gateway/http_client.cpp
@@ -47,7 +47,7 @@
     m_totalWait.emplace(timeouts.total, m_startedAt);
     m_idleWait.emplace(timeouts.idle, m_startedAt);
     startTimer();
-    m_reused = m_connection && m_connection->isOpen() && m_connected;
+    m_reused = m_connection && m_connection->canSend() && !m_connection->queuedBytes() && m_connected;
     if (m_reused)
         m_connection->send(m_request);
     else
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -78,7 +78,7 @@
     /// it yet. Costs a system call.
     bool hasPendingInput() { return m_connection->hasPendingInput(); }
 
-    bool isOpen() const { return m_connection->isOpen(); }
+    bool canSend() const { return m_connection->canSend(); }
     bool isConnected() const { return m_connected; }
     const std::string& address() const { return m_address; }
 
--- a/gateway/target_connection_pool.cpp
+++ b/gateway/target_connection_pool.cpp
@@ -21,7 +21,7 @@
     auto& idleConnections = m_idleConnections[address];
     for (auto position = idleConnections.size(); position--;) {
         auto connection = idleConnections[position];
-        const bool isUsable = connection->isOpen() && now < connection->reusableUntil();
+        const bool isUsable = connection->canSend() && now < connection->reusableUntil();
         if (isUsable && !connection->accepts(attempt))
             continue; // another attempt can use it
         idleConnections.erase(idleConnections.begin() + static_cast<std::ptrdiff_t>(position));
@@ -44,7 +44,7 @@
         auto& connections = entry->second;
         connections.erase(std::remove_if(connections.begin(), connections.end(),
                               [now](const auto& connection) {
-                                  const bool expired = !connection->isOpen() || now >= connection->reusableUntil();
+                                  const bool expired = !connection->canSend() || now >= connection->reusableUntil();
                                   if (expired)
                                       connection->abandon();
                                   return expired;
--- a/gateway/tcp_connection.cpp
+++ b/gateway/tcp_connection.cpp
@@ -95,7 +95,9 @@
             if (!self->m_open)
                 return;
             if (error) {
-                self->end(error == asio::error::eof ? connection_end::Closed : connection_end::Reset);
+                // A failed write takes the error of the socket, and reading reports an orderly end.
+                const bool isOrderly = error == asio::error::eof && !self->m_writeFailed;
+                self->end(isOrderly ? connection_end::Closed : connection_end::Reset);
                 return;
             }
             if (const auto listener = self->m_listener.lock())
@@ -114,6 +116,7 @@
         if (!error)
             bytes.remove_prefix(sent);
         else if (error != asio::error::would_block && error != asio::error::try_again) {
+            m_writeFailed = m_isOutgoing;
             // Posted, so that the listener is notified only after the code that called send() has returned.
             asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->onWriteFailed(); });
             return;
