Pass an address on when its owner leaves

A target whose replacement could not be identified shared its address with the one that had taken it.

--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -173,10 +173,23 @@
 void target_tracker::passOnAddress(const target_entry& former)
 {
     const auto* owner = m_claims.ownerOf(former.address);
-    if (!owner || *owner != former.name)
-        return;
-    for (const auto& other : m_claims.othersOf(former.address)) {
-        if (m_targets.count(other) && ownsAddress(other))
+    if (owner && *owner == former.name)
+        settleOthers(former.address);
+}
+
+// The renewals of a target that the owner has displaced do not reach all nodes once the address has one target.
+void target_tracker::withdrawClaim(const std::string& address, const target_name& target)
+{
+    m_claims.remove(address, target);
+    if (!m_claims.ownerOf(address))
+        settleOthers(address);
+}
+
+void target_tracker::settleOthers(const std::string& address)
+{
+    for (const auto& other : m_claims.othersOf(address)) {
+        const auto found = m_targets.find(other);
+        if (found != m_targets.end() && found->second.entry.address == address && ownsAddress(other))
             settleOwner(other, false);
     }
 }
@@ -189,7 +202,7 @@
     const bool isNewStart = target.entry.startedAt != entry.startedAt || target.entry.address != entry.address;
     const bool isRenewal = !isNewStart && !target.expiresAt && entry.version().renews(target.entry.version());
     if (isNewStart) {
-        m_claims.remove(target.entry.address, entry.name);
+        withdrawClaim(target.entry.address, entry.name);
         target.consecutiveFaults = 0;
         target.backoffUntil = {};
         target.replaced = false;
@@ -226,7 +239,7 @@
         return;
     }
     if (!inGrace)
-        m_claims.remove(found->second.entry.address, target);
+        withdrawClaim(found->second.entry.address, target);
     found->second.expiresAt = inGrace ? *m_registryRecoveredAt + m_settings.expiryGrace : now;
 }
 
@@ -374,6 +387,7 @@
         return;
     found->second.replaced = false;
     found->second.backoffUntil = now + m_settings.initialBackoff;
+    settleOwner(target, false); // another target may have taken the address since
 }
 
 void target_tracker::recordSuccess(const target_name& target)
@@ -403,7 +417,7 @@
 
 target_tracker::target_map::iterator target_tracker::erase(target_map::iterator target)
 {
-    m_claims.remove(target->second.entry.address, target->first);
+    withdrawClaim(target->second.entry.address, target->first);
     return m_targets.erase(target);
 }
 
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -246,6 +246,8 @@
     bool ownsAddress(const target_name& target) const;
     void settleOwner(const target_name& target, bool isRenewal);
     void passOnAddress(const target_entry& former);
+    void withdrawClaim(const std::string& address, const target_name& target);
+    void settleOthers(const std::string& address);
     bool isInGrace(instant now) const;
     bool wasRemovedForGood(const target_name& target) const;
     void recordForgottenRemovals(const std::vector<target_entry>& entries);
--- a/routing/test/address_owners.cpp
+++ b/routing/test/address_owners.cpp
@@ -50,6 +50,27 @@
     EXPECT_FALSE(tracker.isUpdate(entry("a", 1, 8)));
 }
 
+// Guards against a sound target that is held back for ever: nodes that read the table at different times may disagree
+// on the owner, and its renewals reach only the reader once no other target names the address.
+TEST_F(AddressOwners, AnAddressPassesOnWhenItsOwnerLeaves)
+{
+    tracker.put(entry("a", 1, 5), now);
+    tracker.put(entry("other", 9, 1), now);
+    EXPECT_FALSE(tracker.takesRequests(target_name("a"), now));
+    tracker.remove(target_name("other"), now);
+    EXPECT_EQ(chosen(), "a");
+}
+
+TEST_F(AddressOwners, ATargetWhoseReplacementIsUnknownDoesNotShareItsAddress)
+{
+    tracker.put(entry("a", 9, 5), now);
+    tracker.put(entry("b", 1, 5), now);
+    tracker.recordFault(target_name("a"), target_fault::AddressReused, now);
+    EXPECT_EQ(chosen(), "b");
+    tracker.recordReplacementUnknown(target_name("a"), now);
+    EXPECT_NE(tracker.takesRequests(target_name("a"), now), tracker.takesRequests(target_name("b"), now));
+}
+
 TEST_F(AddressOwners, AnAddressIsNotMovedToAnotherService)
 {
     tracker.put(entry("a", 1, 5), now);
