Probe a target that has started again anew

Found by the review: probes were merged by name and time limit, so a probe of the process before, under way at a restart, was judged by the new start, and the new process counted as replaced. The key contains the start and the address now. By reading; no test of its own, platform_restarted_targets and platform_merged_probes cover the prober.

--- a/gateway/target_prober.cpp
+++ b/gateway/target_prober.cpp
@@ -41,10 +41,8 @@
         });
         return;
     }
-    const session_key key(target.name, timeout);
+    const session_key key { target.name, target.startedAt, target.address, timeout };
     auto& session = m_sessions[key];
-    session.address = target.address;
-    session.startedAt = target.startedAt;
     session.callbacks.push_back(std::move(done));
     if (session.callbacks.size() > 1)
         return;
@@ -58,18 +56,17 @@
 
 void target_prober::sendProbe(const session_key& key)
 {
-    const auto& [target, timeout] = key;
     auto& session = m_sessions[key];
     session.sentAt = m_timers.now();
-    session.due = session.sentAt + timeout;
-    session.client = std::make_shared<http_client>(m_loop, m_timers, session.address, MaxResponseBytes, &m_memory);
-    session.client->send(m_dialect.writeProbe(target, session.address), timeout,
+    session.due = session.sentAt + key.timeout;
+    session.client = std::make_shared<http_client>(m_loop, m_timers, key.address, MaxResponseBytes, &m_memory);
+    session.client->send(m_dialect.writeProbe(key.target, key.address), key.timeout,
         [this, key](const http_client_response& response) { finish(key, response); });
 }
 
 void target_prober::finish(const session_key& key, const http_client_response& response)
 {
-    const auto& target = key.first;
+    const auto& target = key.target;
     answer probeAnswer;
     if (response.status == Success)
         probeAnswer.report = m_dialect.readProbe(response.body);
@@ -77,10 +74,10 @@
     const auto& session = entry.mapped();
     const auto reply = m_dialect.readReply(response.head);
     if (response.status && response.status != Misdirected)
-        m_notices.apply(target, session.address, session.startedAt, reply);
+        m_notices.apply(target, key.address, key.startedAt, reply);
     probeAnswer.replaced = response.status == Misdirected
-        || (probeAnswer.report && probeAnswer.report->startedAt && session.startedAt
-            && probeAnswer.report->startedAt != session.startedAt);
+        || (probeAnswer.report && probeAnswer.report->startedAt && key.startedAt
+            && probeAnswer.report->startedAt != key.startedAt);
     probeAnswer.alive = response.status != 0 && !probeAnswer.replaced;
     probeAnswer.failure = response.failure;
     probeAnswer.problem = probeAnswer.replaced ? "replaced" : response.problem;
--- a/gateway/target_prober.h
+++ b/gateway/target_prober.h
@@ -14,7 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace oriolepick {
@@ -76,13 +76,23 @@
     struct session {
         std::shared_ptr<http_client> client;
         std::vector<callback> callbacks;
-        std::uint64_t startedAt = 0; // start time of the probed target, to detect a restart at the same address
-        std::string address;
         instant sentAt;
         instant due; // end of the time limit
     };
 
-    using session_key = std::pair<target_name, std::chrono::milliseconds>; // with the time limit
+    /// Probes with equal keys are merged. A target that has started again is probed anew, even at the same address.
+    struct session_key {
+        target_name target;
+        std::uint64_t startedAt; // start time of the probed target, to detect a restart at the same address
+        std::string address;
+        std::chrono::milliseconds timeout;
+
+        bool operator<(const session_key& other) const
+        {
+            return std::tie(target, startedAt, address, timeout)
+                < std::tie(other.target, other.startedAt, other.address, other.timeout);
+        }
+    };
 
     void sendProbe(const session_key& key);
     void finish(const session_key& key, const http_client_response& response);
