Read what has arrived before a header times out

On a node that was held up, with more sockets than one poll reports, a whole header could wait in the buffer while its time limit ended the connection without an answer. By reading; no test.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -213,7 +213,7 @@
         close(m_endReason);
         return;
     }
-    if (!m_reader->started() && m_channel->hasPendingInput())
+    if (m_channel->hasPendingInput())
         return; // it is read next, which starts the timer again
     if (m_reader->started())
         m_parts.metrics.count("header_timeouts");
