Hand a generation over in time, and prefer good paths after a wait

Found by the review: in a planned stop the timer of a session also hands the generation over, and pending input could put it off for a second. A request that had been surveyed without room ignored lossy paths to its end, also after a wait in the queue. By reading; no tests.

--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -382,6 +382,7 @@
         { [self] {
              if (const auto exchange = self.lock()) {
                  exchange->m_isScheduled = true;
+                 exchange->m_usesLossyPaths = false;
                  exchange->dispatch();
              }
          },
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -99,10 +99,11 @@
     }
 }
 
-// What has come in, or waits to be read, goes before a judgement about a target that this node made late.
+// What has come in, or waits to be read, goes before a judgement about a target that this node made late. In a planned
+// stop the timer also hands the generation over, which must not wait.
 void generation_session::checkTimer(instant now)
 {
-    if (ended() || !m_timer || !m_timer->isUnresponsive(now, hasPendingInput()))
+    if (ended() || !m_timer || !m_timer->isUnresponsive(now, !m_draining && hasPendingInput()))
         return;
     m_timer.reset();
     m_handledUntil = std::max(m_handledUntil, now);
