--- a/bench/bench_config_memory.cpp
+++ b/bench/bench_config_memory.cpp
@@ -1,20 +1,15 @@
 // Memory of one version of the configuration at a node, in bytes by part and by number of routes: what is held while
 // the version is in force, and the peak while it is taken. Usage: bench_config_memory [seed]
+#include "bench/config_node.h"
 #include "bench/json_line.h"
 #include "core/seeded_random.h"
-#include "gateway/active_config.h"
-#include "gateway/decision_log.h"
 #include "gateway/gateway_message_codec.h"
-#include "gateway/gateway_metrics.h"
 #include "gateway/packed_changes.h"
-#include "gateway/timer_queue.h"
-#include "platform/config_applier.h"
 #include "platform/row_page_decoder.h"
 #include "platform/test/config_documents.h"
 #include "routing/route_table.h"
 
 #include <absl/strings/escaping.h>
-#include <boost/asio/io_context.hpp>
 #include <malloc.h>
 
 #include <algorithm>
@@ -82,16 +77,8 @@
 
 constexpr std::uint64_t Epoch = 1;
 
-// A node's way of the configuration, without sockets.
-struct config_node {
-    boost::asio::io_context loop;
-    timer_queue timers { loop };
-    decision_log log { -1, "node", 0 };
-    gateway_metrics metrics;
-    active_config active;
-    config_applier applier { active, timers, log, metrics };
-    table_follower follower { applier.consumer() };
-    packed_changes changes;
+struct sending_node : config_node {
+    packed_changes changes; // what it sends to its neighbours
 };
 
 struct memory_use {
@@ -109,7 +96,7 @@
 }
 
 // The version of another node, from its answer to this node's pull.
-void takePulled(config_node& node, const std::string& answer)
+void takePulled(sending_node& node, const std::string& answer)
 {
     const auto known = node.follower.replica().changeRevision();
     const auto batch = decodeBatch(answer);
@@ -119,7 +106,7 @@
 }
 
 // The version of the store, from its answer to this node's read.
-void takeRead(config_node& node, const std::string& page, std::uint64_t revision)
+void takeRead(sending_node& node, const std::string& page, std::uint64_t revision)
 {
     row_answer answer;
     answer.rows = decodeRowPage(page, answer.problem).value().rows;
@@ -150,8 +137,8 @@
     constexpr std::size_t FirstRoutes = 10;
     seeded_random random(seed);
     config_documents documents(routes);
-    config_node reader;
-    config_node neighbour;
+    sending_node reader;
+    sending_node neighbour;
     std::string answer;
     std::uint64_t version = 0;
     const auto take = [&](const std::string& document, const char* part) {
--- a/bench/bench_config_versions.cpp
+++ b/bench/bench_config_versions.cpp
@@ -1,19 +1,14 @@
 // Processor time that one version of the configuration costs a node, by step and by number of routes: the first
 // version, and versions that change one route. Usage: bench_config_versions [seed]
+#include "bench/config_node.h"
 #include "bench/json_line.h"
 #include "core/seeded_random.h"
-#include "gateway/active_config.h"
-#include "gateway/decision_log.h"
 #include "gateway/gateway_message_codec.h"
-#include "gateway/gateway_metrics.h"
-#include "gateway/timer_queue.h"
-#include "platform/config_applier.h"
 #include "platform/row_page_decoder.h"
 #include "platform/test/config_documents.h"
 #include "routing/route_table.h"
 
 #include <absl/strings/escaping.h>
-#include <boost/asio/io_context.hpp>
 
 #include <cstdlib>
 #include <ctime>
@@ -26,17 +21,6 @@
 
 constexpr std::uint64_t Epoch = 1;
 
-// A node's way of the configuration, without sockets.
-struct config_node {
-    boost::asio::io_context loop;
-    timer_queue timers { loop };
-    decision_log log { -1, "node", 0 };
-    gateway_metrics metrics;
-    active_config active;
-    config_applier applier { active, timers, log, metrics };
-    table_follower follower { applier.consumer() };
-};
-
 // Processor time by step, in milliseconds.
 struct step_times {
     double page = 0; // JSON and base64 of the store's answer, at the reader
--- a/node/test/pipelined_requests.cpp
+++ b/node/test/pipelined_requests.cpp
@@ -1,5 +1,6 @@
 // Guards against a whole request that gets neither an answer nor a refusal because it arrived together with the request
 // before it on the same connection.
+#include "node/test/http_answers.h"
 #include "node/test/node_fixture.h"
 #include "node/test/tcp_handle.h"
 
@@ -9,20 +10,6 @@
 
 using namespace oriolepick;
 
-namespace {
-
-const std::string Health = "GET /healthz HTTP/1.1\r\nHost: node\r\n\r\n";
-
-std::size_t answersIn(const std::string& bytes)
-{
-    std::size_t count = 0;
-    for (auto at = bytes.find("HTTP/1.1 "); at != std::string::npos; at = bytes.find("HTTP/1.1 ", at + 1))
-        ++count;
-    return count;
-}
-
-} // namespace
-
 class pipelined_requests_test : public node_fixture {
 protected:
     /// \param pieces written with a pause between them
--- a/node/test/request_lengths.cpp
+++ b/node/test/request_lengths.cpp
@@ -1,25 +1,12 @@
 // Guards against requests whose end is misjudged: a body that waits for input that never comes, holds the next request
 // or is taken for one, or has no limit.
+#include "node/test/http_answers.h"
 #include "node/test/node_fixture.h"
 #include "node/test/tcp_handle.h"
 
 using namespace oriolepick;
 using namespace std::chrono_literals;
 
-namespace {
-
-const std::string Health = "GET /healthz HTTP/1.1\r\nHost: node\r\n\r\n";
-
-std::size_t answersIn(const std::string& bytes)
-{
-    std::size_t count = 0;
-    for (auto at = bytes.find("HTTP/1.1 "); at != std::string::npos; at = bytes.find("HTTP/1.1 ", at + 1))
-        ++count;
-    return count;
-}
-
-} // namespace
-
 class request_lengths_test : public node_fixture {
 protected:
     std::string answersTo(const std::string& headers, const std::string& rest) const
