Name what newcomers would stumble over

A shadowed name in generation_session, comments of the absence evidence and of the framing of requests, and a query that dispatch() built before it was needed.

--- a/gateway/absence_detector.h
+++ b/gateway/absence_detector.h
@@ -15,7 +15,7 @@
 class decision_log;
 class gateway_metrics;
 
-/// A probe without a response, with what the log says about it.
+/// A probe without a response, with the fields of its log line.
 struct silent_probe_report {
     target_entry target; ///< as it was registered when the probe was sent
     std::string attempt; ///< of the caller, empty if the probe belongs to none
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -65,9 +65,9 @@
     }
     m_copy.reset();
     m_prefilledAlone = false;
-    target_query query { m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() };
     if (pollEngines())
         return;
+    target_query query { m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() };
     auto target = m_parts.targetTracker.choose(query, now);
     if (!target && !m_triedTargets.empty()) {
         // Every target was tried. A request that may be retried tries them again, as some may have recovered.
--- a/node/generation_session.cpp
+++ b/node/generation_session.cpp
@@ -148,8 +148,8 @@
 {
     m_handledUntil = std::max(m_handledUntil, arrived);
     const auto now = m_handledUntil;
-    if (const auto* arrived = std::get_if<token_arrived>(&event)) {
-        auto& running = m_attempts[arrived->attempt];
+    if (const auto* token = std::get_if<token_arrived>(&event)) {
+        auto& running = m_attempts[token->attempt];
         if (!running.started && running.counted) {
             running.started = true;
             m_services.targets.recordFirstToken(running.target, running.uncachedTokens);
--- a/node/request_framing.h
+++ b/node/request_framing.h
@@ -20,7 +20,7 @@
 /// \return whether the HTTP library answers the request without reading the body that follows it
 bool leavesBody(const httplib::Request& request);
 
-/// \return size of the body that follows the head; the maximum if only the body tells
+/// \return size of the body that follows the head; the largest value if the head does not tell, as for a chunked body
 std::uint64_t bodyBytes(const httplib::Request& request);
 
 } // namespace oriolepick
--- a/routing/absence_evidence.h
+++ b/routing/absence_evidence.h
@@ -19,15 +19,15 @@
     instant due; ///< end of the time limit
 };
 
-/// The result for one silent target.
+/// What the silence of one target shows.
 struct absence_finding {
     target_name target;
     bool absent = false; ///< false: the silence speaks against this node or its link
 };
 
 /// Corroborates the silence of targets. A silent target is absent
-/// - as soon as another target has responded, within the same time limit, to a probe sent no later than the end of the
-///   limit and answered after the silent probe was sent: the link of this node works;
+/// - as soon as another target has responded in time to a probe that was under way together with the silent one, since
+///   the link of this node works then;
 /// - when a window passes without such a response, unless targets in several zones are silent within it. Zones fail one
 ///   at a time, so the link of this node is the more likely cause then.
 ///
