Give up a silent run only when its target is absent

Change: the probe of a stalled run asks absence_detector, as polls do. A target that others at the node contradict is found at once, one without other probes after 100 ms.

--- a/gateway/absence_detector.cpp
+++ b/gateway/absence_detector.cpp
@@ -35,11 +35,16 @@
         decide();
 }
 
-void absence_detector::recordSilence(const silent_probe_report& silence)
+void absence_detector::recordSilence(const silent_probe_report& silence, decision done)
 {
     const auto& target = silence.target;
-    if (!m_undecided.try_emplace(target.name, silence).second)
+    const auto [undecided, isFirst] = m_undecided.try_emplace(target.name, undecided_silence { silence, {} });
+    if (done)
+        undecided->second.owners.push_back(std::move(done));
+    if (!isFirst) {
+        undecided->second.report.recordsFault |= silence.recordsFault;
         return;
+    }
     m_evidence.recordSilence({ target.name, target.zone, silence.sentAt, silence.due }, m_timers.now());
     decide();
 }
@@ -59,7 +64,14 @@
     });
 }
 
-void absence_detector::apply(const silent_probe_report& silence, bool absent)
+void absence_detector::apply(const undecided_silence& silence, bool absent)
+{
+    recordFinding(silence.report, absent);
+    for (const auto& done : silence.owners)
+        done(absent);
+}
+
+void absence_detector::recordFinding(const silent_probe_report& silence, bool absent)
 {
     const auto* current = m_targetTracker.find(silence.target.name);
     if (!current || current->startedAt != silence.target.startedAt)
@@ -68,7 +80,7 @@
     m_log.write(absent ? "target_absent" : "target_absence_unproven",
         { { "attempt", silence.attempt }, { "target", silence.target.name.value() }, { "why", silence.problem },
             { "node_delay_ms", std::to_string(m_timers.delay().count()) } });
-    if (absent)
+    if (absent && silence.recordsFault)
         m_targetTracker.recordFault(silence.target.name, target_fault::Unreachable, m_timers.now());
 }
 
--- a/gateway/absence_detector.h
+++ b/gateway/absence_detector.h
@@ -7,8 +7,10 @@
 #include "routing/absence_evidence.h"
 #include "routing/target_tracker.h"
 
+#include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace oriolepick {
 
@@ -22,6 +24,7 @@
     std::string problem; ///< the failure in words
     instant sentAt;
     instant due; ///< end of the time limit
+    bool recordsFault = true; ///< whether the detector backs off from an absent target; else the probe's owner does
 };
 
 /// Drives absence_evidence for one node: targets that are found absent get a fault in the target tracker, those whose
@@ -35,19 +38,29 @@
     /// Records that \p target responded to a probe that was sent at \p sentAt.
     void recordResponse(const target_name& target, instant sentAt);
 
+    /// Receives whether the target is absent.
+    using decision = std::function<void(bool absent)>;
+
     /// Records a probe without a response. The decision follows at once or within a tenth of a second.
-    void recordSilence(const silent_probe_report& silence);
+    /// \param done receives the decision, unless the target responds before
+    void recordSilence(const silent_probe_report& silence, decision done = {});
 
 private:
+    struct undecided_silence {
+        silent_probe_report report;
+        std::vector<decision> owners; // of this probe and of later ones of the target
+    };
+
     void decide();
-    void apply(const silent_probe_report& silence, bool absent);
+    void apply(const undecided_silence& silence, bool absent);
+    void recordFinding(const silent_probe_report& silence, bool absent);
 
     target_tracker& m_targetTracker;
     timer_queue& m_timers;
     decision_log& m_log;
     gateway_metrics& m_metrics;
     absence_evidence m_evidence;
-    std::map<target_name, silent_probe_report> m_undecided;
+    std::map<target_name, undecided_silence> m_undecided;
     timer_handle m_timer = 0;
 };
 
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -144,6 +144,8 @@
     void checkForStall();
     void scheduleStallCheck(instant due);
     void onProbe(std::uint32_t attempt, const target_prober::answer& answer);
+    void onSilentProbe(const target_prober::answer& answer);
+    bool isStalled(instant now) const;
     std::chrono::milliseconds probeInterval() const;
     bool canUseCopy(instant now) const;
     bool shouldKeepWaiting(instant now) const;
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -208,7 +208,7 @@
 void exchange::recordFailedProbe(const target_entry& target, const target_prober::answer& answer)
 {
     if (answer.isSilent()) {
-        m_parts.absences.recordSilence({ target, m_caller.attempt, answer.problem, answer.sentAt, answer.due });
+        m_parts.absences.recordSilence({ target, m_caller.attempt, answer.problem, answer.sentAt, answer.due, true });
         return;
     }
     const auto now = m_parts.timers.now();
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -2,6 +2,7 @@
 /// Streams of an exchange: events are forwarded as they arrive, and a target that sends none is replaced.
 #include "gateway/exchange.h"
 
+#include "gateway/absence_detector.h"
 #include "gateway/crash_detector.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
@@ -259,13 +260,31 @@
     const auto now = m_parts.timers.now();
     if (answer.report && answer.report->mayContain(m_caller.attempt))
         m_runReportedAt = now;
-    const bool stalled = now >= m_stall.lastProgress() + probeDelay(m_route->longestGap);
-    if (answer.alive || !stalled || m_link->hasPendingInput())
+    if (answer.alive || !isStalled(now))
         return;
     if (answer.isGone())
         failUnresponsiveTarget("dead", true, answer.problem);
-    else if (answer.isSilent() && isRestartWorthwhile(now))
-        abandonSuspect("dead", answer.problem);
+    else if (answer.isSilent())
+        onSilentProbe(answer);
+}
+
+bool exchange::isStalled(instant now) const
+{
+    return now >= m_stall.lastProgress() + probeDelay(m_route->longestGap) && !m_link->hasPendingInput();
+}
+
+// The run goes on elsewhere only if the target is absent: another path of this node may be as silent.
+void exchange::onSilentProbe(const target_prober::answer& answer)
+{
+    m_parts.absences.recordSilence({ *m_target, m_caller.attempt, answer.problem, answer.sentAt, answer.due, false },
+        [self = weak_from_this(), attempt = m_attempts, problem = answer.problem](bool absent) {
+            const auto exchange = self.lock();
+            if (!absent || !exchange || exchange->m_finished || !exchange->m_link || attempt != exchange->m_attempts)
+                return;
+            const auto now = exchange->m_parts.timers.now();
+            if (exchange->isStalled(now) && exchange->isRestartWorthwhile(now))
+                exchange->abandonSuspect("dead", problem);
+        });
 }
 
 // Before the first event a loss costs only time, so the interval grows with each probe.
