Order streams by their objectives, and share retries over the fleet

Cause: a team's priority replaces that of the route, so that nearly all generations had the same priority at the nodes' queues and at the engines. The budget of one of 68 nodes covers three retries, and the loss of a zone of engines ends more of its streams at once.

Change: streams of equal priority are ordered by their objectives, in the admission queue and in the priority sent to engines; an engine counts as full for a request only by what is as urgent, since it preempts the rest. A node whose budget is used up asks four others, which give what they do not need; a transfer is paid before it is sent, so the sum never grows. Both do nothing where objectives are equal, or in fleets in which a node's own share covers a burst (up to 25 nodes).

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -24,6 +24,9 @@
 
 namespace {
 
+    /// Classes by objective within one priority, so that the ten classes of engines cover priorities 0 to 2.
+    constexpr std::uint32_t ClassesPerPriority = 3;
+
     std::string_view nameOf(const route* route)
     {
         if (!route)
@@ -155,6 +158,13 @@
     return m_team && m_team->priority ? *m_team->priority : m_route->priority;
 }
 
+// Streams of the same priority are ordered by their objectives: the one that is late first has less time to wait.
+std::uint32_t exchange::priorityClass() const
+{
+    return ClassesPerPriority * priority()
+        + std::min(m_table->objectiveRank(*m_route, m_service), ClassesPerPriority - 1);
+}
+
 void exchange::onDeadline()
 {
     if (m_finished)
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -74,6 +74,7 @@
     bool admit();
     std::chrono::milliseconds remainingTime() const;
     std::uint32_t priority() const;
+    std::uint32_t priorityClass() const;
     std::string fingerprintText() const;
     std::string sharedPartsText() const;
     std::uint64_t routedByVersion() const;
@@ -123,6 +124,7 @@
     void onLatePermit(const target_entry& next);
     void abandonLateAttempt();
     void retryOrFail(attempt_outcome attemptOutcome);
+    void conclude(retry_decision decision, attempt_outcome attemptOutcome, std::string_view reason);
     double retryReserve() const;
     void waitForRetryBudget();
     void recordTargetFault(target_fault fault, std::string_view faultName, std::string_view problem = {});
@@ -208,6 +210,8 @@
     std::vector<target_name> m_triedTargets;
     std::optional<availability_zone> m_lostZone; // zone of the last lost target
     bool m_usesLossyPaths = false; // the engines with better paths have no place
+    attempt_outcome m_deniedOutcome = attempt_outcome::Lost; // of the attempt whose retry waits for budget
+    instant m_budgetWaitEnds;
     bool m_wasUnsent = false; // the last attempt ended before its request was sent
     std::optional<run_copy> m_copy; // from which the next attempt continues
     std::optional<run_copy> m_requestedCopy; // made on request at the copy holder
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -8,6 +8,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/response_sink.h"
+#include "gateway/retry_sharing.h"
 #include "gateway/target_connection_pool.h"
 #include "gateway/target_permits.h"
 #include "routing/generation_time_estimator.h"
@@ -39,6 +40,15 @@
     constexpr std::chrono::milliseconds RetryBudgetPollInterval { 100 };
     /// Retries of a service that are left for streams that have begun.
     constexpr double ContinuationReserve = 1;
+    /// Longest wait of a request that has not begun for retries of other nodes: two requests to other nodes.
+    constexpr std::chrono::milliseconds SharedRetryWait { 60 };
+    constexpr std::chrono::milliseconds SharedRetryPollInterval { 10 }; ///< a round trip between zones
+    constexpr std::string_view BudgetUsedUp = "the retry budget of the service is used up";
+
+    retry_decision decisionWithoutBudget(attempt_outcome attemptOutcome)
+    {
+        return attemptOutcome == attempt_outcome::TargetError ? retry_decision::Deliver : retry_decision::Fail;
+    }
 
     std::chrono::milliseconds toMilliseconds(instant::duration duration)
     {
@@ -196,7 +206,7 @@
     if (m_team)
         instruction.team = m_team->name;
     if (m_route->kind == route_kind::Stream)
-        instruction.priority = priority();
+        instruction.priority = priorityClass();
     instruction.lastEvent = m_lastEvent;
     instruction.resumeFrom = m_copy;
     if (m_copyHolder)
@@ -395,23 +405,30 @@
             m_copy = m_requestedCopy ? m_requestedCopy : run_copy { m_copyHolder->address, m_caller.attempt };
         m_requestedCopy.reset();
     }
-    auto decision = decideRetry(m_history, attemptOutcome);
-    std::string_view reason = "no further target may be tried";
+    const auto decision = decideRetry(m_history, attemptOutcome);
     if (decision == retry_decision::RetryWithinBudget && !m_parts.retryBudget.take(m_service, now, retryReserve())) {
         m_parts.metrics.count("repeats_denied");
-        if (m_responseStarted) {
+        m_parts.retrySharing.request(m_service, now);
+        if (m_responseStarted || m_parts.retrySharing.isAvailable()) {
+            m_deniedOutcome = attemptOutcome;
+            m_budgetWaitEnds = m_responseStarted ? m_deadline : std::min(m_deadline, now + SharedRetryWait);
             waitForRetryBudget();
             return;
         }
-        reason = "the retry budget of the service is used up";
-        decision = attemptOutcome == attempt_outcome::TargetError ? retry_decision::Deliver : retry_decision::Fail;
+        conclude(decisionWithoutBudget(attemptOutcome), attemptOutcome, BudgetUsedUp);
+        return;
     }
+    conclude(decision, attemptOutcome, "no further target may be tried");
+}
+
+void exchange::conclude(retry_decision decision, attempt_outcome attemptOutcome, std::string_view reason)
+{
     switch (decision) {
     case retry_decision::Retry:
     case retry_decision::RetryWithinBudget:
         // Full targets need a moment until one has a place for a stream that has begun.
         if (attemptOutcome == attempt_outcome::NotRun && m_responseStarted)
-            dispatchAt(now + RetryBudgetPollInterval);
+            dispatchAt(m_parts.timers.now() + RetryBudgetPollInterval);
         else
             dispatch();
         return;
@@ -432,20 +449,28 @@
     return isGeneration() && !m_responseStarted ? ContinuationReserve : 0;
 }
 
-// The caller has received a part of the stream, so waiting for a retry is better than breaking the stream off.
+// The caller has received a part of the stream, so waiting for a retry is better than breaking the stream off. A
+// request that has not begun waits only for the answers of other nodes.
 void exchange::waitForRetryBudget()
 {
-    m_waitTimer = m_parts.timers.at(m_parts.timers.now() + RetryBudgetPollInterval, [self = weak_from_this()] {
+    const auto interval = m_responseStarted ? RetryBudgetPollInterval : SharedRetryPollInterval;
+    m_waitTimer = m_parts.timers.at(m_parts.timers.now() + interval, [self = weak_from_this()] {
         const auto exchange = self.lock();
         if (!exchange || exchange->m_finished)
             return;
         exchange->m_waitTimer = 0;
         const auto now = exchange->m_parts.timers.now();
+        const auto reserve = exchange->retryReserve();
         auto& budget = exchange->m_parts.retryBudget;
-        if (budget.mayTake(exchange->m_service, now) && budget.take(exchange->m_service, now))
+        if (budget.mayTake(exchange->m_service, now, reserve) && budget.take(exchange->m_service, now, reserve)) {
             exchange->dispatch();
-        else
+        } else if (exchange->m_responseStarted || now < exchange->m_budgetWaitEnds) {
+            exchange->m_parts.retrySharing.request(exchange->m_service, now);
             exchange->waitForRetryBudget();
+        } else {
+            const auto outcome = exchange->m_deniedOutcome;
+            exchange->conclude(decisionWithoutBudget(outcome), outcome, BudgetUsedUp);
+        }
     });
 }
 
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -42,16 +42,17 @@
     /// Team of requests that need no API key.
     constexpr std::string_view AnonymousTeam = "anonymous";
 
-    request_priority priorityOf(std::uint32_t rank)
+    /// Last class, see exchange::priorityClass(), of each priority of the admission queue: requests of the highest
+    /// priority whose objective is the shortest, then the others of that priority with those of the next one whose
+    /// objective is the shortest.
+    constexpr std::uint32_t LastUrgentClass = 0;
+    constexpr std::uint32_t LastNormalClass = 3;
+
+    request_priority queuePriorityOf(std::uint32_t priorityClass)
     {
-        switch (rank) {
-        case 0:
+        if (priorityClass <= LastUrgentClass)
             return request_priority::Urgent;
-        case 1:
-            return request_priority::Normal;
-        default:
-            return request_priority::Bulk;
-        }
+        return priorityClass <= LastNormalClass ? request_priority::Normal : request_priority::Bulk;
     }
 
 } // namespace
@@ -243,7 +244,9 @@
     m_polledEngines.erase(
         std::remove_if(m_polledEngines.begin(), m_polledEngines.end(), unusable), m_polledEngines.end());
     const auto demand = makeGenerationDemand();
-    const auto full = [&demand](const polled_engine& engine) { return !canAdmit(engine, demand); };
+    const auto full = [&demand](const polled_engine& engine) {
+        return !canAdmit(engine, demand) && !canAdmit(withoutLessUrgent(engine, demand), demand);
+    };
     if (mayQueue() && !m_polledEngines.empty() && std::all_of(m_polledEngines.begin(), m_polledEngines.end(), full)) {
         m_parts.metrics.count("surveys_without_room");
         if (avoidedPaths().empty()) {
@@ -285,6 +288,8 @@
 {
     generation_demand demand;
     demand.promptTokens = m_caller.promptTokens;
+    if (m_route->kind == route_kind::Stream)
+        demand.priority = priorityClass();
     demand.outputTokens = m_caller.maxOutputTokens;
     demand.prefillTime = m_parts.prefillTimes.estimate(m_service, m_caller.promptTokens);
     demand.firstEventWithin = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -371,11 +376,12 @@
     const auto queueTimeLimit
         = std::min(std::max(latestUsefulWait, m_route->objective / MinQueueTimeDivisor), remainingTime() - minTime);
     const auto team = m_team ? m_team->name.value() : std::string(AnonymousTeam);
-    queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, priorityOf(priority()),
+    queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, queuePriorityOf(priorityClass()),
         static_cast<std::uint32_t>(demand.total()), m_parts.timers.now() + queueTimeLimit };
     m_parts.metrics.count("waits_for_place");
     m_parts.log.write("waits_for_place",
-        { { "attempt", m_caller.attempt }, { "surveyed", std::to_string(m_polledEngines.size()) },
+        { { "attempt", m_caller.attempt }, { "class", std::to_string(priorityClass()) },
+            { "surveyed", std::to_string(m_polledEngines.size()) },
             { "patience_ms", std::to_string(queueTimeLimit.count()) } });
     const auto self = weak_from_this();
     m_queueNumber = m_parts.admissionQueue.enqueue(m_service, std::move(waiting),
--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -99,6 +99,36 @@
             target_name(in.holder()), { in.copy_address(), in.copy_name() }, in.resumed() };
     }
 
+    constexpr std::uint32_t MaxSharedRetries = 1'000; ///< more than any node saves
+
+    void encodeRetries(const retry_share_message& message, wire::gateway_datagram& out)
+    {
+        if (const auto* request = std::get_if<retry_share_request>(&message)) {
+            out.mutable_retry_request()->set_number(request->number);
+            out.mutable_retry_request()->set_service(request->service.value());
+            out.mutable_retry_request()->set_wanted(request->wanted);
+        } else {
+            const auto& answer = std::get<retry_share_answer>(message);
+            out.mutable_retry_answer()->set_number(answer.number);
+            out.mutable_retry_answer()->set_granted(answer.granted);
+        }
+    }
+
+    std::optional<retry_share_message> decodeRetries(const wire::gateway_datagram& in)
+    {
+        if (in.has_retry_answer()) {
+            const auto& answer = in.retry_answer();
+            if (!answer.granted() || answer.granted() > MaxSharedRetries)
+                return std::nullopt;
+            return retry_share_answer { answer.number(), answer.granted() };
+        }
+        const auto& request = in.retry_request();
+        if (request.service().empty() || request.service().size() > MaxNameBytes || !request.wanted()
+            || request.wanted() > MaxSharedRetries)
+            return std::nullopt;
+        return retry_share_request { request.number(), service_name(request.service()), request.wanted() };
+    }
+
     void encodeRun(const run_message& message, wire::gateway_datagram& out)
     {
         if (const auto* record = std::get_if<run_record>(&message)) {
@@ -239,6 +269,8 @@
         encode(*crashes, *encoded.mutable_crashes());
     else if (const auto* limit = std::get_if<target_limit_message>(&datagram.body))
         encode(*limit, *encoded.mutable_target_limit());
+    else if (const auto* retries = std::get_if<retry_share_message>(&datagram.body))
+        encodeRetries(*retries, encoded);
     else
         encodeRun(std::get<run_message>(datagram.body), encoded);
     return encoded.SerializeAsString();
@@ -279,6 +311,13 @@
         datagram.body = std::move(*limit);
         return datagram;
     }
+    if (encoded.has_retry_request() || encoded.has_retry_answer()) {
+        auto retries = decodeRetries(encoded);
+        if (!retries)
+            return std::nullopt;
+        datagram.body = std::move(*retries);
+        return datagram;
+    }
     auto message = decodeRun(encoded);
     if (!message)
         return std::nullopt;
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -25,6 +25,7 @@
 class replacement_finder;
 class request_dialect;
 class node_retry_budget;
+class retry_sharing;
 class run_handover;
 class seeded_random;
 class target_tracker;
@@ -51,6 +52,7 @@
     replacement_finder& replacements;
     run_handover& handover;
     node_retry_budget& retryBudget;
+    retry_sharing& retrySharing;
     response_time_estimator& responseTimes;
     prefill_time_estimator& prefillTimes;
     path_monitor& paths;
--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -180,6 +180,25 @@
     }
 }
 
+TEST(GatewayMessageCodec, SharedRetriesRoundTripWithinTheirLimits)
+{
+    const auto sent = [](const retry_share_message& message) {
+        return decodeDatagram(encodeDatagram({ node_id("10.0.0.1:80"), message }));
+    };
+    const auto request = sent(retry_share_request { 7, service_name("s"), 2 });
+    ASSERT_TRUE(request);
+    const auto& body = std::get<retry_share_request>(std::get<retry_share_message>(request->body));
+    EXPECT_EQ(body.number, 7U);
+    EXPECT_EQ(body.service.value(), "s");
+    EXPECT_EQ(body.wanted, 2U);
+    const auto answer = sent(retry_share_answer { 7, 1 });
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(std::get<retry_share_answer>(std::get<retry_share_message>(answer->body)).granted, 1U);
+    EXPECT_FALSE(sent(retry_share_request { 7, service_name(), 2 }));
+    EXPECT_FALSE(sent(retry_share_request { 7, service_name(std::string(300, 's')), 2 }));
+    EXPECT_FALSE(sent(retry_share_answer { 7, 1'000'000 }));
+}
+
 RC_GTEST_PROP(GatewayMessageCodec, MutatedMessagesAreDecodedOrDropped,
     (const std::vector<std::pair<std::uint16_t, char>>& changed))
 {
@@ -190,6 +209,8 @@
         sync_page_message { node_id("m"), true }, {} };
     std::vector<std::string> texts { encodeBatch(small), encodeBatch(large),
         encodeDatagram({ node_id("10.0.0.1:80"), sampleDigest() }), encodeDatagram({ node_id("10.0.0.1:80"), message }),
+        encodeDatagram(
+            { node_id("10.0.0.1:80"), retry_share_message(retry_share_request { 7, service_name("s"), 1 }) }),
         encodeNodeRow({ availability_zone("z"), node_id("10.0.0.1:80") }) };
     for (auto& text : texts) {
         for (const auto& [position, byte] : changed)
--- a/routing/engine_admission.cpp
+++ b/routing/engine_admission.cpp
@@ -3,6 +3,7 @@
 #include "routing/engine_selection.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolepick {
 
@@ -44,6 +45,26 @@
     return !committed || committed + demand.total() + reserve <= total;
 }
 
+polled_engine withoutLessUrgent(const polled_engine& engine, const generation_demand& demand)
+{
+    auto seen = engine;
+    if (!engine.report || !demand.priority)
+        return seen;
+    auto report = *engine.report;
+    report.runs.clear();
+    for (const auto& run : engine.report->runs) {
+        if (run.priority <= *demand.priority) {
+            report.runs.push_back(run);
+            continue;
+        }
+        report.admitted -= std::min(report.admitted, 1U);
+        report.usedTokens -= std::min(report.usedTokens, run.tokens);
+        report.queued = 0;
+    }
+    seen.report = std::move(report);
+    return seen;
+}
+
 bool canAdmit(const polled_engine& engine, const generation_demand& demand)
 {
     if (!engine.report)
--- a/routing/engine_admission.h
+++ b/routing/engine_admission.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace oriolepick {
 
@@ -16,6 +17,9 @@
     /// Time for the prefill of the prompt on an engine without other prefills.
     std::chrono::milliseconds prefillTime { 0 };
     std::chrono::milliseconds firstEventWithin { 0 }; ///< remaining time until the first event would be late
+    /// Priority of the request at the engine, 0 is the most urgent. An engine preempts less urgent runs for it. Unset
+    /// if all requests of the service are equally urgent.
+    std::optional<std::uint32_t> priority {};
 
     /// \return the memory in tokens that the generation holds at its end
     std::uint64_t total() const { return promptTokens + outputTokens; }
@@ -33,6 +37,10 @@
 /// assumed to have it, since the engine refuses a request that exceeds its total memory.
 bool hasMemory(const polled_engine& engine, const generation_demand& demand);
 
+/// \return \p engine as \p demand meets it when the engine preempts its less urgent runs: without these runs, and
+/// without the queued requests, which a more urgent one overtakes. The same engine if nothing in it is less urgent.
+polled_engine withoutLessUrgent(const polled_engine& engine, const generation_demand& demand);
+
 /// \return whether \p engine has a free slot and memory, and the first event is expected in time or as soon as an
 /// engine of this kind can produce it. An engine without a readable report is admitted, since it refuses what it
 /// cannot run.
--- a/routing/engine_report.h
+++ b/routing/engine_report.h
@@ -15,6 +15,8 @@
 struct running_generation {
     std::string attempt; ///< identifier of the attempt
     std::uint64_t eventsProduced = 0;
+    std::uint64_t tokens = 0; ///< memory in tokens that the generation holds
+    std::uint32_t priority = 0; ///< 0 is the most urgent
 };
 
 /// The state of an engine some hundred milliseconds before the report was requested.
--- a/routing/node_retry_budget.cpp
+++ b/routing/node_retry_budget.cpp
@@ -5,6 +5,13 @@
 
 namespace oriolepick {
 
+namespace {
+
+    /// Retries that a node keeps when it gives some to another one.
+    constexpr double OwnReserve = 1;
+
+} // namespace
+
 node_retry_budget::node_retry_budget(node_retry_budget_settings settings)
     : m_settings(settings)
 {
@@ -65,4 +72,17 @@
     return true;
 }
 
+std::uint32_t node_retry_budget::give(const service_name& service, std::uint32_t wanted, instant now)
+{
+    std::uint32_t given = 0;
+    for (; given < wanted && mayTake(service, now, OwnReserve); ++given)
+        accountOf(service, now).take(now);
+    return given;
+}
+
+void node_retry_budget::receive(const service_name& service, std::uint32_t retries, instant now)
+{
+    accountOf(service, now).deposit(retries, now);
+}
+
 } // namespace oriolepick
--- a/routing/node_retry_budget.h
+++ b/routing/node_retry_budget.h
@@ -6,6 +6,7 @@
 #include "core/retry_budget.h"
 #include "routing/routing_names.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -49,6 +50,16 @@
     /// \return false if the budget is exhausted
     bool take(const service_name& service, instant now, double reserve = 0);
 
+    /// \return whether the share of minRetries that this node has is smaller than what several lost streams need
+    bool isShareSmall() const { return slackShare() / 2 < m_settings.burst; }
+
+    /// Takes retries from this node for another one, and leaves one for its own next failure.
+    /// \return the number of retries taken, at most \p wanted
+    std::uint32_t give(const service_name& service, std::uint32_t wanted, instant now);
+
+    /// Adds retries that another node has given up. What exceeds the maximum balance is lost.
+    void receive(const service_name& service, std::uint32_t retries, instant now);
+
     /// \return the number of denied retries
     std::uint64_t deniedRetries() const { return m_deniedRetries; }
 
--- a/routing/route_table.cpp
+++ b/routing/route_table.cpp
@@ -56,6 +56,14 @@
 void route_table::add(const route& route)
 {
     m_routes.insert(&route);
+    if (route.kind == route_kind::Stream) {
+        for (const auto& share : route.services) {
+            auto& objectives = m_objectives[share.service];
+            const auto place = std::lower_bound(objectives.begin(), objectives.end(), route.objective);
+            if (place == objectives.end() || *place != route.objective)
+                objectives.insert(place, route.objective);
+        }
+    }
     const auto size = route.prefix.size();
     if (std::find(m_prefixSizes.begin(), m_prefixSizes.end(), size) == m_prefixSizes.end())
         m_prefixSizes.push_back(size);
@@ -73,6 +81,16 @@
     return nullptr;
 }
 
+std::uint32_t route_table::objectiveRank(const route& route, const service_name& service) const
+{
+    const auto found = m_objectives.find(service);
+    if (found == m_objectives.end())
+        return 0;
+    const auto& objectives = found->second;
+    const auto place = std::lower_bound(objectives.begin(), objectives.end(), route.objective);
+    return static_cast<std::uint32_t>(place - objectives.begin());
+}
+
 const team_rules* route_table::teamOf(std::string_view key) const
 {
     const auto team = m_config.teamOfKey.find(std::string(key));
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -21,6 +21,10 @@
     route_table& operator=(const route_table&) = delete;
     route_table(route_table&&) = default;
 
+    /// \return the rank of \p route among the routes to \p service by their time objectives, 0 for the shortest; 0 if
+    /// all have the same
+    std::uint32_t objectiveRank(const route& route, const service_name& service) const;
+
     /// \param host value of the request's host field; port and letter case are ignored
     /// \param path request target without its query
     /// \return the route with the longest matching prefix, or null. The cost depends on the number of different lengths
@@ -67,6 +71,7 @@
 
     routing_config m_config;
     absl::flat_hash_set<const route*, key_hash, key_equal> m_routes;
+    std::map<service_name, std::vector<std::chrono::milliseconds>> m_objectives; // distinct ones of streams, ascending
     std::vector<std::size_t> m_prefixSizes; // longest first
 };
 
--- a/routing/test/engine_admission.cpp
+++ b/routing/test/engine_admission.cpp
@@ -95,6 +95,38 @@
     EXPECT_FALSE(canAdmit(engine, demand()));
 }
 
+// Load pattern: callers with a short objective and a small share of the requests compete with many that may wait longer
+// for engines without room.
+TEST(EngineAdmission, LessUrgentRunsDoNotKeepAnUrgentRequestWaiting)
+{
+    auto engine = engineWith(10, 8'500);
+    engine.report->queued = 3;
+    for (auto& run : engine.report->runs) {
+        run.tokens = 8'500;
+        run.priority = 4;
+    }
+    auto urgent = demand();
+    urgent.priority = 3;
+    EXPECT_FALSE(canAdmit(engine, urgent));
+    EXPECT_TRUE(canAdmit(withoutLessUrgent(engine, urgent), urgent)) << "the engine preempts for it";
+    auto other = demand();
+    other.priority = 4;
+    EXPECT_FALSE(canAdmit(withoutLessUrgent(engine, other), other)) << "equals do not preempt each other";
+    EXPECT_FALSE(canAdmit(withoutLessUrgent(engine, demand()), demand())) << "without priorities nothing changes";
+}
+
+TEST(EngineAdmission, UrgentRunsDelayAnotherUrgentRequest)
+{
+    auto engine = engineWith(10, 8'500);
+    for (auto& run : engine.report->runs) {
+        run.tokens = 8'500;
+        run.priority = 3;
+    }
+    auto urgent = demand();
+    urgent.priority = 3;
+    EXPECT_FALSE(canAdmit(withoutLessUrgent(engine, urgent), urgent));
+}
+
 TEST(EngineAdmission, EngineWithoutReadableReportIsTried)
 {
     polled_engine engine;
--- a/routing/test/route_table.cpp
+++ b/routing/test/route_table.cpp
@@ -95,6 +95,23 @@
     EXPECT_EQ(route_table::chooseService(split, 0.999'999).value(), "few");
 }
 
+// Guards against callers with a short objective that wait behind those who may wait longer.
+TEST(RouteTable, StreamsOfAServiceAreRankedByTheirObjectives)
+{
+    auto urgent = routeOf("urgent", "a", "/u/");
+    auto patient = routeOf("patient", "a", "/p/");
+    auto other = routeOf("other", "a", "/o/");
+    urgent.kind = patient.kind = other.kind = route_kind::Stream;
+    urgent.services = patient.services = { { service_name("s"), 1 } };
+    urgent.objective = std::chrono::seconds(4);
+    patient.objective = std::chrono::seconds(10);
+    other.objective = std::chrono::seconds(20);
+    const auto table = tableOf({ patient, urgent, other });
+    EXPECT_EQ(table.objectiveRank(urgent, service_name("s")), 0U);
+    EXPECT_EQ(table.objectiveRank(patient, service_name("s")), 1U);
+    EXPECT_EQ(table.objectiveRank(other, service_name("other")), 0U) << "the only one of its service";
+}
+
 TEST(RouteTable, OnlyKnownKeysNameATeam)
 {
     routing_config config;
