Choose targets by version, and read the limits of rollouts

A rollout needs to know which version each target runs, and how much of the load a version may get before it is trusted. Registrations carried the version already; it is now kept, compared and usable as a condition of a choice.

--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -33,11 +33,24 @@
     double repeatRatio = 0.8; ///< retries per request, over all nodes
     double repeatSlack = 150; ///< retries over all nodes that are allowed without requests
     std::chrono::milliseconds repeatWindow { 10'000 }; ///< over which requests and retries are counted
+    /// Greatest share of the requests of a service that a version in a rollout may receive until it is trusted, over all
+    /// nodes; 0 switches rollouts off.
+    double exposureShare = 0;
+    double exposureSlack = 0; ///< requests that such a version may receive in addition to the share
+    /// From the 50th bad response of a version to the last request that it receives.
+    std::chrono::milliseconds rollbackBound { 0 };
     double linkMbps = 1'000; ///< capacity of this instance's network link
     int memoryMb = 256; ///< limit of this process, which is killed when it exceeds the limit
     int logLinesPerSecond = 200; ///< further lines are dropped and counted
 };
 
+/// \return whether this node takes part in rollouts of versions. Without all three settings nothing limits what a bad
+/// version may receive, so none is rolled out.
+inline bool hasRollouts(const gateway_settings& settings)
+{
+    return settings.exposureShare > 0 && settings.exposureSlack > 0 && settings.rollbackBound.count() > 0;
+}
+
 /// \return the longest time until a change of the store, or its return, is known here: the least of the bounds that the
 /// settings name
 inline std::chrono::milliseconds newsBound(const gateway_settings& settings)
--- a/gateway/gateway_settings_json.cpp
+++ b/gateway/gateway_settings_json.cpp
@@ -26,6 +26,9 @@
         visit("repeat_ratio", settings.repeatRatio, numberRule(0, 10));
         visit("repeat_slack", settings.repeatSlack, numberRule(0, 1e6));
         visit("repeat_window_ms", settings.repeatWindow, numberRule(1'000, MaxTimeMs));
+        visit("exposure_share", settings.exposureShare, numberRule(0, 1));
+        visit("exposure_slack", settings.exposureSlack, numberRule(0, 1e6));
+        visit("rollback_ms", settings.rollbackBound, numberRule(0, MaxTimeMs));
         visit("link_mbps", settings.linkMbps, numberRule(1, 1'000'000));
         visit("memory_mb", settings.memoryMb, numberRule(32, 1'048'576));
         visit("log_lines_per_second", settings.logLinesPerSecond, numberRule(1, 100'000));
--- a/gateway/test/gateway_settings.cpp
+++ b/gateway/test/gateway_settings.cpp
@@ -33,6 +33,21 @@
     EXPECT_TRUE(settings.seeds.empty());
 }
 
+// Guards against rollouts that start without a limit for what a bad version may receive.
+TEST(GatewaySettings, RolloutsNeedAllTheirLimits)
+{
+    std::vector<field_error> problems;
+    const auto areOn = [&problems](const std::string& fields) {
+        return hasRollouts(readGatewaySettings("{" + MinimalFields + fields + "}", problems));
+    };
+    EXPECT_FALSE(areOn(""));
+    EXPECT_FALSE(areOn(R"(,"exposure_share":0,"exposure_slack":0,"rollback_ms":0)"));
+    EXPECT_FALSE(areOn(R"(,"exposure_share":0.1,"exposure_slack":50)"));
+    EXPECT_TRUE(areOn(R"(,"exposure_share":0.1,"exposure_slack":50,"rollback_ms":5000)"));
+    EXPECT_TRUE(problems.empty());
+    EXPECT_EQ(problemsOf("{" + MinimalFields + R"(,"exposure_share":1.5})").size(), 1U);
+}
+
 TEST(GatewaySettings, ReportsEveryProblem)
 {
     EXPECT_EQ(problemsOf("[]").size(), 1U);
--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -129,9 +129,13 @@
     return isInService(target, now) && now >= target.pausedUntil;
 }
 
-bool target_tracker::isExcluded(const target_query& query, const target_name& name)
+bool target_tracker::isExcluded(const target_query& query, const target_name& name, const target_entry& entry)
 {
-    return std::find(query.excluded.begin(), query.excluded.end(), name) != query.excluded.end();
+    const auto contains = [&name](const std::vector<target_name>& names) {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    return contains(query.excluded) || (!query.only.empty() && !contains(query.only))
+        || (query.version && !query.version->allows(entry.version));
 }
 
 target_tracker::target_map::iterator target_tracker::erase(target_map::iterator target)
@@ -157,7 +161,7 @@
     const target_query& query, const target_name& name, const state& target, instant now)
 {
     if (target.entry.service != query.service || !isUsable(target, now) || now < target.limitedUntil
-        || isExcluded(query, name))
+        || isExcluded(query, name, target.entry))
         return std::nullopt;
     double score = (target.inFlight + 0.5 * m_random.unit()) / std::max<std::uint32_t>(target.entry.slots, 1);
     if (query.zone && target.entry.zone != *query.zone)
@@ -283,6 +287,16 @@
     return count;
 }
 
+std::vector<target_entry> target_tracker::registeredTargets(const service_name& service) const
+{
+    std::vector<target_entry> registered;
+    for (const auto& [name, target] : m_targets) {
+        if (target.entry.service == service && !target.expiresAt)
+            registered.push_back(target.entry);
+    }
+    return registered;
+}
+
 std::uint32_t target_tracker::ownInFlight(const target_name& target) const
 {
     const auto found = m_targets.find(target);
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -29,9 +29,10 @@
     bool draining = false; ///< the target accepts no new requests
     std::uint64_t startedAt = 0; ///< start of this incarnation in Unix milliseconds, 0 if not reported
     std::uint64_t renewalCount = 0; ///< increases with each renewal of the registration within one incarnation
+    std::string version {}; ///< of the program that the target runs, as the target registered it
 
     /// \return the place of this registration among those of the target
-    registration_version version() const { return { startedAt, renewalCount }; }
+    registration_version registrationVersion() const { return { startedAt, renewalCount }; }
 };
 
 /// Thresholds of target_tracker.
@@ -65,6 +66,15 @@
 target_tracker_settings makeTargetTrackerSettings(std::chrono::milliseconds contactBound,
     std::chrono::milliseconds leavingBound, std::chrono::milliseconds newsBound);
 
+/// Which versions of targets may be chosen.
+struct version_condition {
+    std::string version;
+    bool isExcluded = false; ///< all versions but this one may be chosen; otherwise only this one
+
+    /// \return whether a target of \p candidate may be chosen
+    bool allows(const std::string& candidate) const { return (candidate == version) != isExcluded; }
+};
+
 /// Requirements of a new attempt.
 struct target_query {
     service_name service;
@@ -72,6 +82,8 @@
     std::vector<target_name> excluded; ///< targets that are not chosen, since they were tried before
     std::optional<availability_zone> avoidedZone; ///< targets of this zone are chosen last
     std::vector<availability_zone> lossyZones {}; ///< targets of other zones are preferred, see path_monitor
+    std::optional<version_condition> version {}; ///< nothing for targets of all versions
+    std::vector<target_name> only {}; ///< if not empty, no other target is chosen
 };
 
 /// When a service without an available target may accept requests again.
@@ -191,6 +203,9 @@
     /// \return the number of targets of \p service that accept new requests, regardless of a back-off
     std::size_t usableTargets(const service_name& service, instant now) const;
 
+    /// \return the targets of \p service that are registered now, draining ones included
+    std::vector<target_entry> registeredTargets(const service_name& service) const;
+
     /// \return the number of requests of this node in flight on \p target
     std::uint32_t ownInFlight(const target_name& target) const;
 
@@ -226,7 +241,7 @@
     void removeExpired(instant now);
     static bool isInService(const state& target, instant now);
     static bool isUsable(const state& target, instant now);
-    static bool isExcluded(const target_query& query, const target_name& name);
+    static bool isExcluded(const target_query& query, const target_name& name, const target_entry& entry);
 
     target_tracker_settings m_settings;
     seeded_random& m_random;
--- a/routing/target_tracker_registrations.cpp
+++ b/routing/target_tracker_registrations.cpp
@@ -17,12 +17,12 @@
     if (found == m_targets.end() || found->second.expiresAt || found->second.isOverwritten || found->second.isDisplaced)
         return true;
     const auto& known = found->second.entry;
-    if (entry.version().renews(known.version()) && m_claims.isContested(known.address))
+    if (entry.registrationVersion().renews(known.registrationVersion()) && m_claims.isContested(known.address))
         return true;
     const bool wasUnregistered = !known.renewalCount && entry.renewalCount; // found without the registry
     return wasUnregistered || known.service != entry.service || known.address != entry.address
         || known.zone != entry.zone || known.slots != entry.slots || (entry.draining && !known.draining)
-        || known.startedAt != entry.startedAt;
+        || known.startedAt != entry.startedAt || known.version != entry.version;
 }
 
 bool target_tracker::isOutdated(const target_entry& entry) const
@@ -30,11 +30,11 @@
     const auto known = m_targets.find(entry.name);
     const bool isRemoved = known != m_targets.end() && known->second.expiresAt && wasRemovedForGood(entry.name);
     if (known != m_targets.end() && !isRemoved)
-        return entry.version() < known->second.entry.version();
+        return entry.registrationVersion() < known->second.entry.registrationVersion();
     const auto removal = m_removals.find(entry.name);
     if (removal == m_removals.end() || !removal->second.last)
         return false;
-    return entry.version() <= removal->second.last->after(removal->second.mayReturn ? 0 : m_settings.maxUnseenRenewals);
+    return entry.registrationVersion() <= removal->second.last->after(removal->second.mayReturn ? 0 : m_settings.maxUnseenRenewals);
 }
 
 // Returns whether a target that was removed before this node knew it is not added yet: the entry may be a late renewal.
@@ -84,7 +84,7 @@
     const auto earlier = m_unconfirmed.find(entry.name);
     const bool isConfirmed = earlier != m_unconfirmed.end() && !earlier->second.isRefuted
         && earlier->second.entry.service == entry.service && earlier->second.entry.address == entry.address
-        && entry.version().renews(earlier->second.entry.version());
+        && entry.registrationVersion().renews(earlier->second.entry.registrationVersion());
     const bool isHeld = contradicts(entry) && !isConfirmed;
     dropUnconfirmed(entry.name);
     if (!isHeld)
@@ -173,7 +173,7 @@
         return;
     auto& target = m_targets[entry.name];
     const bool isNewStart = target.entry.startedAt != entry.startedAt || target.entry.address != entry.address;
-    const bool isRenewal = !isNewStart && !target.expiresAt && entry.version().renews(target.entry.version());
+    const bool isRenewal = !isNewStart && !target.expiresAt && entry.registrationVersion().renews(target.entry.registrationVersion());
     if (isNewStart) {
         withdrawClaim(target.entry.address, entry.name);
         target.consecutiveFaults = 0;
@@ -197,9 +197,9 @@
 {
     const bool inGrace = isInGrace(now);
     const auto found = m_targets.find(target);
-    auto newest = last ? std::make_optional(last->version()) : std::nullopt;
+    auto newest = last ? std::make_optional(last->registrationVersion()) : std::nullopt;
     if (found != m_targets.end())
-        newest = std::max(newest, std::make_optional(found->second.entry.version()));
+        newest = std::max(newest, std::make_optional(found->second.entry.registrationVersion()));
     auto& removal = m_removals.try_emplace(target, removal_record { {}, now, false, {} }).first->second;
     removal.held.reset();
     dropUnconfirmed(target);
@@ -237,8 +237,8 @@
         const auto removal = m_removals.find(entry.name);
         const auto target = m_targets.find(entry.name);
         const bool isRegistered = target != m_targets.end() && !target->second.expiresAt;
-        if (!isRegistered && wasRemovedForGood(entry.name) && entry.version().renews(*removal->second.last))
-            removal->second.last = entry.version();
+        if (!isRegistered && wasRemovedForGood(entry.name) && entry.registrationVersion().renews(*removal->second.last))
+            removal->second.last = entry.registrationVersion();
     }
 }
 
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -477,4 +477,42 @@
     EXPECT_EQ(chosen(), "a");
 }
 
+// Guards against requests that reach a version which must not get them.
+TEST_F(TargetTracker, AVersionConditionAdmitsOnlyItsTargets)
+{
+    for (const auto* name : { "a", "b", "c" }) {
+        auto versioned = entry(name);
+        versioned.version = versioned.name.value() == "c" ? "v2" : "v1";
+        tracker.put(versioned, now);
+    }
+    target_query query { service_name("s"), availability_zone("z1"), {}, std::nullopt };
+    EXPECT_EQ(tracker.candidates(query, 9, now).size(), 3U);
+    query.version = version_condition { "v2" };
+    ASSERT_TRUE(tracker.choose(query, now));
+    EXPECT_EQ(tracker.choose(query, now)->name.value(), "c");
+    EXPECT_EQ(tracker.candidates(query, 9, now).size(), 1U);
+    query.version->isExcluded = true;
+    EXPECT_EQ(tracker.candidates(query, 9, now).size(), 2U);
+    query.version = version_condition { "v3" };
+    EXPECT_FALSE(tracker.choose(query, now)) << "no target has this version";
+    query.version->isExcluded = true;
+    query.only = { target_name("b") };
+    EXPECT_EQ(tracker.candidates(query, 9, now).size(), 1U);
+    EXPECT_EQ(tracker.choose(query, now)->name.value(), "b");
+    EXPECT_EQ(tracker.registeredTargets(service_name("s")).size(), 3U);
+}
+
+// Guards against nodes that do not learn of a version because the row seems to be a renewal.
+TEST_F(TargetTracker, AChangedVersionIsAnUpdate)
+{
+    auto known = entry("a");
+    known.renewalCount = 1;
+    known.version = "v1";
+    tracker.put(known, now);
+    known.renewalCount = 2;
+    EXPECT_FALSE(tracker.isUpdate(known));
+    known.version = "v2";
+    EXPECT_TRUE(tracker.isUpdate(known));
+}
+
 } // namespace
