Drive rollouts of versions at each node

Requests need to know which versions they may be sent to, and the decider of a rollout needs the counts of all nodes and a ledger in the store. The driver connects the coordinator with timers, datagrams, the store and the registered targets; an exchange asks it before each choice of a target and reports the responses. Order rows keep their store revision on the way between nodes, since the revision identifies the order.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -159,6 +159,7 @@
 {
     if (m_finished)
         return;
+    recordVersionWait(m_route->objective);
     const bool sent = m_history.mayHaveRun || m_sent;
     m_history.mayHaveRun = sent;
     failWith(sent ? error_kind::DeadlineExceeded : error_kind::Overloaded, "the time for an answer is over");
@@ -234,6 +235,8 @@
 void exchange::cancel()
 {
     if (!m_finished && m_sink) {
+        if (m_route)
+            recordVersionWait(m_route->objective); // the caller gave up on a late response
         m_finished = true;
         m_parts.metrics.countAnswer(nameOf(m_route), "cancelled", since(m_startedAt, m_parts.timers.now()));
         m_parts.log.write("caller_left",
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -103,6 +103,21 @@
     void findRunCopy();
     void publishRunCopy();
 
+    // versions of targets, in exchange_version_choice.cpp
+    std::optional<version_condition> versionCondition() const;
+    target_query withVersionCondition(target_query query) const;
+    target_query withExposure(target_query query) const;
+    bool mayReceive(const target_entry& target) const;
+    bool isAllowedVersion(const target_entry& target) const;
+    bool awaitExposure();
+    bool dropExposure();
+    void recordVersionStart(const target_entry& target);
+    void recordVersionEnd();
+    void recordVersionAnswer(bool failed);
+    void recordVersionResponse(bool isInvalid);
+    void recordVersionFirstEvent();
+    void recordVersionWait(std::chrono::milliseconds least = {});
+
     // attempts, in exchange_attempts.cpp
     void dispatch();
     bool rejectIfQuarantined();
@@ -197,7 +212,11 @@
     std::uint32_t m_probesSinceLastEvent = 0;
     std::optional<instant> m_runReportedAt; // when the target last reported that it may hold the run
 
+    bool m_isExposed = false; // this attempt has a permit for a version in a rollout
+    bool m_startsRun = false; // the attempt continues no stream, so the time to its first event is that of a whole prompt
+
     // the request as a whole
+    bool m_exposureAsked = false; // a permit was requested; a request gets one at most
     std::vector<polled_engine> m_polledEngines;
     std::size_t m_pendingPolls = 0;
     queue_number m_queueNumber = 0; // while the request waits in the admission queue
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -65,10 +65,15 @@
     }
     m_copy.reset();
     m_prefilledAlone = false;
-    if (pollEngines())
+    if (awaitExposure() || pollEngines())
         return;
-    target_query query { m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() };
+    auto query
+        = withExposure({ m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() });
     auto target = m_parts.targetTracker.choose(query, now);
+    if (!target && dropExposure()) {
+        dispatch();
+        return;
+    }
     if (!target && !m_triedTargets.empty()) {
         // Every target was tried. A request that may be retried tries them again, as some may have recovered.
         m_triedTargets.clear();
@@ -107,7 +112,7 @@
     const auto now = m_parts.timers.now();
     const auto longest = m_responseStarted ? m_deadline : m_startedAt + m_route->objective / 2;
     const auto latest = std::min(longest, m_deadline);
-    const auto outlook = m_parts.targetTracker.allUnavailable(m_service, now);
+    const auto outlook = m_parts.targetTracker.allUnavailable(m_service, now, versionCondition());
     if (now + NoTargetRetryDelay >= latest || (outlook && outlook->next + outlook->spread >= latest)) {
         const auto kind = m_history.mayHaveRun ? error_kind::TargetFailed : error_kind::NoTarget;
         if (outlook && outlook->limited) {
@@ -215,7 +220,7 @@
     const auto demand = makeGenerationDemand();
     bool memoryIsScarce = !polledEngines.empty();
     for (const auto& engine : polledEngines) {
-        if (!hasMemory(engine, demand))
+        if (!hasMemory(engine, demand) || !isAllowedVersion(engine.target))
             continue;
         memoryIsScarce = false;
         if (engine.target.zone != target.zone) {
@@ -227,7 +232,8 @@
         m_copyRequestedAt = m_parts.timers.now() + LowMemoryCopyDelay;
         return;
     }
-    target_query query { m_service, m_parts.settings.zone, m_triedTargets, target.zone, avoidedPaths() };
+    auto query
+        = withVersionCondition({ m_service, m_parts.settings.zone, m_triedTargets, target.zone, avoidedPaths() });
     query.excluded.push_back(target.name);
     m_copyHolder = m_parts.targetTracker.choose(query, m_parts.timers.now());
 }
@@ -237,6 +243,11 @@
     const auto now = m_parts.timers.now();
     if (rejectIfQuarantined() || rejectIfEndingAfterShutdown())
         return; // a crash or the stop has become known while the engines were polled or a permit was pending
+    if (!mayReceive(target)) {
+        dropExposure(); // the rollout of a version has moved on since the target was chosen
+        dispatch();
+        return;
+    }
     leaveQueue();
     m_copyRequestedAt = {};
     chooseCopyHolder(target);
@@ -266,6 +277,7 @@
                 { "try", std::to_string(m_attempts) }, { "copy", m_continuesCopy ? instruction.resumeFrom->name : "" },
                 { "last_event", m_lastEvent ? std::to_string(*m_lastEvent) : "none" } });
     m_parts.targetTracker.attemptStarted(target.name, now);
+    recordVersionStart(target);
     m_link = m_parts.targetConnections.take(target.address, m_caller.attempt, now);
     if (m_route->kind == route_kind::Stream)
         startStallDetection();
@@ -276,7 +288,7 @@
 
 bool exchange::maySend() const
 {
-    return m_parts.targetTracker.takesRequests(m_target->name, m_parts.timers.now());
+    return m_parts.targetTracker.takesRequests(m_target->name, m_parts.timers.now()) && mayReceive(*m_target);
 }
 
 void exchange::onSent()
@@ -297,7 +309,9 @@
         m_link->abandon();
         m_link.reset();
         m_parts.targetTracker.attemptEnded(m_target->name);
+        recordVersionEnd();
     }
+    m_isExposed = false;
     m_sent = false;
 }
 
@@ -329,8 +343,8 @@
     }
     auto tried = m_triedTargets;
     tried.push_back(m_target->name);
-    const auto next
-        = m_parts.targetTracker.choose({ m_service, m_parts.settings.zone, tried, std::nullopt }, m_parts.timers.now());
+    const auto next = m_parts.targetTracker.choose(
+        withVersionCondition({ m_service, m_parts.settings.zone, tried, std::nullopt }), m_parts.timers.now());
     if (!next)
         return;
     if (m_parts.permits.isLimited(*next)) {
@@ -361,6 +375,7 @@
 void exchange::abandonLateAttempt()
 {
     recordTargetFault(target_fault::NoResponse, "late");
+    recordVersionWait();
     m_history.mayHaveRun = m_history.mayHaveRun || m_sent;
     ++m_history.answered;
     endAttempt();
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -58,7 +58,8 @@
 
 bool exchange::hasUsableCopy() const
 {
-    return m_copy && m_copyHolder && m_parts.targetTracker.canResumeAt(*m_copyHolder, m_parts.timers.now());
+    return m_copy && m_copyHolder && isAllowedVersion(*m_copyHolder)
+        && m_parts.targetTracker.canResumeAt(*m_copyHolder, m_parts.timers.now());
 }
 
 // The caller received a part of the stream from another node, which may have failed: the run can continue from its
@@ -158,7 +159,7 @@
         waitInQueue();
         return true;
     }
-    const target_query query { m_service, std::nullopt, m_triedTargets, m_lostZone, avoidedPaths() };
+    const auto query = withExposure({ m_service, std::nullopt, m_triedTargets, m_lostZone, avoidedPaths() });
     const auto now = m_parts.timers.now();
     m_polledEngines.clear();
     auto candidates = m_parts.targetTracker.candidates(query, PolledEngineCount, now);
@@ -246,7 +247,9 @@
     const auto full = [&demand](const polled_engine& engine) { return !canAdmit(engine, demand); };
     if (mayQueue() && !m_polledEngines.empty() && std::all_of(m_polledEngines.begin(), m_polledEngines.end(), full)) {
         m_parts.metrics.count("surveys_without_room");
-        if (avoidedPaths().empty()) {
+        if (dropExposure()) {
+            dispatch(); // a permit is not kept for later
+        } else if (avoidedPaths().empty()) {
             waitInQueue();
         } else {
             m_usesLossyPaths = true; // a place on a lossy path is better than none
--- a/gateway/exchange_responses.cpp
+++ b/gateway/exchange_responses.cpp
@@ -84,6 +84,7 @@
     auto link = std::move(m_link);
     m_link.reset();
     m_parts.targetTracker.attemptEnded(m_target->name);
+    recordVersionEnd();
     if (reusable && !m_reply.leaving)
         m_parts.targetConnections.release(std::move(link));
     else
@@ -93,6 +94,7 @@
     if (m_streaming) {
         if (m_events.pendingBytes()) {
             recordTargetFault(target_fault::InvalidResponse, "stream_cut_in_event");
+            recordVersionAnswer(true);
             m_history.mayHaveRun = true;
             ++m_history.lost;
             retryOrFail(attempt_outcome::Lost);
@@ -132,7 +134,9 @@
     if (m_reply.signedByTarget)
         m_parts.crashes.recordCompletion(m_suspect.request);
     const bool success = m_head.status >= 200 && m_head.status < 300;
-    if (m_reply.encoded || (success && !m_reply.signedByTarget)) {
+    const bool isInvalid = m_reply.encoded || (success && !m_reply.signedByTarget);
+    recordVersionResponse(isInvalid);
+    if (isInvalid) {
         recordTargetFault(target_fault::InvalidResponse, "unsigned_answer");
         m_triedTargets.push_back(m_target->name);
         retryOrFail(attempt_outcome::Lost);
@@ -172,6 +176,8 @@
             : malformed                           ? "malformed_response"
             : failure == transport_failure::Reset ? "reset"
                                                   : "closed");
+    if (malformed)
+        recordVersionAnswer(true);
     if (sent) {
         if (!malformed)
             m_parts.crashes.recordLostAttempt(m_suspect, *m_target, m_eventReceived);
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -86,12 +86,15 @@
     m_suspected = false;
     if (!m_eventReceived)
         m_parts.crashes.recordStart(m_suspect.parts);
+    if (!m_eventReceived)
+        recordVersionFirstEvent();
     m_eventReceived = true;
     if (event.id) {
         if (m_lastEvent && *event.id <= *m_lastEvent)
             return true; // the caller already has this event
         if (m_lastEvent && *event.id != *m_lastEvent + 1) {
             recordTargetFault(target_fault::InvalidResponse, "event_missing");
+            recordVersionAnswer(true);
             m_history.mayHaveRun = true;
             ++m_history.answered;
             retryOrFail(attempt_outcome::Lost);
@@ -126,7 +129,8 @@
     const auto now = m_parts.timers.now();
     if (m_parts.targetTracker.isPaused(m_target->name, now))
         return; // a copy request would violate the pause as well
-    const bool lost = !m_copyHolder || !m_parts.targetTracker.canResumeAt(*m_copyHolder, m_parts.timers.now());
+    const bool lost = !m_copyHolder || !isAllowedVersion(*m_copyHolder)
+        || !m_parts.targetTracker.canResumeAt(*m_copyHolder, m_parts.timers.now());
     if (!lost && m_parts.isStoreUnavailable() && now >= m_copyHolderProbedAt + CopyHolderProbeInterval)
         recheckCopyHolder();
     if (lost && m_requestedCopy)
@@ -152,9 +156,10 @@
 void exchange::requestCopy()
 {
     m_copyRequestedAt = m_parts.timers.now();
-    if (!m_copyHolder || !m_parts.targetTracker.canResumeAt(*m_copyHolder, m_parts.timers.now())) {
+    if (!m_copyHolder || !isAllowedVersion(*m_copyHolder)
+        || !m_parts.targetTracker.canResumeAt(*m_copyHolder, m_parts.timers.now())) {
         m_copyHolder = m_parts.targetTracker.choose(
-            { m_service, std::nullopt, { m_target->name }, m_target->zone }, m_copyRequestedAt);
+            withVersionCondition({ m_service, std::nullopt, { m_target->name }, m_target->zone }), m_copyRequestedAt);
         if (!m_copyHolder)
             return;
     }
@@ -299,7 +304,8 @@
 
 bool exchange::canUseCopy(instant now) const
 {
-    return m_responseStarted && m_copyHolder && m_parts.targetTracker.canResumeAt(*m_copyHolder, now);
+    return m_responseStarted && m_copyHolder && isAllowedVersion(*m_copyHolder)
+        && m_parts.targetTracker.canResumeAt(*m_copyHolder, now);
 }
 
 // An overloaded engine prefills prompts one after another and preempts runs, so a run that it still holds is worth
@@ -330,7 +336,8 @@
         || !m_parts.retryBudget.mayTake(m_service, now, retryReserve()))
         return false;
     return canUseCopy(now)
-        || m_parts.targetTracker.choose({ m_service, m_parts.settings.zone, { m_target->name }, m_lostZone }, now);
+        || m_parts.targetTracker.choose(
+            withVersionCondition({ m_service, m_parts.settings.zone, { m_target->name }, m_lostZone }), now);
 }
 
 // Silence alone ends a run only if another target can take it on. Otherwise its target is waited for until the
@@ -356,6 +363,8 @@
 void exchange::failUnresponsiveTarget(std::string_view faultName, bool isGone, std::string_view problem)
 {
     recordTargetFault(target_fault::NoResponse, faultName, problem);
+    if (!isGone)
+        recordVersionWait();
     if (m_sent) {
         if (!m_suspected || isGone) // the check of a suspected target may have ended while it still listened
             m_parts.crashes.recordLostAttempt(m_suspect, *m_target, m_eventReceived);
--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_message_codec.h"
 
 #include "gateway/crash_news_codec.h"
+#include "gateway/rollout_message_codec.h"
 #include "gateway/socket_address.h"
 #include "wire/membership_codec.h"
 #include "wire/messages.pb.h"
@@ -145,6 +146,7 @@
             added.set_key(row.key);
             added.set_value(row.value.string());
             added.set_removed(row.removed);
+            added.set_revision(row.revision);
         }
         return encoded;
     }
@@ -239,6 +241,8 @@
         encode(*crashes, *encoded.mutable_crashes());
     else if (const auto* limit = std::get_if<target_limit_message>(&datagram.body))
         encode(*limit, *encoded.mutable_target_limit());
+    else if (const auto* rollout = std::get_if<rollout_message>(&datagram.body))
+        encode(*rollout, *encoded.mutable_rollout());
     else
         encodeRun(std::get<run_message>(datagram.body), encoded);
     return encoded.SerializeAsString();
@@ -279,6 +283,13 @@
         datagram.body = std::move(*limit);
         return datagram;
     }
+    if (encoded.has_rollout()) {
+        auto rollout = decode(encoded.rollout());
+        if (!rollout)
+            return std::nullopt;
+        datagram.body = std::move(*rollout);
+        return datagram;
+    }
     auto message = decodeRun(encoded);
     if (!message)
         return std::nullopt;
@@ -338,7 +349,7 @@
         batch.sinceRecovery = std::chrono::milliseconds(encoded.since_recovery_ms());
     batch.whole = encoded.whole();
     for (auto& row : *rows->mutable_rows())
-        batch.rows.push_back({ std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed() });
+        batch.rows.push_back({ std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed(), row.revision() });
     return batch;
 }
 
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -10,6 +10,7 @@
 namespace oriolepick {
 
 class response_time_estimator;
+class rollout_driver;
 class absence_detector;
 class active_config;
 class run_copy_client;
@@ -66,6 +67,7 @@
     std::function<void()> onTargetsOutdated;
     decision_log& log;
     gateway_metrics& metrics;
+    rollout_driver* rollouts = nullptr; ///< null while rollouts of versions are switched off
 };
 
 } // namespace oriolepick
--- a/gateway/row_source.h
+++ b/gateway/row_source.h
@@ -18,6 +18,7 @@
     std::string key;
     shared_text value; ///< uninterpreted bytes; of a removed row the last known ones, if any
     bool removed = false;
+    std::uint64_t revision = 0; ///< of the store at the last write of the row; 0 if not kept
 };
 
 /// Result of a read.
--- a/gateway/table_follower.cpp
+++ b/gateway/table_follower.cpp
@@ -4,7 +4,7 @@
 
 table_follower::table_follower(consumer rows)
     : m_consumer(std::move(rows))
-    , m_replica(m_consumer.classify, m_consumer.versionOf)
+    , m_replica(m_consumer.classify, m_consumer.versionOf, m_consumer.keepsRevision)
 {
 }
 
--- a/gateway/table_follower.h
+++ b/gateway/table_follower.h
@@ -24,6 +24,7 @@
             onAll; ///< called with all rows of the table and its last removals
         std::function<void(const stored_row&)> onChange; ///< called with a changed or removed row
         table_replica::row_version versionOf {}; ///< see table_replica
+        table_replica::revision_condition keepsRevision {}; ///< see table_replica
     };
 
     explicit table_follower(consumer rows);
--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -26,9 +26,10 @@
 
 } // namespace
 
-table_replica::table_replica(row_classifier classify, row_version versionOf)
+table_replica::table_replica(row_classifier classify, row_version versionOf, revision_condition keepsRevision)
     : m_classify(std::move(classify))
     , m_versionOf(std::move(versionOf))
+    , m_keepsRevision(std::move(keepsRevision))
 {
 }
 
@@ -71,7 +72,8 @@
 bool table_replica::hasChanged(const stored_row& row) const
 {
     const auto known = m_rows.find(row.key);
-    return known == m_rows.end() || row.removed || known->second.value != row.value;
+    return known == m_rows.end() || row.removed || known->second.value != row.value
+        || known->second.revision != keptRevision(row);
 }
 
 std::vector<stored_row> table_replica::replaceAll(const std::vector<stored_row>& rows,
@@ -84,7 +86,7 @@
     std::vector<std::optional<std::uint64_t>> versions; // of the updates
     for (const auto& row : rows) {
         if (row.removed && !m_rows.count(row.key)) {
-            store(row, std::nullopt);
+            store(kept(row), std::nullopt);
             continue;
         }
         if (row.removed)
@@ -93,7 +95,7 @@
         const auto version = versionOf(row);
         const auto effect = pulledRevision ? effectOfPulled(row, version, restored) : effectOf(row, version);
         if (effect == row_effect::Update && (!pulledRevision || hasChanged(row))) {
-            updates.push_back(row);
+            updates.push_back(kept(row));
             versions.push_back(version);
         } else if (effect == row_effect::Renewal) {
             store(row, version);
@@ -101,7 +103,7 @@
     }
     for (const auto& [key, held] : m_rows) {
         if (!present.count(key) && !held.version)
-            updates.push_back({ key, held.value, true });
+            updates.push_back({ key, held.value, true, held.revision });
     }
     versions.resize(updates.size());
     for (std::size_t index = 0; index < updates.size(); ++index)
@@ -124,7 +126,7 @@
         const auto effect = pulledRevision ? effectOfPulled(row, version, false) : effectOf(row, version);
         if (effect == row_effect::Outdated)
             continue;
-        const auto applied = withLastValue(row);
+        const auto applied = kept(row);
         store(applied, version);
         if (effect == row_effect::Update)
             updates.push_back(applied);
@@ -137,12 +139,17 @@
     return updates;
 }
 
-stored_row table_replica::withLastValue(const stored_row& row) const
+std::uint64_t table_replica::keptRevision(const stored_row& row) const
+{
+    return m_keepsRevision && m_keepsRevision(row) ? row.revision : 0;
+}
+
+// Returns the row as it is kept: a removed row with the last value that is known.
+stored_row table_replica::kept(const stored_row& row) const
 {
     const auto known = m_rows.find(row.key);
-    if (!row.removed || !row.value.empty() || known == m_rows.end())
-        return row;
-    return { row.key, known->second.value, true };
+    const bool lacksValue = row.removed && row.value.empty() && known != m_rows.end();
+    return { row.key, lacksValue ? known->second.value : row.value, row.removed, keptRevision(row) };
 }
 
 void table_replica::store(const stored_row& row, const std::optional<std::uint64_t>& version)
@@ -154,7 +161,7 @@
         m_rows.erase(row.key);
         recordRemoval(row);
     } else {
-        m_rows[row.key] = { row.value, version };
+        m_rows[row.key] = { row.value, version, keptRevision(row) };
     }
 }
 
@@ -255,7 +262,7 @@
     }
     answer.whole = true;
     for (const auto& [key, held] : m_rows)
-        answer.rows.push_back({ key, held.value, false });
+        answer.rows.push_back({ key, held.value, false, held.revision });
     answer.rows.insert(answer.rows.end(), m_removals.begin(), m_removals.end());
     return answer;
 }
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -38,10 +38,16 @@
     /// row that is read or pulled, unless its value is the held one
     using row_version = std::function<std::optional<std::uint64_t>(const stored_row&)>;
 
+    /// \return whether the revision of a row is part of its content: the row is an update when it was written again,
+    /// also with the same value, and its revision is sent to other nodes
+    using revision_condition = std::function<bool(const stored_row&)>;
+
     /// \param classify if empty, a row is an update when its bytes have changed
     /// \param versionOf if empty, no row has a version. Rows with versions are never replaced by lower versions and
     /// never removed, since a restored store returns what it had before
-    explicit table_replica(row_classifier classify = {}, row_version versionOf = {});
+    /// \param keepsRevision if empty, no revisions are kept
+    explicit table_replica(
+        row_classifier classify = {}, row_version versionOf = {}, revision_condition keepsRevision = {});
 
     /// Replaces the table by \p rows, read at \p readRevision. Removed rows among them are not part of the table. In a
     /// later epoch of the store, rows that are outdated by what is known here are not taken over.
@@ -86,6 +92,7 @@
     struct held_row {
         shared_text value;
         std::optional<std::uint64_t> version; // reading it from the value may cost as much as decoding the value
+        std::uint64_t revision = 0; // 0 if it is not kept
     };
     struct batch {
         content_revision revision;
@@ -99,7 +106,8 @@
     std::optional<std::uint64_t> versionOf(const stored_row& row) const;
     std::optional<std::uint64_t> heldVersionOf(const std::string& key) const;
     bool hasChanged(const stored_row& row) const;
-    stored_row withLastValue(const stored_row& row) const;
+    std::uint64_t keptRevision(const stored_row& row) const;
+    stored_row kept(const stored_row& row) const;
     void store(const stored_row& row, const std::optional<std::uint64_t>& version);
     void recordRemoval(const stored_row& row);
     content_revision revisionOf(
@@ -118,6 +126,7 @@
 
     row_classifier m_classify;
     row_version m_versionOf;
+    revision_condition m_keepsRevision;
     std::map<std::string, held_row> m_rows;
     std::deque<stored_row> m_removals; // with the last known values, oldest first
     std::deque<batch> m_history;
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -76,6 +76,27 @@
     EXPECT_EQ(replica.changesAfter(changedAt(10)).rows.size(), 1U);
 }
 
+// Guards against an order that is written again with the same value and taken for the earlier one.
+TEST(TableReplica, ARowThatKeepsItsRevisionIsAnUpdateWhenItIsWrittenAgain)
+{
+    table_replica replica({}, {}, [](const stored_row& each) { return each.key == "order"; });
+    replica.replaceAll({ { "order", std::string("1"), false, 8 }, { "a", std::string("1"), false, 9 } }, storedAt(10));
+    EXPECT_EQ(replica.changesAfter(std::nullopt).rows.size(), 2U);
+    for (const auto& row : replica.changesAfter(std::nullopt).rows)
+        EXPECT_EQ(row.revision, row.key == "order" ? 8U : 0U);
+    const std::vector<stored_row> writtenAgain { { "order", std::string("1"), false, 11 },
+        { "a", std::string("1"), false, 12 } };
+    EXPECT_EQ(replica.applyChanges(writtenAgain, storedAt(12)).size(), 1U);
+    const auto news = replica.changesAfter(changedAt(10));
+    ASSERT_EQ(news.rows.size(), 1U);
+    EXPECT_EQ(news.rows[0].revision, 11U);
+    EXPECT_TRUE(replica.applyChanges(writtenAgain, storedAt(13)).empty());
+    table_replica other({}, {}, [](const stored_row& each) { return each.key == "order"; });
+    other.replaceAll(replica.changesAfter(std::nullopt).rows, storedAt(13), replica.changeRevision());
+    EXPECT_EQ(other.replaceAll(writtenAgain, storedAt(14), changedAt(14)).size(), 0U);
+    EXPECT_EQ(replica.applyChanges({ { "order", {}, true, 15 } }, storedAt(15)).front().value.string(), "1");
+}
+
 // Guards against nodes that miss a change for good because they pulled from a node to which the change was none.
 TEST(TableReplica, UpdatesOfAnotherNodeAreSentOnEvenIfTheyAreNoneHere)
 {
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -219,8 +219,15 @@
                 found = found[int(part)] if isinstance(found, list) else found[part]
             return json.dumps(found) if form == "json" else str(found)
 
+        def section(match):  # rendered when its value is present
+            found = values
+            for part in match.group(1).split("."):
+                found = found.get(part) if isinstance(found, dict) else None
+            return match.group(2) if found is not None else ""
+
         with open(TEMPLATE) as template:
-            text = re.sub(r"\{\{([^}]*)\}\}", value, template.read())
+            text = re.sub(r"\{\{#([^}]*)\}\}(.*?)\{\{/\1\}\}", section, template.read(), flags=re.DOTALL)
+        text = re.sub(r"\{\{([^}]*)\}\}", value, text)
         text = text.replace(f"{self.ip}:9464", f"{self.ip}:{free_port(self.ip)}")  # the metrics' port may be in use
         with open(self.settings, "w") as file:
             file.write(text)
--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -236,11 +236,13 @@
     return found != m_targets.end() && now < found->second.pausedUntil;
 }
 
-std::optional<service_outlook> target_tracker::allUnavailable(const service_name& service, instant now) const
+std::optional<service_outlook> target_tracker::allUnavailable(
+    const service_name& service, instant now, const std::optional<version_condition>& condition) const
 {
     std::optional<service_outlook> outlook;
     for (const auto& [name, target] : m_targets) {
-        if (target.entry.service != service || !isInService(target, now))
+        if (target.entry.service != service || !isInService(target, now)
+            || (condition && !condition->allows(target.entry.version)))
             continue;
         const auto until = std::max(target.pausedUntil, target.limitedUntil);
         if (now >= until)
@@ -287,11 +289,19 @@
     return count;
 }
 
-std::vector<target_entry> target_tracker::registeredTargets(const service_name& service) const
+std::set<service_name> target_tracker::services() const
+{
+    std::set<service_name> services;
+    for (const auto& [name, target] : m_targets)
+        services.insert(target.entry.service);
+    return services;
+}
+
+std::vector<target_entry> target_tracker::registeredTargets(const service_name& service, instant now) const
 {
     std::vector<target_entry> registered;
     for (const auto& [name, target] : m_targets) {
-        if (target.entry.service == service && !target.expiresAt)
+        if (target.entry.service == service && (!target.expiresAt || now < *target.expiresAt))
             registered.push_back(target.entry);
     }
     return registered;
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -188,8 +189,10 @@
     /// \return whether \p target has requested a pause that covers \p now
     bool isPaused(const target_name& target, instant now) const;
 
+    /// \param condition for the targets that count
     /// \return the outlook, if all targets in service of \p service pause or have reached their request limit
-    std::optional<service_outlook> allUnavailable(const service_name& service, instant now) const;
+    std::optional<service_outlook> allUnavailable(const service_name& service, instant now,
+        const std::optional<version_condition>& condition = {}) const;
 
     /// \return the targets in service of \p service that have reached their request limit
     std::vector<target_name> limitedTargets(const service_name& service, instant now) const;
@@ -203,8 +206,12 @@
     /// \return the number of targets of \p service that accept new requests, regardless of a back-off
     std::size_t usableTargets(const service_name& service, instant now) const;
 
-    /// \return the targets of \p service that are registered now, draining ones included
-    std::vector<target_entry> registeredTargets(const service_name& service) const;
+    /// \return the services of the known targets
+    std::set<service_name> services() const;
+
+    /// \return the registered targets of \p service, with draining ones and those whose registration has expired in an
+    /// outage and may return
+    std::vector<target_entry> registeredTargets(const service_name& service, instant now) const;
 
     /// \return the number of requests of this node in flight on \p target
     std::uint32_t ownInFlight(const target_name& target) const;
