--- a/routing/rollout_coordinator.h
+++ b/routing/rollout_coordinator.h
@@ -5,10 +5,12 @@
 #include "core/instant.h"
 #include "core/names.h"
 #include "core/seeded_random.h"
+#include "routing/rollout_actions.h"
 #include "routing/rollout_ledger.h"
 #include "routing/rollout_messages.h"
 #include "routing/rollout_order.h"
-#include "routing/version_comparison.h"
+#include "routing/rollout_settings.h"
+#include "routing/rollout_target.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -18,59 +20,15 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 namespace oriolepick {
 
 class service_rollout;
 
-/// Send a message to another node; it may be lost.
-struct send_rollout_message {
-    node_id to;
-    rollout_message message;
-};
-
-/// Read the ledger row of a service; answered by ledgerRead() or ledgerUnreadable().
-struct read_ledger {
-    service_name service;
-};
-
-/// Write the ledger row of a service and status/rollout/SERVICE in one transaction, if the ledger row still has the
-/// expected version; answered by ledgerCommitted().
-struct commit_ledger {
-    service_name service;
-    std::uint64_t expectedRevision = 0; ///< 0: the row does not exist
-    rollout_ledger ledger;
-    std::string state; ///< "running", "done" or "rolled_back"
-};
-
-/// The decision on a permit that was pending.
-struct exposure_decided {
-    std::uint64_t number = 0; ///< of the exposure_result
-    bool granted = false;
-};
-
-/// The phase of a rollout changed at this node, for the log.
-struct rollout_changed {
-    service_name service;
-    std::string version;
-    rollout_phase phase = rollout_phase::Observing;
-    std::string reason; ///< if this node decided
-};
-
-using rollout_action
-    = std::variant<send_rollout_message, read_ledger, commit_ledger, exposure_decided, rollout_changed>;
-
-/// How a conditional write ended.
-enum class commit_outcome {
-    Committed,
-    Conflict, ///< the row had another version; nothing was written
-    Unknown, ///< no response: it may have been written, or may still be
-};
-
 /// Whether a request may be sent to a canary of the new version.
 enum class exposure_decision {
     Granted, ///< the request must be sent now; a permit is valid for one attempt of one request
@@ -96,28 +54,6 @@
     std::string version;
 };
 
-/// A registered target of a service.
-struct rollout_target {
-    target_name name;
-    availability_zone zone;
-    std::string version;
-};
-
-/// Settings of rollout_coordinator.
-struct rollout_settings {
-    double exposureShare = 0.1; ///< of all requests of the service that a bad version may receive
-    std::uint64_t exposureSlack = 50; ///< requests that a bad version may receive in addition
-    double exposureMargin = 0.8; ///< part of the exposure that is used, since reports lag behind
-    std::chrono::milliseconds rollbackBound { 5'000 }; ///< from the 50th bad response to the last request
-    std::chrono::milliseconds newsBound { 4'000 }; ///< for which an order may be in transit after its targets
-    std::chrono::milliseconds reportPeriod { 250 };
-    std::chrono::milliseconds answerTimeout { 50 }; ///< for a permit; then the old version serves the request
-    double observingPart = 0.4; ///< of the duration of the order
-    double shiftingPart = 0.85; ///< of the duration, at which runs at old targets are no longer awaited
-    std::chrono::milliseconds finishMargin { 1'000 }; ///< before the deadline, for the commit and the news
-    version_comparison_settings comparison;
-};
-
 /// Decides and follows the rollouts of all services at one node. For each service one node is the decider, by
 /// rendezvous hashing of the service over the nodes believed alive; its authority comes from the ledger, see
 /// rollout_ledger.
@@ -218,11 +154,11 @@
     struct service_targets {
         std::vector<rollout_target> targets;
         std::map<std::string, instant> heldBack; // versions that an order in transit may name, until when
+        std::set<std::string> rejected; // versions of orders that ended otherwise than as done
     };
 
     service_rollout* find(const service_name& service) const;
     std::uint64_t oldInFlight(const service_name& service, const std::string& version) const;
-    void applyTargets(service_rollout& rollout, const service_name& service, instant now);
 
     node_id m_self;
     std::uint64_t m_nodeStart;
--- a/routing/rollout_messages.h
+++ b/routing/rollout_messages.h
@@ -14,6 +14,8 @@
 namespace oriolepick {
 
 constexpr std::size_t MaxRolloutRoutes = 16; ///< routes are grouped by hash
+/// Group of the responses of targets that are no canaries, whichever route their requests came by.
+constexpr std::size_t UnspecifiedRoute = MaxRolloutRoutes - 1;
 constexpr std::size_t MaxCanaries = 12; ///< targets of the new version that receive requests with permits
 constexpr std::size_t LatencyBuckets = 12; ///< the first one below 20 ms, doubling
 /// Cells in one report, so that it fits into a datagram. A node with more cells sends them in turn.
@@ -28,7 +30,7 @@
 
 /// Responses of one target to the requests of one group of routes.
 struct rollout_cell {
-    std::uint8_t route = 0; ///< below MaxRolloutRoutes
+    std::uint8_t route = 0; ///< below MaxRolloutRoutes, or UnspecifiedRoute
     std::uint64_t target = 0; ///< hash of the name of a target of the new version; 0 for the old version as a whole
     response_counts counts;
 };
--- a/routing/version_comparison.h
+++ b/routing/version_comparison.h
@@ -27,15 +27,24 @@
 
 /// Settings of version_comparison.
 struct version_comparison_settings {
-    /// Probability of a bad verdict by chance in one comparison. A rollout of a minute makes some thousand, strongly
-    /// dependent comparisons (17 groups of routes, two periods, four criteria, four times a second), so that 1 in 1,000
-    /// for the whole rollout takes a much smaller number for each.
-    double chance = 1e-6;
+    /// Probability of a bad verdict on a sound version. As the comparison is repeated with each report, one made on n
+    /// responses of the new version takes a part of 1 / (10 + n) of it, and one on a single group of routes 1 / 16.
+    /// The last one before the shift takes all of it.
+    double chance = 1e-3;
+    double suspicion = 0.05; ///< probability below which it is worth observing for longer
+    /// Responses without failure credited to the old version: so few failures are not worth a test, and a service with
+    /// one request a second has too few responses for one. Only a service that fails more than a tenth of its requests
+    /// anyway differs notably.
+    std::uint64_t assumedSuccesses = 20;
     std::uint64_t minHits = 3; ///< failures or slow responses without which no version is bad
+    /// Share of failures below which no version is bad while all requests are shifted to it: without load at the old
+    /// version, a disturbance of some targets cannot be told from a fault. A fifth that fails 45% makes 9%.
+    double shiftedShare = 0.2;
     double slowExcess = 0.05; ///< share of slow responses that a version may have more than the old one
     std::uint64_t canaryResponses = 3; ///< with which a canary counts
-    double canaryShare
-        = 0.5; ///< of the canaries that must show the fault: some targets fail or are slow on any version
+    /// Part of the canaries that must show the fault. When a fifth of all targets is disturbed, half of 12 canaries are
+    /// in 1.9% of all selections, and this part in 0.06%.
+    double canaryShare = 0.6;
     std::uint64_t sparseCanaries = 3; ///< canaries that must show the fault while fewer than two have enough responses
     /// Recent period that is also judged by itself: the good responses before would hide a fault that begins later.
     std::chrono::milliseconds recentPeriod { 3'000 };
@@ -44,37 +53,40 @@
 /// The result of a comparison.
 struct version_verdict {
     bool bad = false;
+    bool suspect = false; ///< not bad, but more responses are worth waiting for
     std::string reason; ///< of a bad verdict, for the log
-    std::uint64_t newResponses = 0; ///< over all nodes
+};
+
+/// When a comparison is made.
+enum class comparison_stage {
+    Observing,
+    EndOfObservation, ///< the last one before all requests are shifted
+    Shifting, ///< the old version has no load any more, so slowness is not judged: it depends on the load
 };
 
 /// Merges the cumulative counts of all nodes and judges the new version. A version is bad if, over all routes or on one
-/// group of routes, over the whole time or the recent period, more of its responses fail, or more are twice as slow,
-/// than those of the old version beyond chance, and at least half of the canaries show it. Without responses a version
-/// is not bad.
+/// group of routes, over the whole time or the recent period, more of its responses fail, or more of them exceed twice
+/// a time than those of the old version exceed that time, beyond chance, and most canaries show it. Without responses a
+/// version is not bad.
 class version_comparison {
 public:
     explicit version_comparison(const version_comparison_settings& settings);
 
     /// Merges a report; outdated and duplicate ones change nothing.
     /// \param from the node that sent it
-    void merge(const node_id& from, const rollout_report& report, instant now);
+    void merge(const node_id& from, const rollout_report& report);
 
     /// \return the requests that reached the service at all nodes, including earlier starts of restarted ones
     std::uint64_t requests() const { return m_requests; }
 
+    /// \return the responses of the new version at all nodes
+    std::uint64_t newResponses() const { return m_newResponses; }
+
     /// \return the verdict on all reports so far
-    version_verdict judge(instant now);
+    version_verdict judge(comparison_stage stage, instant now);
 
 private:
-    struct cell_key {
-        std::uint8_t route;
-        std::uint64_t target;
-        friend bool operator<(const cell_key& left, const cell_key& right)
-        {
-            return std::pair(left.route, left.target) < std::pair(right.route, right.target);
-        }
-    };
+    using cell_key = std::pair<std::uint8_t, std::uint64_t>; // group of routes, target
     using cell_map = std::map<cell_key, response_counts>;
     struct node_counts {
         std::uint64_t requests = 0;
@@ -84,17 +96,41 @@
         instant at;
         cell_map totals;
     };
+    struct evidence {
+        response_counts oldCounts;
+        response_counts newCounts;
+        std::map<std::uint64_t, response_counts> canaries;
+    };
+    /// Responses with one fault among those of one version or target.
+    struct fault_count {
+        std::uint64_t hits = 0;
+        std::uint64_t total = 0;
+    };
+    using fault_counter = fault_count (*)(const response_counts& counts, std::size_t bucket);
+
+    cell_map recentTotals(instant now);
+    /// A kind of fault and what makes it significant.
+    struct criterion {
+        std::string name;
+        fault_counter count;
+        std::size_t bucket;
+        double minExcess; // of the share of the new version over that of the old one
+        double minShare; // of the new version
+        double chance;
+    };
 
-    version_verdict judgePeriod(const cell_map& totals) const;
-    std::string findFault(const cell_map& cells) const;
+    void judgePeriod(version_verdict& verdict, const cell_map& cells, comparison_stage stage) const;
+    void judgeEvidence(version_verdict& verdict, const evidence& seen, comparison_stage stage, bool allRoutes) const;
+    void judgeFault(
+        version_verdict& verdict, const evidence& seen, fault_count oldFaults, const criterion& fault) const;
+    bool isShownByCanaries(const evidence& seen, fault_count newFaults, const criterion& fault) const;
 
     version_comparison_settings m_settings;
     std::map<std::pair<node_id, std::uint64_t>, node_counts> m_nodes; // by node and its start
     cell_map m_totals;
     std::uint64_t m_requests = 0;
+    std::uint64_t m_newResponses = 0;
     std::deque<snapshot> m_snapshots; // of the recent period
-    bool m_changed = false; // since the last verdict
-    version_verdict m_verdict;
 };
 
 } // namespace oriolepick
