--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -213,7 +213,8 @@
     std::optional<instant> m_runReportedAt; // when the target last reported that it may hold the run
 
     bool m_isExposed = false; // this attempt has a permit for a version in a rollout
-    bool m_startsRun = false; // the attempt continues no stream, so the time to its first event is that of a whole prompt
+    bool m_startsRun
+        = false; // the attempt continues no stream, so the time to its first event is that of a whole prompt
 
     // the request as a whole
     bool m_exposureAsked = false; // a permit was requested; a request gets one at most
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -67,8 +67,7 @@
     m_prefilledAlone = false;
     if (awaitExposure() || pollEngines())
         return;
-    auto query
-        = withExposure({ m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() });
+    auto query = withExposure({ m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() });
     auto target = m_parts.targetTracker.choose(query, now);
     if (!target && dropExposure()) {
         dispatch();
--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -349,7 +349,8 @@
         batch.sinceRecovery = std::chrono::milliseconds(encoded.since_recovery_ms());
     batch.whole = encoded.whole();
     for (auto& row : *rows->mutable_rows())
-        batch.rows.push_back({ std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed(), row.revision() });
+        batch.rows.push_back(
+            { std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed(), row.revision() });
     return batch;
 }
 
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -33,8 +33,8 @@
     double repeatRatio = 0.8; ///< retries per request, over all nodes
     double repeatSlack = 150; ///< retries over all nodes that are allowed without requests
     std::chrono::milliseconds repeatWindow { 10'000 }; ///< over which requests and retries are counted
-    /// Greatest share of the requests of a service that a version in a rollout may receive until it is trusted, over all
-    /// nodes; 0 switches rollouts off.
+    /// Greatest share of the requests of a service that a version in a rollout may receive until it is trusted, over
+    /// all nodes; 0 switches rollouts off.
     double exposureShare = 0;
     double exposureSlack = 0; ///< requests that such a version may receive in addition to the share
     /// From the 50th bad response of a version to the last request that it receives.
--- a/gateway/rollout_driver.cpp
+++ b/gateway/rollout_driver.cpp
@@ -177,9 +177,7 @@
 bool rollout_driver::mayExpose(const service_name& service)
 {
     applyTargets();
-    const auto now = m_timers.now();
-    return m_coordinator.choiceFor(service, now).which == version_choice::kind::OldOnly
-        && m_coordinator.mayExpose(service, now);
+    return m_coordinator.mayExpose(service, m_timers.now());
 }
 
 std::optional<bool> rollout_driver::requestPermit(const service_name& service, callback done)
@@ -264,16 +262,15 @@
         applyTargets();
         if (!reading.isRead) {
             m_metrics.count("rollout_ledger_read_failures");
-            m_log.write("rollout_ledger_unreadable",
-                { { "service", service.value() }, { "problem", reading.problem } });
+            m_log.write(
+                "rollout_ledger_unreadable", { { "service", service.value() }, { "problem", reading.problem } });
             perform(m_coordinator.ledgerUnreadable(service, m_timers.now()));
             return;
         }
         const auto known = m_orders.find(service);
         if (known != m_orders.end() && reading.ledger && reading.ledger->order == known->second.order.revision)
             known->second.reserved = reading.ledger->reserved;
-        perform(m_coordinator.ledgerRead(
-            service, reading.revision, reading.ledger, reading.storeNow, m_timers.now()));
+        perform(m_coordinator.ledgerRead(service, reading.revision, reading.ledger, reading.storeNow, m_timers.now()));
     });
 }
 
--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -163,8 +163,8 @@
     EXPECT_EQ(report.cells[0].target, ~std::uint64_t { 0 });
     EXPECT_EQ(report.cells[0].counts.failures, 2U);
     EXPECT_EQ(report.cells[0].counts.latencies[2], 7U);
-    const auto state = std::get<rollout_state>(
-        *sent(rollout_state { service_name("s"), 7, 9, rollout_phase::RolledBack, 0.25 }));
+    const auto state
+        = std::get<rollout_state>(*sent(rollout_state { service_name("s"), 7, 9, rollout_phase::RolledBack, 0.25 }));
     EXPECT_EQ(state.revision, 9U);
     EXPECT_EQ(state.phase, rollout_phase::RolledBack);
     EXPECT_DOUBLE_EQ(state.share, 0.25);
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -191,8 +191,8 @@
 
     /// \param condition for the targets that count
     /// \return the outlook, if all targets in service of \p service pause or have reached their request limit
-    std::optional<service_outlook> allUnavailable(const service_name& service, instant now,
-        const std::optional<version_condition>& condition = {}) const;
+    std::optional<service_outlook> allUnavailable(
+        const service_name& service, instant now, const std::optional<version_condition>& condition = {}) const;
 
     /// \return the targets in service of \p service that have reached their request limit
     std::vector<target_name> limitedTargets(const service_name& service, instant now) const;
--- a/routing/target_tracker_registrations.cpp
+++ b/routing/target_tracker_registrations.cpp
@@ -34,7 +34,8 @@
     const auto removal = m_removals.find(entry.name);
     if (removal == m_removals.end() || !removal->second.last)
         return false;
-    return entry.registrationVersion() <= removal->second.last->after(removal->second.mayReturn ? 0 : m_settings.maxUnseenRenewals);
+    return entry.registrationVersion()
+        <= removal->second.last->after(removal->second.mayReturn ? 0 : m_settings.maxUnseenRenewals);
 }
 
 // Returns whether a target that was removed before this node knew it is not added yet: the entry may be a late renewal.
@@ -173,7 +174,8 @@
         return;
     auto& target = m_targets[entry.name];
     const bool isNewStart = target.entry.startedAt != entry.startedAt || target.entry.address != entry.address;
-    const bool isRenewal = !isNewStart && !target.expiresAt && entry.registrationVersion().renews(target.entry.registrationVersion());
+    const bool isRenewal
+        = !isNewStart && !target.expiresAt && entry.registrationVersion().renews(target.entry.registrationVersion());
     if (isNewStart) {
         withdrawClaim(target.entry.address, entry.name);
         target.consecutiveFaults = 0;
