--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_message_codec.h"
 
 #include "gateway/crash_news_codec.h"
+#include "gateway/rollout_message_codec.h"
 #include "gateway/socket_address.h"
 #include "wire/membership_codec.h"
 #include "wire/messages.pb.h"
@@ -175,6 +176,7 @@
             added.set_key(row.key);
             added.set_value(row.value.string());
             added.set_removed(row.removed);
+            added.set_revision(row.revision);
         }
         return encoded;
     }
@@ -271,6 +273,8 @@
         encode(*limit, *encoded.mutable_target_limit());
     else if (const auto* retries = std::get_if<retry_share_message>(&datagram.body))
         encodeRetries(*retries, encoded);
+    else if (const auto* rollout = std::get_if<rollout_message>(&datagram.body))
+        encode(*rollout, *encoded.mutable_rollout());
     else
         encodeRun(std::get<run_message>(datagram.body), encoded);
     return encoded.SerializeAsString();
@@ -318,6 +322,13 @@
         datagram.body = std::move(*retries);
         return datagram;
     }
+    if (encoded.has_rollout()) {
+        auto rollout = decode(encoded.rollout());
+        if (!rollout)
+            return std::nullopt;
+        datagram.body = std::move(*rollout);
+        return datagram;
+    }
     auto message = decodeRun(encoded);
     if (!message)
         return std::nullopt;
@@ -377,7 +388,8 @@
         batch.sinceRecovery = std::chrono::milliseconds(encoded.since_recovery_ms());
     batch.whole = encoded.whole();
     for (auto& row : *rows->mutable_rows())
-        batch.rows.push_back({ std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed() });
+        batch.rows.push_back(
+            { std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed(), row.revision() });
     return batch;
 }
 
--- a/gateway/gateway_message_codec.h
+++ b/gateway/gateway_message_codec.h
@@ -10,6 +10,7 @@
 #include "routing/crash_news.h"
 #include "routing/news_digest.h"
 #include "routing/retry_share_messages.h"
+#include "routing/rollout_messages.h"
 
 #include <optional>
 #include <string>
@@ -21,7 +22,8 @@
 /// A datagram between gateways.
 struct node_datagram {
     node_id sender; ///< "IP:PORT" where the sender receives
-    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message, retry_share_message>
+    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message, retry_share_message,
+        rollout_message>
         body;
 };
 
