--- a/routing/rollout_coordinator.cpp
+++ b/routing/rollout_coordinator.cpp
@@ -38,20 +38,20 @@
     const service_name& service, const std::vector<rollout_target>& targets, instant now)
 {
     auto& known = m_targets[service];
-    const auto has = [](const std::vector<rollout_target>& list, const std::string& version) {
-        return std::any_of(
-            list.begin(), list.end(), [&version](const rollout_target& target) { return target.version == version; });
-    };
-    for (const auto& target : targets) {
-        if (!known.targets.empty() && !has(known.targets, target.version))
-            known.heldBack.emplace(target.version, now + m_settings.newsBound);
+    std::set<std::string> versions;
+    for (const auto& target : targets)
+        versions.insert(target.version);
+    for (const auto& version : versions) {
+        if (!known.versions.empty() && known.versions.count(version) == 0)
+            known.heldBack.emplace(version, now + m_settings.newsBound);
     }
-    const auto forgetUnregistered = [&](auto& versions, const auto& versionOf) {
-        for (auto entry = versions.begin(); entry != versions.end();)
-            entry = has(targets, versionOf(*entry)) ? std::next(entry) : versions.erase(entry);
+    const auto forgetUnregistered = [&versions](auto& list, const auto& versionOf) {
+        for (auto entry = list.begin(); entry != list.end();)
+            entry = versions.count(versionOf(*entry)) > 0 ? std::next(entry) : list.erase(entry);
     };
     forgetUnregistered(known.heldBack, [](const auto& entry) { return entry.first; });
     forgetUnregistered(known.rejected, [](const auto& entry) { return entry; });
+    known.versions = std::move(versions);
     known.targets = targets;
     if (auto* rollout = find(service))
         rollout->setTargets(targets, now);
@@ -110,6 +110,8 @@
 
 void rollout_coordinator::recordStart(const service_name& service, const std::string& version)
 {
+    if (auto* rollout = find(service))
+        rollout->recordStart(version);
     auto& uses = m_inFlight[service];
     for (auto& use : uses) {
         if (use.version == version) {
@@ -233,12 +235,11 @@
     const auto& known = found->second;
     std::set<std::string> usable;
     std::set<std::string> avoided;
-    for (const auto& target : known.targets) {
-        const auto held = known.heldBack.find(target.version);
-        const bool isAvoided = (held != known.heldBack.end() && now < held->second)
-            || known.rejected.count(target.version) > 0
-            || (choice.which == kind::OldOnly && target.version == choice.version);
-        (isAvoided ? avoided : usable).insert(target.version);
+    for (const auto& version : known.versions) {
+        const auto held = known.heldBack.find(version);
+        const bool isAvoided = (held != known.heldBack.end() && now < held->second) || known.rejected.count(version) > 0
+            || (choice.which == kind::OldOnly && version == choice.version);
+        (isAvoided ? avoided : usable).insert(version);
     }
     if (avoided.empty() || usable.empty())
         return choice;
--- a/routing/rollout_coordinator.h
+++ b/routing/rollout_coordinator.h
@@ -152,7 +152,8 @@
         std::uint64_t inFlight;
     };
     struct service_targets {
-        std::vector<rollout_target> targets;
+        std::vector<rollout_target> targets; // for an order that follows
+        std::set<std::string> versions; // of the targets
         std::map<std::string, instant> heldBack; // versions that an order in transit may name, until when
         std::set<std::string> rejected; // versions of orders that ended otherwise than as done
     };
--- a/routing/rollout_decider.cpp
+++ b/routing/rollout_decider.cpp
@@ -31,9 +31,12 @@
     constexpr double ShareHorizon = 0.5; ///< seconds in which the announced share should use what is planned
     constexpr double MaxShare = 0.5; ///< the other half goes to the old version, for the comparison
     constexpr std::uint64_t MinResponses = 16; ///< of the new version, for which the observation is extended
-    constexpr double LongestObservingPart = 0.7; ///< of the duration
-    /// Time in which the new version is judged under its whole load, even if no run is left at old targets.
+    constexpr double LongestObservingPart = 0.7; ///< of the duration, while there are few responses
+    constexpr double LongestSuspicionPart = 0.8; ///< of the duration, while the version may be bad
+    /// Time in which the new version is judged under its whole load, even if no run is left at old targets; and part of
+    /// the duration, whichever is longer.
     constexpr ms MinShiftTime { 5'000 };
+    constexpr double MinShiftPart = 0.25;
     constexpr ms OnlyNewTime { 500 }; ///< for which no other target may be registered before an order counts as done
 
     double seconds(std::chrono::nanoseconds time)
@@ -203,7 +206,7 @@
         condemn("no target of the version left");
         return rollout_phase::RolledBack;
     }
-    if (elapsed(now) >= latest || (now >= m_shiftedAt + MinShiftTime && isIdle(now)))
+    if (elapsed(now) >= latest || (now >= m_shiftedAt + std::max(MinShiftTime, part(MinShiftPart)) && isIdle(now)))
         return rollout_phase::Done;
     return std::nullopt;
 }
@@ -224,7 +227,7 @@
     if (!extended && m_comparison.requests() > 0 && responses < MinResponses)
         return std::nullopt;
     auto verdict = m_comparison.judge(comparison_stage::EndOfObservation, now);
-    if (verdict.suspect && !extended)
+    if (verdict.suspect && time < part(LongestSuspicionPart))
         return std::nullopt;
     if (time >= m_order.duration && m_comparison.requests() > 0 && responses == 0)
         verdict = { true, false, "not observed by the deadline" };
--- a/routing/rollout_messages.h
+++ b/routing/rollout_messages.h
@@ -28,7 +28,9 @@
     std::array<std::uint64_t, LatencyBuckets> latencies {}; ///< time to the first event; of successful responses
 };
 
-/// Responses of one target to the requests of one group of routes.
+/// Responses of one target to the requests of one group of routes. In the cell of UnspecifiedRoute and target 0, the
+/// number of responses is that of the attempts begun at the new version: failures are faster than other responses, so
+/// the attempts that are still running count as no failures.
 struct rollout_cell {
     std::uint8_t route = 0; ///< below MaxRolloutRoutes, or UnspecifiedRoute
     std::uint64_t target = 0; ///< hash of the name of a target of the new version; 0 for the old version as a whole
--- a/routing/service_rollout.cpp
+++ b/routing/service_rollout.cpp
@@ -75,6 +75,15 @@
     setPhase(out, rollout_phase::RolledBack, "order withdrawn");
 }
 
+void service_rollout::recordStart(const std::string& version)
+{
+    if (version != m_order.version || !isFollowing())
+        return;
+    constexpr cell_key Starts { static_cast<std::uint8_t>(UnspecifiedRoute), 0 };
+    ++m_cells[Starts].responses;
+    m_changed.insert(Starts);
+}
+
 void service_rollout::recordAnswer(
     std::string_view route, const target_name& target, bool isNew, bool failed, std::chrono::milliseconds duration)
 {
--- a/routing/service_rollout.h
+++ b/routing/service_rollout.h
@@ -38,6 +38,7 @@
     void withdraw(rollout_actions& out, instant now);
 
     void recordRequest() { ++m_requests; }
+    void recordStart(const std::string& version);
     void recordAnswer(
         std::string_view route, const target_name& target, bool isNew, bool failed, std::chrono::milliseconds duration);
 
--- a/routing/version_comparison.cpp
+++ b/routing/version_comparison.cpp
@@ -123,7 +123,7 @@
     auto recent = recentTotals(now);
     if (stage == comparison_stage::Shifting) {
         for (const auto& [key, counts] : m_totals) {
-            if (key.second == 0)
+            if (key.second == 0 && key != Starts)
                 recent[key] = counts;
         }
     }
@@ -143,37 +143,47 @@
         if (target != 0)
             combine(seen.canaries[target], counts, std::plus<>());
     };
+    std::uint64_t starts = 0;
     for (const auto& [key, counts] : cells) {
+        if (key == Starts) {
+            starts = counts.responses;
+            continue;
+        }
         add(all, key.second, counts);
         if (key.first != UnspecifiedRoute)
             add(routes[key.first], key.second, counts);
     }
-    judgeEvidence(verdict, all, stage, true);
+    all.running = difference(starts, all.newCounts.responses);
+    judgeEvidence(verdict, all, stage, 1);
     if (routes.size() < 2)
         return;
-    for (const auto& [route, seen] : routes) {
+    for (auto& [route, seen] : routes) {
+        const auto responses = seen.oldCounts.responses + seen.newCounts.responses;
+        const auto allResponses = std::max<std::uint64_t>(all.oldCounts.responses + all.newCounts.responses, 1);
+        seen.running = (all.running * responses + allResponses - 1) / allResponses;
         if (!verdict.bad)
-            judgeEvidence(verdict, seen, stage, false);
+            judgeEvidence(verdict, seen, stage, routes.size());
     }
 }
 
 void version_comparison::judgeEvidence(
-    version_verdict& verdict, const evidence& seen, comparison_stage stage, bool allRoutes) const
+    version_verdict& verdict, const evidence& seen, comparison_stage stage, std::size_t groups) const
 {
-    auto chance = m_settings.chance;
-    if (!allRoutes)
-        chance /= static_cast<double>(MaxRolloutRoutes);
+    auto chance = m_settings.chance / static_cast<double>(groups);
     if (stage != comparison_stage::EndOfObservation)
         chance /= LookOffset + static_cast<double>(seen.newCounts.responses);
-    const std::string where = allRoutes ? "" : " on one route";
+    const std::string where = groups == 1 ? "" : " on one route";
 
     const auto failures = [](const response_counts& counts, std::size_t) {
         return fault_count { counts.failures, counts.responses };
     };
     auto oldFailures = failures(seen.oldCounts, 0);
     oldFailures.total += m_settings.assumedSuccesses;
-    const auto minShare = stage == comparison_stage::Shifting ? m_settings.shiftedShare : 0;
-    judgeFault(verdict, seen, oldFailures, { "failures" + where, failures, 0, 0, minShare, chance });
+    if (stage == comparison_stage::Shifting) {
+        const auto assumed = m_settings.shiftedFailures * static_cast<double>(oldFailures.total);
+        oldFailures.hits = std::max(oldFailures.hits, static_cast<std::uint64_t>(assumed));
+    }
+    judgeFault(verdict, seen, oldFailures, { "failures" + where, failures, 0, seen.running, 0, chance });
     if (stage == comparison_stage::Shifting)
         return;
 
@@ -185,7 +195,7 @@
     };
     for (const auto share : { MedianShare, TailShare }) {
         const auto bucket = quantileBucket(seen.oldCounts, share);
-        const criterion fault { "slow responses" + where, slow, bucket + 1, m_settings.slowExcess, 0, chance };
+        const criterion fault { "slow responses" + where, slow, bucket + 1, 0, m_settings.slowExcess, chance };
         judgeFault(verdict, seen, slow(seen.oldCounts, bucket), fault);
     }
 }
@@ -193,12 +203,13 @@
 void version_comparison::judgeFault(
     version_verdict& verdict, const evidence& seen, fault_count oldFaults, const criterion& fault) const
 {
-    const auto faults = fault.count(seen.newCounts, fault.bucket);
+    auto faults = fault.count(seen.newCounts, fault.bucket);
+    faults.total += fault.unaffected;
     if (verdict.bad || faults.hits < m_settings.minHits || oldFaults.total == 0)
         return;
     const auto part
         = [](const fault_count& count) { return static_cast<double>(count.hits) / static_cast<double>(count.total); };
-    if (part(faults) < fault.minShare || part(faults) - part(oldFaults) <= fault.minExcess)
+    if (part(faults) - part(oldFaults) <= fault.minExcess)
         return;
     const auto found = chanceOfExcess(faults.hits, faults.total, oldFaults.hits, oldFaults.total);
     verdict.suspect = verdict.suspect || found < m_settings.suspicion;
@@ -211,21 +222,22 @@
 
 bool version_comparison::isShownByCanaries(const evidence& seen, fault_count newFaults, const criterion& fault) const
 {
-    std::uint64_t counting = 0;
+    const auto share = static_cast<double>(newFaults.hits) / static_cast<double>(newFaults.total);
+    std::uint64_t responding = 0;
     std::uint64_t showing = 0;
-    std::uint64_t failing = 0;
+    double expected = 0; // to show at least one fault
+    // The attempts that are still running are spread over the canaries like the responses.
+    const auto counted = fault.count(seen.newCounts, fault.bucket).total;
+    const auto scale = static_cast<double>(newFaults.total) / static_cast<double>(counted);
     for (const auto& [target, counts] : seen.canaries) {
         const auto faults = fault.count(counts, fault.bucket);
-        failing += faults.hits > 0;
-        if (faults.total < m_settings.canaryResponses)
-            continue;
-        ++counting;
-        // At least half of the share of all canaries together.
-        showing += faults.hits > 0 && 2 * faults.hits * newFaults.total >= newFaults.hits * faults.total;
+        const auto total = static_cast<double>(faults.total) * scale;
+        responding += faults.total > 0;
+        showing += faults.hits > 0 && static_cast<double>(faults.hits) >= m_settings.canaryFaultPart * share * total;
+        expected += 1 - std::pow(1 - share, total);
     }
-    if (counting < 2)
-        return failing >= std::min<std::uint64_t>(m_settings.sparseCanaries, seen.canaries.size());
-    return static_cast<double>(showing) >= m_settings.canaryShare * static_cast<double>(counting);
+    return showing >= std::min(responding, m_settings.minCanaries)
+        && static_cast<double>(showing) >= m_settings.canaryShare * expected;
 }
 
 } // namespace oriolepick
--- a/routing/version_comparison.h
+++ b/routing/version_comparison.h
@@ -28,7 +28,8 @@
 /// Settings of version_comparison.
 struct version_comparison_settings {
     /// Probability of a bad verdict on a sound version. As the comparison is repeated with each report, one made on n
-    /// responses of the new version takes a part of 1 / (10 + n) of it, and one on a single group of routes 1 / 16.
+    /// responses of the new version takes a part of 1 / (10 + n) of it, and one on a single
+    /// group of routes 1 / (number of groups).
     /// The last one before the shift takes all of it.
     double chance = 1e-3;
     double suspicion = 0.05; ///< probability below which it is worth observing for longer
@@ -37,15 +38,17 @@
     /// anyway differs notably.
     std::uint64_t assumedSuccesses = 20;
     std::uint64_t minHits = 3; ///< failures or slow responses without which no version is bad
-    /// Share of failures below which no version is bad while all requests are shifted to it: without load at the old
-    /// version, a disturbance of some targets cannot be told from a fault. A fifth that fails 45% makes 9%.
-    double shiftedShare = 0.2;
+    /// Share of failures that the old version is assumed to have at least while all requests are shifted: without load
+    /// at it, a disturbance of some targets cannot be told from a fault. A fifth that fails 45% makes 9%.
+    double shiftedFailures = 0.1;
     double slowExcess = 0.05; ///< share of slow responses that a version may have more than the old one
-    std::uint64_t canaryResponses = 3; ///< with which a canary counts
-    /// Part of the canaries that must show the fault. When a fifth of all targets is disturbed, half of 12 canaries are
-    /// in 1.9% of all selections, and this part in 0.06%.
-    double canaryShare = 0.6;
-    std::uint64_t sparseCanaries = 3; ///< canaries that must show the fault while fewer than two have enough responses
+    /// Canaries that must show the fault, as a part of the number expected if each of them had it. Some targets fail or
+    /// are slow on any version: then few canaries have many of the faults. With many responses and a fault in half of
+    /// them this means three quarters of the canaries; with one response each, it excludes nothing.
+    double canaryShare = 0.75;
+    /// A canary shows a fault if its share of faulty responses is at least this part of that of all canaries.
+    double canaryFaultPart = 0.25;
+    std::uint64_t minCanaries = 4; ///< that must show the fault, if there are as many
     /// Recent period that is also judged by itself: the good responses before would hide a fault that begins later.
     std::chrono::milliseconds recentPeriod { 3'000 };
 };
@@ -99,6 +102,7 @@
     struct evidence {
         response_counts oldCounts;
         response_counts newCounts;
+        std::uint64_t running = 0; // attempts at the new version without a response
         std::map<std::uint64_t, response_counts> canaries;
     };
     /// Responses with one fault among those of one version or target.
@@ -107,6 +111,7 @@
         std::uint64_t total = 0;
     };
     using fault_counter = fault_count (*)(const response_counts& counts, std::size_t bucket);
+    static constexpr cell_key Starts { static_cast<std::uint8_t>(UnspecifiedRoute), 0 };
 
     cell_map recentTotals(instant now);
     /// A kind of fault and what makes it significant.
@@ -114,13 +119,14 @@
         std::string name;
         fault_counter count;
         std::size_t bucket;
+        std::uint64_t unaffected; // attempts in addition to those counted
         double minExcess; // of the share of the new version over that of the old one
-        double minShare; // of the new version
         double chance;
     };
 
     void judgePeriod(version_verdict& verdict, const cell_map& cells, comparison_stage stage) const;
-    void judgeEvidence(version_verdict& verdict, const evidence& seen, comparison_stage stage, bool allRoutes) const;
+    void judgeEvidence(
+        version_verdict& verdict, const evidence& seen, comparison_stage stage, std::size_t groups) const;
     void judgeFault(
         version_verdict& verdict, const evidence& seen, fault_count oldFaults, const criterion& fault) const;
     bool isShownByCanaries(const evidence& seen, fault_count newFaults, const criterion& fault) const;
