--- a/routing/rollout_coordinator.cpp
+++ b/routing/rollout_coordinator.cpp
@@ -226,7 +226,7 @@
 {
     using kind = version_choice::kind;
     const auto* rollout = find(service);
-    const auto choice = rollout ? rollout->choice(now) : version_choice {};
+    auto choice = rollout ? rollout->choice(now) : version_choice {};
     const auto found = m_targets.find(service);
     if (choice.which == kind::NewOnly || found == m_targets.end()
         || (found->second.heldBack.empty() && found->second.rejected.empty()))
--- a/routing/rollout_coordinator.h
+++ b/routing/rollout_coordinator.h
@@ -54,8 +54,9 @@
     std::string version;
 };
 
-/// Decides and follows the rollouts of all services at one node. For each service one node is the decider, by
-/// rendezvous hashing of the service over the nodes believed alive; its authority comes from the ledger, see
+/// Decides and follows the rollouts of all services at one node. For each service one node is the decider: nodes report
+/// to the first one by rendezvous hashing of the service over the nodes believed alive, or to the next one while it
+/// does not answer, and a node decides while half of the nodes report to it. Its authority comes from the ledger, see
 /// rollout_ledger.
 ///
 /// Invariants:
@@ -69,7 +70,10 @@
 /// - A node sends requests to the new version only while a state of the last 2 s says so, or after Done. The state
 ///   of a higher ledger revision wins; final phases never change within one order.
 /// - Without a decider, the store or any peer, the old version serves.
-/// - Services without an order cause no messages, store calls or timers.
+/// - Services without an order cause no messages, store calls or timers; neither does an order that is decided, except
+///   for answers to nodes that do not know it.
+///
+/// While shifting, exposure is not limited: a version that turns bad then is rolled back, but may have exceeded it.
 ///
 /// All times are passed in, random choices come from the generator passed, and the same events give the same actions.
 /// Not synchronized: one instance per event loop.
--- a/routing/version_comparison.cpp
+++ b/routing/version_comparison.cpp
@@ -143,24 +143,32 @@
         if (target != 0)
             combine(seen.canaries[target], counts, std::plus<>());
     };
+    const auto isOther = [](const cell_key& key) { return key.first == UnspecifiedRoute && key != Starts; };
+    const auto others = static_cast<std::size_t>(
+        std::count_if(cells.begin(), cells.end(), [&isOther](const auto& cell) { return isOther(cell.first); }));
+    // While shifting, the canaries are few among all targets, but have most of the responses from before.
+    const bool skipsCanaries = stage == comparison_stage::Shifting && others > MaxCanaries;
     std::uint64_t starts = 0;
+    std::uint64_t responses = 0;
     for (const auto& [key, counts] : cells) {
         if (key == Starts) {
             starts = counts.responses;
             continue;
         }
-        add(all, key.second, counts);
+        responses += key.second != 0 ? counts.responses : 0;
+        if (key.second == 0 || isOther(key) || !skipsCanaries)
+            add(all, key.second, counts);
         if (key.first != UnspecifiedRoute)
             add(routes[key.first], key.second, counts);
     }
-    all.running = difference(starts, all.newCounts.responses);
+    all.running = difference(starts, responses);
     judgeEvidence(verdict, all, stage, 1);
     if (routes.size() < 2)
         return;
     for (auto& [route, seen] : routes) {
-        const auto responses = seen.oldCounts.responses + seen.newCounts.responses;
-        const auto allResponses = std::max<std::uint64_t>(all.oldCounts.responses + all.newCounts.responses, 1);
-        seen.running = (all.running * responses + allResponses - 1) / allResponses;
+        const auto routeResponses = seen.oldCounts.responses + seen.newCounts.responses;
+        const auto allResponses = std::max<std::uint64_t>(all.oldCounts.responses + responses, 1);
+        seen.running = (all.running * routeResponses + allResponses - 1) / allResponses;
         if (!verdict.bad)
             judgeEvidence(verdict, seen, stage, routes.size());
     }
