Leave ledgers alone until the other nodes are known

A node that has just started believes that it is alone, and so the decider of every service. It would read the ledgers of rollouts in progress and take them over, which treats what was reserved as spent. It now waits for the time in which nodes that start together find each other. Responses of the store to calls of an earlier order are dropped.

--- a/gateway/rollout_driver.cpp
+++ b/gateway/rollout_driver.cpp
@@ -68,6 +68,14 @@
     perform(m_coordinator.setNodes(std::move(others), m_timers.now()));
 }
 
+// A ledger that was to be read counts as unreadable, so that the coordinator asks again if it is still the decider.
+void rollout_driver::membershipSettled()
+{
+    m_isSettled = true;
+    for (const auto& service : std::exchange(m_postponedReads, {}))
+        perform(m_coordinator.ledgerUnreadable(service, m_timers.now()));
+}
+
 void rollout_driver::orderSeen(const rollout_order& order)
 {
     applyTargets(); // targets that registered before this order
@@ -75,6 +83,7 @@
     const bool isNew = known == m_orders.end() || known->second.order.revision != order.revision;
     if (isNew) {
         m_orders[order.service] = { order };
+        m_lastOrders[order.service] = order.revision;
         m_metrics.count("rollout_orders");
         m_log.write("rollout_order",
             { { "service", order.service.value() }, { "version", order.version },
@@ -257,8 +266,14 @@
 
 void rollout_driver::performRead(const service_name& service)
 {
+    if (!m_isSettled) {
+        m_postponedReads.insert(service);
+        return;
+    }
     m_metrics.count("rollout_ledger_reads");
-    m_store.read(service, [this, service](const ledger_reading& reading) {
+    m_store.read(service, [this, service, order = m_lastOrders[service]](const ledger_reading& reading) {
+        if (order != m_lastOrders[service])
+            return; // a later order has made its own call
         applyTargets();
         if (!reading.isRead) {
             m_metrics.count("rollout_ledger_read_failures");
@@ -277,7 +292,9 @@
 void rollout_driver::performCommit(const commit_ledger& commit)
 {
     m_metrics.count("rollout_ledger_writes");
-    m_store.write(commit, [this, commit](const ledger_writing& writing) {
+    m_store.write(commit, [this, commit, order = m_lastOrders[commit.service]](const ledger_writing& writing) {
+        if (order != m_lastOrders[commit.service])
+            return; // a later order has made its own call
         applyTargets();
         if (writing.outcome == commit_outcome::Committed) {
             const auto known = m_orders.find(commit.service);
--- a/gateway/rollout_driver.h
+++ b/gateway/rollout_driver.h
@@ -37,6 +37,10 @@
     /// Sets the other nodes that are believed alive.
     void setNodes(std::vector<node_id> others);
 
+    /// Records that the other nodes are known. Before, this node may believe that it is alone and thus the decider of all
+    /// services; so it reads no ledger, and leaves those of other deciders alone.
+    void membershipSettled();
+
     void orderSeen(const rollout_order& order);
     void orderRemoved(const service_name& service);
 
@@ -108,13 +112,16 @@
     decision_log& m_log;
     gateway_metrics& m_metrics;
     rollout_coordinator m_coordinator;
+    bool m_isSettled = false; // the other nodes are known
     struct pending_permit {
         service_name service;
         callback done;
     };
     std::map<service_name, order_state> m_orders;
+    std::map<service_name, std::uint64_t> m_lastOrders; // revisions, also of orders that were withdrawn
     std::map<std::uint64_t, pending_permit> m_pending; // by number of the permit
     std::set<service_name> m_changedServices; // whose targets the coordinator does not know yet
+    std::set<service_name> m_postponedReads; // until the other nodes are known
     timer_handle m_targetTimer = 0;
     timer_handle m_tickTimer = 0;
     instant m_tickDue;
