Limit estimated times before they become integers

An absurd token count or length hint in a request gave an estimate of more than 2^63 ms. Its conversion is undefined: the result was the greatest number on arm64 and is the least one on x86-64, where such a generation would be admitted instead of refused (found by reading and by a cross-built program; not seen in a run).

--- a/routing/generation_time_estimator.cpp
+++ b/routing/generation_time_estimator.cpp
@@ -1,7 +1,16 @@
 #include "routing/generation_time_estimator.h"
 
+#include <algorithm>
+
 namespace oriolepick {
 
+namespace {
+
+    /// Longer than any deadline. The conversion of larger numbers to integers differs between processors.
+    constexpr double MaxEstimateMs = 1e9;
+
+} // namespace
+
 generation_time_estimator::generation_time_estimator(generation_time_settings settings)
     : m_settings(settings)
 {
@@ -23,7 +32,7 @@
 {
     const auto mean = m_msPerEvent.find(service);
     const double msPerEvent = mean == m_msPerEvent.end() ? 0 : mean->second;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(msPerEvent * static_cast<double>(events)));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(msPerEvent * static_cast<double>(events), MaxEstimateMs)));
 }
 
 std::chrono::milliseconds generation_time_estimator::minTime(const service_name& service, std::uint64_t events) const
--- a/routing/prefill_time_estimator.cpp
+++ b/routing/prefill_time_estimator.cpp
@@ -1,7 +1,16 @@
 #include "routing/prefill_time_estimator.h"
 
+#include <algorithm>
+
 namespace oriolepick {
 
+namespace {
+
+    /// Longer than any deadline. The conversion of larger numbers to integers differs between processors.
+    constexpr double MaxEstimateMs = 1e9;
+
+} // namespace
+
 prefill_time_estimator::prefill_time_estimator(prefill_time_settings settings)
     : m_settings(settings)
 {
@@ -21,7 +30,7 @@
 {
     const auto mean = m_msPerToken.find(service);
     const double msPerToken = mean == m_msPerToken.end() ? 1 / m_settings.initialTokensPerMs : mean->second;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(msPerToken * static_cast<double>(tokens)));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(msPerToken * static_cast<double>(tokens), MaxEstimateMs)));
 }
 
 } // namespace oriolepick
--- a/routing/test/prefill_time_estimator.cpp
+++ b/routing/test/prefill_time_estimator.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 using namespace oriolepick;
 using namespace std::chrono_literals;
 
@@ -20,6 +22,16 @@
     EXPECT_EQ(estimator.estimate(service_name("s"), 8'000), 1'000ms);
 }
 
+// Guards against an absurd token count whose estimate is negative on some processors, so that the request is admitted.
+TEST(PrefillTimeEstimator, AbsurdPromptsTakeLongerThanAnyDeadline)
+{
+    const auto most = std::numeric_limits<std::uint64_t>::max();
+    prefill_time_estimator estimator({});
+    for (int prompt = 0; prompt < 40; ++prompt)
+        estimator.record(service_name("slow"), 4'000, 2'000'000ms);
+    EXPECT_EQ(estimator.estimate(service_name("slow"), most), 1'000'000'000ms);
+}
+
 TEST(PrefillTimeEstimator, IgnoresShortPrompts)
 {
     prefill_time_estimator estimator({});
