Add the setting allocate_places

The allocation of places at targets is opt-in by node: off, plain services only, or all services. Absent means off, so that a node with an older settings file decides as before.

gateway_gateway_settings passes with a test of the three values and of an unknown one.

--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -12,6 +12,13 @@
 
 namespace oriolepick {
 
+/// Services whose requests ask an allocator for a place at a target, see place_allocation.
+enum class place_allocation_scope {
+    Off, ///< none: every node chooses targets by itself
+    Plain, ///< services without engines
+    All,
+};
+
 /// Settings that are read once at start; see docs/settings-gateway.md.
 struct gateway_settings {
     node_id node; ///< name in log lines
@@ -33,6 +40,7 @@
     double repeatRatio = 0.8; ///< retries per request, over all nodes
     double repeatSlack = 150; ///< retries over all nodes that are allowed without requests
     std::chrono::milliseconds repeatWindow { 10'000 }; ///< over which requests and retries are counted
+    place_allocation_scope allocatePlaces = place_allocation_scope::Off;
     double linkMbps = 1'000; ///< capacity of this instance's network link
     int memoryMb = 256; ///< limit of this process, which is killed when it exceeds the limit
     int logLinesPerSecond = 200; ///< further lines are dropped and counted
--- a/gateway/gateway_settings_json.cpp
+++ b/gateway/gateway_settings_json.cpp
@@ -2,6 +2,13 @@
 
 namespace oriolepick {
 
+template <> struct enum_words<place_allocation_scope> {
+    static constexpr std::array<std::pair<place_allocation_scope, std::string_view>, 3> Words {
+        { { place_allocation_scope::Off, "off" }, { place_allocation_scope::Plain, "plain" },
+            { place_allocation_scope::All, "all" } }
+    };
+};
+
 namespace {
 
     constexpr field_rule RequiredAddress { presence::Required, text_form::Address };
@@ -26,6 +33,7 @@
         visit("repeat_ratio", settings.repeatRatio, numberRule(0, 10));
         visit("repeat_slack", settings.repeatSlack, numberRule(0, 1e6));
         visit("repeat_window_ms", settings.repeatWindow, numberRule(1'000, MaxTimeMs));
+        visit("allocate_places", settings.allocatePlaces, field_rule {});
         visit("link_mbps", settings.linkMbps, numberRule(1, 1'000'000));
         visit("memory_mb", settings.memoryMb, numberRule(32, 1'048'576));
         visit("log_lines_per_second", settings.logLinesPerSecond, numberRule(1, 100'000));
--- a/gateway/test/gateway_settings.cpp
+++ b/gateway/test/gateway_settings.cpp
@@ -31,6 +31,22 @@
     EXPECT_DOUBLE_EQ(settings.repeatRatio, 0.5);
     EXPECT_EQ(settings.leavingBound, 4s);
     EXPECT_TRUE(settings.seeds.empty());
+    EXPECT_EQ(settings.allocatePlaces, place_allocation_scope::Off);
+}
+
+TEST(GatewaySettings, AllocationOfPlacesHasThreeValues)
+{
+    std::vector<field_error> problems;
+    const auto scopeOf = [&problems](const std::string& word) {
+        return readGatewaySettings("{" + MinimalFields + R"(,"allocate_places":")" + word + "\"}", problems)
+            .allocatePlaces;
+    };
+    EXPECT_EQ(scopeOf("off"), place_allocation_scope::Off);
+    EXPECT_EQ(scopeOf("plain"), place_allocation_scope::Plain);
+    EXPECT_EQ(scopeOf("all"), place_allocation_scope::All);
+    EXPECT_TRUE(problems.empty());
+    scopeOf("engines");
+    EXPECT_EQ(problems.size(), 1U);
 }
 
 TEST(GatewaySettings, ReportsEveryProblem)
