--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_message_codec.h"
 
 #include "gateway/crash_news_codec.h"
+#include "gateway/place_codec.h"
 #include "gateway/socket_address.h"
 #include "wire/membership_codec.h"
 #include "wire/messages.pb.h"
@@ -239,6 +240,8 @@
         encode(*crashes, *encoded.mutable_crashes());
     else if (const auto* limit = std::get_if<target_limit_message>(&datagram.body))
         encode(*limit, *encoded.mutable_target_limit());
+    else if (const auto* place = std::get_if<place_message>(&datagram.body))
+        encode(*place, *encoded.mutable_place());
     else
         encodeRun(std::get<run_message>(datagram.body), encoded);
     return encoded.SerializeAsString();
@@ -279,6 +282,13 @@
         datagram.body = std::move(*limit);
         return datagram;
     }
+    if (encoded.has_place()) {
+        auto place = decode(encoded.place());
+        if (!place)
+            return std::nullopt;
+        datagram.body = std::move(*place);
+        return datagram;
+    }
     auto message = decodeRun(encoded);
     if (!message)
         return std::nullopt;
--- a/gateway/gateway_message_codec.h
+++ b/gateway/gateway_message_codec.h
@@ -9,6 +9,7 @@
 #include "gateway/run_messages.h"
 #include "routing/crash_news.h"
 #include "routing/news_digest.h"
+#include "routing/place_messages.h"
 
 #include <optional>
 #include <string>
@@ -20,7 +21,8 @@
 /// A datagram between gateways.
 struct node_datagram {
     node_id sender; ///< "IP:PORT" where the sender receives
-    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message> body;
+    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message, place_message>
+        body;
 };
 
 std::string encodeDatagram(const node_datagram& datagram);
--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -275,6 +275,14 @@
     return found == m_targets.end() ? nullptr : &found->second.entry;
 }
 
+void target_tracker::visit(
+    const std::function<void(const target_entry& entry, bool isAvailable)>& visitor, instant now) const
+{
+    for (const auto& [name, target] : m_targets)
+        visitor(
+            target.entry, isUsable(target, now) && now >= target.limitedUntil && now >= target.backoffUntil);
+}
+
 std::size_t target_tracker::usableTargets(const service_name& service, instant now) const
 {
     std::size_t count = 0;
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -188,6 +189,10 @@
     /// \return the registration of \p target, or null
     const target_entry* find(const target_name& target) const;
 
+    /// Calls \p visitor with each registration, and whether the target is available: it accepts new requests, is not
+    /// backed off from and has not reached its request limit.
+    void visit(const std::function<void(const target_entry& entry, bool isAvailable)>& visitor, instant now) const;
+
     /// \return the number of targets of \p service that accept new requests, regardless of a back-off
     std::size_t usableTargets(const service_name& service, instant now) const;
 
