Allocate places at targets

The account of a shard derives the load of its targets from reports and unconfirmed grants, serves a line ordered by rank, and refuses at once what can't start in time. The client asks for places, renews waiting requests, and decides locally when an allocator doesn't answer. Not measured yet.

--- a/routing/place_account.h
+++ b/routing/place_account.h
@@ -11,9 +11,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -46,7 +46,7 @@
 
     /// Decides on a request at once or puts it into the line.
     /// \param zone of the node \p from
-    actions request(const node_id& from, const availability_zone& zone, const place_request& request, instant now);
+    actions request(const node_id& from, const availability_zone& zone, const place_request& asked, instant now);
 
     actions cancel(const node_id& from, std::uint64_t number, instant now);
 
@@ -55,9 +55,6 @@
     /// Applies the report of a node.
     actions state(const node_id& from, const place_report& report, instant now);
 
-    /// Forgets the uses of a node that is no longer alive.
-    actions removeNode(const node_id& node, instant now);
-
     /// Performs all due work. Call at nextDue() or later.
     actions tick(instant now);
 
@@ -82,6 +79,7 @@
     void grantWaiting(actions& out, instant now);
     void grant(actions& out, const waiting_place& waiting, const target_name& target, instant now);
     void refuse(actions& out, const waiting_place& waiting, instant now);
+    void apply(const node_id& from, const place_report& report, instant now);
     void sendAnswer(actions& out, const node_id& to, place_answer answer, instant now);
     void noticeWaiting(actions& out, instant now);
     std::chrono::milliseconds nextRetryAfter(instant now);
@@ -93,8 +91,9 @@
     place_targets m_targets;
     place_line m_line;
     std::map<request_id, sent_answer> m_answers;
-    std::vector<std::pair<instant, request_id>> m_answerOrder;
-    instant m_returnsUntil; // until which the room is promised to callers that were refused
+    std::deque<std::pair<instant, request_id>> m_answerOrder;
+    instant m_returnsUntil; // until which room is promised to callers that were refused
+    bool m_hasReleases = false; // places became free since the line was last served
     instant m_expireAt;
     instant m_usedAt;
 };
--- a/routing/place_client.h
+++ b/routing/place_client.h
@@ -79,7 +79,10 @@
     std::chrono::milliseconds silenceLimit { 100 }; ///< without news of a waiting request, its allocator counts as dead
     std::uint32_t maxMissedAnswers = 2; ///< in a row, until the allocator is not asked
     std::chrono::milliseconds unresponsiveTime { 1'000 }; ///< for which an unresponsive allocator is not asked
-    std::chrono::milliseconds reportInterval { 50 }; ///< shortest time between two reports on a shard
+    std::chrono::milliseconds reportInterval { 50 }; ///< shortest time between two reports on a shard of engines
+    /// Shortest time between two reports on a shard of plain targets, whose requests may take only 30 ms: with 50 ms,
+    /// the allocator would see places in use for longer than the requests take.
+    std::chrono::milliseconds plainReportInterval { 10 };
     /// Longest time between two reports while something is in flight. Allocators forget a node after 1 s.
     std::chrono::milliseconds refreshInterval { 300 };
     /// How long a target is contained in reports after its last use, so that the counts of completed requests arrive.
@@ -146,6 +149,7 @@
     };
     struct use_record {
         place_shard shard;
+        target_name name;
         target_hash target = 0;
         std::uint64_t promptTokens = 0;
         std::uint64_t heldTokens = 0;
@@ -163,7 +167,6 @@
         node_id reportedTo; // allocator that received the last report
         std::map<target_hash, target_record> targets;
         std::uint32_t inFlight = 0; // including copies
-        std::uint32_t waiting = 0; // requests in the line
         std::optional<instant> reportDue;
         instant reportedAt;
         std::optional<instant> renewDue;
@@ -181,10 +184,12 @@
     void checkPending(actions& out, instant now, bool inputPending);
     void sendDueReports(actions& out, instant now);
     void sendDueRenewals(actions& out, instant now);
+    std::chrono::milliseconds reportIntervalOf(const place_shard& shard) const;
     void scheduleReport(const place_shard& shard, std::chrono::milliseconds within, instant now);
     place_report makeReport(const place_shard& shard, shard_record& record, instant now);
-    void addUse(std::uint64_t number, const service_name& service, const place_shard& shard, const target_name& target,
-        std::uint64_t promptTokens, bool isCopy, instant now);
+    void sendReport(actions& out, const place_shard& shard, shard_record& record, instant now);
+    void addUse(std::uint64_t number, const place_shard& shard, const target_name& target, std::uint64_t promptTokens,
+        bool isCopy, instant now);
     void followDirectory(instant now);
     bool isUnresponsive(const node_id& allocator, instant now) const;
 
--- a/routing/place_directory.h
+++ b/routing/place_directory.h
@@ -17,11 +17,14 @@
 
 namespace oriolepick {
 
-/// A target that accepts requests.
+/// A registered target.
 struct place_target {
     target_name name;
     availability_zone zone;
     std::uint32_t slots = 1; ///< number of concurrent requests
+    /// The target gets new requests: it doesn't drain and this node doesn't back off from it. Targets that are not
+    /// available count in the split into shards, so that nodes with different faults find the same shards.
+    bool available = true;
 };
 
 /// A service whose places are allocated.
@@ -29,7 +32,7 @@
     service_name name;
     bool engines = false; ///< the targets are model engines
     std::uint64_t memoryTokens = 0; ///< engines only: memory of one engine in tokens, 0 if unknown
-    std::vector<place_target> targets; ///< without those that drain, are removed, or are backed off from
+    std::vector<place_target> targets; ///< all registered ones
 };
 
 /// A node and its zone.
--- a/routing/place_targets.h
+++ b/routing/place_targets.h
@@ -26,7 +26,12 @@
     /// a tenth of a core. Plain targets get as many requests ahead as they complete in it.
     std::chrono::milliseconds turnaround { 15 };
     std::uint32_t objectiveDivisor = 4; ///< the requests ahead wait at most this part of the objective
-    std::uint32_t reserveDivisor = 16; ///< part of the room that is reserved for rank 0, at least one place
+    /// Part of the places of a target that is reserved for the highest rank, at least one place.
+    std::uint32_t reserveDivisor = 16;
+    std::chrono::milliseconds rankMemory { 5'000 }; ///< for which a rank without requests keeps its reserve
+    /// Engines read prompts one after another. Prompts that wait at the engine can't be overtaken, so only the highest
+    /// rank may wait there, for this many prompts.
+    std::uint32_t maxPromptsAhead = 1;
     double durationWeight = 0.1; ///< weight of a completed request in the mean duration of its target
     std::chrono::milliseconds initialDuration { 30 }; ///< mean duration before the first completed request
     std::chrono::milliseconds durationMemory {
@@ -42,10 +47,11 @@
     void setTargets(const place_service& service, const std::vector<place_target>& targets, instant now);
 
     /// Applies the report of a node unless a later one is known.
-    /// \return whether the report was applied
+    /// \return whether places may have become free
     bool apply(const node_id& node, const place_report& report, instant now);
 
-    void removeNode(const node_id& node);
+    /// Removes a grant that is not used.
+    void removeGrant(const node_id& node, std::uint64_t number);
 
     /// Records a grant, which counts until a report contains it.
     void recordGrant(
@@ -55,7 +61,7 @@
     /// \param zone of the requesting node; preferred between equal targets
     /// \return nothing if no target has room
     std::optional<target_name> choose(
-        const place_request& request, const availability_zone& zone, seeded_random& random, instant now) const;
+        const place_request& request, const availability_zone& zone, seeded_random& random, instant now);
 
     /// \return whether the node has reported that the request is decided
     bool isDecided(const node_id& node, std::uint64_t number) const;
@@ -73,6 +79,9 @@
     /// \return the number of targets
     std::size_t size() const { return m_targets.size(); }
 
+    /// \return whether nothing is in flight at any target
+    bool isIdle() const;
+
     /// \return the requests in flight at \p target
     std::uint32_t inFlight(const target_name& target) const;
 
@@ -89,7 +98,6 @@
         instant measuredAt;
         instant refusedUntil;
         instant faultUntil;
-        std::uint32_t refusedAt = 0; // requests in flight when the target refused one
         polled_engine engine; // the load in the form that the admission rules use
     };
     struct grant_record {
@@ -110,12 +118,15 @@
     void add(target_hash target, const load& amount);
     void subtract(target_hash target, const load& amount);
     void measure(target_state& target, const target_use* before, const target_use& after, instant now);
-    void dropGrant(node_record& node, std::uint64_t number);
+    void applyTrouble(target_state& target, const target_use& use, instant now);
     void dropUses(node_record& node);
     double meanOf(const target_state& target, instant now) const;
+    bool isInService(const target_state& target, instant now) const;
+    bool allAtFault(instant now) const;
     std::uint32_t limitOf(const target_state& target, std::chrono::milliseconds objective, instant now) const;
-    std::optional<double> scoreOf(
-        const target_state& target, const place_request& request, bool reserve, instant now) const;
+    bool hasRoom(const target_state& target, const place_request& request, instant now) const;
+    double scoreOf(const target_state& target, const place_request& request, instant now) const;
+    void updateEngine(target_state& target) const;
 
     place_targets_settings m_settings;
     bool m_engines = false;
@@ -123,7 +134,9 @@
     std::map<target_hash, target_state> m_targets;
     std::map<node_id, node_record> m_nodes;
     double m_meanMs = 0; // over all targets
-    mutable place_request m_lastDemand; // the size of requests, for freePlaces()
+    place_request m_lastDemand; // the size of requests, for freePlaces()
+    std::optional<std::uint32_t> m_highestRank; // of the last requests
+    instant m_highestRankAt;
 };
 
 } // namespace oriolepick
