Ask for a place at a target before a request is sent

Many nodes in front of few targets send at the same time to the same one, because each knows only its own load. For a service whose places are allocated, an attempt now asks the allocator of a shard and sends to the granted target, waits, or is refused with a Retry-After. Without an answer, and for streams that have begun, the node decides as before. A place is held by an object that ends with the attempt, so no path leaves it occupied. A plain request that its targets refused may be sent to the same targets again while its objective allows.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Routing, deadline and final response of an exchange. Attempts are in exchange_attempts.cpp, the choice of engines in
-/// exchange_engine_choice.cpp, responses of targets in exchange_responses.cpp, streams in exchange_stream.cpp.
+/// exchange_engine_choice.cpp, places at targets in exchange_placement.cpp, responses of targets in
+/// exchange_responses.cpp, streams in exchange_stream.cpp.
 #include "gateway/exchange.h"
 
 #include "core/seeded_random.h"
@@ -9,6 +10,7 @@
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/http_error_response.h"
+#include "gateway/place_allocation.h"
 #include "gateway/response_sink.h"
 #include "gateway/run_copy_client.h"
 #include "gateway/run_handover.h"
@@ -19,6 +21,7 @@
 #include "routing/target_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolepick {
 
@@ -253,6 +256,7 @@
     if (m_publishedAttempt)
         m_parts.handover.withdraw(m_caller.attempt);
     leaveQueue();
+    m_parts.places.cancel(std::exchange(m_placeRequest, 0));
     endAttempt();
 }
 
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -9,6 +9,7 @@
 #include "core/response_wait.h"
 #include "core/stall_detector.h"
 #include "gateway/gateway_parts.h"
+#include "gateway/held_place.h"
 #include "gateway/http_message.h"
 #include "gateway/request_dialect.h"
 #include "gateway/target_connection.h"
@@ -96,9 +97,23 @@
 
     // the admission queue, in exchange_engine_choice.cpp
     bool mayQueue() const;
+    std::chrono::milliseconds longestQueueTime(const generation_demand& demand) const;
     void waitInQueue();
     void leaveQueue();
 
+    // places at targets, in exchange_placement.cpp
+    bool askForPlace();
+    void releaseUnsentPlace();
+    std::vector<target_name> targetsWithoutPlace() const;
+    place_demand makePlaceDemand(std::vector<target_name> excluded) const;
+    std::chrono::milliseconds latestUsefulStart() const;
+    void onPlaceGranted(const target_name& name, held_place place);
+    void onPlaceRefused(std::chrono::milliseconds retryAfter);
+    void decideLocally(std::string_view reason);
+    void holdPlace(const target_entry& target);
+    void recordEventAtPlace();
+    bool mayAskReceiversAgain(attempt_outcome attemptOutcome) const;
+
     // resuming a stream of another node, in exchange_engine_choice.cpp
     void findRunCopy();
     void publishRunCopy();
@@ -189,6 +204,7 @@
     event_splitter m_events;
     memory_reservation m_responseMemory; // of m_body and m_events
     stall_detector m_stall;
+    held_place m_place; // the use of the target, from the grant or the start of the attempt
     instant m_attemptAt;
     instant m_sentAt; // when the request was passed to the connection, or the attempt began
     std::optional<response_wait> m_attemptWait; // for the response of a repeatable request
@@ -201,6 +217,12 @@
     std::vector<polled_engine> m_polledEngines;
     std::size_t m_pendingPolls = 0;
     queue_number m_queueNumber = 0; // while the request waits in the admission queue
+    std::uint64_t m_placeRequest = 0; // while the request waits for a place
+    instant m_placeAskedAt;
+    std::uint32_t m_unusablePlaces = 0; // granted since the last attempt, at targets that take no requests
+    bool m_decidesLocally = false; // the next attempt needs no place
+    bool m_asksReceiversOnly = false; // no further target may receive the request
+    std::vector<target_name> m_receivers; // targets that the request was sent to
     bool m_isTrial = false; // tests whether quarantined parts of the prompt still crash targets
     bool m_isScheduled = false; // the admission queue lets this request look for a slot
     bool m_prefilledAlone = false; // the engine had no other prompts to prefill
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -65,7 +65,7 @@
     }
     m_copy.reset();
     m_prefilledAlone = false;
-    if (pollEngines())
+    if (askForPlace() || pollEngines())
         return;
     target_query query { m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() };
     auto target = m_parts.targetTracker.choose(query, now);
@@ -244,6 +244,7 @@
     m_continuesCopy = m_copy.has_value();
     m_copy.reset();
     m_target = target;
+    holdPlace(target);
     m_requestedCopy.reset();
     m_copyRequestPending = false;
     m_sent = false;
@@ -282,6 +283,7 @@
 void exchange::onSent()
 {
     m_sent = true;
+    m_receivers.push_back(m_target->name);
     m_sentAt = m_parts.timers.now();
     // The time until the connection was open, and noticed, is not the target's.
     if (m_attemptWait)
@@ -298,6 +300,7 @@
         m_link.reset();
         m_parts.targetTracker.attemptEnded(m_target->name);
     }
+    m_place.end(place_end::Completed); // unless a fault has ended it
     m_sent = false;
 }
 
@@ -370,6 +373,7 @@
 {
     const auto now = m_parts.timers.now();
     m_parts.targetTracker.recordFault(m_target->name, fault, now);
+    m_place.end(fault == target_fault::AtCapacity ? place_end::Refused : place_end::Failed);
     m_parts.metrics.count(faultName);
     if (fault != target_fault::AtCapacity)
         m_triedTargets.push_back(m_target->name);
@@ -397,6 +401,9 @@
     }
     auto decision = decideRetry(m_history, attemptOutcome);
     std::string_view reason = "no further target may be tried";
+    m_asksReceiversOnly = decision == retry_decision::Fail && mayAskReceiversAgain(attemptOutcome);
+    if (m_asksReceiversOnly)
+        decision = retry_decision::RetryWithinBudget;
     if (decision == retry_decision::RetryWithinBudget && !m_parts.retryBudget.take(m_service, now, retryReserve())) {
         m_parts.metrics.count("repeats_denied");
         if (m_responseStarted) {
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -87,6 +87,7 @@
     if (!m_eventReceived)
         m_parts.crashes.recordStart(m_suspect.parts);
     m_eventReceived = true;
+    recordEventAtPlace();
     if (event.id) {
         if (m_lastEvent && *event.id <= *m_lastEvent)
             return true; // the caller already has this event
--- a/gateway/gateway_message_codec.h
+++ b/gateway/gateway_message_codec.h
@@ -21,8 +21,7 @@
 /// A datagram between gateways.
 struct node_datagram {
     node_id sender; ///< "IP:PORT" where the sender receives
-    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message, place_message>
-        body;
+    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message, place_message> body;
 };
 
 std::string encodeDatagram(const node_datagram& datagram);
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -21,6 +21,7 @@
 class memory_budget;
 class admission_queue;
 class path_monitor;
+class place_allocation;
 class prefill_time_estimator;
 class replacement_finder;
 class request_dialect;
@@ -56,6 +57,7 @@
     path_monitor& paths;
     generation_time_estimator& generationTimes;
     admission_queue& admissionQueue;
+    place_allocation& places;
     seeded_random& random;
     active_config& config;
     /// Returns whether the store cannot be read; targets that are gone are not reported then.
--- a/gateway/held_place.cpp
+++ b/gateway/held_place.cpp
@@ -21,6 +21,12 @@
         m_owner->recordPromptRead(m_number);
 }
 
+void held_place::recordTokens(std::uint64_t heldTokens)
+{
+    if (m_owner)
+        m_owner->recordTokens(m_number, heldTokens);
+}
+
 void held_place::end(place_end how)
 {
     if (auto* owner = std::exchange(m_owner, nullptr))
--- a/gateway/held_place.h
+++ b/gateway/held_place.h
@@ -41,6 +41,15 @@
     /// Records that the engine has read the prompt.
     void recordPromptRead();
 
+    /// Records the memory in tokens that the run takes at the engine.
+    void recordTokens(std::uint64_t heldTokens);
+
+    /// \return whether a use is held
+    bool isHeld() const { return m_owner != nullptr; }
+
+    /// \return the target of the use
+    const target_name& target() const { return m_target; }
+
     /// Ends the use, if any is held.
     void end(place_end how);
 
--- a/gateway/place_allocation.cpp
+++ b/gateway/place_allocation.cpp
@@ -38,8 +38,7 @@
                 == std::tie(other.name, other.zone, other.slots, other.available);
         };
         return left.engines == right.engines && left.memoryTokens == right.memoryTokens
-            && std::equal(
-                left.targets.begin(), left.targets.end(), right.targets.begin(), right.targets.end(), isSame);
+            && std::equal(left.targets.begin(), left.targets.end(), right.targets.begin(), right.targets.end(), isSame);
     }
 
 } // namespace
@@ -201,18 +200,19 @@
     perform(m_client.cancel(number, m_timers.now()));
 }
 
-held_place place_allocation::begin(
-    const service_name& service, const target_name& target, std::uint64_t promptTokens)
+held_place place_allocation::begin(const service_name& service, const target_name& target, std::uint64_t promptTokens)
 {
     if (!isAllocated(service))
         return {};
     const auto number = m_client.begin(service, target, promptTokens, false, m_timers.now());
     scheduleTick();
+    ++m_heldPlaces;
     return { *this, number, target };
 }
 
 void place_allocation::end(std::uint64_t number, place_end how)
 {
+    --m_heldPlaces;
     perform(m_client.end(number, how, m_timers.now()));
 }
 
@@ -298,6 +298,7 @@
 {
     const auto pending = m_pending.extract(decided.number);
     if (const auto* granted = std::get_if<place_granted>(&decided.decision)) {
+        ++m_heldPlaces;
         held_place place(*this, decided.number, granted->target);
         if (pending)
             pending.mapped().done(decided.decision, std::move(place));
--- a/gateway/place_allocation.h
+++ b/gateway/place_allocation.h
@@ -64,9 +64,15 @@
     /// \return the use of \p target by a request that was sent without a granted place
     held_place begin(const service_name& service, const target_name& target, std::uint64_t promptTokens);
 
+    /// \return the number of uses of targets that have not ended
+    std::size_t heldPlaces() const { return m_heldPlaces; }
+
     /// Remembers that a request was refused, for the time since then when its caller returns.
     void recordRefused(const request_hash& request);
 
+    /// \return whether any refused request is remembered
+    bool hasRefused() const { return !m_refused.empty(); }
+
     /// \return the time since \p request was first refused here, 0 if it was not
     std::chrono::milliseconds waited(const request_hash& request) const;
 
@@ -88,6 +94,7 @@
 
     void end(std::uint64_t number, place_end how);
     void recordPromptRead(std::uint64_t number);
+    void recordTokens(std::uint64_t number, std::uint64_t heldTokens) { m_client.recordTokens(number, heldTokens); }
     std::map<service_name, place_service> readServices() const;
     bool shouldAllocate(const place_service& service) const;
     void scheduleRefresh();
@@ -115,6 +122,7 @@
     std::deque<place_message> m_ownMessages; // of this node to itself
     std::map<request_hash, refused_request> m_refused;
     std::deque<std::pair<instant, request_hash>> m_refusedOrder; // by the time of the last refusal
+    std::size_t m_heldPlaces = 0;
     timer_handle m_ownMessageTimer = 0;
     timer_handle m_refreshTimer = 0;
     timer_handle m_tickTimer = 0;
--- a/gateway/place_codec.cpp
+++ b/gateway/place_codec.cpp
@@ -75,8 +75,7 @@
             added.set_unread_tokens(std::min(use.unreadTokens, MaxTokens));
             added.set_held_tokens(std::min(use.heldTokens, MaxTokens));
             added.set_completed(use.completed);
-            added.set_busy_ms(
-                static_cast<std::uint64_t>(std::clamp<std::int64_t>(use.busy.count(), 0, MaxBusyMs)));
+            added.set_busy_ms(static_cast<std::uint64_t>(std::clamp<std::int64_t>(use.busy.count(), 0, MaxBusyMs)));
             if (use.refusedAgo)
                 added.set_refused_ago_ms(clampedMs(*use.refusedAgo));
             if (use.faultAgo)
--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -118,6 +118,81 @@
     EXPECT_FALSE(decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), invalid })));
 }
 
+place_request samplePlaceRequest()
+{
+    place_report report { 1'700'000'000'000, 9, 40, { 38, 39 }, {} };
+    report.uses.push_back({ 5, 3, 100, 200, 1'000, 30s, 40ms, std::nullopt });
+    return { 41, { service_name("svc"), availability_zone("z"), 1, 3 }, 2, 77, 150ms, 200ms, 1'000, 300, 90ms, 700ms,
+        { 5, ~target_hash { 0 } }, report };
+}
+
+TEST(GatewayMessageCodec, PlaceMessagesRoundTrip)
+{
+    const auto sent = [](const place_message& message) {
+        const auto decoded = decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), message }));
+        return decoded ? std::optional(std::get<place_message>(decoded->body)) : std::nullopt;
+    };
+    const auto sample = samplePlaceRequest();
+    const auto request = std::get<place_request>(sent(sample).value());
+    EXPECT_EQ(request.number, 41U);
+    EXPECT_TRUE(request.shard == sample.shard);
+    EXPECT_EQ(request.rank, 2U);
+    EXPECT_EQ(request.team, 77U);
+    EXPECT_EQ(request.latestStart, 150ms);
+    EXPECT_EQ(request.objective, 200ms);
+    EXPECT_EQ(request.promptTokens, 1'000U);
+    EXPECT_EQ(request.outputTokens, 300U);
+    EXPECT_EQ(request.prefillTime, 90ms);
+    EXPECT_EQ(request.waited, 700ms);
+    EXPECT_EQ(request.excluded, sample.excluded);
+    ASSERT_TRUE(request.report);
+    EXPECT_EQ(request.report->open, sample.report->open);
+    EXPECT_EQ(request.report->newest, 40U);
+    const auto& use = request.report->uses.at(0);
+    EXPECT_EQ(use.inFlight, 3U);
+    EXPECT_EQ(use.unreadTokens, 100U);
+    EXPECT_EQ(use.heldTokens, 200U);
+    EXPECT_EQ(use.completed, 1'000U);
+    EXPECT_EQ(use.busy, 30s);
+    EXPECT_EQ(use.refusedAgo, 40ms);
+    EXPECT_FALSE(use.faultAgo);
+    const auto answer = std::get<place_answer>(sent(
+        place_answer { 41, sample.shard, place_outcome::Granted, target_name("t"), 0ms, 0ms,
+            { 7, 8ms } }).value());
+    EXPECT_EQ(answer.outcome, place_outcome::Granted);
+    EXPECT_EQ(answer.target.value(), "t");
+    EXPECT_EQ(answer.room.free, 7U);
+    EXPECT_EQ(answer.room.wait, 8ms);
+    EXPECT_EQ(std::get<place_state>(sent(place_state { sample.shard, *sample.report }).value()).report.sequence, 9U);
+    EXPECT_EQ(std::get<place_cancel>(sent(place_cancel { sample.shard, 41 }).value()).number, 41U);
+    EXPECT_EQ(std::get<place_renewal>(sent(place_renewal { sample.shard, { 1, 2 } }).value()).numbers.size(), 2U);
+    EXPECT_EQ(std::get<place_line_state>(sent(place_line_state { sample.shard, { 1 } }).value()).waiting.size(), 1U);
+}
+
+TEST(GatewayMessageCodec, ImpossiblePlaceMessagesAreRejected)
+{
+    const auto isAccepted = [](const place_message& message) {
+        return decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), message })).has_value();
+    };
+    const auto sample = samplePlaceRequest();
+    auto shard = sample.shard;
+    shard.index = shard.count;
+    EXPECT_FALSE(isAccepted(place_cancel { shard, 1 })) << "there is no such shard";
+    shard.count = 100'000;
+    EXPECT_FALSE(isAccepted(place_cancel { shard, 1 })) << "too many shards";
+    EXPECT_FALSE(isAccepted(place_cancel { {}, 1 })) << "no service";
+    EXPECT_FALSE(isAccepted(place_answer { 1, sample.shard, place_outcome::Granted, {}, 0ms, 0ms, {} })) << "no target";
+    EXPECT_FALSE(isAccepted(
+        place_answer { 1, sample.shard, place_outcome::Granted, target_name(std::string(300, 't')), 0ms, 0ms, {} }));
+    auto request = sample;
+    request.excluded.assign(10'000, 1);
+    request.report->open.assign(10'000, 1);
+    request.report->uses.assign(10'000, sample.report->uses[0]);
+    const auto bytes = encodeDatagram({ node_id("10.0.0.3:7200"), place_message(request) });
+    EXPECT_LT(bytes.size(), 8'192U) << "long lists are cut to fit into a datagram";
+    EXPECT_TRUE(decodeDatagram(bytes));
+}
+
 TEST(GatewayMessageCodec, LargeBatchesAreDeflatedAndBounded)
 {
     news_batch batch;
@@ -190,6 +265,7 @@
         sync_page_message { node_id("m"), true }, {} };
     std::vector<std::string> texts { encodeBatch(small), encodeBatch(large),
         encodeDatagram({ node_id("10.0.0.1:80"), sampleDigest() }), encodeDatagram({ node_id("10.0.0.1:80"), message }),
+        encodeDatagram({ node_id("10.0.0.1:80"), place_message(samplePlaceRequest()) }),
         encodeNodeRow({ availability_zone("z"), node_id("10.0.0.1:80") }) };
     for (auto& text : texts) {
         for (const auto& [position, byte] : changed)
--- a/routing/target_tracker.cpp
+++ b/routing/target_tracker.cpp
@@ -279,8 +279,7 @@
     const std::function<void(const target_entry& entry, bool isAvailable)>& visitor, instant now) const
 {
     for (const auto& [name, target] : m_targets)
-        visitor(
-            target.entry, isUsable(target, now) && now >= target.limitedUntil && now >= target.backoffUntil);
+        visitor(target.entry, isUsable(target, now) && now >= target.limitedUntil && now >= target.backoffUntil);
 }
 
 std::size_t target_tracker::usableTargets(const service_name& service, instant now) const
