--- a/routing/place_account.cpp
+++ b/routing/place_account.cpp
@@ -1,6 +1,7 @@
 #include "routing/place_account.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace oriolepick {
@@ -27,6 +28,7 @@
     , m_random(random)
     , m_targets(settings.targets)
     , m_line(settings.line)
+    , m_newcomerAt(now)
     , m_expireAt(now + ExpirePeriod)
     , m_usedAt(now)
 {
@@ -62,7 +64,12 @@
     }
     if (m_targets.isDecided(from, asked.number))
         return out;
-    waiting_place waiting { from, zone, asked, now, now + asked.latestStart, now, false };
+    if (!asked.waited.count())
+        recordNewcomer(now);
+    const auto good = goodStart(asked, now);
+    // A new caller that waits in vain keeps time to return, and then comes before others.
+    const auto latest = asked.waited.count() ? asked.latestStart : asked.latestStart * 3 / 4;
+    waiting_place waiting { from, zone, asked, now, good, std::max(good, now + latest), now };
     waiting.request.report.reset();
     grantWaiting(out, now);
     if (!m_line.size()) {
@@ -71,7 +78,7 @@
             return out;
         }
     }
-    for (const auto& late : m_line.add(std::move(waiting), m_targets.grantInterval(now), now))
+    for (const auto& late : m_line.add(std::move(waiting), pace(now), now))
         refuse(out, late, now);
     m_hasReleases = true; // the request may fit where those that wait don't
     grantWaiting(out, now);
@@ -95,7 +102,7 @@
     };
     for (const auto& expired : m_line.expire(now))
         refuse(out, expired, now);
-    while (const auto waiting = m_line.take(accepts))
+    while (const auto waiting = m_line.take(accepts, now))
         grant(out, *waiting, *target, now);
 }
 
@@ -128,6 +135,27 @@
     out.push_back({ to, std::move(answer) });
 }
 
+instant place_account::goodStart(const place_request& asked, instant now) const
+{
+    const auto expected = m_targets.expectedDuration(asked, now);
+    const auto good = asked.objective - std::min(asked.objective, expected);
+    return now + (asked.objective.count() ? std::min(good, asked.latestStart) : asked.latestStart);
+}
+
+void place_account::recordNewcomer(instant now)
+{
+    const std::chrono::duration<double, std::milli> elapsed = now - m_newcomerAt;
+    const std::chrono::duration<double, std::milli> memory = m_settings.rateMemory;
+    m_newcomersPerMs = m_newcomersPerMs * std::exp(-elapsed.count() / memory.count()) + 1 / memory.count();
+    m_newcomerAt = now;
+}
+
+place_pace place_account::pace(instant now) const
+{
+    const std::chrono::duration<double, std::milli> interval = m_targets.grantInterval(now);
+    return { interval, std::max(0.0, 1 - m_newcomersPerMs * interval.count()) };
+}
+
 std::chrono::milliseconds place_account::nextRetryAfter(instant now)
 {
     const auto first = now + m_settings.minRetryAfter;
@@ -200,7 +228,7 @@
         answer.number = waiting.request.number;
         answer.shard = m_shard;
         answer.outcome = place_outcome::Waiting;
-        answer.decisionWithin = ceilMs(waiting.latestStart - now);
+        answer.decisionWithin = ceilMs((waiting.isLate ? waiting.latestStart : waiting.goodStart) - now);
         answer.room = room(now);
         out.push_back({ waiting.from, std::move(answer) });
     }
--- a/routing/place_account.h
+++ b/routing/place_account.h
@@ -26,8 +26,10 @@
     /// A request that is still in the line after this time is told to wait, well before the sender's time limit of
     /// 25 ms; most requests are decided before, which saves a message.
     std::chrono::milliseconds waitingNoticeDelay { 8 };
-    /// Longest wait in the line without news of the sender, which renews its requests every 50 ms.
-    std::chrono::milliseconds renewTimeout { 400 };
+    /// Longest wait in the line without news of the sender, which renews its requests.
+    std::chrono::milliseconds renewTimeout { 1'000 };
+    /// Over which the rate of new requests is averaged: bursts and the crests of waves last for a few seconds.
+    std::chrono::milliseconds rateMemory { 8'000 };
     std::chrono::milliseconds answerRetention { 1'000 }; ///< of decisions, for repeated requests
     std::chrono::milliseconds minRetryAfter { 250 };
     std::chrono::milliseconds maxRetryAfter { 2'000 }; ///< callers wait a few seconds at most
@@ -84,6 +86,9 @@
     void noticeWaiting(actions& out, instant now);
     std::chrono::milliseconds nextRetryAfter(instant now);
     place_room room(instant now) const;
+    instant goodStart(const place_request& asked, instant now) const;
+    void recordNewcomer(instant now);
+    place_pace pace(instant now) const;
 
     place_shard m_shard;
     place_account_settings m_settings;
@@ -94,6 +99,8 @@
     std::deque<std::pair<instant, request_id>> m_answerOrder;
     instant m_returnsUntil; // until which room is promised to callers that were refused
     bool m_hasReleases = false; // places became free since the line was last served
+    double m_newcomersPerMs = 0;
+    instant m_newcomerAt;
     instant m_expireAt;
     instant m_usedAt;
 };
--- a/routing/place_allocator.cpp
+++ b/routing/place_allocator.cpp
@@ -100,6 +100,12 @@
     return due;
 }
 
+const place_account* place_allocator::find(const place_shard& shard) const
+{
+    const auto found = m_accounts.find(shard);
+    return found == m_accounts.end() ? nullptr : &found->second;
+}
+
 std::size_t place_allocator::waiting() const
 {
     std::size_t sum = 0;
--- a/routing/place_allocator.h
+++ b/routing/place_allocator.h
@@ -41,6 +41,9 @@
     /// \return the time of the next due work of tick()
     instant nextDue() const;
 
+    /// \return the account of \p shard, or null
+    const place_account* find(const place_shard& shard) const;
+
     /// \return the number of shards with an account
     std::size_t shards() const { return m_accounts.size(); }
 
--- a/routing/place_client.cpp
+++ b/routing/place_client.cpp
@@ -40,7 +40,7 @@
     result.number = ++m_lastNumber;
     const auto latestStart = now + demand.latestStart;
     pending_request pending { demand, {}, {}, now, latestStart, response_wait(m_settings.answerTimeout, now), {}, {},
-        std::chrono::milliseconds(0) };
+        {}, std::chrono::milliseconds(0) };
     if (m_directory.nodeCount() < 2 || !ask(result.actions, result.number, pending, now))
         result.actions.emplace_back(place_decided { result.number, decide_locally {} });
     return result;
@@ -118,9 +118,10 @@
         decide(out, answer.number, { answer.number, place_granted { answer.target } });
     } else if (answer.outcome == place_outcome::Waiting) {
         pending.decisionBy = now + answer.decisionWithin;
-        pending.wait = response_wait(m_settings.silenceLimit, now);
+        pending.renewEvery = std::max(m_settings.renewInterval, answer.decisionWithin / m_settings.renewals);
+        pending.wait = response_wait(pending.renewEvery * m_settings.silentIntervals, now);
         auto& due = m_shards[answer.shard].renewDue;
-        due = std::min(due.value_or(instant::max()), now + m_settings.renewInterval);
+        due = std::min(due.value_or(instant::max()), now + pending.renewEvery);
     } else {
         if (!pending.refusedBy.empty())
             pending.retryAfter = std::min(pending.retryAfter, answer.retryAfter);
@@ -139,7 +140,7 @@
     for (const auto number : state.waiting) {
         const auto found = m_pending.find(number);
         if (found != m_pending.end() && found->second.allocator == from && found->second.decisionBy)
-            found->second.wait = response_wait(m_settings.silenceLimit, now);
+            found->second.wait = response_wait(found->second.renewEvery * m_settings.silentIntervals, now);
     }
 }
 
@@ -179,14 +180,14 @@
     for (auto& [shard, record] : m_shards) {
         if (!record.renewDue || now < *record.renewDue)
             continue;
+        record.renewDue.reset();
         std::map<node_id, std::vector<std::uint64_t>> numbers;
         for (const auto& [number, pending] : m_pending) {
-            if (pending.decisionBy && pending.shard == shard)
-                numbers[pending.allocator].push_back(number);
+            if (!pending.decisionBy || !(pending.shard == shard))
+                continue;
+            record.renewDue = std::min(record.renewDue.value_or(instant::max()), now + pending.renewEvery);
+            numbers[pending.allocator].push_back(number);
         }
-        record.renewDue.reset();
-        if (!numbers.empty())
-            record.renewDue = now + m_settings.renewInterval;
         for (auto& [allocator, list] : numbers)
             out.emplace_back(send_place_message { allocator, place_renewal { shard, std::move(list) } });
     }
--- a/routing/place_client.h
+++ b/routing/place_client.h
@@ -22,8 +22,9 @@
     service_name service;
     std::uint32_t rank = 0; ///< 0 is the most urgent
     std::uint64_t team = 0; ///< hash of the team's name, 0 without teams
-    std::chrono::milliseconds latestStart { 0 }; ///< remaining time in which a start at a target is useful
-    std::chrono::milliseconds objective { 0 }; ///< time objective of the response, or of the first event of a stream
+    /// Remaining time in which a start at a target is useful at all, by the deadline of the request.
+    std::chrono::milliseconds latestStart { 0 };
+    std::chrono::milliseconds objective { 0 }; ///< remaining time to the objective of the response or first event
     std::uint64_t promptTokens = 0; ///< engines only
     std::uint64_t outputTokens = 0; ///< engines only: upper bound
     std::chrono::milliseconds prefillTime { 0 }; ///< engines only
@@ -75,8 +76,11 @@
 struct place_client_settings {
     std::chrono::milliseconds answerTimeout { 25 }; ///< several round trips in a zone
     std::chrono::milliseconds remoteAnswerTimeout { 60 }; ///< between zones
-    std::chrono::milliseconds renewInterval { 50 }; ///< between renewals while requests wait in a line
-    std::chrono::milliseconds silenceLimit { 100 }; ///< without news of a waiting request, its allocator counts as dead
+    std::chrono::milliseconds renewInterval { 50 }; ///< shortest time between renewals while requests wait in a line
+    /// A request that may wait for long is renewed less often, this many times until its decision.
+    std::int64_t renewals = 4;
+    /// Intervals without news of a waiting request after which its allocator counts as dead: 100 ms for short waits.
+    std::int64_t silentIntervals = 2;
     std::uint32_t maxMissedAnswers = 2; ///< in a row, until the allocator is not asked
     std::chrono::milliseconds unresponsiveTime { 1'000 }; ///< for which an unresponsive allocator is not asked
     std::chrono::milliseconds reportInterval { 50 }; ///< shortest time between two reports on a shard of engines
@@ -85,6 +89,7 @@
     std::chrono::milliseconds plainReportInterval { 10 };
     /// Longest time between two reports while something is in flight. Allocators forget a node after 1 s.
     std::chrono::milliseconds refreshInterval { 300 };
+    std::chrono::milliseconds plainRefreshInterval { 100 }; ///< the same for plain targets; few requests take longer
     /// How long a target is contained in reports after its last use, so that the counts of completed requests arrive.
     std::chrono::milliseconds useRetention { 1'000 };
     std::chrono::milliseconds troubleRetention { 1'000 }; ///< for which a refusal or fault is reported
@@ -144,6 +149,7 @@
         instant latestStart;
         response_wait wait;
         std::optional<instant> decisionBy; // the allocator answered that the request waits
+        std::chrono::milliseconds renewEvery { 0 };
         std::vector<place_shard> refusedBy;
         std::chrono::milliseconds retryAfter { 0 }; // the shortest of the refusals
     };
@@ -184,7 +190,7 @@
     void checkPending(actions& out, instant now, bool inputPending);
     void sendDueReports(actions& out, instant now);
     void sendDueRenewals(actions& out, instant now);
-    std::chrono::milliseconds reportIntervalOf(const place_shard& shard) const;
+    bool hasEngines(const place_shard& shard) const;
     void scheduleReport(const place_shard& shard, std::chrono::milliseconds within, instant now);
     place_report makeReport(const place_shard& shard, shard_record& record, instant now);
     void sendReport(actions& out, const place_shard& shard, shard_record& record, instant now);
--- a/routing/place_client_uses.cpp
+++ b/routing/place_client_uses.cpp
@@ -26,7 +26,7 @@
     record.targets[hash].usedAt = now;
     ++record.inFlight;
     // The report confirms a grant, which would expire otherwise; the end or the next request usually comes before.
-    scheduleReport(shard, m_settings.refreshInterval, now);
+    scheduleReport(shard, hasEngines(shard) ? m_settings.refreshInterval : m_settings.plainRefreshInterval, now);
 }
 
 std::uint64_t place_client::begin(
@@ -84,16 +84,17 @@
     return out;
 }
 
-std::chrono::milliseconds place_client::reportIntervalOf(const place_shard& shard) const
+bool place_client::hasEngines(const place_shard& shard) const
 {
     const auto* service = m_directory.find(shard.service);
-    return service && service->engines ? m_settings.reportInterval : m_settings.plainReportInterval;
+    return service && service->engines;
 }
 
 void place_client::scheduleReport(const place_shard& shard, std::chrono::milliseconds within, instant now)
 {
     auto& record = m_shards[shard];
-    const auto earliest = std::max(now, record.reportedAt + reportIntervalOf(shard));
+    const auto earliest = std::max(
+        now, record.reportedAt + (hasEngines(shard) ? m_settings.reportInterval : m_settings.plainReportInterval));
     record.reportDue = std::min(record.reportDue.value_or(instant::max()), std::max(earliest, now + within));
 }
 
@@ -134,7 +135,7 @@
     record.reportedAt = now;
     record.reportDue.reset();
     if (record.inFlight)
-        record.reportDue = now + m_settings.refreshInterval;
+        record.reportDue = now + (hasEngines(shard) ? m_settings.refreshInterval : m_settings.plainRefreshInterval);
     return report;
 }
 
--- a/routing/place_line.cpp
+++ b/routing/place_line.cpp
@@ -1,7 +1,8 @@
 #include "routing/place_line.h"
 
 #include <algorithm>
-#include <numeric>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace oriolepick {
@@ -19,21 +20,51 @@
 {
 }
 
-std::vector<std::size_t> place_line::order() const
+std::vector<std::size_t> place_line::order(std::size_t count) const
 {
-    std::vector<std::size_t> indexes(m_entries.size());
-    std::iota(indexes.begin(), indexes.end(), 0);
-    const auto keyOf = [this](const waiting_place& waiting) {
-        const auto served = m_served.find(waiting.request.team);
-        return std::make_tuple(waiting.request.rank, waiting.request.waited.count() == 0, -waiting.request.waited,
-            served == m_served.end() ? 0 : served->second, waiting.latestStart);
+    const auto keyOf = [this](std::size_t index) {
+        const auto& waiting = m_entries[index];
+        const auto& request = waiting.request;
+        if (waiting.isLate)
+            return std::make_tuple(
+                true, request.rank, false, std::chrono::milliseconds(0), std::uint64_t(0), waiting.latestStart, index);
+        const auto served = m_served.find(request.team);
+        return std::make_tuple(false, request.rank, !request.waited.count(), -request.waited,
+            served == m_served.end() ? 0 : served->second, waiting.goodStart, index);
     };
-    std::stable_sort(indexes.begin(), indexes.end(),
-        [&](std::size_t left, std::size_t right) { return keyOf(m_entries[left]) < keyOf(m_entries[right]); });
+    std::vector<decltype(keyOf(0))> keys;
+    keys.reserve(m_entries.size());
+    for (std::size_t index = 0; index < m_entries.size(); ++index)
+        keys.push_back(keyOf(index));
+    count = std::min(count, keys.size());
+    std::partial_sort(keys.begin(), keys.begin() + static_cast<std::ptrdiff_t>(count), keys.end());
+    keys.resize(count);
+    std::vector<std::size_t> indexes;
+    indexes.reserve(keys.size());
+    for (const auto& key : keys)
+        indexes.push_back(std::get<6>(key));
     return indexes;
 }
 
-std::vector<waiting_place> place_line::add(waiting_place waiting, std::chrono::duration<double> interval, instant now)
+std::size_t place_line::firstLate(const std::vector<std::size_t>& indexes) const
+{
+    const auto found
+        = std::find_if(indexes.begin(), indexes.end(), [this](std::size_t index) { return m_entries[index].isLate; });
+    return static_cast<std::size_t>(found - indexes.begin());
+}
+
+// A request that was accepted before stays as long as there is any chance.
+bool place_line::isTooLate(
+    const waiting_place& waiting, std::size_t position, bool isNew, const place_pace& pace, instant now) const
+{
+    const auto newShare = waiting.isLate ? m_settings.usableLateShare : m_settings.usableShare;
+    const auto usable = isNew ? newShare : 1.0;
+    const auto share = waiting.isLate ? pace.spareShare + 1.0 / m_settings.lateInterval : 1.0;
+    const std::chrono::duration<double> left = (waiting.isLate ? waiting.latestStart : waiting.goodStart) - now;
+    return pace.interval * static_cast<double>(position + 1) > left * usable * share;
+}
+
+std::vector<waiting_place> place_line::add(waiting_place waiting, const place_pace& pace, instant now)
 {
     std::vector<waiting_place> removed;
     if (m_entries.empty())
@@ -55,36 +86,62 @@
     }
     m_entries.push_back(std::move(waiting));
     const auto added = m_entries.size() - 1;
-    std::vector<bool> late(m_entries.size());
     std::size_t position = 0;
-    for (const auto index : order()) {
-        const std::chrono::duration<double> left = m_entries[index].latestStart - now;
-        const auto usable = index == added ? left * m_settings.usableShare : left;
-        late[index] = interval * static_cast<double>(position + 1) > usable;
-        position += !late[index];
+    for (const auto index : order(m_entries.size())) {
+        auto& entry = m_entries[index];
+        if (entry.isLate)
+            break;
+        entry.isLate = isTooLate(entry, position, index == added, pace, now);
+        entry.noticed &= !entry.isLate; // the sender is told the new limit
+        position += !entry.isLate;
     }
-    for (auto index = m_entries.size(); index-- > 0;) {
-        if (late[index]) {
-            removed.push_back(std::move(m_entries[index]));
-            m_entries.erase(m_entries.begin() + static_cast<std::ptrdiff_t>(index));
-        }
+    std::vector<std::size_t> refused;
+    const auto indexes = order(m_entries.size());
+    position = 0;
+    for (auto late = firstLate(indexes); late < indexes.size(); ++late) {
+        if (isTooLate(m_entries[indexes[late]], position, indexes[late] == added, pace, now))
+            refused.push_back(indexes[late]);
+        else
+            ++position;
+    }
+    std::sort(refused.rbegin(), refused.rend());
+    for (const auto index : refused) {
+        removed.push_back(std::move(m_entries[index]));
+        m_entries.erase(m_entries.begin() + static_cast<std::ptrdiff_t>(index));
     }
     return removed;
 }
 
-std::optional<waiting_place> place_line::take(const std::function<bool(const waiting_place&)>& accepts)
+// Puts the oldest request, of those that are late or of those that are not, before the others.
+void place_line::prefer(std::vector<std::size_t>& indexes, bool isLate) const
+{
+    std::optional<std::size_t> oldest;
+    const auto since = [this](std::size_t index) { return m_entries[index].arrived - m_entries[index].request.waited; };
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        if (m_entries[index].isLate == isLate && (!oldest || since(index) < since(*oldest)))
+            oldest = index;
+    }
+    if (!oldest)
+        return;
+    indexes.erase(std::remove(indexes.begin(), indexes.end(), *oldest), indexes.end());
+    indexes.insert(indexes.begin(), *oldest);
+}
+
+std::optional<waiting_place> place_line::take(const std::function<bool(const waiting_place&)>& accepts, instant now)
 {
     if (m_entries.empty())
         return std::nullopt;
-    auto indexes = order();
-    if ((m_grants + 1) % m_settings.oldestFirstInterval == 0) {
-        const auto since
-            = [this](std::size_t index) { return m_entries[index].arrived - m_entries[index].request.waited; };
-        const auto oldest = std::min_element(indexes.begin(), indexes.end(),
-            [&](std::size_t left, std::size_t right) { return since(left) < since(right); });
-        std::rotate(indexes.begin(), oldest, oldest + 1);
+    for (auto& entry : m_entries) {
+        if (!entry.isLate && entry.goodStart <= now) {
+            entry.isLate = true;
+            entry.noticed = false;
+        }
     }
-    indexes.resize(std::min(indexes.size(), MaxOffers));
+    auto indexes = order(MaxOffers);
+    if ((m_grants + 1) % m_settings.lateInterval == 0)
+        prefer(indexes, true);
+    else if ((m_grants + 1) % m_settings.oldestFirstInterval == 0)
+        prefer(indexes, false);
     for (const auto index : indexes) {
         if (!accepts(m_entries[index]))
             continue;
--- a/routing/place_line.h
+++ b/routing/place_line.h
@@ -20,9 +20,11 @@
     availability_zone zone;
     place_request request;
     instant arrived;
+    instant goodStart; ///< latest start that meets the objective
     instant latestStart;
     instant heardAt; ///< last news of the sender
     bool noticed = false; ///< the sender was told that the request waits
+    bool isLate = false; ///< the objective can't be met any more, but the request is still worth an answer
 };
 
 /// Settings of place_line.
@@ -32,22 +34,32 @@
     /// A request is accepted if it is expected to wait for at most this part of its time: the durations of the
     /// requests ahead vary, and a start at the last moment would often end late.
     double usableShare = 0.6;
+    double usableLateShare = 0.9; ///< the same for late requests
+    /// Every n-th grant takes a late request while others wait that can still meet their objective. Late requests are
+    /// accepted only as far as they are served by that and by the spare capacity.
+    std::uint32_t lateInterval = 16;
+};
+
+/// How fast a line moves.
+struct place_pace {
+    std::chrono::duration<double> interval { 0 }; ///< mean time between two grants when all places are in use
+    double spareShare = 0; ///< part of the capacity that new requests do not need
 };
 
 /// Orders requests by rank; in a rank, callers that return after a refusal come first, the one that has waited longest
 /// foremost, then the teams in turn, then the earliest latest start. Every n-th grant takes the oldest request of any
-/// rank, so that none is starved. Not synchronized.
+/// rank, so that none is starved. Requests that can't meet their objective any more come after all others. A burst so
+/// delays some requests and refuses few, and in a lasting overload those that are served are in time. Not synchronized.
 class place_line {
 public:
     explicit place_line(const place_line_settings& settings);
 
     /// Adds a request, and removes those that can't start in time any more.
-    /// \param interval mean time between two grants
     /// \return the removed requests, which may include the added one
-    std::vector<waiting_place> add(waiting_place waiting, std::chrono::duration<double> interval, instant now);
+    std::vector<waiting_place> add(waiting_place waiting, const place_pace& pace, instant now);
 
     /// Removes and returns the first request, in the order of the line, that \p accepts.
-    std::optional<waiting_place> take(const std::function<bool(const waiting_place&)>& accepts);
+    std::optional<waiting_place> take(const std::function<bool(const waiting_place&)>& accepts, instant now);
 
     /// \return the request, or null
     waiting_place* find(const node_id& from, std::uint64_t number);
@@ -67,7 +79,11 @@
     std::size_t size() const { return m_entries.size(); }
 
 private:
-    std::vector<std::size_t> order() const;
+    std::vector<std::size_t> order(std::size_t count) const;
+    void prefer(std::vector<std::size_t>& indexes, bool isLate) const;
+    std::size_t firstLate(const std::vector<std::size_t>& indexes) const;
+    bool isTooLate(
+        const waiting_place& waiting, std::size_t position, bool isNew, const place_pace& pace, instant now) const;
 
     place_line_settings m_settings;
     std::vector<waiting_place> m_entries; // in order of arrival
--- a/routing/place_messages.h
+++ b/routing/place_messages.h
@@ -71,8 +71,10 @@
     place_shard shard;
     std::uint32_t rank = 0; ///< 0 is the most urgent
     std::uint64_t team = 0; ///< hash of the team's name, 0 without teams
-    std::chrono::milliseconds latestStart { 0 }; ///< remaining time in which a start at a target is useful
-    std::chrono::milliseconds objective { 0 }; ///< time objective of the response, or of the first event of a stream
+    /// Remaining time in which a start at a target is useful at all, by the deadline of the request. A request that
+    /// can't meet the objective waits behind those that can.
+    std::chrono::milliseconds latestStart { 0 };
+    std::chrono::milliseconds objective { 0 }; ///< remaining time to the objective of the response or first event
     std::uint64_t promptTokens = 0; ///< engines only
     std::uint64_t outputTokens = 0; ///< engines only: upper bound
     std::chrono::milliseconds prefillTime { 0 }; ///< engines only: time to read the prompt without other prompts
--- a/routing/place_targets.cpp
+++ b/routing/place_targets.cpp
@@ -18,6 +18,9 @@
     constexpr double CrossZonePenalty = 0.02;
     constexpr double BusyPenalty = 1'000; ///< a target without a free slot comes after all others
 
+    /// The longest requests of a plain service take about this many times their mean.
+    constexpr double DurationMargin = 1.5;
+
     generation_demand demandOf(const place_request& request)
     {
         return { request.promptTokens, request.outputTokens, request.prefillTime, request.latestStart };
@@ -204,14 +207,16 @@
 bool place_targets::expire(instant now)
 {
     bool expired = false;
+    const auto nodeTimeout = m_engines ? m_settings.nodeTimeout : m_settings.plainTimeout;
+    const auto grantTimeout = m_engines ? m_settings.grantTimeout : m_settings.plainTimeout;
     for (auto entry = m_nodes.begin(); entry != m_nodes.end();) {
         auto& node = entry->second;
-        if (now - node.seenAt > m_settings.nodeTimeout && !node.uses.empty()) {
+        if (now - node.seenAt > nodeTimeout && !node.uses.empty()) {
             dropUses(node);
             expired = true;
         }
         for (auto grant = node.grants.begin(); grant != node.grants.end();) {
-            if (now - grant->second.at <= m_settings.grantTimeout) {
+            if (now - grant->second.at <= grantTimeout) {
                 ++grant;
                 continue;
             }
@@ -350,6 +355,18 @@
     return milliseconds(perMs > 0 ? 1 / perMs : milliseconds(m_settings.nodeTimeout).count());
 }
 
+std::chrono::milliseconds place_targets::expectedDuration(const place_request& request, instant now) const
+{
+    if (m_engines)
+        return request.prefillTime;
+    double greatest = 0;
+    for (const auto& [hash, target] : m_targets) {
+        if (isInService(target, now))
+            greatest = std::max(greatest, meanOf(target, now));
+    }
+    return std::chrono::milliseconds(std::lround(DurationMargin * greatest));
+}
+
 std::uint32_t place_targets::inFlight(const target_name& target) const
 {
     const auto found = m_targets.find(hashOf(target));
--- a/routing/place_targets.h
+++ b/routing/place_targets.h
@@ -20,6 +20,9 @@
 struct place_targets_settings {
     std::chrono::milliseconds grantTimeout { 500 }; ///< a grant that no report confirms expires
     std::chrono::milliseconds nodeTimeout { 1'000 }; ///< uses of a node without reports expire
+    /// Both for plain targets: a node with uses reports every 100 ms. The last report of a node that has no further
+    /// requests may be lost, and a fleet of 295 nodes would miss several of 18 places for a second each.
+    std::chrono::milliseconds plainTimeout { 300 };
     std::chrono::milliseconds refusalHold { 300 }; ///< for which a target that refused a request has less room
     std::chrono::milliseconds faultHold { 700 }; ///< for which a target with a fault gets nothing, as in target_tracker
     /// From the end of a request until the next one reaches the target: two messages and the delays of two nodes with
@@ -76,6 +79,10 @@
     /// \return the mean time between two grants when all places are in use
     std::chrono::duration<double> grantInterval(instant now) const;
 
+    /// \return a duration that most requests like \p request don't exceed, from the start at a target to the response
+    /// or first event
+    std::chrono::milliseconds expectedDuration(const place_request& request, instant now) const;
+
     /// \return the number of targets
     std::size_t size() const { return m_targets.size(); }
 
