Recognize callers that return to another node after a refusal

The request for a place now carries the hash of the caller's request, and the allocator remembers the hashes that it refused for 10 s.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -97,7 +97,6 @@
 
     // the admission queue, in exchange_engine_choice.cpp
     bool mayQueue() const;
-    std::chrono::milliseconds longestQueueTime(const generation_demand& demand) const;
     void waitInQueue();
     void leaveQueue();
 
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -356,15 +356,6 @@
     return !m_attempts && !m_caller.lastEvent;
 }
 
-std::chrono::milliseconds exchange::longestQueueTime(const generation_demand& demand) const
-{
-    const auto latestUsefulWait
-        = std::chrono::duration_cast<std::chrono::milliseconds>(demand.firstEventWithin * MaxQueueTimeShare)
-        - demand.prefillTime;
-    const auto minTime = m_parts.generationTimes.minTime(m_service, estimatedRemainingEvents());
-    return std::min(std::max(latestUsefulWait, m_route->objective / MinQueueTimeDivisor), remainingTime() - minTime);
-}
-
 void exchange::waitInQueue()
 {
     if (m_isScheduled) {
@@ -373,7 +364,12 @@
         return;
     }
     const auto demand = makeGenerationDemand();
-    const auto queueTimeLimit = longestQueueTime(demand);
+    const auto latestUsefulWait
+        = std::chrono::duration_cast<std::chrono::milliseconds>(demand.firstEventWithin * MaxQueueTimeShare)
+        - demand.prefillTime;
+    const auto minTime = m_parts.generationTimes.minTime(m_service, estimatedRemainingEvents());
+    const auto queueTimeLimit
+        = std::min(std::max(latestUsefulWait, m_route->objective / MinQueueTimeDivisor), remainingTime() - minTime);
     const auto team = m_team ? m_team->name.value() : std::string(AnonymousTeam);
     queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, priorityOf(priority()),
         static_cast<std::uint32_t>(demand.total()), m_parts.timers.now() + queueTimeLimit };
--- a/gateway/exchange_placement.cpp
+++ b/gateway/exchange_placement.cpp
@@ -7,6 +7,8 @@
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/place_allocation.h"
+#include "routing/generation_time_estimator.h"
+#include "routing/prefill_time_estimator.h"
 #include "routing/response_time_estimator.h"
 #include "routing/route_table.h"
 
@@ -19,11 +21,10 @@
 
     /// A decision after this time counts as waited for: a message and its answer between zones take less.
     constexpr std::chrono::milliseconds MinWait { 10 };
+    /// Of a request whose objective has passed: 0 would mean none.
+    constexpr std::chrono::milliseconds MinObjective { 1 };
     /// Granted targets in a row that take no requests, until the node chooses by itself.
     constexpr std::uint32_t MaxUnusablePlaces = 2;
-    /// A request may wait at least the objective divided by this number, even when its objective has passed in earlier
-    /// attempts.
-    constexpr int MinStartTimeDivisor = 8;
 
     std::chrono::milliseconds since(instant then, instant now)
     {
@@ -60,22 +61,23 @@
     }
     m_polledEngines.clear();
     m_placeAskedAt = m_parts.timers.now();
-    const auto number = m_parts.places.acquire(makePlaceDemand(std::move(excluded)),
-        [self = weak_from_this()](const place_allocation::decision& decided, held_place place) {
-            const auto exchange = self.lock();
-            if (!exchange || exchange->m_finished)
-                return;
-            exchange->m_placeRequest = 0;
-            if (const auto* granted = std::get_if<place_granted>(&decided))
-                exchange->onPlaceGranted(granted->target, std::move(place));
-            else if (const auto* refused = std::get_if<place_refused>(&decided))
-                exchange->onPlaceRefused(refused->retryAfter);
-            else
-                exchange->decideLocally(
-                    exchange->m_parts.timers.now() < exchange->m_placeAskedAt + std::chrono::milliseconds(1)
-                        ? "no_allocator"
-                        : "no_answer");
-        });
+    const auto number
+        = m_parts.places.acquire(makePlaceDemand(std::move(excluded)), m_parts.dialect.requestHashOf(m_request).low,
+            [self = weak_from_this()](const place_allocation::decision& decided, held_place place) {
+                const auto exchange = self.lock();
+                if (!exchange || exchange->m_finished)
+                    return;
+                exchange->m_placeRequest = 0;
+                if (const auto* granted = std::get_if<place_granted>(&decided))
+                    exchange->onPlaceGranted(granted->target, std::move(place));
+                else if (const auto* refused = std::get_if<place_refused>(&decided))
+                    exchange->onPlaceRefused(refused->retryAfter);
+                else
+                    exchange->decideLocally(
+                        exchange->m_parts.timers.now() < exchange->m_placeAskedAt + std::chrono::milliseconds(1)
+                            ? "no_allocator"
+                            : "no_answer");
+            });
     // After a decision before the return, another request may have been made.
     if (number)
         m_placeRequest = number;
@@ -113,28 +115,27 @@
     demand.rank = priority();
     demand.team = m_team ? stableHash(m_team->name.value()) : 0;
     demand.latestStart = std::max(latestUsefulStart(), std::chrono::milliseconds(0));
-    demand.objective = m_route->objective;
+    demand.objective = std::max(since(m_parts.timers.now(), m_startedAt + m_route->objective), MinObjective);
     if (isGeneration()) {
         const auto generation = makeGenerationDemand();
         demand.promptTokens = generation.promptTokens;
         demand.outputTokens = generation.outputTokens;
         demand.prefillTime = generation.prefillTime;
     }
-    if (m_parts.places.hasRefused())
-        demand.waited = m_parts.places.waited(m_parts.dialect.requestHashOf(m_request));
     demand.excluded = std::move(excluded);
     return demand;
 }
 
-// A response after the objective is of less use than an early refusal, whose caller returns when there is room.
+// The allocator serves what can meet its objective first. What can't is still of use until the deadline, except for a
+// request that goes on only because its objective allows it.
 std::chrono::milliseconds exchange::latestUsefulStart() const
 {
     if (isGeneration())
-        return longestQueueTime(makeGenerationDemand());
+        return remainingTime() - m_parts.prefillTimes.estimate(m_service, m_caller.promptTokens)
+            - m_parts.generationTimes.minTime(m_service, estimatedRemainingEvents());
     const auto now = m_parts.timers.now();
-    const auto mean = m_parts.responseTimes.mean(m_service);
-    const auto beforeObjective = since(now, m_startedAt + m_route->objective) - mean;
-    return std::min(std::max(beforeObjective, m_route->objective / MinStartTimeDivisor), remainingTime() - mean);
+    const auto end = m_asksReceiversOnly ? std::min(m_deadline, m_startedAt + m_route->objective) : m_deadline;
+    return since(now, end) - m_parts.responseTimes.patience(m_service, std::chrono::milliseconds(0));
 }
 
 void exchange::onPlaceGranted(const target_name& name, held_place place)
@@ -163,7 +164,6 @@
         return;
     }
     m_parts.metrics.count("places_refused");
-    m_parts.places.recordRefused(m_parts.dialect.requestHashOf(m_request));
     m_parts.log.write("place_refused",
         { { "attempt", m_caller.attempt }, { "service", m_service.value() }, { "rank", std::to_string(priority()) },
             { "asked_ms", std::to_string(since(m_placeAskedAt, m_parts.timers.now()).count()) },
--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -1,7 +1,6 @@
 #include "gateway/gateway_message_codec.h"
 
 #include "gateway/crash_news_codec.h"
-#include "gateway/place_codec.h"
 #include "gateway/socket_address.h"
 #include "wire/membership_codec.h"
 #include "wire/messages.pb.h"
@@ -240,7 +239,7 @@
         encode(*crashes, *encoded.mutable_crashes());
     else if (const auto* limit = std::get_if<target_limit_message>(&datagram.body))
         encode(*limit, *encoded.mutable_target_limit());
-    else if (const auto* place = std::get_if<place_message>(&datagram.body))
+    else if (const auto* place = std::get_if<place_datagram>(&datagram.body))
         encode(*place, *encoded.mutable_place());
     else
         encodeRun(std::get<run_message>(datagram.body), encoded);
--- a/gateway/gateway_message_codec.h
+++ b/gateway/gateway_message_codec.h
@@ -6,10 +6,10 @@
 #include "core/membership_messages.h"
 #include "core/target_limit_messages.h"
 #include "gateway/news_batch.h"
+#include "gateway/place_codec.h"
 #include "gateway/run_messages.h"
 #include "routing/crash_news.h"
 #include "routing/news_digest.h"
-#include "routing/place_messages.h"
 
 #include <optional>
 #include <string>
@@ -21,7 +21,7 @@
 /// A datagram between gateways.
 struct node_datagram {
     node_id sender; ///< "IP:PORT" where the sender receives
-    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message, place_message> body;
+    std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message, place_datagram> body;
 };
 
 std::string encodeDatagram(const node_datagram& datagram);
--- a/gateway/place_allocation.cpp
+++ b/gateway/place_allocation.cpp
@@ -21,9 +21,6 @@
     constexpr double AllocateBelowPlacesPerNode = 1;
     /// The allocation ends only above this number, so that a node more or less does not turn it on and off.
     constexpr double ReleaseAbovePlacesPerNode = 2;
-    /// Callers return within the longest Retry-After of two seconds, some of them several times.
-    constexpr std::chrono::milliseconds RefusalMemory { 10'000 };
-    constexpr std::size_t MaxRefusedRequests = 4'096; ///< bounds memory
 
     std::uint64_t startTime()
     {
@@ -79,19 +76,26 @@
     refresh();
 }
 
-void place_allocation::receive(const node_id& from, const place_message& message)
+void place_allocation::receive(const node_id& from, const place_datagram& datagram)
 {
     if (m_scope != place_allocation_scope::Off)
-        handle(from, message);
+        handle(from, datagram);
 }
 
-void place_allocation::handle(const node_id& from, const place_message& message)
+void place_allocation::handle(const node_id& from, const place_datagram& datagram)
 {
     const auto now = m_timers.now();
-    if (std::holds_alternative<place_answer>(message) || std::holds_alternative<place_line_state>(message))
+    const auto& message = datagram.message;
+    if (std::holds_alternative<place_answer>(message) || std::holds_alternative<place_line_state>(message)) {
         perform(m_client.receive(from, message, now));
-    else
+    } else if (const auto* request = std::get_if<place_request>(&message)) {
+        auto known = *request;
+        known.waited = std::max(known.waited, m_refused.waited(datagram.request, now));
+        m_refused.recordAsked(from, request->number, datagram.request, now);
+        perform(m_allocator.receive(from, known, now));
+    } else {
         perform(m_allocator.receive(from, message, now));
+    }
 }
 
 bool place_allocation::isAllocated(const service_name& service) const
@@ -182,12 +186,12 @@
     });
 }
 
-std::uint64_t place_allocation::acquire(place_demand demand, callback done)
+std::uint64_t place_allocation::acquire(const place_demand& demand, std::uint64_t request, callback done)
 {
     const auto now = m_timers.now();
     m_metrics.count("places_asked");
-    auto result = m_client.acquire(demand, now);
-    m_pending[result.number] = { std::move(demand.service), now, std::move(done) };
+    const auto result = m_client.acquire(demand, now);
+    m_pending[result.number] = { request, std::move(done) };
     perform(result.actions);
     return m_pending.count(result.number) ? result.number : 0;
 }
@@ -222,29 +226,6 @@
     scheduleTick();
 }
 
-void place_allocation::recordRefused(const request_hash& request)
-{
-    const auto now = m_timers.now();
-    while (!m_refusedOrder.empty()
-        && (m_refusedOrder.size() >= MaxRefusedRequests || now - m_refusedOrder.front().first > RefusalMemory)) {
-        const auto known = m_refused.find(m_refusedOrder.front().second);
-        if (known != m_refused.end() && known->second.last == m_refusedOrder.front().first)
-            m_refused.erase(known);
-        m_refusedOrder.pop_front();
-    }
-    m_refused.try_emplace(request, refused_request { now, now }).first->second.last = now;
-    m_refusedOrder.emplace_back(now, request);
-}
-
-std::chrono::milliseconds place_allocation::waited(const request_hash& request) const
-{
-    const auto known = m_refused.find(request);
-    const auto now = m_timers.now();
-    if (known == m_refused.end() || now - known->second.last > RefusalMemory)
-        return std::chrono::milliseconds(0);
-    return std::chrono::ceil<std::chrono::milliseconds>(now - known->second.first);
-}
-
 void place_allocation::perform(const place_client::actions& actions)
 {
     for (const auto& action : actions) {
@@ -266,8 +247,12 @@
 
 void place_allocation::perform(const place_allocator::actions& actions)
 {
-    for (const auto& outgoing : actions)
+    for (const auto& outgoing : actions) {
+        const auto* answer = std::get_if<place_answer>(&outgoing.message);
+        if (answer && answer->outcome == place_outcome::Refused)
+            m_refused.recordRefused(outgoing.to, answer->number, m_timers.now());
         send(outgoing);
+    }
     scheduleTick();
 }
 
@@ -275,11 +260,17 @@
 // run another one while its caller is still handled.
 void place_allocation::send(const send_place_message& outgoing)
 {
+    place_datagram datagram { outgoing.message, 0 };
+    if (const auto* request = std::get_if<place_request>(&outgoing.message)) {
+        const auto pending = m_pending.find(request->number);
+        if (pending != m_pending.end())
+            datagram.request = pending->second.request;
+    }
     if (outgoing.to != m_directory.self().node) {
-        m_send(outgoing.to, outgoing.message);
+        m_send(outgoing.to, datagram);
         return;
     }
-    m_ownMessages.push_back(outgoing.message);
+    m_ownMessages.push_back(std::move(datagram));
     if (!m_ownMessageTimer)
         m_ownMessageTimer = m_timers.at(m_timers.now(), [this] {
             m_ownMessageTimer = 0;
@@ -289,9 +280,9 @@
 
 void place_allocation::deliverOwnMessages()
 {
-    const auto messages = std::exchange(m_ownMessages, {});
-    for (const auto& message : messages)
-        handle(m_directory.self().node, message);
+    const auto datagrams = std::exchange(m_ownMessages, {});
+    for (const auto& datagram : datagrams)
+        handle(m_directory.self().node, datagram);
 }
 
 void place_allocation::decide(const place_decided& decided)
--- a/gateway/place_allocation.h
+++ b/gateway/place_allocation.h
@@ -5,11 +5,12 @@
 #include "core/target_limiter.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/held_place.h"
+#include "gateway/place_codec.h"
+#include "gateway/refused_requests.h"
 #include "gateway/timer_queue.h"
 #include "routing/place_allocator.h"
 #include "routing/place_client.h"
 #include "routing/place_directory.h"
-#include "routing/request_hash.h"
 
 #include <deque>
 #include <functional>
@@ -29,7 +30,7 @@
 /// Drives place_client and place_allocator for one node, for the services whose places are allocated.
 class place_allocation {
 public:
-    using sender = std::function<void(const node_id& to, const place_message& message)>;
+    using sender = std::function<void(const node_id& to, const place_datagram& datagram)>;
     using decision = std::variant<place_granted, place_refused, decide_locally>;
     using callback = std::function<void(const decision& decided, held_place place)>;
 
@@ -45,7 +46,7 @@
     /// Sets the other nodes that are believed alive.
     void setNodes(const std::vector<limit_node>& others);
 
-    void receive(const node_id& from, const place_message& message);
+    void receive(const node_id& from, const place_datagram& datagram);
 
     /// \return whether requests to \p service ask for a place
     bool isAllocated(const service_name& service) const;
@@ -55,8 +56,9 @@
 
     /// Requests a place. \p done is called once, possibly before this function returns; with place_granted, it receives
     /// the place.
+    /// \param request hash that is equal for every sending of the request by its caller, to any node
     /// \return the number for cancel(), 0 if the decision was made before the return
-    std::uint64_t acquire(place_demand demand, callback done);
+    std::uint64_t acquire(const place_demand& demand, std::uint64_t request, callback done);
 
     /// Withdraws a request without a decision; its callback is not called.
     void cancel(std::uint64_t number);
@@ -67,15 +69,6 @@
     /// \return the number of uses of targets that have not ended
     std::size_t heldPlaces() const { return m_heldPlaces; }
 
-    /// Remembers that a request was refused, for the time since then when its caller returns.
-    void recordRefused(const request_hash& request);
-
-    /// \return whether any refused request is remembered
-    bool hasRefused() const { return !m_refused.empty(); }
-
-    /// \return the time since \p request was first refused here, 0 if it was not
-    std::chrono::milliseconds waited(const request_hash& request) const;
-
     /// Reads the targets and the configuration again. This is also done periodically.
     void refresh();
 
@@ -83,14 +76,9 @@
     friend class held_place;
 
     struct pending_decision {
-        service_name service;
-        instant askedAt;
+        std::uint64_t request = 0; // hash
         callback done;
     };
-    struct refused_request {
-        instant first;
-        instant last;
-    };
 
     void end(std::uint64_t number, place_end how);
     void recordPromptRead(std::uint64_t number);
@@ -102,7 +90,7 @@
     void perform(const place_allocator::actions& actions);
     void send(const send_place_message& outgoing);
     void deliverOwnMessages();
-    void handle(const node_id& from, const place_message& message);
+    void handle(const node_id& from, const place_datagram& datagram);
     void decide(const place_decided& decided);
     void scheduleTick();
 
@@ -119,9 +107,8 @@
     place_allocator m_allocator;
     std::map<service_name, place_service> m_services; // as in the directory
     std::map<std::uint64_t, pending_decision> m_pending;
-    std::deque<place_message> m_ownMessages; // of this node to itself
-    std::map<request_hash, refused_request> m_refused;
-    std::deque<std::pair<instant, request_hash>> m_refusedOrder; // by the time of the last refusal
+    std::deque<place_datagram> m_ownMessages; // of this node to itself
+    refused_requests m_refused; // by the accounts of this node
     std::size_t m_heldPlaces = 0;
     timer_handle m_ownMessageTimer = 0;
     timer_handle m_refreshTimer = 0;
--- a/gateway/place_codec.cpp
+++ b/gateway/place_codec.cpp
@@ -209,45 +209,55 @@
         }
     };
 
+    std::optional<place_message> decodeMessage(const wire::place& in)
+    {
+        auto shard = decodeShard(in.shard());
+        if (!shard)
+            return std::nullopt;
+        switch (in.body_case()) {
+        case wire::place::kRequest:
+            return decodeRequest(std::move(*shard), in.request());
+        case wire::place::kAnswer:
+            return decodeAnswer(std::move(*shard), in.answer());
+        case wire::place::kState:
+            if (auto report = decodeReport(in.state()))
+                return place_state { std::move(*shard), std::move(*report) };
+            return std::nullopt;
+        case wire::place::kCancel:
+            return place_cancel { std::move(*shard), in.cancel().number() };
+        case wire::place::kRenewal: {
+            const auto& numbers = in.renewal().numbers();
+            if (numbers.size() > MaxNumbers)
+                return std::nullopt;
+            return place_renewal { std::move(*shard), { numbers.begin(), numbers.end() } };
+        }
+        case wire::place::kLineState: {
+            const auto& waiting = in.line_state().waiting();
+            if (waiting.size() > MaxNumbers)
+                return std::nullopt;
+            return place_line_state { std::move(*shard), { waiting.begin(), waiting.end() } };
+        }
+        case wire::place::BODY_NOT_SET:
+            break;
+        }
+        return std::nullopt;
+    }
+
 } // namespace
 
-void encode(const place_message& message, wire::place& out)
+void encode(const place_datagram& datagram, wire::place& out)
 {
-    std::visit(encoder { out }, message);
+    std::visit(encoder { out }, datagram.message);
+    if (out.has_request())
+        out.mutable_request()->set_request(datagram.request);
 }
 
-std::optional<place_message> decode(const wire::place& in)
+std::optional<place_datagram> decode(const wire::place& in)
 {
-    auto shard = decodeShard(in.shard());
-    if (!shard)
+    auto message = decodeMessage(in);
+    if (!message)
         return std::nullopt;
-    switch (in.body_case()) {
-    case wire::place::kRequest:
-        return decodeRequest(std::move(*shard), in.request());
-    case wire::place::kAnswer:
-        return decodeAnswer(std::move(*shard), in.answer());
-    case wire::place::kState:
-        if (auto report = decodeReport(in.state()))
-            return place_state { std::move(*shard), std::move(*report) };
-        return std::nullopt;
-    case wire::place::kCancel:
-        return place_cancel { std::move(*shard), in.cancel().number() };
-    case wire::place::kRenewal: {
-        const auto& numbers = in.renewal().numbers();
-        if (numbers.size() > MaxNumbers)
-            return std::nullopt;
-        return place_renewal { std::move(*shard), { numbers.begin(), numbers.end() } };
-    }
-    case wire::place::kLineState: {
-        const auto& waiting = in.line_state().waiting();
-        if (waiting.size() > MaxNumbers)
-            return std::nullopt;
-        return place_line_state { std::move(*shard), { waiting.begin(), waiting.end() } };
-    }
-    case wire::place::BODY_NOT_SET:
-        break;
-    }
-    return std::nullopt;
+    return place_datagram { std::move(*message), in.request().request() };
 }
 
 } // namespace oriolepick
--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -129,8 +129,9 @@
 TEST(GatewayMessageCodec, PlaceMessagesRoundTrip)
 {
     const auto sent = [](const place_message& message) {
-        const auto decoded = decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), message }));
-        return decoded ? std::optional(std::get<place_message>(decoded->body)) : std::nullopt;
+        const auto decoded
+            = decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), place_datagram { message, 123 } }));
+        return decoded ? std::optional(std::get<place_datagram>(decoded->body).message) : std::nullopt;
     };
     const auto sample = samplePlaceRequest();
     const auto request = std::get<place_request>(sent(sample).value());
@@ -172,7 +173,7 @@
 TEST(GatewayMessageCodec, ImpossiblePlaceMessagesAreRejected)
 {
     const auto isAccepted = [](const place_message& message) {
-        return decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), message })).has_value();
+        return decodeDatagram(encodeDatagram({ node_id("10.0.0.3:7200"), place_datagram { message, 0 } })).has_value();
     };
     const auto sample = samplePlaceRequest();
     auto shard = sample.shard;
@@ -188,9 +189,11 @@
     request.excluded.assign(10'000, 1);
     request.report->open.assign(10'000, 1);
     request.report->uses.assign(10'000, sample.report->uses[0]);
-    const auto bytes = encodeDatagram({ node_id("10.0.0.3:7200"), place_message(request) });
+    const auto bytes = encodeDatagram({ node_id("10.0.0.3:7200"), place_datagram { request, 123 } });
     EXPECT_LT(bytes.size(), 8'192U) << "long lists are cut to fit into a datagram";
-    EXPECT_TRUE(decodeDatagram(bytes));
+    const auto decoded = decodeDatagram(bytes);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(std::get<place_datagram>(decoded->body).request, 123U);
 }
 
 TEST(GatewayMessageCodec, LargeBatchesAreDeflatedAndBounded)
@@ -265,7 +268,7 @@
         sync_page_message { node_id("m"), true }, {} };
     std::vector<std::string> texts { encodeBatch(small), encodeBatch(large),
         encodeDatagram({ node_id("10.0.0.1:80"), sampleDigest() }), encodeDatagram({ node_id("10.0.0.1:80"), message }),
-        encodeDatagram({ node_id("10.0.0.1:80"), place_message(samplePlaceRequest()) }),
+        encodeDatagram({ node_id("10.0.0.1:80"), place_datagram { samplePlaceRequest(), 123 } }),
         encodeNodeRow({ availability_zone("z"), node_id("10.0.0.1:80") }) };
     for (auto& text : texts) {
         for (const auto& [position, byte] : changed)
--- a/routing/response_time_estimator.cpp
+++ b/routing/response_time_estimator.cpp
@@ -17,12 +17,6 @@
         mean->second += m_settings.smoothingFactor * (value - mean->second);
 }
 
-std::chrono::milliseconds response_time_estimator::mean(const service_name& service) const
-{
-    const auto mean = m_means.find(service);
-    return std::chrono::milliseconds(mean == m_means.end() ? 0 : static_cast<std::int64_t>(mean->second));
-}
-
 std::chrono::milliseconds response_time_estimator::patience(
     const service_name& service, std::chrono::milliseconds objective) const
 {
--- a/routing/response_time_estimator.h
+++ b/routing/response_time_estimator.h
@@ -28,9 +28,6 @@
     /// \return the timeout of an attempt, after which the request is sent to another target
     std::chrono::milliseconds patience(const service_name& service, std::chrono::milliseconds objective) const;
 
-    /// \return the mean response time, 0 before the first response
-    std::chrono::milliseconds mean(const service_name& service) const;
-
 private:
     response_time_settings m_settings;
     std::map<service_name, double> m_means; // milliseconds
