--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -77,7 +77,7 @@
     }
     m_copy.reset();
     m_prefilledAlone = false;
-    if (awaitExposure() || pollEngines())
+    if (awaitExposure() || askForPlace() || pollEngines())
         return;
     auto query = withExposure({ m_service, m_parts.settings.zone, m_triedTargets, m_lostZone, avoidedPaths() });
     auto target = m_parts.targetTracker.choose(query, now);
@@ -266,6 +266,7 @@
     m_continuesCopy = m_copy.has_value();
     m_copy.reset();
     m_target = target;
+    holdPlace(target);
     m_requestedCopy.reset();
     m_copyRequestPending = false;
     m_sent = false;
@@ -305,6 +306,7 @@
 void exchange::onSent()
 {
     m_sent = true;
+    m_receivers.push_back(m_target->name);
     m_sentAt = m_parts.timers.now();
     // The time until the connection was open, and noticed, is not the target's.
     if (m_attemptWait)
@@ -323,6 +325,7 @@
         recordVersionEnd();
     }
     m_isExposed = false;
+    m_place.end(place_end::Completed); // unless a fault has ended it
     m_sent = false;
 }
 
@@ -396,6 +399,7 @@
 {
     const auto now = m_parts.timers.now();
     m_parts.targetTracker.recordFault(m_target->name, fault, now);
+    m_place.end(fault == target_fault::AtCapacity ? place_end::Refused : place_end::Failed);
     m_parts.metrics.count(faultName);
     if (fault != target_fault::AtCapacity)
         m_triedTargets.push_back(m_target->name);
@@ -421,7 +425,10 @@
             m_copy = m_requestedCopy ? m_requestedCopy : run_copy { m_copyHolder->address, m_caller.attempt };
         m_requestedCopy.reset();
     }
-    const auto decision = decideRetry(m_history, attemptOutcome);
+    auto decision = decideRetry(m_history, attemptOutcome);
+    m_asksReceiversOnly = decision == retry_decision::Fail && mayAskReceiversAgain(attemptOutcome);
+    if (m_asksReceiversOnly)
+        decision = retry_decision::RetryWithinBudget;
     if (decision == retry_decision::RetryWithinBudget && !m_parts.retryBudget.take(m_service, now, retryReserve())) {
         m_parts.metrics.count("repeats_denied");
         m_parts.retrySharing.request(m_service, now);
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -89,6 +89,7 @@
     if (!m_eventReceived)
         recordVersionFirstEvent();
     m_eventReceived = true;
+    recordEventAtPlace();
     if (event.id) {
         if (m_lastEvent && *event.id <= *m_lastEvent)
             return true; // the caller already has this event
--- a/gateway/exchange_version_choice.cpp
+++ b/gateway/exchange_version_choice.cpp
@@ -7,6 +7,7 @@
 #include "gateway/rollout_driver.h"
 #include "routing/route_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace oriolepick {
@@ -39,6 +40,15 @@
     return !condition || condition->allows(target.version);
 }
 
+bool exchange::areAllowedVersions(const std::vector<target_name>& targets) const
+{
+    const auto condition = versionCondition();
+    return !condition || std::all_of(targets.begin(), targets.end(), [&](const target_name& name) {
+        const auto* target = m_parts.targetTracker.find(name);
+        return !target || condition->allows(target->version);
+    });
+}
+
 bool exchange::mayReceive(const target_entry& target) const
 {
     return (m_isExposed && m_parts.rollouts->mayExposeTo(target)) || isAllowedVersion(target);
--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -275,6 +275,8 @@
         encodeRetries(*retries, encoded);
     else if (const auto* rollout = std::get_if<rollout_message>(&datagram.body))
         encode(*rollout, *encoded.mutable_rollout());
+    else if (const auto* place = std::get_if<place_datagram>(&datagram.body))
+        encode(*place, *encoded.mutable_place());
     else
         encodeRun(std::get<run_message>(datagram.body), encoded);
     return encoded.SerializeAsString();
@@ -329,6 +331,13 @@
         datagram.body = std::move(*rollout);
         return datagram;
     }
+    if (encoded.has_place()) {
+        auto place = decode(encoded.place());
+        if (!place)
+            return std::nullopt;
+        datagram.body = std::move(*place);
+        return datagram;
+    }
     auto message = decodeRun(encoded);
     if (!message)
         return std::nullopt;
--- a/gateway/gateway_message_codec.h
+++ b/gateway/gateway_message_codec.h
@@ -6,6 +6,7 @@
 #include "core/membership_messages.h"
 #include "core/target_limit_messages.h"
 #include "gateway/news_batch.h"
+#include "gateway/place_codec.h"
 #include "gateway/run_messages.h"
 #include "routing/crash_news.h"
 #include "routing/news_digest.h"
@@ -23,7 +24,7 @@
 struct node_datagram {
     node_id sender; ///< "IP:PORT" where the sender receives
     std::variant<membership_message, news_digest, run_message, crash_news, target_limit_message, retry_share_message,
-        rollout_message>
+        rollout_message, place_datagram>
         body;
 };
 
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -12,6 +12,13 @@
 
 namespace oriolepick {
 
+/// Services whose requests ask an allocator for a place at a target, see place_allocation.
+enum class place_allocation_scope {
+    Off, ///< none: every node chooses targets by itself
+    Plain, ///< services without engines
+    All,
+};
+
 /// Settings that are read once at start; see docs/settings-gateway.md.
 struct gateway_settings {
     node_id node; ///< name in log lines
@@ -39,6 +46,7 @@
     double exposureSlack = 0; ///< requests that such a version may receive in addition to the share
     /// From the 50th bad response of a version to the last request that it receives.
     std::chrono::milliseconds rollbackBound { 0 };
+    place_allocation_scope allocatePlaces = place_allocation_scope::Off;
     double linkMbps = 1'000; ///< capacity of this instance's network link
     int memoryMb = 256; ///< limit of this process, which is killed when it exceeds the limit
     int logLinesPerSecond = 200; ///< further lines are dropped and counted
--- a/gateway/gateway_settings_json.cpp
+++ b/gateway/gateway_settings_json.cpp
@@ -2,6 +2,13 @@
 
 namespace oriolepick {
 
+template <> struct enum_words<place_allocation_scope> {
+    static constexpr std::array<std::pair<place_allocation_scope, std::string_view>, 3> Words {
+        { { place_allocation_scope::Off, "off" }, { place_allocation_scope::Plain, "plain" },
+            { place_allocation_scope::All, "all" } }
+    };
+};
+
 namespace {
 
     constexpr field_rule RequiredAddress { presence::Required, text_form::Address };
@@ -29,6 +36,7 @@
         visit("exposure_share", settings.exposureShare, numberRule(0, 1));
         visit("exposure_slack", settings.exposureSlack, numberRule(0, 1e6));
         visit("rollback_ms", settings.rollbackBound, numberRule(0, MaxTimeMs));
+        visit("allocate_places", settings.allocatePlaces, field_rule {});
         visit("link_mbps", settings.linkMbps, numberRule(1, 1'000'000));
         visit("memory_mb", settings.memoryMb, numberRule(32, 1'048'576));
         visit("log_lines_per_second", settings.logLinesPerSecond, numberRule(1, 100'000));
--- a/routing/generation_time_estimator.cpp
+++ b/routing/generation_time_estimator.cpp
@@ -32,7 +32,8 @@
 {
     const auto mean = m_msPerEvent.find(service);
     const double msPerEvent = mean == m_msPerEvent.end() ? 0 : mean->second;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(msPerEvent * static_cast<double>(events), MaxEstimateMs)));
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(std::min(msPerEvent * static_cast<double>(events), MaxEstimateMs)));
 }
 
 std::chrono::milliseconds generation_time_estimator::minTime(const service_name& service, std::uint64_t events) const
--- a/routing/prefill_time_estimator.cpp
+++ b/routing/prefill_time_estimator.cpp
@@ -30,7 +30,8 @@
 {
     const auto mean = m_msPerToken.find(service);
     const double msPerToken = mean == m_msPerToken.end() ? 1 / m_settings.initialTokensPerMs : mean->second;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(msPerToken * static_cast<double>(tokens), MaxEstimateMs)));
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(std::min(msPerToken * static_cast<double>(tokens), MaxEstimateMs)));
 }
 
 } // namespace oriolepick
