--- a/routing/place_targets.cpp
+++ b/routing/place_targets.cpp
@@ -21,6 +21,8 @@
     /// The longest requests of a plain service take about this many times their mean.
     constexpr double DurationMargin = 1.5;
 
+    constexpr std::uint64_t ReserveDivisor = 5; ///< as in engine_admission.cpp
+
     generation_demand demandOf(const place_request& request)
     {
         return { request.promptTokens, request.outputTokens, request.prefillTime, request.latestStart };
@@ -74,7 +76,10 @@
     auto& report = *target.engine.report;
     report.admitted = target.sum.inFlight;
     report.usedTokens = target.sum.heldTokens + target.sum.unreadTokens;
-    report.totalTokens = m_memoryTokens;
+    // The reserve of the admission rules is meant for requests that a report does not show yet. The account knows of
+    // all requests, so it offers the reserve too.
+    const auto total = demandOf(m_lastDemand).total();
+    report.totalTokens = m_memoryTokens ? m_memoryTokens + std::min(total, m_memoryTokens / ReserveDivisor) : 0;
     const auto prompt = std::max<std::uint64_t>(m_lastDemand.promptTokens, 1);
     const auto unread = std::min<std::uint64_t>((target.sum.unreadTokens + prompt / 2) / prompt, report.admitted);
     report.runs.resize(report.admitted - unread, running_generation { {}, 1 });
@@ -291,7 +296,7 @@
     if (!m_engines)
         return true;
     const auto ahead = target.engine.report->prefilling();
-    return ahead <= (isLower ? 0 : m_settings.maxPromptsAhead) && canAdmit(target.engine, demandOf(request));
+    return ahead <= m_settings.maxPromptsAhead && canAdmit(target.engine, demandOf(request));
 }
 
 double place_targets::scoreOf(const target_state& target, const place_request& request, instant now) const
--- a/routing/place_targets.h
+++ b/routing/place_targets.h
@@ -35,8 +35,8 @@
     /// Part of the places of a target that is reserved for the highest rank, at least one place.
     std::uint32_t reserveDivisor = 16;
     std::chrono::milliseconds rankMemory { 5'000 }; ///< for which a rank without requests keeps its reserve
-    /// Engines read prompts one after another. Prompts that wait at the engine can't be overtaken, so only the highest
-    /// rank may wait there, for this many prompts.
+    /// Engines read prompts one after another. Prompts that wait at an engine can't be overtaken, so at most this many
+    /// may be ahead. With none, an engine is idle between two prompts, and copies take the memory that becomes free.
     std::uint32_t maxPromptsAhead = 1;
     double durationWeight = 0.1; ///< weight of a completed request in the mean duration of its target
     std::chrono::milliseconds initialDuration { 30 }; ///< mean duration before the first completed request
