--- a/routing/place_directory.cpp
+++ b/routing/place_directory.cpp
@@ -160,6 +160,21 @@
     return found->second.room.free - std::min(found->second.room.free, found->second.requested);
 }
 
+void place_directory::keepShortestWaits(std::vector<const shard_entry*>& shards, instant now) const
+{
+    const auto waitIn = [&](const shard_entry* entry) {
+        const auto found = m_rooms.find(entry->shard);
+        const bool isKnown = found != m_rooms.end() && now - found->second.at <= m_settings.roomValidity;
+        return isKnown ? found->second.room.wait : std::chrono::milliseconds(0);
+    };
+    auto shortest = std::chrono::milliseconds::max();
+    for (const auto* entry : shards)
+        shortest = std::min(shortest, waitIn(entry));
+    shards.erase(std::remove_if(
+                     shards.begin(), shards.end(), [&](const shard_entry* entry) { return waitIn(entry) > shortest; }),
+        shards.end());
+}
+
 std::optional<place_shard> place_directory::chooseShard(
     const service_name& service, const std::vector<place_shard>& excluded, seeded_random& random, instant now) const
 {
@@ -186,6 +201,8 @@
     }
     if (local.empty() && best)
         return best->shard;
+    if (local.empty())
+        keepShortestWaits(all, now);
     const auto& choices = local.empty() ? all : local;
     std::uint64_t total = 0;
     for (const auto* entry : choices)
--- a/routing/place_directory.h
+++ b/routing/place_directory.h
@@ -98,7 +98,8 @@
     void recordRequested(const place_shard& shard);
 
     /// Chooses the shard to ask: that of the own zone if its room is unknown or not used up, else the one with the most
-    /// stated room, else a random one weighted by its number of targets.
+    /// stated room, else the one with the shortest stated wait; between equal ones a random one weighted by its number
+    /// of targets.
     /// \param excluded shards that refused the request or can't be asked
     /// \return nothing if no shard remains
     std::optional<place_shard> chooseShard(const service_name& service, const std::vector<place_shard>& excluded,
@@ -120,6 +121,7 @@
         std::map<target_name, std::size_t> shardOfTarget;
     };
 
+    void keepShortestWaits(std::vector<const shard_entry*>& shards, instant now) const;
     std::optional<std::uint32_t> freeIn(const place_shard& shard, instant now) const;
 
     place_node m_self;
