--- a/gateway/rollout_driver.cpp
+++ b/gateway/rollout_driver.cpp
@@ -52,7 +52,7 @@
     , m_timers(timers)
     , m_log(log)
     , m_metrics(metrics)
-    , m_coordinator(self, nodeStart, settings, std::move(random))
+    , m_coordinator(self, nodeStart, settings, random)
     , m_tickDue(instant::max())
 {
 }
--- a/gateway/rollout_driver.h
+++ b/gateway/rollout_driver.h
@@ -37,8 +37,8 @@
     /// Sets the other nodes that are believed alive.
     void setNodes(std::vector<node_id> others);
 
-    /// Records that the other nodes are known. Before, this node may believe that it is alone and thus the decider of all
-    /// services; so it reads no ledger, and leaves those of other deciders alone.
+    /// Records that the other nodes are known. Before, this node may believe that it is alone and thus the decider of
+    /// all services; so it reads no ledger, and leaves those of other deciders alone.
     void membershipSettled();
 
     void orderSeen(const rollout_order& order);
