--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -107,6 +107,7 @@
     std::vector<target_name> targetsWithoutPlace() const;
     place_demand makePlaceDemand(std::vector<target_name> excluded) const;
     std::chrono::milliseconds latestUsefulStart() const;
+    void probeGranted(const target_entry& target);
     void onPlaceGranted(const target_name& name, held_place place);
     void onPlaceRefused(std::chrono::milliseconds retryAfter);
     void decideLocally(std::string_view reason);
--- a/gateway/exchange_placement.cpp
+++ b/gateway/exchange_placement.cpp
@@ -23,8 +23,10 @@
     constexpr std::chrono::milliseconds MinWait { 10 };
     /// Of a request whose objective has passed: 0 would mean none.
     constexpr std::chrono::milliseconds MinObjective { 1 };
+    /// A live engine responds within a round trip, as in polls.
+    constexpr std::chrono::milliseconds GrantProbeTimeout { 60 };
     /// Granted targets in a row that take no requests, until the node chooses by itself.
-    constexpr std::uint32_t MaxUnusablePlaces = 2;
+    constexpr std::uint32_t MaxUnusablePlaces = 3;
 
     std::chrono::milliseconds since(instant then, instant now)
     {
@@ -115,7 +117,7 @@
 {
     place_demand demand;
     demand.service = m_service;
-    demand.rank = priority();
+    demand.rank = isGeneration() ? priorityClass() : priority();
     demand.team = m_team ? stableHash(m_team->name.value()) : 0;
     demand.latestStart = std::max(latestUsefulStart(), std::chrono::milliseconds(0));
     demand.objective = std::max(since(m_parts.timers.now(), m_startedAt + m_route->objective), MinObjective);
@@ -153,10 +155,31 @@
                 { "waited_ms", std::to_string(since(m_placeAskedAt, now).count()) } });
     }
     const auto* target = m_parts.targetTracker.find(name);
-    if (target && m_parts.targetTracker.takesRequests(name, now))
-        sendWithPermit(target_entry(*target));
-    else
+    if (!target || !m_parts.targetTracker.takesRequests(name, now))
         dispatch(); // releases the place
+    else if (isGeneration() && !m_parts.permits.isLimited(*target))
+        probeGranted(target_entry(*target));
+    else
+        sendWithPermit(target_entry(*target));
+}
+
+// The account does not show that an engine has crashed since its last request. A probe finds it without using a retry.
+void exchange::probeGranted(const target_entry& target)
+{
+    m_parts.prober.probe(target, GrantProbeTimeout, [self = weak_from_this(), target](const auto& answer) {
+        const auto exchange = self.lock();
+        if (!exchange || exchange->m_finished)
+            return;
+        if (answer.alive) {
+            exchange->sendWithPermit(target);
+            return;
+        }
+        exchange->recordFailedProbe(target, answer);
+        exchange->m_place.end(place_end::Failed);
+        exchange->m_triedTargets.push_back(target.name);
+        ++exchange->m_unusablePlaces;
+        exchange->dispatch();
+    });
 }
 
 // Nothing is refused as not run that may have run: a retry after a lost attempt goes on as without allocators.
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -16,6 +16,7 @@
 enum class place_allocation_scope {
     Off, ///< none: every node chooses targets by itself
     Plain, ///< services without engines
+    Engines, ///< services with engines
     All,
 };
 
--- a/gateway/gateway_settings_json.cpp
+++ b/gateway/gateway_settings_json.cpp
@@ -3,9 +3,9 @@
 namespace oriolepick {
 
 template <> struct enum_words<place_allocation_scope> {
-    static constexpr std::array<std::pair<place_allocation_scope, std::string_view>, 3> Words {
+    static constexpr std::array<std::pair<place_allocation_scope, std::string_view>, 4> Words {
         { { place_allocation_scope::Off, "off" }, { place_allocation_scope::Plain, "plain" },
-            { place_allocation_scope::All, "all" } }
+            { place_allocation_scope::Engines, "engines" }, { place_allocation_scope::All, "all" } }
     };
 };
 
--- a/gateway/place_allocation.cpp
+++ b/gateway/place_allocation.cpp
@@ -123,7 +123,7 @@
         [&](const target_entry& target, bool isAvailable) {
             const auto* rules = m_config.table()->rulesOf(target.service);
             const bool isEngine = rules && rules->engine;
-            if (isEngine && m_scope == place_allocation_scope::Plain)
+            if (m_scope == (isEngine ? place_allocation_scope::Plain : place_allocation_scope::Engines))
                 return;
             auto& service = services[target.service];
             service.name = target.service;
