--- a/gateway/exchange_placement.cpp
+++ b/gateway/exchange_placement.cpp
@@ -7,6 +7,7 @@
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/place_allocation.h"
+#include "gateway/target_permits.h"
 #include "routing/generation_time_estimator.h"
 #include "routing/prefill_time_estimator.h"
 #include "routing/response_time_estimator.h"
