--- a/gateway/test/gateway_settings.cpp
+++ b/gateway/test/gateway_settings.cpp
@@ -34,7 +34,7 @@
     EXPECT_EQ(settings.allocatePlaces, place_allocation_scope::Off);
 }
 
-TEST(GatewaySettings, AllocationOfPlacesHasThreeValues)
+TEST(GatewaySettings, AllocationOfPlacesHasFourValues)
 {
     std::vector<field_error> problems;
     const auto scopeOf = [&problems](const std::string& word) {
@@ -43,9 +43,10 @@
     };
     EXPECT_EQ(scopeOf("off"), place_allocation_scope::Off);
     EXPECT_EQ(scopeOf("plain"), place_allocation_scope::Plain);
+    EXPECT_EQ(scopeOf("engines"), place_allocation_scope::Engines);
     EXPECT_EQ(scopeOf("all"), place_allocation_scope::All);
     EXPECT_TRUE(problems.empty());
-    scopeOf("engines");
+    scopeOf("some");
     EXPECT_EQ(problems.size(), 1U);
 }
 
