--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -291,7 +291,7 @@
 {
     generation_demand demand;
     demand.promptTokens = m_caller.promptTokens;
-    if (m_route->kind == route_kind::Stream)
+    if (m_route->kind == route_kind::Stream && m_table->hasSeveralObjectives(m_service))
         demand.priority = priorityClass();
     demand.outputTokens = m_caller.maxOutputTokens;
     demand.prefillTime = m_parts.prefillTimes.estimate(m_service, m_caller.promptTokens);
--- a/routing/route_table.cpp
+++ b/routing/route_table.cpp
@@ -81,6 +81,12 @@
     return nullptr;
 }
 
+bool route_table::hasSeveralObjectives(const service_name& service) const
+{
+    const auto found = m_objectives.find(service);
+    return found != m_objectives.end() && found->second.size() > 1;
+}
+
 std::uint32_t route_table::objectiveRank(const route& route, const service_name& service) const
 {
     const auto found = m_objectives.find(service);
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -21,6 +21,9 @@
     route_table& operator=(const route_table&) = delete;
     route_table(route_table&&) = default;
 
+    /// \return whether the streams of \p service have different time objectives
+    bool hasSeveralObjectives(const service_name& service) const;
+
     /// \return the rank of \p route among the routes to \p service by their time objectives, 0 for the shortest; 0 if
     /// all have the same
     std::uint32_t objectiveRank(const route& route, const service_name& service) const;
--- a/routing/test/route_table.cpp
+++ b/routing/test/route_table.cpp
@@ -109,6 +109,8 @@
     const auto table = tableOf({ patient, urgent, other });
     EXPECT_EQ(table.objectiveRank(urgent, service_name("s")), 0U);
     EXPECT_EQ(table.objectiveRank(patient, service_name("s")), 1U);
+    EXPECT_TRUE(table.hasSeveralObjectives(service_name("s")));
+    EXPECT_FALSE(table.hasSeveralObjectives(service_name("other")));
     EXPECT_EQ(table.objectiveRank(other, service_name("other")), 0U) << "the only one of its service";
 }
 
