--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -40,10 +40,9 @@
     constexpr std::chrono::milliseconds RetryBudgetPollInterval { 100 };
     /// Retries of a service that are left for streams that have begun.
     constexpr double ContinuationReserve = 1;
-    /// Shortest limit of the wait of a request that has not begun for retries of other nodes: two requests to them.
-    constexpr std::chrono::milliseconds MinSharedRetryWait { 60 };
-    /// The wait may take the objective divided by this number: nodes earn retries again with each new request.
-    constexpr int SharedRetryWaitDivisor = 8;
+    /// Longest wait of a request that has not begun for retries of other nodes: three requests to them. Later retries
+    /// would be taken from streams that have begun.
+    constexpr std::chrono::milliseconds SharedRetryWait { 60 };
     constexpr std::chrono::milliseconds SharedRetryPollInterval { 10 }; ///< a round trip between zones
     constexpr std::string_view BudgetUsedUp = "the retry budget of the service is used up";
 
@@ -434,9 +433,7 @@
         m_parts.retrySharing.request(m_service, now);
         if (m_responseStarted || m_parts.retrySharing.isAvailable()) {
             m_deniedOutcome = attemptOutcome;
-            m_budgetWaitEnds = m_responseStarted
-                ? m_deadline
-                : std::min(m_deadline, now + std::max(MinSharedRetryWait, m_route->objective / SharedRetryWaitDivisor));
+            m_budgetWaitEnds = m_responseStarted ? m_deadline : std::min(m_deadline, now + SharedRetryWait);
             waitForRetryBudget();
             return;
         }
