Do not let a posted end of a response outlive the gateway

Cause: onResponseDone() posted a handler that owned the session. The event loop is destroyed after the timers and the memory budget, with its handlers, and so with the session. It concerns gateway_process as well, which declares its members in this order. Now the handler holds a weak pointer, and the gateway keeps closed sessions until the next turn of the loop, because a session may end while its exchange is on the call stack.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -314,10 +314,14 @@
     onResponseDone();
 }
 
-// The exchange is still on the call stack, so the next request is started from the event loop.
+// The exchange is still on the call stack, so the next request is started from the event loop. The handler holds no
+// reference: when the process ends, the event loop destroys it after the timers and the memory budget.
 void caller_session::onResponseDone()
 {
-    boost::asio::post(m_loop, [self = shared_from_this()] {
+    boost::asio::post(m_loop, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
         self->m_exchange.reset();
         self->m_requestMemory.set(0);
         if (!self->m_channel->isOpen()) {
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "gateway/timer_queue.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -67,6 +68,14 @@
     });
 }
 
+// A session may end while its exchange is on the call stack.
+void gateway::retainUntilNextTurn(const std::shared_ptr<caller_session>& closed)
+{
+    m_closedSessions.push_back(closed);
+    if (m_closedSessions.size() == 1)
+        boost::asio::post(m_loop, [this] { std::exchange(m_closedSessions, {}); });
+}
+
 void gateway::addSession(boost::asio::ip::tcp::socket socket)
 {
     const bool isRefused
@@ -93,6 +102,7 @@
         isRefused ? connection_admission::Refused : connection_admission::Served,
         [this, isRefused](const std::shared_ptr<caller_session>& closed) {
             m_sessions.erase(closed);
+            retainUntilNextTurn(closed);
             if (isRefused)
                 --m_refusedSessions;
         });
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace oriolepick {
 
@@ -38,6 +39,7 @@
 private:
     void accept();
     void addSession(boost::asio::ip::tcp::socket socket);
+    void retainUntilNextTurn(const std::shared_ptr<caller_session>& closed);
     void runHousekeeping();
     void closeListener();
     void checkStopped();
@@ -51,6 +53,7 @@
     std::unique_ptr<http_endpoint> m_readiness;
     std::unique_ptr<http_endpoint> m_metrics;
     std::set<std::shared_ptr<caller_session>> m_sessions;
+    std::vector<std::shared_ptr<caller_session>> m_closedSessions; // until the next turn of the event loop
     bool m_stopping = false;
     std::size_t m_refusedSessions = 0; // part of m_sessions
     bool m_refusesConnections = false; // the last new connection was refused; logged once
