Count copies of runs in the allocation of engines

All failed streams that were read had begun; they moved to another engine late, or were preempted there.

Cause: the nodes reported their runs, but not the copies of these at other engines. The allocators saw half of the memory in use, and gave away the reserve of the admission rules as well, which streams that have begun need: they ask no allocator. Now a copy counts at its holder with the memory of its run and without a slot.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -113,6 +113,7 @@
     void decideLocally(std::string_view reason);
     void holdPlace(const target_entry& target);
     void recordEventAtPlace();
+    void recordCopyAtPlace(std::uint64_t heldTokens);
     bool mayAskReceiversAgain(attempt_outcome attemptOutcome) const;
 
     // resuming a stream of another node, in exchange_engine_choice.cpp
@@ -223,6 +224,7 @@
     memory_reservation m_responseMemory; // of m_body and m_events
     stall_detector m_stall;
     held_place m_place; // the use of the target, from the grant or the start of the attempt
+    held_place m_copyPlace; // the memory that a copy of the run takes at another engine
     instant m_attemptAt;
     instant m_sentAt; // when the request was passed to the connection, or the attempt began
     std::optional<response_wait> m_attemptWait; // for the response of a repeatable request
--- a/gateway/exchange_placement.cpp
+++ b/gateway/exchange_placement.cpp
@@ -214,6 +214,8 @@
 
 void exchange::holdPlace(const target_entry& target)
 {
+    if (m_copyPlace.isAt(target.name))
+        m_copyPlace.end(place_end::Completed); // the run goes on in the memory of its copy
     if (!m_place.isAt(target.name))
         m_place = m_parts.places.begin(m_service, target.name, isGeneration() ? m_caller.promptTokens : 0);
     m_decidesLocally = false;
@@ -225,9 +227,23 @@
     if (!m_place.isHeld())
         return;
     m_place.recordPromptRead();
-    if (isGeneration())
-        m_place.recordTokens(
-            m_caller.promptTokens + (m_eventsForwarded + 1) * m_table->rulesOf(m_service)->engine->tokensPerEvent);
+    if (!isGeneration())
+        return;
+    const auto heldTokens
+        = m_caller.promptTokens + (m_eventsForwarded + 1) * m_table->rulesOf(m_service)->engine->tokensPerEvent;
+    m_place.recordTokens(heldTokens);
+    recordCopyAtPlace(heldTokens);
+}
+
+// A copy takes as much memory as its run. Without it, allocators fill engines that have no room left, which then
+// preempt runs and refuse streams that move to their copy.
+void exchange::recordCopyAtPlace(std::uint64_t heldTokens)
+{
+    if (!m_copyHolder || !m_route->resumable)
+        m_copyPlace.end(place_end::Completed);
+    else if (!m_copyPlace.isAt(m_copyHolder->name))
+        m_copyPlace = m_parts.places.beginCopy(m_service, m_copyHolder->name, heldTokens);
+    m_copyPlace.recordTokens(heldTokens);
 }
 
 // The route limits the targets that may receive a request, not how often one of them may refuse it.
--- a/gateway/place_allocation.cpp
+++ b/gateway/place_allocation.cpp
@@ -205,10 +205,22 @@
 }
 
 held_place place_allocation::begin(const service_name& service, const target_name& target, std::uint64_t promptTokens)
+{
+    return beginUse(service, target, promptTokens, false);
+}
+
+held_place place_allocation::beginCopy(
+    const service_name& service, const target_name& target, std::uint64_t heldTokens)
+{
+    return beginUse(service, target, heldTokens, true);
+}
+
+held_place place_allocation::beginUse(
+    const service_name& service, const target_name& target, std::uint64_t promptTokens, bool isCopy)
 {
     if (!isAllocated(service))
         return {};
-    const auto number = m_client.begin(service, target, promptTokens, false, m_timers.now());
+    const auto number = m_client.begin(service, target, promptTokens, isCopy, m_timers.now());
     scheduleTick();
     ++m_heldPlaces;
     return { *this, number, target };
--- a/gateway/place_allocation.h
+++ b/gateway/place_allocation.h
@@ -66,6 +66,10 @@
     /// \return the use of \p target by a request that was sent without a granted place
     held_place begin(const service_name& service, const target_name& target, std::uint64_t promptTokens);
 
+    /// \return the use of \p target by a copy of a run, which takes memory but no slot
+    /// \param heldTokens memory of the copy
+    held_place beginCopy(const service_name& service, const target_name& target, std::uint64_t heldTokens);
+
     /// \return the number of uses of targets that have not ended
     std::size_t heldPlaces() const { return m_heldPlaces; }
 
@@ -80,6 +84,8 @@
         callback done;
     };
 
+    held_place beginUse(
+        const service_name& service, const target_name& target, std::uint64_t promptTokens, bool isCopy);
     void end(std::uint64_t number, place_end how);
     void recordPromptRead(std::uint64_t number);
     void recordTokens(std::uint64_t number, std::uint64_t heldTokens) { m_client.recordTokens(number, heldTokens); }
--- a/routing/place_targets.cpp
+++ b/routing/place_targets.cpp
@@ -21,8 +21,6 @@
     /// The longest requests of a plain service take about this many times their mean.
     constexpr double DurationMargin = 1.5;
 
-    constexpr std::uint64_t ReserveDivisor = 5; ///< as in engine_admission.cpp
-
     generation_demand demandOf(const place_request& request)
     {
         return { request.promptTokens, request.outputTokens, request.prefillTime, request.latestStart };
@@ -76,10 +74,7 @@
     auto& report = *target.engine.report;
     report.admitted = target.sum.inFlight;
     report.usedTokens = target.sum.heldTokens + target.sum.unreadTokens;
-    // The reserve of the admission rules is meant for requests that a report does not show yet. The account knows of
-    // all requests, so it offers the reserve too.
-    const auto total = demandOf(m_lastDemand).total();
-    report.totalTokens = m_memoryTokens ? m_memoryTokens + std::min(total, m_memoryTokens / ReserveDivisor) : 0;
+    report.totalTokens = m_memoryTokens;
     const auto prompt = std::max<std::uint64_t>(m_lastDemand.promptTokens, 1);
     const auto unread = std::min<std::uint64_t>((target.sum.unreadTokens + prompt / 2) / prompt, report.admitted);
     report.runs.resize(report.admitted - unread, running_generation { {}, 1 });
