Bound the wait of a generation for a place as in the queue of a node

Callers of generations waited for up to 19 s in the line of an allocator and were refused then: no time was left to return.

Cause: the request allowed a wait until shortly before its deadline. The queue of a node ends a wait when the first event would be late (exchange::maxQueueTime); the request to an allocator now says the same.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -98,6 +98,7 @@
 
     // the admission queue, in exchange_engine_choice.cpp
     bool mayQueue() const;
+    std::chrono::milliseconds maxQueueTime(const generation_demand& demand) const;
     void waitInQueue();
     void leaveQueue();
 
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -364,6 +364,16 @@
     return !m_attempts && !m_caller.lastEvent;
 }
 
+// A wait beyond this ends in a late first event, which another start seldom mends.
+std::chrono::milliseconds exchange::maxQueueTime(const generation_demand& demand) const
+{
+    const auto latestUsefulWait
+        = std::chrono::duration_cast<std::chrono::milliseconds>(demand.firstEventWithin * MaxQueueTimeShare)
+        - demand.prefillTime;
+    const auto minTime = m_parts.generationTimes.minTime(m_service, estimatedRemainingEvents());
+    return std::min(std::max(latestUsefulWait, m_route->objective / MinQueueTimeDivisor), remainingTime() - minTime);
+}
+
 void exchange::waitInQueue()
 {
     if (m_isScheduled) {
@@ -372,12 +382,7 @@
         return;
     }
     const auto demand = makeGenerationDemand();
-    const auto latestUsefulWait
-        = std::chrono::duration_cast<std::chrono::milliseconds>(demand.firstEventWithin * MaxQueueTimeShare)
-        - demand.prefillTime;
-    const auto minTime = m_parts.generationTimes.minTime(m_service, estimatedRemainingEvents());
-    const auto queueTimeLimit
-        = std::min(std::max(latestUsefulWait, m_route->objective / MinQueueTimeDivisor), remainingTime() - minTime);
+    const auto queueTimeLimit = maxQueueTime(demand);
     const auto team = m_team ? m_team->name.value() : std::string(AnonymousTeam);
     queued_request waiting { { team_id(fleet_name("local"), team), m_caller.attempt }, queuePriorityOf(priorityClass()),
         static_cast<std::uint32_t>(demand.total()), m_parts.timers.now() + queueTimeLimit };
--- a/gateway/exchange_placement.cpp
+++ b/gateway/exchange_placement.cpp
@@ -127,6 +127,8 @@
         demand.promptTokens = generation.promptTokens;
         demand.outputTokens = generation.outputTokens;
         demand.prefillTime = generation.prefillTime;
+        // Callers refused at once may return in time; after a wait of many seconds they can't.
+        demand.latestStart = std::clamp(maxQueueTime(generation), std::chrono::milliseconds(0), demand.latestStart);
     }
     demand.excluded = std::move(excluded);
     return demand;
