--- a/gateway/place_allocation.cpp
+++ b/gateway/place_allocation.cpp
@@ -209,8 +209,7 @@
     return beginUse(service, target, promptTokens, false);
 }
 
-held_place place_allocation::beginCopy(
-    const service_name& service, const target_name& target, std::uint64_t heldTokens)
+held_place place_allocation::beginCopy(const service_name& service, const target_name& target, std::uint64_t heldTokens)
 {
     return beginUse(service, target, heldTokens, true);
 }
