--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -364,7 +364,7 @@
     return !m_attempts && !m_caller.lastEvent;
 }
 
-// A wait beyond this ends in a late first event, which another start seldom mends.
+// After a longer wait, the first event would be late.
 std::chrono::milliseconds exchange::maxQueueTime(const generation_demand& demand) const
 {
     const auto latestUsefulWait
--- a/gateway/exchange_placement.cpp
+++ b/gateway/exchange_placement.cpp
@@ -127,7 +127,7 @@
         demand.promptTokens = generation.promptTokens;
         demand.outputTokens = generation.outputTokens;
         demand.prefillTime = generation.prefillTime;
-        // Callers refused at once may return in time; after a wait of many seconds they can't.
+        // A caller that is refused early can return in time.
         demand.latestStart = std::clamp(maxQueueTime(generation), std::chrono::milliseconds(0), demand.latestStart);
     }
     demand.excluded = std::move(excluded);
