--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,23 +1,22 @@
-"""A grey worker fails unsafe requests that it has run, with a status that promises to callers that they didn't run."""
+"""A request that crashes its workers comes again after all gateways were killed at once."""
 
 import asyncio
 import os
-import random
+import signal
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common-2"))
-from harness import CannotRun, Channel, Target, message, run_case  # noqa: E402
+from harness import BOUNDS, CannotRun, Channel, Target, message, run_case  # noqa: E402
 
 ZONES = ["a", "a", "b", "b", "c", "d"]
-WORKERS = 7  # so that one of them is the share of 0.15
-GREY_SHARE = 0.4
-LENGTH_S = 20
-CLIENTS = 12
+CONTACT_S = BOUNDS["contactMs"] / 1000
+ALLOWED_RETRIES = 3
+CALLERS = 3  # that send the request again and again, each at another machine
 CONFIG = {
     "version": 7,
-    "routes": [{"name": "r-1", "host": "repair.example", "pathPrefix": "/orders/", "routeKind": "unsafe",
+    "routes": [{"name": "r-1", "host": "repair.example", "pathPrefix": "/status/", "routeKind": "safe",
                 "timeoutMs": 2500, "goalMs": 150, "priority": 2, "service": "booking", "maxAttempts": 2,
                 "public": False}],
     "services": [{"name": "booking", "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": False}],
@@ -27,11 +26,11 @@
 
 
 class Booking(Target):
-    """Books an order for each request. A grey one fails a part of its requests after it has booked them."""
+    """A plain worker that the request for /status/crash crashes as soon as it begins to run it."""
 
-    def __init__(self, *fields, statuses):
+    def __init__(self, *fields, crashes, back):
         super().__init__(*fields)
-        self.statuses = statuses  # of failures; none for a sound worker
+        self.crashes, self.back = crashes, back
 
     async def serve(self, reader, writer, method, target, headers, body, echo):
         if "attempt-id" not in headers:
@@ -39,67 +38,89 @@
             return True
         attempt = headers["attempt-id"]
         self.runs.append((attempt, target, body))
+        if target == "/status/crash":
+            self.crashes.append((time.monotonic(), attempt, self.name))
+            self.record.write(f"{self.name} begins to run {attempt}")
+            self.die()
+            asyncio.create_task(self.back(self))
+            return False
         await asyncio.sleep(0.03)
-        stamp = echo + f"Server-Stamp: {self.name}.{attempt}\r\n"
-        if self.statuses and random.random() < GREY_SHARE:
-            status = random.choice(self.statuses)
-            self.record.write(f"{self.name} has run {attempt} and answers {status}")
-            writer.write(message(status, b"the order could not be confirmed", stamp))
-        else:
-            self.record.write(f"{self.name} has run {attempt}")
-            writer.write(message(200, f"booked {target}".encode(), stamp))
+        writer.write(message(200, f"status for {attempt}".encode(), echo + f"Server-Stamp: {self.name}.{attempt}\r\n"))
         return True
 
 
-async def order(record, client, ips, until, answers):
-    """Opens orders, each once. Sends one again only after a promise that it hasn't run, as a new attempt at another node."""
-    number = 0
-    while time.monotonic() < until:
-        number += 1
-        for attempt_number in range(2):  # the client's retries: 1
-            attempt = f"{client}-{number}-{attempt_number}"
-            channel = Channel(record, client, ips[(number + attempt_number) % len(ips)])
-            try:
-                await channel.open()
-                channel.send("POST", f"/orders/{client}-{number}", attempt, {
-                    "Host": "repair.example", "Deadline-Ms": 2500, "X-Api-Key": "key-of-repairs"}, b"one board")
-                status, headers, _, whole = await asyncio.wait_for(channel.answer(attempt), 3)
-            except (OSError, asyncio.TimeoutError):
-                status, headers = 0, {}
-            channel.close()
-            answers[attempt] = status
-            if status not in (408, 421, 429, 503):
-                break
-            await asyncio.sleep(float(headers.get("retry-after", "0.05")))
-        await asyncio.sleep(0.1)
+async def ask(record, client, ip, target, number):
+    attempt = f"{client}-{number}"
+    channel = Channel(record, client, ip)
+    try:
+        await channel.open()
+        channel.send("GET", target, attempt, {"Host": "repair.example", "Deadline-Ms": 2500,
+                                              "X-Api-Key": "key-of-repairs"})
+        status, _, _, _ = await asyncio.wait_for(channel.answer(attempt), 3)
+    except (OSError, asyncio.TimeoutError):
+        status = 0
+    channel.close()
+    return status
 
 
 async def case(deployment, record, trouble):
     await deployment.start(CONFIG, ZONES)
-    workers = []
-    for index in range(WORKERS):
-        statuses = [500, 408, 429] if trouble and index == 0 else []
-        worker = Booking(deployment.store, record, f"i-{index}", "booking", "abcd"[index % 4], 6, statuses=statuses)
-        await worker.start(deployment.ip(100 + index))
-        workers.append(worker)
-    await asyncio.sleep(4)  # the gateways know each other and the workers, and are in touch
-    answers = {}
-    until = time.monotonic() + LENGTH_S
-    ips = [node.ip for node in deployment.nodes]
-    await asyncio.gather(*(order(record, f"c{index}", ips, until, answers) for index in range(CLIENTS)))
-    booked = {}
-    ran = set()
-    for worker in workers:
-        for attempt, target, _ in worker.runs:
-            ran.add(attempt)
-            booked.setdefault(target, []).append(attempt)
-    broken = [f"REFUSED: {attempt} was answered {status} and has run"
-              for attempt, status in sorted(answers.items()) if status in (408, 421, 429, 503) and attempt in ran]
-    twice = [target for target, attempts in booked.items() if len(attempts) > 1]
-    record.write(f"{len(booked)} orders, {len(twice)} of them booked twice: {', '.join(twice[:20])}")
-    if not any(status == 200 for status in answers.values()):
-        raise CannotRun("no order was served")
-    return broken
+    crashes = []
+    count = [0]
+
+    async def start(zone):
+        count[0] += 1
+        worker = Booking(deployment.store, record, f"i-{count[0]}", "booking", zone, 6, crashes=crashes, back=back)
+        await worker.start(deployment.ip(100 + count[0]))
+
+    async def back(crashed):
+        await asyncio.sleep(3)  # "the worker is back after some seconds"
+        await start(crashed.zone)
+
+    for zone in "abcdabcd":
+        await start(zone)
+    await asyncio.sleep(CONTACT_S + 1)
+    number = 0
+    served = 0
+
+    async def insist(seconds):
+        """The same request comes again and again, at one node after another."""
+        nonlocal number, served
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            number += 1
+            node = deployment.nodes[number % len(deployment.nodes)]
+            others = [deployment.nodes[(number + index) % len(deployment.nodes)] for index in range(CALLERS)]
+            await asyncio.gather(*(ask(record, f"crasher{index}", other.ip, "/status/crash", number)
+                                   for index, other in enumerate(others)))
+            served += await ask(record, "other", node.ip, f"/status/{number}", number) == 200
+            await asyncio.sleep(0.3)
+
+    await insist(6)
+    if len(crashes) < 3:
+        raise CannotRun(f"the request crashed {len(crashes)} workers only")
+    third = crashes[2][0]
+    record.write(f"the request has crashed {len(crashes)} workers, the third {time.monotonic() - third:.1f} s ago")
+    if trouble:
+        for node in deployment.nodes:
+            node.send(signal.SIGKILL)
+        await asyncio.sleep(0.5)
+        for node in deployment.nodes:
+            node.end()
+            node.start()
+        record.write("all gateways are started again")
+    await asyncio.sleep(CONTACT_S + 2)  # started, ready and in touch again
+    await insist(6)
+    await asyncio.sleep(3)
+    late = [each for each in crashes if each[0] > third + CONTACT_S]
+    for when, attempt, worker in late:
+        record.write(f"{attempt} reached {worker} {when - third:.1f} s after the third crash")
+    if not served:
+        raise CannotRun("no other request was served")
+    if len(late) <= ALLOWED_RETRIES:
+        return []
+    return [f"BUDGET: the request reached and crashed workers {len(late)} times later than {CONTACT_S:.0f} s after "
+            f"it had crashed the third; {ALLOWED_RETRIES} are allowed"]
 
 
 sys.exit(run_case(HERE, case))
