--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,19 +17,19 @@
 GRACE_S = BOUNDS["graceS"]
 CONFIG = {
     "version": 7,
-    "routes": [{"name": "r-1", "host": "repair.example", "pathPrefix": "/notes/", "routeKind": "streaming",
+    "routes": [{"name": f"r-{prefix}", "host": "repair.example", "pathPrefix": f"/{prefix}/", "routeKind": "streaming",
                 "timeoutMs": 25000, "goalMs": 4500, "priority": 1, "service": "llm", "maxAttempts": 5, "public": False,
-                "sticky": True, "gapGoalMs": 700}],
+                "sticky": True, "resumable": prefix == "notes", "gapGoalMs": 700} for prefix in ("notes", "drafts")],
     "services": [{"name": "llm", "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": False,
-                  "engine": {"slots": 64, "kvCapacity": 88000, "kvBytes": 18432, "linkMbps": 740000.0, "moves": False,
-                             "backups": False, "stride": 10, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0,
+                  "engine": {"slots": 64, "kvCapacity": 88000, "kvBytes": 18432, "linkMbps": 740000.0, "moves": True,
+                             "backups": True, "stride": 10, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0,
                              "handleS": 4.0, "models": [{"name": "m"}]}}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     "tenants": [{"name": "repairs", "apiKeys": ["key-of-repairs"], "priority": 1}],
 }
 
 
-async def converse(record, client, ip, until, log):
+async def converse(record, client, prefix, ip, until, log):
     """Sends a stream as soon as the last one has ended, on the same channel unless an answer says close."""
     channel = None
     number = 0
@@ -44,7 +44,7 @@
                 record.write(f"{client} reaches nobody at {ip}")
                 return
         sent = time.monotonic()
-        channel.send("POST", f"/notes/{client}", attempt, {
+        channel.send("POST", f"/{prefix}/{client}", attempt, {
             "Host": "repair.example", "Model": "m", "Token-Counts": f"200,{EVENTS * 10}",
             "Prefix-Hash": f"5c1e07a2:100,{abs(hash(attempt)) & 0xffffffff:08x}:100", "Deadline-Ms": 20000,
             "X-Api-Key": "key-of-repairs"}, b"Draft the notes.")
@@ -72,7 +72,9 @@
     log = []
     clients = []
     for index in range(CLIENTS):
-        clients.append(asyncio.create_task(converse(record, f"c{index}", node.ip, stopped + GRACE_S, log)))
+        client = ("notes", "drafts")[index % 2]  # the first may be resumed
+        clients.append(asyncio.create_task(
+            converse(record, f"{client}{index}", client, node.ip, stopped + GRACE_S, log)))
         await asyncio.sleep(0.4)  # their streams end at different times
     await asyncio.sleep(stopped - time.monotonic())
     stopped = time.monotonic()
