--- a/review/8/case.py
+++ b/review/8/case.py
@@ -20,7 +20,7 @@
 CONFIG = {
     "version": 7,
     "routes": [{"name": "r-1", "host": "repair.example", "pathPrefix": "/orders/", "routeKind": "unsafe",
-                "timeoutMs": 2500, "goalMs": 150, "priority": 2, "service": "booking", "maxAttempts": 2,
+                "timeoutMs": 2500, "goalMs": 150, "priority": 2, "service": "booking", "maxAttempts": 1,
                 "public": False}],
     "services": [{"name": "booking", "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": False}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
