--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -485,7 +485,7 @@
 
     try:
         broken = asyncio.run(main())
-    except (CannotRun, OSError, asyncio.TimeoutError) as problem:
+    except Exception as problem:  # of the script itself, which must not look like a broken rule
         record.write(f"cannot run: {problem!r}")
         print(f"cannot run: {problem!r}")
         return 2
