Reject responses whose status is not a status code of HTTP

What callers saw: a target answered with the status 000, or with any other three digits outside 100 to 599, and the caller got it as the answer, as "HTTP/1.1 0 X" with the target's body. A repeatable request was not tried elsewhere for a status below 500, and a stream went without an answer. Through oriolepickd, too.

Cause: the HTTP libraries of both programs accept any three digits as a status. The gateway took 000 for a status that is neither a success nor an error of the target and delivered it; oriolepickd did the same. Probes and the store are read by the same parser, and http_client reported a complete response with the status that means "none".

Change: the parser of responses in the gateway and the check of heads before oriolepickd's library reject a status outside 100 to 599 as malformed. A request that may have run gets 502, a repeatable one goes on to another target.

--- a/gateway/http_parser.cpp
+++ b/gateway/http_parser.cpp
@@ -1,5 +1,6 @@
 #include "gateway/http_parser.h"
 
+#include "core/http_syntax.h"
 #include "core/text.h"
 
 #include <boost/asio/buffer.hpp>
@@ -169,7 +170,9 @@
 {
     m_head.status = code;
     m_head.reason = text(reason);
-    if (containsStatusLine(m_head.reason))
+    if (!isStatusCode(code)) // the library takes any three digits
+        error = http::error::bad_status;
+    else if (containsStatusLine(m_head.reason))
         error = http::error::bad_reason;
 }
 
--- a/gateway/test/http_parser.cpp
+++ b/gateway/test/http_parser.cpp
@@ -93,6 +93,25 @@
     EXPECT_TRUE(parser.isDone());
 }
 
+parse_error responseErrorOf(const std::string& text)
+{
+    response_parser parser(MaxHeader);
+    parser.put(text);
+    return parser.parseError();
+}
+
+TEST(ResponseParser, AcceptsTheStatusCodesOfTheProtocolOnly)
+{
+    for (int code = 0; code <= 999; ++code) {
+        std::string digits = std::to_string(code);
+        digits.insert(0, 3 - digits.size(), '0');
+        const bool isValid = code >= 100 && code <= 599;
+        EXPECT_EQ(responseErrorOf("HTTP/1.1 " + digits + " X\r\nContent-Length: 0\r\n\r\n"),
+            isValid ? parse_error::None : parse_error::Malformed)
+            << digits;
+    }
+}
+
 // Mutates valid messages: no input may crash a parser or be read beyond its end.
 RC_GTEST_PROP(HttpParsers, SurviveMutatedMessages, (const std::vector<std::pair<std::uint16_t, char>>& changes))
 {
--- a/standins/test/malformed_responses.cpp
+++ b/standins/test/malformed_responses.cpp
@@ -67,6 +67,34 @@
         EXPECT_EQ(callWith(response).kind, service_outcome_kind::MayHaveRun) << response;
 }
 
+TEST(malformed_responses, only_status_codes_of_the_protocol_are_responses)
+{
+    for (const std::string status : { "000", "001", "099", "600", "999", "2000", "20", "2x0", "+20", "-20" }) {
+        const auto outcome = callWith("HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nevil");
+        EXPECT_EQ(outcome.kind, service_outcome_kind::MayHaveRun) << status << " read as " << outcome.status;
+    }
+    for (const int status : { 200, 299, 302, 404, 500, 599 }) {
+        const auto outcome = callWith("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: 4\r\n\r\ngood");
+        EXPECT_EQ(outcome.kind, service_outcome_kind::Response) << status << " " << outcome.detail;
+        EXPECT_EQ(outcome.status, status);
+    }
+}
+
+TEST(malformed_responses, an_engine_stream_with_another_status_is_broken)
+{
+    const auto whole = engineResponse();
+    for (const std::string status : { "000", "099", "600", "999" }) {
+        silent_listener listener;
+        std::thread server([&] { listener.answerOnce("HTTP/1.1 " + status + whole.substr(12)); });
+        recording_sink sink;
+        call_abort abort;
+        http_engine_client(ampleMemory()).start(listener.address(), testRequest("x"), {}, sink, abort);
+        server.join();
+        EXPECT_EQ(sink.reason(), stream_break::Malformed) << status;
+        EXPECT_TRUE(sink.tokens().empty()) << status;
+    }
+}
+
 TEST(malformed_responses, responses_without_a_body_keep_their_status)
 {
     EXPECT_EQ(callWith("HTTP/1.1 204 No Content\r\n\r\n").status, 204);
--- a/targets/response_head.cpp
+++ b/targets/response_head.cpp
@@ -1,5 +1,6 @@
 #include "targets/response_head.h"
 
+#include "core/http_syntax.h"
 #include "core/text.h"
 
 #include <algorithm>
@@ -31,6 +32,8 @@
     if (!endsWithCr(line) || !startsWith(line, VersionPrefix) || line.size() < StatusOffset + StatusSize)
         return fail("malformed status line");
     const auto status = line.substr(StatusOffset, StatusSize);
+    if (!isStatusCode(parseNumber<int>(status).value_or(0)))
+        return fail(concatenated("status ", status, " is not a status code"));
     m_isContinue = status == "100";
     // The library would take another interim response for the final one.
     return status.front() != '1' || m_isContinue || fail(concatenated("unsupported interim status ", status));
