oriolepickd: reject field names that are not tokens

What callers saw: a target of oriolepickd sent a head in which the name of a field held a blank or a control byte, and the caller got the response as an answer. With the damaged name at Content-Length or Transfer-Encoding the body was not the target's: chunks were passed on with their sizes, and what followed up to the end of the connection was added.

Cause: the check of heads before the HTTP library looked for white space around a name only, and the library takes any bytes before the colon as a name.

Change: the check demands a token (RFC 9110, 5.6.2), by the function that requests to targets are checked with, which moves to core. Every response that oriolepickd reads from a target passes it: calls, streams of engines, probes and reports.

With the change all pass, and bytes that a token may hold are still accepted.

--- a/node/test/cut_responses.cpp
+++ b/node/test/cut_responses.cpp
@@ -94,6 +94,21 @@
     { "a status above 599",
         [](const std::string& body) { return "HTTP/1.1 600 X\r\nContent-Length: 9\r\n\r\n" + body.substr(0, 9); },
         false },
+    { "a blank in the name of a field",
+        [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 9\r\n\r\n" + body.substr(0, 9);
+        },
+        false },
+    { "a control byte in the name of a field",
+        [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 9\r\n\r\n" + body.substr(0, 9);
+        },
+        false },
+    { "a blank in the name of the length",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nContent Length: 900\r\n\r\n" + body; }, false },
+    { "a control byte in the name of the coding",
+        [](const std::string& body) { return "HTTP/1.1 200 OK\r\nTransfer\x01-Encoding: chunked\r\n\r\n" + body; },
+        false },
     { "the final head after an interim one is cut",
         [](const std::string&) { return std::string("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nCont"); },
         false },
--- a/standins/test/malformed_responses.cpp
+++ b/standins/test/malformed_responses.cpp
@@ -10,6 +10,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <cctype>
+
 using namespace oriolepick;
 
 namespace {
@@ -80,6 +82,38 @@
     }
 }
 
+TEST(malformed_responses, only_tokens_are_names_of_fields)
+{
+    constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+    for (int code = 0; code < 256; ++code) {
+        const char byte = static_cast<char>(code);
+        const bool isToken
+            = (code < 128 && std::isalnum(code)) || (code && Others.find(byte) != std::string_view::npos);
+        for (const std::size_t at : { 0, 3, 6 }) {
+            std::string name = "X-Name";
+            name.insert(at, 1, byte);
+            if (byte == '\n' || (byte == ':' && at > 0))
+                continue; // ends the line or the name
+            response_guard guard;
+            EXPECT_EQ(guard.take("HTTP/1.1 200 OK\r\n" + name + ": x\r\nContent-Length: 4\r\n\r\n"), isToken)
+                << "byte " << code << " at " << at;
+        }
+    }
+}
+
+TEST(malformed_responses, a_response_with_a_field_that_has_no_proper_name_may_have_run)
+{
+    using std::string_literals::operator""s;
+    for (const auto& field : { "X Name: x"s, "X\tName: x"s, "X-\x01Name: x"s, "X-\0Name: x"s, "X-Name\x7f: x"s,
+             "X-Name : x"s, "\vX-Name: x"s, ": x"s, "X-Name"s, "Content Length: 2"s, "Content-Length : 2"s,
+             "Content-Length\x01: 2"s, "Transfer Encoding: chunked"s, " Transfer-Encoding: chunked"s }) {
+        for (const std::string length : { "", "Content-Length: 4\r\n" }) {
+            const auto outcome = callWith("HTTP/1.1 200 OK\r\n" + length + field + "\r\n\r\nevil");
+            EXPECT_EQ(outcome.kind, service_outcome_kind::MayHaveRun) << field << " read as " << outcome.body;
+        }
+    }
+}
+
 TEST(malformed_responses, an_engine_stream_with_another_status_is_broken)
 {
     const auto whole = engineResponse();
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -1,5 +1,6 @@
 #include "targets/http_exchange.h"
 
+#include "core/http_syntax.h"
 #include "core/memory_reservation.h"
 #include "targets/call_abort.h"
 #include "targets/target_socket.h"
@@ -52,16 +53,6 @@
         return false;
     }
 
-    bool isToken(std::string_view text)
-    {
-        for (const char character : text) {
-            if (!absl::ascii_isalnum(static_cast<unsigned char>(character))
-                && std::string_view("!#$%&'*+-.^_`|~").find(character) == std::string_view::npos)
-                return false;
-        }
-        return !text.empty();
-    }
-
     bool hasControlCharacter(std::string_view text)
     {
         for (const char character : text) {
--- a/targets/response_head.cpp
+++ b/targets/response_head.cpp
@@ -45,8 +45,8 @@
         return fail("header line without CR");
     const auto colon = line.find(':');
     const auto name = line.substr(0, colon);
-    if (colon == std::string_view::npos || name.empty() || trimmed(name) != name)
-        return fail("header line without a name");
+    if (colon == std::string_view::npos || !isToken(name))
+        return fail("header line whose name is not a token");
     const auto value = trimmed(line.substr(colon + 1));
     if (equalsIgnoringCase(name, "Content-Length"))
         return takeContentLength(value);
