oriolepickd: reject control characters in the values of fields

What callers saw: a target of oriolepickd sent a head in which the value of a field held a control byte, and the caller got the response as an answer.

Cause: as with the names of fields: neither the check of heads nor the HTTP library looked at the bytes of a value.

Change: the check rejects a value with a control character other than a tab, by the function that requests to targets are checked with.

Evidence, on the code before: standins_malformed_responses 1 of 10 tests failed (each byte at three places of a value), node_cut_responses 1 of 2 (POST and GET answered 200). With the change both pass, targets_early_answers too.

--- a/core/http_syntax.h
+++ b/core/http_syntax.h
@@ -15,4 +15,7 @@
 /// \return whether \p text is a token, such as a method or the name of a header field
 bool isToken(std::string_view text);
 
+/// \return whether \p text has a control character other than a tab, which no value of a header field has
+bool hasControlCharacter(std::string_view text);
+
 } // namespace oriolepick
--- a/node/test/cut_responses.cpp
+++ b/node/test/cut_responses.cpp
@@ -109,6 +109,11 @@
     { "a control byte in the name of the coding",
         [](const std::string& body) { return "HTTP/1.1 200 OK\r\nTransfer\x01-Encoding: chunked\r\n\r\n" + body; },
         false },
+    { "a control byte in the value of a field",
+        [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nX-Odd: a\x01\r\nContent-Length: 9\r\n\r\n" + body.substr(0, 9);
+        },
+        false },
     { "the final head after an interim one is cut",
         [](const std::string&) { return std::string("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nCont"); },
         false },
--- a/standins/test/malformed_responses.cpp
+++ b/standins/test/malformed_responses.cpp
@@ -114,6 +114,23 @@
     }
 }
 
+TEST(malformed_responses, a_response_with_a_control_byte_in_a_value_may_have_run)
+{
+    for (int code = 0; code < 256; ++code) {
+        const char byte = static_cast<char>(code);
+        if (byte == '\n')
+            continue; // ends the line
+        const bool isAllowed = byte == '\t' || (code >= 0x20 && code != 0x7f);
+        for (const std::size_t at : { 0, 1, 2 }) {
+            std::string value = "ab";
+            value.insert(at, 1, byte);
+            response_guard guard;
+            EXPECT_EQ(guard.take("HTTP/1.1 200 OK\r\nX-Name: " + value + "\r\nContent-Length: 4\r\n\r\n"), isAllowed)
+                << "byte " << code << " at " << at;
+        }
+    }
+}
+
 TEST(malformed_responses, an_engine_stream_with_another_status_is_broken)
 {
     const auto whole = engineResponse();
--- a/targets/http_exchange.cpp
+++ b/targets/http_exchange.cpp
@@ -53,15 +53,6 @@
         return false;
     }
 
-    bool hasControlCharacter(std::string_view text)
-    {
-        for (const char character : text) {
-            if (absl::ascii_iscntrl(static_cast<unsigned char>(character)) && character != '\t')
-                return true;
-        }
-        return false;
-    }
-
     /// \return what makes the request unfit to be written on a connection, empty for nothing
     std::string findFault(const service_request& request)
     {
--- a/targets/response_head.cpp
+++ b/targets/response_head.cpp
@@ -43,10 +43,13 @@
 {
     if (!endsWithCr(line))
         return fail("header line without CR");
+    line.remove_suffix(1);
     const auto colon = line.find(':');
     const auto name = line.substr(0, colon);
     if (colon == std::string_view::npos || !isToken(name))
         return fail("header line whose name is not a token");
+    if (hasControlCharacter(line.substr(colon + 1)))
+        return fail(concatenated("value of ", name, " has a control character"));
     const auto value = trimmed(line.substr(colon + 1));
     if (equalsIgnoringCase(name, "Content-Length"))
         return takeContentLength(value);
--- a/targets/response_head.h
+++ b/targets/response_head.h
@@ -7,10 +7,10 @@
 
 namespace oriolepick {
 
-/// Takes the lines of one response head. The HTTP library accepts any three digits as a status and any bytes as the
-/// name of a field, skips lines that it cannot parse, takes a Content-Length that is not a number for 0, uses the first
-/// of several, and reads an unknown transfer coding up to the end of the connection. With each of these a response that
-/// is not HTTP, or a body that is empty, short or still encoded, would count as whole.
+/// Takes the lines of one response head. The HTTP library accepts any three digits as a status and any bytes as a
+/// field, skips lines that it cannot parse, takes a Content-Length that is not a number for 0, uses the first of
+/// several, and reads an unknown transfer coding up to the end of the connection. With each of these a response that is
+/// not HTTP, or a body that is empty, short or still encoded, would count as whole.
 class response_head {
 public:
     /// \param line without its LF
