gateway: reject responses with folded header lines

What callers saw: a target sent a head in which a name began with a blank or a tab, and the caller got the response as an answer, with the line as a part of the value before it. Where the line was the length or the coding of the body, the body was not the target's: chunks came with their sizes, and what followed the body was added.

Cause: Beast joins a line that begins with white space to the line before (obs-fold), which RFC 9112, 5.2 allows. A target does not fold its lines, so such a line is a damaged field of its own.

All other bytes that no name may hold are rejected by Beast; a test of each byte at three places keeps it.

--- a/gateway/http_parser.cpp
+++ b/gateway/http_parser.cpp
@@ -57,6 +57,17 @@
         return false;
     }
 
+    // Finds a field whose line goes on in the next one (obs-fold). The library joins the two, so a line that should
+    // have been a field of its own, such as the length of the body, would become a part of a value. \param name the
+    // name within the line, which ends with a line feed and at least one byte after it
+    bool isFolded(view name)
+    {
+        const auto* end = name.data() + name.size();
+        while (*end != '\n')
+            ++end;
+        return end[1] == ' ' || end[1] == '\t';
+    }
+
     // Feeds bytes to a parser until it needs more bytes, has finished or fails.
     template <typename Parser> std::size_t feed(Parser& parser, std::string_view bytes, parse_error& parseError)
     {
@@ -184,7 +195,9 @@
     }
     m_head.fields.push_back({ text(name), text(value) });
     m_headBytes += memoryOf(m_head.fields.back());
-    if (containsStatusLine(m_head.fields.back().value))
+    if (isFolded(name))
+        error = http::error::bad_field;
+    else if (containsStatusLine(m_head.fields.back().value))
         error = http::error::bad_value;
 }
 
--- a/gateway/test/http_parser.cpp
+++ b/gateway/test/http_parser.cpp
@@ -1,10 +1,13 @@
 // Guards against accepting requests with ambiguous framing, which another parser would split differently (request
 // smuggling), and against taking truncated responses for complete ones.
 #include "gateway/http_parser.h"
+#include "core/text.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cctype>
+
 using namespace oriolepick;
 
 namespace {
@@ -112,6 +115,46 @@
     }
 }
 
+TEST(ResponseParser, AcceptsTokensAsNamesOfFieldsOnly)
+{
+    constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+    for (int code = 0; code < 256; ++code) {
+        const char byte = static_cast<char>(code);
+        const bool isToken = (code < 128 && std::isalnum(code)) || Others.find(byte) != std::string_view::npos;
+        for (const std::size_t at : { 0, 3, 6 }) {
+            std::string name = "X-Name";
+            name.insert(at, 1, byte);
+            if (byte == ':' && at > 0)
+                continue; // ends the name
+            for (const char* before : { "", "X: y\r\n", "X:\r\n" }) {
+                EXPECT_EQ(responseErrorOf(
+                              concatenated("HTTP/1.1 200 OK\r\n", before, name, ": x\r\nContent-Length: 0\r\n\r\n")),
+                    isToken ? parse_error::None : parse_error::Malformed)
+                    << "byte " << code << " at " << at << " after " << before;
+            }
+        }
+    }
+}
+
+// The parser must not read beyond the bytes it has, of which the last may end a line.
+TEST(ResponseParser, RejectsALineThatBeginsWithWhiteSpaceInAnyPieces)
+{
+    for (const std::string text : { "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 3\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nX:\r\n\tTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n \r\n\r\n",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n Z: a\r\n\r\n" }) {
+        for (std::size_t size = 1; size <= text.size(); ++size) {
+            response_parser parser(MaxHeader);
+            std::string input;
+            for (std::size_t at = 0; at < text.size() && parser.parseError() == parse_error::None; at += size) {
+                input += text.substr(at, size);
+                input.shrink_to_fit();
+                input.erase(0, parser.put(input));
+            }
+            EXPECT_EQ(parser.parseError(), parse_error::Malformed) << text << "in pieces of " << size;
+        }
+    }
+}
+
 // Mutates valid messages: no input may crash a parser or be read beyond its end.
 RC_GTEST_PROP(HttpParsers, SurviveMutatedMessages, (const std::vector<std::pair<std::uint16_t, char>>& changes))
 {
