gateway: reject responses with transfer codings other than chunked

What callers saw: a target sent a response with another transfer coding, for example "gzip" or "chunked, gzip", and the caller got the encoded body, or chunks with their sizes, as the answer.

Cause: the parser of requests rejects such a coding, the parser of responses did not. Beast reads the body up to the end of the connection, or to the length that a later field names, and undoes the chunks of "gzip, chunked" only.

Change: both parsers share the check.

--- a/gateway/http_parser.cpp
+++ b/gateway/http_parser.cpp
@@ -68,6 +68,14 @@
         return end[1] == ' ' || end[1] == '\t';
     }
 
+    // Returns whether a message has a transfer coding other than "chunked" alone. The library rejects a field after one
+    // that says "chunked", so the first field decides.
+    bool hasOtherCoding(const header_list& fields)
+    {
+        const auto* coding = findField(fields, "Transfer-Encoding");
+        return coding && !equalsIgnoringCase(*coding, "chunked");
+    }
+
     // Feeds bytes to a parser until it needs more bytes, has finished or fails.
     template <typename Parser> std::size_t feed(Parser& parser, std::string_view bytes, parse_error& parseError)
     {
@@ -128,10 +136,9 @@
 
 void request_parser::on_header_impl(error_code& error)
 {
-    // With any transfer coding other than "chunked" alone, the length of the body is undefined, and two parsers may
-    // frame the message differently (request smuggling).
-    const auto* coding = findField(m_request.fields, "Transfer-Encoding");
-    if (coding && !equalsIgnoringCase(*coding, "chunked"))
+    // With other codings the length of the body is undefined, and two parsers may frame the message differently
+    // (request smuggling).
+    if (hasOtherCoding(m_request.fields))
         error = http::error::bad_transfer_encoding;
 }
 
@@ -201,6 +208,13 @@
         error = http::error::bad_value;
 }
 
+void response_parser::on_header_impl(error_code& error)
+{
+    // The library would take a body that is still encoded, or chunks with their sizes, for the body itself.
+    if (hasOtherCoding(m_head.fields))
+        error = http::error::bad_transfer_encoding;
+}
+
 std::size_t response_parser::on_body_impl(view body, error_code&)
 {
     m_body.append(body.data(), body.size());
--- a/gateway/http_parser.h
+++ b/gateway/http_parser.h
@@ -104,7 +104,7 @@
         int code, boost::beast::string_view reason, int version, boost::beast::error_code& error) override;
     void on_field_impl(boost::beast::http::field field, boost::beast::string_view name, boost::beast::string_view value,
         boost::beast::error_code& error) override;
-    void on_header_impl(boost::beast::error_code&) override { }
+    void on_header_impl(boost::beast::error_code& error) override;
     void on_body_init_impl(const boost::optional<std::uint64_t>&, boost::beast::error_code&) override { }
     std::size_t on_body_impl(boost::beast::string_view body, boost::beast::error_code& error) override;
     void on_chunk_header_impl(std::uint64_t, boost::beast::string_view, boost::beast::error_code&) override { }
--- a/gateway/test/http_parser.cpp
+++ b/gateway/test/http_parser.cpp
@@ -136,6 +136,20 @@
     }
 }
 
+TEST(ResponseParser, RejectsCodingsOtherThanChunked)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    for (const std::string coding :
+        { "gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunke", "" }) {
+        const auto field = "Transfer-Encoding: " + coding + "\r\n";
+        EXPECT_EQ(responseErrorOf(start + field + "\r\n"), parse_error::Malformed) << coding;
+        EXPECT_EQ(responseErrorOf(start + field + "Content-Length: 0\r\n\r\n"), parse_error::Malformed) << coding;
+        EXPECT_EQ(responseErrorOf(start + field + "Transfer-Encoding: chunked\r\n\r\n"), parse_error::Malformed)
+            << coding;
+    }
+    EXPECT_EQ(responseErrorOf(start + "Transfer-Encoding: Chunked\r\n\r\n0\r\n\r\n"), parse_error::None);
+}
+
 // The parser must not read beyond the bytes it has, of which the last may end a line.
 TEST(ResponseParser, RejectsALineThatBeginsWithWhiteSpaceInAnyPieces)
 {
