Test early responses that are cut by a reset, in more framings

Guards against a case seen on other systems: a target answers a long upload at once without a length, sends a part of the body and resets the connection while the upload is written, and the caller gets the part as a complete answer.

Both programs handle it, so no product code changes: after a failed write, an end that reading reports counts as a reset.

--- a/node/test/tcp_handle.h
+++ b/node/test/tcp_handle.h
@@ -121,6 +121,14 @@
         }
     }
 
+    /// \return \p count bytes or a few more, or what arrived before the end
+    std::string read(std::size_t count) const
+    {
+        std::string bytes;
+        while (bytes.size() < count && readMore(bytes)) { }
+        return bytes;
+    }
+
     /// \return everything up to the end of the connection
     std::string readAll() const
     {
--- a/targets/test/early_answers.cpp
+++ b/targets/test/early_answers.cpp
@@ -95,6 +95,45 @@
     EXPECT_EQ(response.result.end, exchange_end::Lost) << response.result.detail;
 }
 
+TEST(early_answers, a_part_of_an_answer_before_a_reset_does_not_count_as_whole)
+{
+    const std::string answers[] = {
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbegin",
+        "HTTP/1.0 200 OK\r\n\r\nbegin",
+        "HTTP/1.1 206 Partial Content\r\n\r\nbegin",
+        "HTTP/1.1 404 Not Found\r\n\r\nbegin",
+        "HTTP/1.1 500 Internal Server Error\r\n\r\nbegin",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbegin",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbegin",
+    };
+    for (const auto& answer : answers) {
+        for (const auto delay : { 0ms, 60ms }) {
+            const auto response = exchangeWith([&](tcp_handle& connection, std::future<void>) {
+                connection.write(answer);
+                std::this_thread::sleep_for(delay); // the sender waits meanwhile
+                connection.reset();
+            });
+            EXPECT_EQ(response.result.end, exchange_end::Lost) << answer << " " << response.result.detail;
+        }
+    }
+}
+
+TEST(early_answers, a_reset_while_the_request_is_written_does_not_end_an_answer)
+{
+    for (const std::size_t readBytes : { 1, 65'536, 1'048'576, 8'388'608 }) {
+        for (int sent = 0; sent < 10; ++sent) {
+            const auto response = exchangeWith([readBytes](tcp_handle& connection, std::future<void>) {
+                connection.write("HTTP/1.1 200 OK\r\n\r\nbegin");
+                connection.read(readBytes);
+                connection.reset();
+            });
+            EXPECT_EQ(response.result.end, exchange_end::Lost) << readBytes << " " << response.result.detail;
+        }
+    }
+}
+
 TEST(early_answers, a_connection_that_is_reset_without_an_answer_is_lost)
 {
     const auto response = exchangeWith([](tcp_handle& connection, std::future<void>) { connection.reset(); });
