oriolepickd: reject bodies whose chunks are damaged

What callers saw: a target of oriolepickd sent a chunk that was longer than its size, and the caller got the chunks up to there as a complete answer. Sizes such as "2g" and "0x2" and lines without a carriage return were accepted, too.

Cause: the HTTP library ends a body as complete where a chunk is not followed by the end of a line, and reads a size up to the first byte that it does not know. The check of responses before the library looked at heads only. Found while looking for further responses that the library accepts; the parser of the gateway rejects them.

Change: the guard checks the framing of chunked bodies, too, before the library gets the bytes.

--- a/node/test/cut_responses.cpp
+++ b/node/test/cut_responses.cpp
@@ -53,6 +53,11 @@
     { "a cut chunk",
         [](const std::string&) { return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc"); },
         false },
+    { "a chunk longer than its size",
+        [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n" + body.substr(0, 10) + "\r\n0\r\n\r\n";
+        },
+        false },
     { "the size of the last chunk is cut",
         [](const std::string&) {
             return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0");
--- a/standins/test/malformed_responses.cpp
+++ b/standins/test/malformed_responses.cpp
@@ -4,6 +4,7 @@
 #include "core/test/ample_memory.h"
 #include "standins/test/recording_sink.h"
 #include "standins/test/silent_listener.h"
+#include "targets/chunk_framing.h"
 #include "targets/http_service_client.h"
 #include "targets/response_guard.h"
 
@@ -131,6 +132,25 @@
     }
 }
 
+TEST(malformed_responses, a_body_whose_chunks_are_damaged_may_have_run)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string body : { "2\r\nabX\r\n2\r\ncd\r\n0\r\n\r\n", "2\r\nab\r\n2\r\ncdX\r\n0\r\n\r\n",
+             "2\r\nab\n0\r\n\r\n", "2\nab\r\n0\r\n\r\n", "2g\r\nab\r\n0\r\n\r\n", "0x2\r\nab\r\n0\r\n\r\n",
+             "+2\r\nab\r\n0\r\n\r\n", " 2\r\nab\r\n0\r\n\r\n", "2 x\r\nab\r\n0\r\n\r\n", "2\r\nab\r\n0x\r\n\r\n",
+             "2\r\nab\r\n-1\r\ncd\r\n0\r\n\r\n", "2\r\nab\r\n\r\n0\r\n\r\n", "2;a\nab\r\n0\r\n\r\n",
+             "10000000000000002\r\nab\r\n0\r\n\r\n", "\r\n" }) {
+        const auto outcome = callWith(head + body);
+        EXPECT_EQ(outcome.kind, service_outcome_kind::MayHaveRun) << body << " read as " << outcome.body;
+    }
+    for (const std::string body : { "4\r\ngood\r\n0\r\n\r\n", "02\r\ngo\r\n2;x=\"y\";z\r\nod\r\n000\r\n\r\n",
+             "2 \r\ngo\r\n2 ;x\r\nod\r\n0\r\n\r\n" }) {
+        const auto outcome = callWith(head + body);
+        EXPECT_EQ(outcome.kind, service_outcome_kind::Response) << body << " " << outcome.detail;
+        EXPECT_EQ(outcome.body, "good") << body;
+    }
+}
+
 TEST(malformed_responses, an_engine_stream_with_another_status_is_broken)
 {
     const auto whole = engineResponse();
@@ -178,6 +198,22 @@
     }));
 }
 
+TEST(malformed_responses, the_guard_judges_chunks_in_any_pieces)
+{
+    EXPECT_TRUE(rc::check("chunks", [] {
+        const std::string size = *rc::gen::element<std::string>("a", "A", "0a", "a;x", "9", "b", "a\n");
+        const std::string body = size + "\r\n0123456789\r\n" + chunked(std::string(300, 'x')) + "0\r\n\r\n";
+        chunk_framing framing;
+        bool taken = true;
+        for (std::size_t at = 0; at < body.size() && taken;) {
+            const auto count = *rc::gen::inRange<std::size_t>(1, 64);
+            taken = framing.take(std::string_view(body).substr(at, count));
+            at += count;
+        }
+        RC_ASSERT(taken == (size != "9" && size != "b" && size != "a\n"));
+    }));
+}
+
 TEST(malformed_responses, guard_gives_one_verdict_for_any_pieces)
 {
     EXPECT_TRUE(rc::check("pieces", [] {
--- a/targets/response_guard.cpp
+++ b/targets/response_guard.cpp
@@ -7,8 +7,14 @@
 bool response_guard::take(std::string_view bytes)
 {
     while (m_inHead && !bytes.empty()) {
-        if (!takeHead(bytes))
+        if (!takeHead(bytes)) {
+            m_fault = m_head.fault();
             return false;
+        }
+    }
+    if (m_head.isChunked() && !m_chunks.take(bytes)) {
+        m_fault = "malformed chunk";
+        return false;
     }
     m_unusedBytes += bytes.size();
     return m_unusedBytes <= MaxUnusedBytes;
--- a/targets/response_guard.h
+++ b/targets/response_guard.h
@@ -2,6 +2,7 @@
 /// Limits on what an HTTP response may contain before the HTTP library reads it.
 #pragma once
 
+#include "targets/chunk_framing.h"
 #include "targets/response_head.h"
 
 #include <cstddef>
@@ -12,7 +13,7 @@
 
 /// Scans the bytes of a response as they arrive. The HTTP library matches the status line with a recursive regular
 /// expression, which overflows the stack on a long line (a status line of 50 KB ended the process), and collects header
-/// and chunk lines without a limit. The guard ends such responses, and those whose head does not frame the body
+/// and chunk lines without a limit. The guard ends such responses, and those whose head or chunks do not frame the body
 /// unambiguously, before the library sees them.
 class response_guard {
 public:
@@ -27,8 +28,8 @@
     /// Notes that the library gave out a piece of the body.
     void noteProgress() { m_unusedBytes = 0; }
 
-    /// \return what is wrong with the head, empty when nothing is or when the response is too long
-    const std::string& fault() const { return m_head.fault(); }
+    /// \return what is wrong with the head or the chunks, empty when nothing is or when the response is too long
+    const std::string& fault() const { return m_fault; }
 
 private:
     bool takeHead(std::string_view& bytes);
@@ -38,6 +39,8 @@
     bool m_inStatusLine = true;
     std::string m_line; ///< of the head, without its LF
     response_head m_head;
+    chunk_framing m_chunks;
+    std::string m_fault;
     std::size_t m_headBytes = 0;
     std::size_t m_headFields = 0;
     std::size_t m_unusedBytes = 0;
--- a/targets/response_head.h
+++ b/targets/response_head.h
@@ -21,6 +21,8 @@
     /// \return whether another head follows this one
     bool isContinue() const { return m_isContinue; }
 
+    bool isChunked() const { return m_isChunked; }
+
     /// \return what is wrong, empty for nothing
     const std::string& fault() const { return m_fault; }
 
