oriolepickd: reject answers of the platform that are not HTTP

What was seen: the client for the platform's store took a status such as 000, and heads whose fields had blanks or control bytes in their names or control bytes in their values, as what the store answered: a 404 with such a head would mean that a row does not exist. No answer to a caller that this broke was seen.

Change: such a response counts as lost, so that the outcome of a write is unknown.

Evidence, on the code before: ports_malformed_responses 1 of 2 tests failed, with each of its 8 answers. With the change both pass, ports_late_responses too. Not checked here: lengths and chunks; a body that is cut there is no JSON document any more, which the readers reject.

--- a/ports/http_exchange.cpp
+++ b/ports/http_exchange.cpp
@@ -1,5 +1,7 @@
 #include "ports/http_exchange.h"
 
+#include "core/http_syntax.h"
+
 #include <httplib.h>
 
 #include <algorithm>
@@ -42,6 +44,19 @@
         }
     }
 
+    /// Checks what the HTTP library accepts although it is not HTTP.
+    /// \return what is wrong, empty for nothing
+    std::string findFault(const httplib::Response& response)
+    {
+        if (!isStatusCode(response.status))
+            return std::to_string(response.status) + " is not a status code";
+        for (const auto& [name, value] : response.headers) {
+            if (!isToken(name) || hasControlCharacter(value))
+                return "a header has characters that are not allowed";
+        }
+        return {};
+    }
+
 } // namespace
 
 struct http_exchange::connection {
@@ -129,6 +144,8 @@
             return lostResponse("it is longer than " + std::to_string(m_state->maxResponseBytes) + " bytes");
         return errorFor(received.error());
     }
+    if (const auto fault = findFault(*received); !fault.empty())
+        return lostResponse(fault);
     response.status = received->status;
     response.storeEpoch = received->get_header_value("Store-Epoch");
     keepConnection(std::move(used));
