--- a/gateway/test/http_parser.cpp
+++ b/gateway/test/http_parser.cpp
@@ -150,6 +150,16 @@
     EXPECT_EQ(responseErrorOf(start + "Transfer-Encoding: Chunked\r\n\r\n0\r\n\r\n"), parse_error::None);
 }
 
+TEST(ResponseParser, RejectsDamagedChunks)
+{
+    for (const std::string body :
+        { "2\r\nabX\r\n2\r\ncd\r\n0\r\n\r\n", "2\r\nab\n0\r\n\r\n", "2g\r\nab\r\n0\r\n\r\n", "0x2\r\nab\r\n0\r\n\r\n",
+            "+2\r\nab\r\n0\r\n\r\n", "2 x\r\nab\r\n0\r\n\r\n", "2\r\nab\r\n0\r\nX Y: z\r\n\r\n" })
+        EXPECT_EQ(
+            responseErrorOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body), parse_error::Malformed)
+            << body;
+}
+
 // The parser must not read beyond the bytes it has, of which the last may end a line.
 TEST(ResponseParser, RejectsALineThatBeginsWithWhiteSpaceInAnyPieces)
 {
--- a/standins/test/malformed_responses.cpp
+++ b/standins/test/malformed_responses.cpp
@@ -83,6 +83,17 @@
     }
 }
 
+TEST(malformed_responses, the_guard_knows_every_status_code)
+{
+    for (int code = 0; code <= 999; ++code) {
+        std::string digits = std::to_string(code);
+        digits.insert(0, 3 - digits.size(), '0');
+        response_guard guard;
+        const bool isExpected = code == 100 || (code >= 200 && code <= 599);
+        EXPECT_EQ(guard.take("HTTP/1.1 " + digits + " X\r\n"), isExpected) << digits;
+    }
+}
+
 TEST(malformed_responses, only_tokens_are_names_of_fields)
 {
     constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
