Clarify comments of the readers of responses

From reading the change again: the reason why the line of a field may be read beyond its name, the trailer of a chunked body, and the fault of a target's connection. No code changes.

--- a/gateway/http_parser.cpp
+++ b/gateway/http_parser.cpp
@@ -58,8 +58,8 @@
     }
 
     // Finds a field whose line goes on in the next one (obs-fold). The library joins the two, so a line that should
-    // have been a field of its own, such as the length of the body, would become a part of a value. \param name the
-    // name within the line, which ends with a line feed and at least one byte after it
+    // have been a field of its own, such as the length of the body, would become a part of a value. The name lies
+    // within the input, where the library has seen the end of its line and one byte more.
     bool isFolded(view name)
     {
         const auto* end = name.data() + name.size();
--- a/targets/chunk_framing.cpp
+++ b/targets/chunk_framing.cpp
@@ -88,7 +88,7 @@
     return next == '\n';
 }
 
-// The library reads the trailer and ends the response as incomplete when it is cut.
+// Takes the trailer, which the library reads itself: it ends a response with a cut one as incomplete.
 bool chunk_framing::ignore(char)
 {
     return true;
--- a/targets/target_socket.h
+++ b/targets/target_socket.h
@@ -50,10 +50,7 @@
     void noteProgress() { m_guard.noteProgress(); }
 
     socket_end end() const { return m_end; }
-    const std::string& fault() const
-    {
-        return m_guard.fault();
-    } ///< what is wrong with the response, see response_guard
+    const std::string& fault() const { return m_guard.fault(); } ///< see response_guard
     bool wasRefused() const { return m_refused; } ///< connect() found that nobody listens
     bool hasSent() const { return m_sent; } ///< whether any byte left this process
     int descriptor() const { return m_socket; }
