Hold back removed targets whatever their renewal counts say

What callers saw: after the gateway that reads the store was killed while a worker left, a renewal of that worker that the store performed late brought it back.

Cause: a removed target counted as alive once its entry had more than three renewals above the last known one. Renewals are not passed on, so a node that takes over reading knows the count of the registration only. Nodes that started, or read the whole table after a freeze, did not know the removal.

Change: an incarnation that was removed is not used for 10 s from the removal, and then only if it is still registered. Nodes tell each other which targets drain or were removed, with each pull and after a node has read the whole table by itself. A removal from before a row that another node has sent is not applied to that row.

Why it works: late writes are performed and expire within that time, and the rule needs no count that a node may lack.

Tests changed: TargetTracker.ExpiredTargetReturnsWithANewerRenewal asked for the use of a target at the moment of its removal, because it had five renewals more; a late renewal looks the same. It asks for its use after 10 s now, and for none before. RemovedTargetInARestoredRegistryIsNotUsed asked for it 7 s after the removal; 10 s now.

--- a/gateway/gateway_message_codec.cpp
+++ b/gateway/gateway_message_codec.cpp
@@ -368,6 +368,14 @@
     encoded.set_plain_bytes(rows.plainBytes);
     if (batch.sinceRecovery)
         encoded.set_since_recovery_ms(clampedAgeMs(*batch.sinceRecovery));
+    for (const auto& departure : batch.departures) {
+        auto& added = *encoded.add_departures();
+        added.set_target(departure.target.value());
+        added.set_incarnation(departure.last.incarnation);
+        added.set_renewal(departure.last.renewal);
+        if (departure.sinceRemoval)
+            added.set_since_removal_ms(clampedAgeMs(*departure.sinceRemoval));
+    }
     return encoded.SerializeAsString();
 }
 
@@ -396,6 +404,14 @@
     if (encoded.has_since_recovery_ms())
         batch.sinceRecovery = std::chrono::milliseconds(encoded.since_recovery_ms());
     batch.whole = encoded.whole();
+    for (const auto& each : encoded.departures()) {
+        if (each.target().empty() || each.target().size() > MaxNameBytes || each.since_removal_ms() > MaxAgeMs)
+            return std::nullopt;
+        target_departure departure { target_name(each.target()), { each.incarnation(), each.renewal() }, std::nullopt };
+        if (each.has_since_removal_ms())
+            departure.sinceRemoval = std::chrono::milliseconds(each.since_removal_ms());
+        batch.departures.push_back(std::move(departure));
+    }
     for (auto& row : *rows->mutable_rows())
         batch.rows.push_back(
             { std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.removed(), row.revision() });
--- a/gateway/news_batch.h
+++ b/gateway/news_batch.h
@@ -4,6 +4,7 @@
 
 #include "gateway/row_source.h"
 #include "routing/content_revision.h"
+#include "routing/target_departure.h"
 
 #include <chrono>
 #include <cstdint>
@@ -21,6 +22,9 @@
     std::optional<std::chrono::milliseconds> sinceRecovery;
     bool whole = false; ///< the batch contains all rows; rows that are not listed do not exist
     std::vector<stored_row> rows;
+    /// Known to the sender, if the rows are registrations. They go before the rows: of a target that was removed and
+    /// whose late renewal followed, there is one row only.
+    std::vector<target_departure> departures {};
 };
 
 } // namespace oriolepick
--- a/gateway/store_synchronizer.cpp
+++ b/gateway/store_synchronizer.cpp
@@ -26,6 +26,7 @@
     /// A node whose pull is refused can pull from another node that has loaded the table by then.
     constexpr std::chrono::milliseconds WholeTableBacklog { 200 };
     constexpr std::string_view AllRows = "all"; ///< in place of a revision, from a node without the table
+    constexpr std::string_view DeparturesPage = "departures";
     constexpr std::array<std::string_view, StoreTopicCount> TopicNames { "configuration", "targets" };
 
     std::string_view nameOf(store_topic topic)
@@ -89,6 +90,8 @@
             readStore(*tableToRead);
         else if (const auto* adopted = std::get_if<adopt_revision>(&action))
             stateOf(adopted->topic).follower.adoptRevision(adopted->changeRevision);
+        else if (const auto* question = std::get_if<ask_departures>(&action))
+            pullDepartures(question->from);
         else
             m_callbacks.onStoreRecovered(std::get<store_recovered>(action).at);
     }
@@ -157,6 +160,20 @@
     perform(m_gossip.pulled(topic, follower.version(startedAt - batch->age), now));
 }
 
+void store_synchronizer::pullDepartures(const node_id& from)
+{
+    m_metrics.count("departure_pulls");
+    m_departurePull = std::make_shared<http_client>(m_loop, m_timers, from.value(), MaxPullBytes);
+    m_departurePull->get(
+        concatenated("/news/", DeparturesPage), PullTimeout, [this, from](const http_client_response& response) {
+            const auto batch = response.status == Success ? decodeBatch(response.body) : std::nullopt;
+            if (batch)
+                stateOf(store_topic::Targets).follower.mergeDepartures(batch->departures);
+            else
+                m_log.write("departures_not_given", { { "from", from.value() }, { "problem", response.problem } });
+        });
+}
+
 void store_synchronizer::readStore(const read_store& read)
 {
     const auto startedAt = m_timers.now();
@@ -216,6 +233,8 @@
         perform(m_gossip.readEnded(read, old, now));
         return;
     }
+    if (!after && read.topic == store_topic::Targets)
+        m_gossip.targetsReplaced(now);
     perform(m_gossip.readEnded(read, state.follower.version(startedAt), now));
     logReaderChange();
 }
@@ -249,6 +268,11 @@
     takeUntil(target, '/');
     const auto page = takeUntil(target, '/');
     const auto name = takeUntil(target, '/');
+    if (page == "news" && name == DeparturesPage) {
+        news_batch known;
+        known.departures = stateOf(store_topic::Targets).follower.departures();
+        return encodeBatch(known);
+    }
     const auto found = std::find(TopicNames.begin(), TopicNames.end(), name);
     if (page != "news" || found == TopicNames.end())
         return std::nullopt;
@@ -258,7 +282,7 @@
     const auto asOf = m_gossip.asOf(topic);
     if (!asOf || (!revision && target != AllRows))
         return std::nullopt;
-    auto batch = state.follower.replica().changesAfter(revision);
+    auto batch = state.follower.changesAfter(revision);
     batch.age = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - *asOf);
     batch.sinceRecovery = m_gossip.sinceRecovery(m_timers.now());
     if (!batch.whole)
--- a/gateway/store_synchronizer.h
+++ b/gateway/store_synchronizer.h
@@ -71,7 +71,7 @@
 
     /// Answers a pull request of another node.
     /// \param target "/news/TOPIC/NUMBER/EPOCH/VERSION", or "/news/TOPIC/all"; nodes of earlier releases omit epoch and
-    /// version
+    /// version. Or "/news/departures", for a batch without rows
     /// \return the encoded changes; nothing when \p target is malformed, the topic is not loaded here, or the share of
     /// the link for whole tables is used up
     std::optional<std::string> answer(std::string_view target);
@@ -106,6 +106,7 @@
     void pull(store_topic topic, const node_id& from);
     void onPulled(store_topic topic, const node_id& from, const content_revision& requestedRevision, instant startedAt,
         const http_client_response& response);
+    void pullDepartures(const node_id& from);
     void readStore(const read_store& read);
     void readWhole(const read_store& read, instant startedAt);
     void onRead(
@@ -121,6 +122,7 @@
     gateway_metrics& m_metrics;
     std::chrono::milliseconds m_bound;
     store_gossip m_gossip;
+    std::shared_ptr<http_client> m_departurePull;
     byte_rate_limiter m_wholeTableLimiter;
     timer_handle m_timer = 0;
     instant m_timerAt = instant::max();
--- a/gateway/table_follower.cpp
+++ b/gateway/table_follower.cpp
@@ -48,8 +48,27 @@
     return known;
 }
 
+news_batch table_follower::changesAfter(const std::optional<content_revision>& changeRevision) const
+{
+    auto batch = m_replica.changesAfter(changeRevision);
+    batch.departures = departures();
+    return batch;
+}
+
+std::vector<target_departure> table_follower::departures() const
+{
+    return m_consumer.departures ? m_consumer.departures() : std::vector<target_departure> {};
+}
+
+void table_follower::mergeDepartures(const std::vector<target_departure>& departures)
+{
+    if (m_consumer.onDepartures && !departures.empty())
+        m_consumer.onDepartures(departures);
+}
+
 bool table_follower::mergePulled(const news_batch& received, const content_revision& requestedRevision)
 {
+    mergeDepartures(received.departures);
     const auto batch = withKnownEpoch(received);
     // Changes that arrived by another way in the meantime may be newer than this batch.
     const auto isNewerThanReplica = [&] {
--- a/gateway/table_follower.h
+++ b/gateway/table_follower.h
@@ -7,12 +7,14 @@
 #include "routing/store_gossip.h"
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace oriolepick {
 
 struct news_batch;
 struct row_answer;
+struct target_departure;
 
 /// Keeps the replica of a table and passes its rows to the component that uses them. Not synchronized.
 class table_follower {
@@ -25,6 +27,9 @@
         std::function<void(const stored_row&)> onChange; ///< called with a changed or removed row
         table_replica::row_version versionOf {}; ///< see table_replica
         table_replica::revision_condition keepsRevision {}; ///< see table_replica
+        std::function<std::vector<target_departure>()> departures {}; ///< returns what is sent with the rows
+        /// Called with what another node has sent, before its rows are applied.
+        std::function<void(const std::vector<target_departure>&)> onDepartures {};
     };
 
     explicit table_follower(consumer rows);
@@ -39,9 +44,18 @@
     /// \return whether the answer is at least as new as the replica; otherwise nothing is merged
     bool mergeRead(const row_answer& answer, bool whole);
 
-    /// Merges rows of another node, and passes them to the consumer.
+    /// Returns what another node lacks, see table_replica::changesAfter().
+    news_batch changesAfter(const std::optional<content_revision>& changeRevision) const;
+
+    /// \return the departures that are known here
+    std::vector<target_departure> departures() const;
+
+    /// Passes departures that another node knows to the consumer.
+    void mergeDepartures(const std::vector<target_departure>& departures);
+
+    /// Merges rows and departures of another node, and passes them to the consumer.
     /// \param requestedRevision changeRevision() of the replica when the rows were requested
-    /// \return whether the batch is newer than the replica; otherwise nothing is merged
+    /// \return whether the batch is newer than the replica; otherwise only the departures are merged
     bool mergePulled(const news_batch& batch, const content_revision& requestedRevision);
 
     /// \return the version held here, which matched the store at \p asOf
--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -86,7 +86,7 @@
     std::vector<std::optional<std::uint64_t>> versions; // of the updates
     for (const auto& row : rows) {
         if (row.removed && !m_rows.count(row.key)) {
-            store(kept(row), std::nullopt);
+            store(kept(row), std::nullopt, readRevision);
             continue;
         }
         if (row.removed)
@@ -98,7 +98,7 @@
             updates.push_back(kept(row));
             versions.push_back(version);
         } else if (effect == row_effect::Renewal) {
-            store(row, version);
+            store(row, version, readRevision);
         }
     }
     for (const auto& [key, held] : m_rows) {
@@ -107,7 +107,7 @@
     }
     versions.resize(updates.size());
     for (std::size_t index = 0; index < updates.size(); ++index)
-        store(updates[index], versions[index]);
+        store(updates[index], versions[index], readRevision);
     m_loaded = true;
     m_readRevision = std::max(m_readRevision, readRevision);
     if (first || restored)
@@ -122,12 +122,15 @@
 {
     std::vector<stored_row> updates;
     for (const auto& row : rows) {
+        if (!pulledRevision && isFormerRemoval(row, readRevision))
+            continue;
         const auto version = row.removed ? std::nullopt : versionOf(row);
         const auto effect = pulledRevision ? effectOfPulled(row, version, false) : effectOf(row, version);
         if (effect == row_effect::Outdated)
             continue;
         const auto applied = kept(row);
-        store(applied, version);
+        store(applied, version,
+            pulledRevision ? pulledRevision->stored : store_version { readRevision.epoch(), row.revision });
         if (effect == row_effect::Update)
             updates.push_back(applied);
         if (apply)
@@ -139,6 +142,15 @@
     return updates;
 }
 
+// Returns whether the removal came before the row that this node holds, which another node has sent while the changes
+// were read: the target has started again since.
+bool table_replica::isFormerRemoval(const stored_row& row, const store_version& readRevision) const
+{
+    const auto held = m_rows.find(row.key);
+    return row.removed && row.revision && held != m_rows.end()
+        && store_version { readRevision.epoch(), row.revision } <= held->second.seenAt;
+}
+
 std::uint64_t table_replica::keptRevision(const stored_row& row) const
 {
     return m_keepsRevision && m_keepsRevision(row) ? row.revision : 0;
@@ -152,7 +164,9 @@
     return { row.key, lacksValue ? known->second.value : row.value, row.removed, keptRevision(row) };
 }
 
-void table_replica::store(const stored_row& row, const std::optional<std::uint64_t>& version)
+// \param seenAt revision of the store as of which the row is known
+void table_replica::store(
+    const stored_row& row, const std::optional<std::uint64_t>& version, const store_version& seenAt)
 {
     m_removals.erase(std::remove_if(m_removals.begin(), m_removals.end(),
                          [&row](const stored_row& removal) { return removal.key == row.key; }),
@@ -161,7 +175,7 @@
         m_rows.erase(row.key);
         recordRemoval(row);
     } else {
-        m_rows[row.key] = { row.value, version, keptRevision(row) };
+        m_rows[row.key] = { row.value, version, keptRevision(row), seenAt };
     }
 }
 
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -93,6 +93,7 @@
         shared_text value;
         std::optional<std::uint64_t> version; // reading it from the value may cost as much as decoding the value
         std::uint64_t revision = 0; // 0 if it is not kept
+        store_version seenAt; // the store contained the row then
     };
     struct batch {
         content_revision revision;
@@ -106,9 +107,10 @@
     std::optional<std::uint64_t> versionOf(const stored_row& row) const;
     std::optional<std::uint64_t> heldVersionOf(const std::string& key) const;
     bool hasChanged(const stored_row& row) const;
+    bool isFormerRemoval(const stored_row& row, const store_version& readRevision) const;
     std::uint64_t keptRevision(const stored_row& row) const;
     stored_row kept(const stored_row& row) const;
-    void store(const stored_row& row, const std::optional<std::uint64_t>& version);
+    void store(const stored_row& row, const std::optional<std::uint64_t>& version, const store_version& seenAt);
     void recordRemoval(const stored_row& row);
     content_revision revisionOf(
         const std::vector<stored_row>& updates, const std::optional<content_revision>& pulledRevision) const;
--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -383,10 +383,27 @@
     EXPECT_FALSE(sent(retry_share_answer { 7, 1'000'000 }));
 }
 
+TEST(GatewayMessageCodec, DeparturesRoundTrip)
+{
+    news_batch batch;
+    batch.departures.push_back({ target_name("t1"), { 1'700'000'000'000, 80 }, 4s });
+    batch.departures.push_back({ target_name("t2"), { 2, 3 }, std::nullopt });
+    const auto decoded = decodeBatch(encodeBatch(batch));
+    ASSERT_TRUE(decoded);
+    ASSERT_EQ(decoded->departures.size(), 2U);
+    EXPECT_EQ(decoded->departures[0].target.value(), "t1");
+    EXPECT_EQ(decoded->departures[0].last, (registration_version { 1'700'000'000'000, 80 }));
+    EXPECT_EQ(decoded->departures[0].sinceRemoval, 4s);
+    EXPECT_FALSE(decoded->departures[1].sinceRemoval);
+    batch.departures.push_back({ target_name(), { 2, 3 }, std::nullopt });
+    EXPECT_FALSE(decodeBatch(encodeBatch(batch))) << "names no target";
+}
+
 RC_GTEST_PROP(GatewayMessageCodec, MutatedMessagesAreDecodedOrDropped,
     (const std::vector<std::pair<std::uint16_t, char>>& changed))
 {
     news_batch small { changedAt(7), storedAt(8), 5ms, 9ms, false, { { "key", "value", false } } };
+    small.departures.push_back({ target_name("t1"), { 1, 80 }, 4s });
     news_batch large { changedAt(7), storedAt(8), 5ms, std::nullopt, true,
         { { "key", std::string(5'000, 'v'), false } } };
     membership_message message { { node_id("n"), availability_zone("z"), region_name("r"), member_state::Alive, 1 },
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -38,6 +38,25 @@
     EXPECT_TRUE(replica.changesAfter(changedAt(15)).rows.empty());
 }
 
+// Guards against a target that has started again and is removed, because the removal of its earlier start is read after
+// another node has sent the new registration.
+TEST(TableReplica, ARemovalFromBeforeThePulledRowIsNotApplied)
+{
+    table_replica replica;
+    std::vector<std::string> applied;
+    const auto apply = [&applied](const stored_row& row) { applied.push_back((row.removed ? "-" : "+") + row.key); };
+    replica.replaceAll({ row("a", "1"), row("b", "1") }, storedAt(10));
+    replica.applyChanges({ row("a", "2") }, storedAt(20), changedAt(20), apply);
+    applied.clear();
+    const stored_row former { "a", {}, true, 15 };
+    const stored_row later { "a", {}, true, 25 };
+    const stored_row other { "b", {}, true, 15 };
+    replica.applyChanges({ former, other }, storedAt(22), {}, apply);
+    EXPECT_EQ(applied, (std::vector<std::string> { "-b" }));
+    replica.applyChanges({ later }, storedAt(26), {}, apply);
+    EXPECT_EQ(applied.back(), "-a");
+}
+
 TEST(TableReplica, NodeWithoutATableGetsAllRows)
 {
     table_replica replica;
--- a/routing/store_gossip.cpp
+++ b/routing/store_gossip.cpp
@@ -54,6 +54,7 @@
     , m_schedule(makeReaderScheduleSettings(bound), rankNumber(self), readsAtStart, startedAt)
     , m_pullTimeout(bound / PullTimeoutDivisor)
     , m_antiEntropyAt(startedAt)
+    , m_questionRandom(rankNumber(self))
 {
 }
 
@@ -67,6 +68,8 @@
     const auto rank = std::count_if(m_sameZone.begin(), m_sameZone.end(), before)
         + std::count_if(m_others.begin(), m_others.end(), before);
     m_schedule.setRank(static_cast<std::size_t>(rank), m_sameZone.size() + m_others.size() + 1);
+    if (m_nextQuestionAt == instant::max())
+        m_nextQuestionAt = {}; // no node was known
 }
 
 store_gossip::actions store_gossip::tick(instant now)
@@ -87,11 +90,19 @@
     }
     if (m_sendDigestsAt && now >= *m_sendDigestsAt)
         sendDigests(out, now);
+    if (m_departureQuestions && now >= m_nextQuestionAt) {
+        const auto node = randomNode(m_questionRandom);
+        m_nextQuestionAt = node.empty() ? instant::max() : now + m_settings.pullRetryDelay;
+        if (!node.empty()) {
+            --m_departureQuestions;
+            out.emplace_back(ask_departures { node });
+        }
+    }
     if (now >= m_antiEntropyAt) {
         const auto period = holdsAll() ? m_settings.antiEntropyPeriod : m_settings.pullRetryDelay;
         m_antiEntropyAt
             = now + period / 2 + std::chrono::milliseconds(m_random.below(static_cast<std::uint64_t>(period.count())));
-        const auto node = randomNode();
+        const auto node = randomNode(m_random);
         if (!node.empty())
             sendDigest(out, node, false, now);
     }
@@ -104,6 +115,8 @@
     due = std::min(due, mayRead() ? readDueAt() : m_reads.back().startedAt + m_settings.slowReadThreshold);
     if (m_sendDigestsAt)
         due = std::min(due, *m_sendDigestsAt);
+    if (m_departureQuestions)
+        due = std::min(due, m_nextQuestionAt);
     for (const auto& state : m_topics) {
         if (!state.pulling && !state.sources.empty())
             due = std::min(due, state.pullAt);
@@ -365,6 +378,12 @@
     return out;
 }
 
+void store_gossip::targetsReplaced(instant now)
+{
+    m_departureQuestions = m_settings.departureQuestions;
+    m_nextQuestionAt = now;
+}
+
 store_gossip::actions store_gossip::readEarly(instant now)
 {
     actions out;
@@ -450,11 +469,11 @@
     out.emplace_back(send_digest { to, result });
 }
 
-node_id store_gossip::randomNode()
+node_id store_gossip::randomNode(seeded_random& random) const
 {
-    const bool local = !m_sameZone.empty() && (m_others.empty() || m_random.below(m_settings.remoteExchangeInterval));
+    const bool local = !m_sameZone.empty() && (m_others.empty() || random.below(m_settings.remoteExchangeInterval));
     const auto& nodes = local ? m_sameZone : m_others;
-    return nodes.empty() ? node_id() : nodes[m_random.below(nodes.size())];
+    return nodes.empty() ? node_id() : nodes[random.below(nodes.size())];
 }
 
 } // namespace oriolepick
--- a/routing/store_gossip.h
+++ b/routing/store_gossip.h
@@ -48,7 +48,13 @@
     instant at; ///< time of the first read after the outage
 };
 
-using gossip_action = std::variant<send_digest, pull_changes, read_store, adopt_revision, store_recovered>;
+/// Ask \c from which targets leave or have left, see target_tracker::departures().
+struct ask_departures {
+    node_id from;
+};
+
+using gossip_action
+    = std::variant<send_digest, pull_changes, read_store, adopt_revision, store_recovered, ask_departures>;
 
 /// Version of a topic that this node holds after a pull or a read.
 struct topic_version {
@@ -82,6 +88,9 @@
     /// A read that takes longer is announced like a failed one, since otherwise each of the other nodes would start
     /// a read meanwhile. This node need not wait for its end either.
     std::chrono::milliseconds slowReadThreshold { 150 };
+    /// Number of nodes that are asked which targets leave or have left, after the whole table of targets was read. One
+    /// of them may have just started.
+    std::uint32_t departureQuestions = 3;
     std::size_t sources = 4; ///< number of remembered nodes that hold a newer version than this node
 };
 
@@ -129,6 +138,10 @@
     /// Records the end of a read from the store; no version if the read failed.
     actions readEnded(const read_store& read, const std::optional<topic_version>& version, instant now);
 
+    /// Records that all registrations were read from the store: they may be late renewals, whose targets were removed
+    /// when this node did not follow the store.
+    void targetsReplaced(instant now);
+
     /// Reads the store ahead of schedule if this node is the reader. Called on a problem that a change in the store
     /// may explain.
     actions readEarly(instant now);
@@ -186,7 +199,7 @@
     void sendDigests(actions& out, instant now);
     void sendDigest(actions& out, const node_id& to, bool isReply, instant now);
     bool isLocal(const node_id& node) const;
-    node_id randomNode();
+    node_id randomNode(seeded_random& random) const;
 
     store_gossip_settings m_settings;
     node_id m_self;
@@ -205,6 +218,9 @@
     std::optional<instant> m_lastKnownRead; // by any node
     instant m_availableSince; // first of the known reads that followed each other without an outage
     std::uint64_t m_epoch = 0; // of the store, the latest that is known
+    std::uint32_t m_departureQuestions = 0; // still to be asked
+    instant m_nextQuestionAt;
+    seeded_random m_questionRandom; // chooses who is asked, so that questions change nothing about the digests
     std::vector<read_in_progress> m_reads; // oldest first
     std::uint64_t m_lastRead = 0; // number of the newest read
 };
--- a/routing/target_tracker.h
+++ b/routing/target_tracker.h
@@ -20,6 +20,7 @@
 namespace oriolepick {
 
 class seeded_random;
+struct target_departure;
 
 /// The registration of a target.
 struct target_entry {
@@ -53,9 +54,14 @@
     /// Renewals that a target may have sent before its removal without their being known: a registration expires after
     /// three missed renewals. They may reach the registry after the removal.
     std::uint64_t maxUnseenRenewals = 3;
-    /// How long a target that was removed before it was known is not used: late renewals arrive within seconds, and a
-    /// target hardly ever restarts under the same name. Its registration is kept until then.
-    std::chrono::milliseconds unknownRemovalHold { 10'000 };
+    /// How long the incarnation of a removed target is not used when it is registered again: a renewal that it wrote
+    /// before its removal may reach the registry seconds later, and its registration then expires after three missed
+    /// renewals. The number of renewals does not tell them apart, because only the reader of the registry knows it. The
+    /// registration is kept until then, as is any registration of a target that was removed before it was known.
+    std::chrono::milliseconds removalHold { 10'000 };
+    /// Renewals after which a registration that appears is not the first one of its incarnation: the first ones may be
+    /// late.
+    std::uint64_t maxFirstRenewals = 8;
     /// Penalty for a target in another zone, as load in slots. A request to another zone costs a millisecond and
     /// charged traffic; a place in a queue costs more.
     double crossZonePenalty = 0.02;
@@ -119,7 +125,10 @@
     bool isOutdated(const target_entry& entry) const;
 
     /// Adds or renews a registration. An outdated one is ignored, and a draining target remains draining until its
-    /// removal, because renewals may reach the registry late.
+    /// removal, because renewals may reach the registry late. An incarnation that was removed, other than by an outage
+    /// of the registry, is used target_tracker_settings::removalHold after its removal, if it is still registered then.
+    /// In that time after the first registrations were known, this also holds for a target that was not among them and
+    /// is no new incarnation: it may have been removed just before.
     ///
     /// Of several targets with one address, one is used: the last one that was renewed, at first the one that started
     /// last. An entry may be another writer's, which renews nothing. So an entry that names another service than is
@@ -132,6 +141,18 @@
     /// \param last the last registration that another node knew, if any
     void remove(const target_name& target, instant now, const std::optional<target_entry>& last = {});
 
+    /// Records that \p last is the last registration of a target that was removed at some time. Whether it may return
+    /// is not known.
+    void recordFormerRemoval(const target_entry& last, instant now);
+
+    /// \return what other nodes must know about targets that leave or have left: the registry may show them a late
+    /// renewal in place of a removal that they have missed
+    std::vector<target_departure> departures(instant now) const;
+
+    /// Applies the departures that another node knows. An incarnation that was removed is not used for as long as at
+    /// that node, although the registry may contain it.
+    void mergeDepartures(const std::vector<target_departure>& departures, instant now);
+
     /// Records that another writer's entry, which names no target, stands in place of the registration of \p target.
     /// The target gets no new requests until its next renewal.
     void recordOverwritten(const target_name& target);
@@ -262,11 +283,17 @@
         std::optional<registration_version> last; // the last one known, unless the target was not known
         instant at;
         bool mayReturn; // the registration may have expired in an outage of the registry
-        std::optional<target_entry> held; // registered again, used after unknownRemovalHold
+        std::optional<target_entry> held; // registered again, used after removalHold
+        bool isReported = false; // by the registry; otherwise the target was only missing in a table that was read
     };
 
     bool holdBack(const target_entry& entry, instant now);
+    removal_record* removalBefore(const target_entry& entry, instant now);
+    bool isRegistered(const target_name& target) const;
     bool contradicts(const target_entry& entry) const;
+    void mergeRemoval(const target_departure& departure, instant at);
+    removal_record& recordRemoval(const target_name& target, instant now, const std::optional<target_entry>& last);
+    void admit(const target_entry& entry);
     bool holdUnconfirmed(const target_entry& entry);
     void dropUnconfirmed(const target_name& target);
     void refuteOthers(const target_entry& renewed);
@@ -285,6 +312,7 @@
     std::map<target_name, unconfirmed_entry> m_unconfirmed;
     address_claims m_claims;
     std::optional<instant> m_registryRecoveredAt;
+    std::optional<instant> m_loadedAt; // when the registrations were first known
 };
 
 } // namespace oriolepick
--- a/routing/target_tracker_registrations.cpp
+++ b/routing/target_tracker_registrations.cpp
@@ -2,6 +2,8 @@
 /// Registrations of targets: their order, removals, and the owners of addresses.
 #include "routing/target_tracker.h"
 
+#include "routing/target_departure.h"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -38,27 +40,53 @@
         <= removal->second.last->after(removal->second.mayReturn ? 0 : m_settings.maxUnseenRenewals);
 }
 
-// Returns whether a target that was removed before this node knew it is not added yet: the entry may be a late renewal.
-bool target_tracker::holdBack(const target_entry& entry, instant now)
+bool target_tracker::isRegistered(const target_name& target) const
+{
+    const auto known = m_targets.find(target);
+    return known != m_targets.end() && !(known->second.expiresAt && wasRemovedForGood(target));
+}
+
+// Returns the removal that the entry may have been written before, or null. A node that has just started does not know
+// the last removals.
+target_tracker::removal_record* target_tracker::removalBefore(const target_entry& entry, instant now)
 {
     const auto removal = m_removals.find(entry.name);
-    if (m_targets.count(entry.name) || removal == m_removals.end() || removal->second.last
-        || now >= removal->second.at + m_settings.unknownRemovalHold)
+    if (removal != m_removals.end()) {
+        const auto& last = removal->second.last;
+        const bool mayBeLate = !last || (!removal->second.mayReturn && entry.startedAt == last->incarnation);
+        return mayBeLate ? &removal->second : nullptr;
+    }
+    const bool isUnexplained = m_loadedAt && !isInGrace(now) && entry.renewalCount > m_settings.maxFirstRenewals;
+    if (!isUnexplained || now >= *m_loadedAt + m_settings.removalHold)
+        return nullptr;
+    return &m_removals.try_emplace(entry.name, removal_record { {}, *m_loadedAt, false, {} }).first->second;
+}
+
+// Returns whether the entry is not used yet, because it may be a late renewal of a removed target.
+bool target_tracker::holdBack(const target_entry& entry, instant now)
+{
+    if (isRegistered(entry.name))
         return false;
-    removal->second.held = entry;
+    auto* const removal = removalBefore(entry, now);
+    if (!removal || now >= removal->at + m_settings.removalHold)
+        return false;
+    removal->held = entry;
     return true;
 }
 
-// Nodes that do not read the registry receive no further renewals of a target that was held back.
+// Nodes that do not read the registry receive no further renewals of a target that was held back. No late renewal can
+// have kept it registered for so long, whatever its number is.
 void target_tracker::admitHeld(instant now)
 {
     std::vector<target_entry> admitted;
     for (auto& [name, removal] : m_removals) {
-        if (removal.held && now >= removal.at + m_settings.unknownRemovalHold)
-            admitted.push_back(*std::exchange(removal.held, std::nullopt));
+        if (removal.held && now >= removal.at + m_settings.removalHold)
+            admitted.push_back(*removal.held);
+    }
+    for (const auto& entry : admitted) {
+        m_removals.erase(entry.name);
+        admit(entry);
     }
-    for (const auto& entry : admitted)
-        put(entry, now);
 }
 
 // Returns whether the entry moves its target, or the address of another target, to another service. A target keeps its
@@ -170,7 +198,16 @@
 
 void target_tracker::put(const target_entry& entry, instant now)
 {
-    if (isOutdated(entry) || holdBack(entry, now) || holdUnconfirmed(entry))
+    if (!isOutdated(entry) && !holdBack(entry, now))
+        admit(entry);
+}
+
+void target_tracker::admit(const target_entry& entry)
+{
+    const auto removal = m_removals.find(entry.name);
+    if (removal != m_removals.end())
+        removal->second.held.reset(); // of an earlier incarnation
+    if (holdUnconfirmed(entry))
         return;
     auto& target = m_targets[entry.name];
     const bool isNewStart = target.entry.startedAt != entry.startedAt || target.entry.address != entry.address;
@@ -196,6 +233,12 @@
 }
 
 void target_tracker::remove(const target_name& target, instant now, const std::optional<target_entry>& last)
+{
+    recordRemoval(target, now, last).isReported = true;
+}
+
+target_tracker::removal_record& target_tracker::recordRemoval(
+    const target_name& target, instant now, const std::optional<target_entry>& last)
 {
     const bool inGrace = isInGrace(now);
     const auto found = m_targets.find(target);
@@ -208,14 +251,76 @@
     if (newest > removal.last)
         removal = { newest, now, inGrace, {} };
     if (found == m_targets.end())
-        return;
+        return removal;
     if (!inGrace && !found->second.inFlight) {
         erase(found);
-        return;
+        return removal;
     }
     if (!inGrace)
         withdrawClaim(found->second.entry.address, target);
     found->second.expiresAt = inGrace ? *m_registryRecoveredAt + m_settings.expiryGrace : now;
+    return removal;
+}
+
+void target_tracker::recordFormerRemoval(const target_entry& last, instant now)
+{
+    if (!m_targets.count(last.name))
+        m_removals.try_emplace(
+            last.name, removal_record { last.registrationVersion(), now - m_settings.removalHold, false, {} });
+}
+
+std::vector<target_departure> target_tracker::departures(instant now) const
+{
+    std::vector<target_departure> known;
+    for (const auto& [name, removal] : m_removals) {
+        if (removal.last && removal.isReported && !removal.mayReturn && now < removal.at + m_settings.removalHold)
+            known.push_back(
+                { name, *removal.last, std::chrono::duration_cast<std::chrono::milliseconds>(now - removal.at) });
+    }
+    for (const auto& [name, target] : m_targets) {
+        if (target.entry.draining && !target.expiresAt)
+            known.push_back({ name, target.entry.registrationVersion(), std::nullopt });
+    }
+    return known;
+}
+
+void target_tracker::mergeDepartures(const std::vector<target_departure>& departures, instant now)
+{
+    for (const auto& departure : departures) {
+        const auto found = m_targets.find(departure.target);
+        const bool isKnown = found != m_targets.end() && found->second.entry.startedAt == departure.last.incarnation;
+        if (!departure.sinceRemoval) {
+            if (isKnown)
+                found->second.entry.draining = true;
+        } else if (*departure.sinceRemoval < m_settings.removalHold) {
+            mergeRemoval(departure, now - *departure.sinceRemoval);
+        }
+    }
+}
+
+void target_tracker::mergeRemoval(const target_departure& departure, instant at)
+{
+    const auto found = m_targets.find(departure.target);
+    const bool isKnown = found != m_targets.end() && found->second.entry.startedAt == departure.last.incarnation;
+    if (found != m_targets.end() && found->second.entry.startedAt > departure.last.incarnation)
+        return; // the target has started again
+    auto& removal = m_removals.try_emplace(departure.target, removal_record { {}, at, false, {} }).first->second;
+    const bool isSameIncarnation = removal.last && removal.last->incarnation == departure.last.incarnation;
+    if (removal.last && !isSameIncarnation && departure.last < *removal.last)
+        return;
+    removal.at = isSameIncarnation || !removal.last ? std::max(removal.at, at) : at;
+    removal.last = isSameIncarnation ? std::max(*removal.last, departure.last) : departure.last;
+    removal.mayReturn = false;
+    removal.isReported = true;
+    if (!isKnown || found->second.expiresAt)
+        return;
+    removal.held = found->second.entry;
+    if (found->second.inFlight) {
+        withdrawClaim(found->second.entry.address, departure.target);
+        found->second.expiresAt = at;
+    } else {
+        erase(found);
+    }
 }
 
 bool target_tracker::isInGrace(instant now) const
@@ -289,7 +394,8 @@
             missing.push_back(name);
     }
     for (const auto& name : missing)
-        remove(name, now);
+        recordRemoval(name, now, {});
+    m_loadedAt = m_loadedAt.value_or(now);
 }
 
 } // namespace oriolepick
