Refuse late requests at a stop unless they are certain to end

Cause: whether a request can end before the cuts was decided by the mean time of half of its maximum length. Longer generations were taken, however late they came.

Change: 0.3 s after the listener is closed, requests come on kept connections only. From there on, what has not run is passed on only if its deadline comes before the cuts; all else is refused as not run, pipelined and waiting requests too. Before that the estimate is of the maximum length at the pace of the slowest recent generations.

Why it works: a deadline is a bound, an estimate is not; the callers of late requests can reach other nodes.

ConnectionsInTheAcceptBacklogAtAStopAreServed is unchanged: it found that the rule must begin later than the listener ends.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -32,6 +32,7 @@
 class response_sink;
 class route_table;
 struct route;
+struct stop_schedule;
 struct team_rules;
 
 /// Created by a caller session, which is also the sink of the response.
@@ -92,7 +93,8 @@
     generation_demand makeGenerationDemand() const;
     std::uint64_t estimatedRemainingEvents() const;
     bool rejectIfDeadlineUnreachable();
-    std::chrono::milliseconds expectedTime() const;
+    std::chrono::milliseconds longestTime() const;
+    bool endsBefore(const stop_schedule& stop) const;
     bool rejectIfEndingAfterShutdown();
     void logEngineChoice(const polled_engine& engine, const generation_demand& demand, std::size_t polledCount);
 
--- a/gateway/exchange_engine_choice.cpp
+++ b/gateway/exchange_engine_choice.cpp
@@ -10,6 +10,7 @@
 #include "gateway/replacement_finder.h"
 #include "gateway/response_sink.h"
 #include "gateway/run_handover.h"
+#include "gateway/stop_schedule.h"
 #include "gateway/target_permits.h"
 #include "routing/generation_time_estimator.h"
 #include "routing/path_monitor.h"
@@ -323,27 +324,34 @@
     return true;
 }
 
-std::chrono::milliseconds exchange::expectedTime() const
+// The time that the request takes if the generation has the maximum length and the engine is slow.
+std::chrono::milliseconds exchange::longestTime() const
 {
     if (!isGeneration())
         return m_parts.responseTimes.patience(m_service, m_route->objective);
+    const auto events = m_caller.maxOutputTokens / m_table->rulesOf(m_service)->engine->tokensPerEvent;
     return m_parts.prefillTimes.estimate(m_service, m_caller.promptTokens)
-        + m_parts.generationTimes.expectedTime(m_service, estimatedRemainingEvents());
+        + m_parts.generationTimes.maxTime(m_service, events - std::min(events, m_lastEvent.value_or(0)));
 }
 
-// Rejects a request that has not run and would be cut off when this node stops, because another node can complete it.
-bool exchange::rejectIfEndingAfterShutdown()
+bool exchange::endsBefore(const stop_schedule& stop) const
 {
-    const auto stopsAt = m_parts.stopsAt();
-    if (!stopsAt || m_history.mayHaveRun || m_responseStarted)
-        return false;
     const auto now = m_parts.timers.now();
-    if (m_deadline <= *stopsAt || now + expectedTime() <= *stopsAt)
+    if (m_deadline <= stop.cutFrom)
+        return true;
+    if (now >= stop.certainFrom)
         return false;
     // Another node can resume such a generation. Starting it here saves its caller a retry, unless the stop is near.
     const bool canMove
         = isGeneration() && m_route->resumable && m_table->rulesOf(m_service)->engine->supportsContinuousCopies;
-    if (canMove && now + m_parts.settings.stopGrace / 2 <= *stopsAt)
+    return now + longestTime() <= stop.cutFrom || (canMove && now + m_parts.settings.stopGrace / 2 <= stop.cutFrom);
+}
+
+// Rejects a request that has not run and might be cut off when this node stops, because another node can complete it.
+bool exchange::rejectIfEndingAfterShutdown()
+{
+    const auto stop = m_parts.stopSchedule();
+    if (!stop || m_history.mayHaveRun || m_responseStarted || endsBefore(*stop))
         return false;
     m_parts.metrics.count("requests_sent_elsewhere");
     failWith(
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -23,9 +23,6 @@
 
     /// Interval at which expired connections are closed and the log is written.
     constexpr std::chrono::milliseconds HousekeepingInterval { 500 };
-    /// Time for which new connections are accepted after the stop. A load balancer that probes once a second and
-    /// requires two failures has removed this node by then.
-    constexpr std::chrono::milliseconds ListenAfterStop { 2'600 };
     /// Connections beyond the maximum that are held until their first request is rejected; more are closed at once.
     constexpr std::size_t MaxRefusedSessions = 64;
     constexpr std::chrono::milliseconds StopCheckInterval { 50 }; ///< while the last responses are completed
@@ -129,8 +126,7 @@
     m_parts.log.write("stopping", { { "connections", std::to_string(m_sessions.size()) } });
     for (const auto& session : m_sessions)
         session->closeAfterNextResponse();
-    const auto listenTime = std::min(ListenAfterStop, m_parts.settings.stopGrace / 3);
-    m_parts.timers.at(now + listenTime, [this] { closeListener(); });
+    m_parts.timers.at(m_stopSchedule.listenUntil, [this] { closeListener(); });
 }
 
 void gateway::closeListener()
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -30,10 +30,10 @@
     /// Reports not ready, completes the requests in progress, and then calls onStopped.
     void stop();
 
-    /// \return when the first responses in progress are aborted, if the gateway is stopping
-    std::optional<instant> stopsAt() const
+    /// \return the times of the stop, if the gateway is stopping
+    std::optional<stop_schedule> stopSchedule() const
     {
-        return m_stopping ? std::optional<instant>(m_stopSchedule.cutFrom) : std::nullopt;
+        return m_stopping ? std::optional<stop_schedule>(m_stopSchedule) : std::nullopt;
     }
 
 private:
--- a/gateway/gateway_parts.h
+++ b/gateway/gateway_parts.h
@@ -2,7 +2,7 @@
 /// The components of a gateway that every request uses.
 #pragma once
 
-#include "core/instant.h"
+#include "gateway/stop_schedule.h"
 
 #include <functional>
 #include <optional>
@@ -65,8 +65,8 @@
     active_config& config;
     /// Returns whether the store cannot be read; targets that are gone are not reported then.
     std::function<bool()> isStoreUnavailable;
-    /// Returns when this node stops, if it is stopping. Responses that are not complete by then are aborted.
-    std::function<std::optional<instant>()> stopsAt;
+    /// Returns the times of the planned stop, if this node is stopping.
+    std::function<std::optional<stop_schedule>()> stopSchedule;
     /// Called when a process that does not match a target's registration responded.
     std::function<void()> onTargetsOutdated;
     decision_log& log;
--- a/gateway/stop_schedule.cpp
+++ b/gateway/stop_schedule.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+    /// Time for which new connections are accepted. A load balancer that probes once a second and requires two failures
+    /// has removed this node by then.
+    constexpr std::chrono::milliseconds ListenAfterStop { 2'600 };
+    constexpr int ListenDivisor = 3; ///< of a short grace period, two thirds remain for the last requests
+    /// The first requests of connections that were accepted last arrive within a few round trips.
+    constexpr std::chrono::milliseconds LastFirstRequests { 300 };
     /// Part of the grace period at its end, for the end of the process.
     constexpr std::chrono::milliseconds StopReserve { 400 };
     /// The last streams are aborted one after the other over the last 1/CutDivisor of the grace period, so that their
@@ -19,7 +25,9 @@
 {
     const auto lastPart = stoppedAt + grace - grace / LastPartDivisor;
     const auto cutUntil = std::max(stoppedAt + grace - StopReserve, lastPart);
-    return { std::max(cutUntil - grace / CutDivisor, lastPart), cutUntil };
+    const auto listenUntil = stoppedAt + std::min(ListenAfterStop, grace / ListenDivisor);
+    return { listenUntil, listenUntil + LastFirstRequests, std::max(cutUntil - grace / CutDivisor, lastPart),
+        cutUntil };
 }
 
 } // namespace oriolepick
--- a/gateway/stop_schedule.h
+++ b/gateway/stop_schedule.h
@@ -8,6 +8,10 @@
 
 /// When requests are ended that outlast the grace period of a planned stop.
 struct stop_schedule {
+    instant listenUntil; ///< new connections are accepted
+    /// Requests come on kept connections only, and their callers can reach other nodes: from here on, only what is
+    /// certain to end in time is passed on to a target.
+    instant certainFrom;
     instant cutFrom; ///< the last requests are ended one after another from here on
     instant cutUntil; ///< all requests are ended
 };
--- a/gateway/test/stop_schedule.cpp
+++ b/gateway/test/stop_schedule.cpp
@@ -16,6 +16,9 @@
         const auto schedule = makeStopSchedule(stoppedAt, grace);
         EXPECT_GE(schedule.cutFrom, stoppedAt + grace * 5 / 6) << grace.count() << " ms";
         EXPECT_GE(schedule.cutUntil, schedule.cutFrom) << grace.count() << " ms";
+        EXPECT_LT(schedule.listenUntil, schedule.certainFrom) << grace.count() << " ms";
+        EXPECT_LE(schedule.certainFrom, std::max(stoppedAt + 3s, schedule.cutFrom)) << grace.count() << " ms";
+        EXPECT_LT(schedule.listenUntil, schedule.cutFrom) << grace.count() << " ms";
         EXPECT_LT(schedule.cutUntil, stoppedAt + grace) << grace.count() << " ms";
     }
 }
--- a/routing/generation_time_estimator.h
+++ b/routing/generation_time_estimator.h
@@ -20,7 +20,8 @@
     double minTimeShare = 0.4;
 };
 
-/// Keeps a moving mean of the time per event for each service. Not synchronized.
+/// Keeps a moving mean of the time per event for each service, and the time of the slowest generations. Not
+/// synchronized.
 class generation_time_estimator {
 public:
     explicit generation_time_estimator(generation_time_settings settings);
@@ -31,12 +32,20 @@
     /// \return the expected time for \p events more events, 0 without samples
     std::chrono::milliseconds expectedTime(const service_name& service, std::uint64_t events) const;
 
+    /// \return the time for \p events more events at the pace of the slowest recent generations, 0 without samples
+    std::chrono::milliseconds maxTime(const service_name& service, std::uint64_t events) const;
+
     /// \return a lower bound of the time for \p events more events, 0 without samples
     std::chrono::milliseconds minTime(const service_name& service, std::uint64_t events) const;
 
 private:
+    struct pace {
+        double meanMsPerEvent;
+        double maxMsPerEvent; // approaches the mean while no slower generation is recorded
+    };
+
     generation_time_settings m_settings;
-    std::map<service_name, double> m_msPerEvent;
+    std::map<service_name, pace> m_paces;
 };
 
 } // namespace oriolepick
