Reset streams without chunks that are broken off

What callers saw: a stream to a caller of HTTP/1.0 that the gateway broke off ended like a whole one.

Cause: such a response has no length and no chunks, so the end of the connection is its end, and the gateway closed it in order.

Change: it ends with a reset.

Evidence: two of the three tests of platform_unchunked_streams fail with the former way to close, and all pass now.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -310,7 +310,11 @@
 {
     m_keepAlive = false;
     logEnd("response_aborted");
-    m_channel->close();
+    // Without chunks, the end of the connection is the end of the response.
+    if (m_chunked)
+        m_channel->close();
+    else
+        m_channel->reset();
     onResponseDone();
 }
 
--- a/gateway/tcp_connection.cpp
+++ b/gateway/tcp_connection.cpp
@@ -191,6 +191,16 @@
     m_socket.close(ignored);
 }
 
+void tcp_connection::reset()
+{
+    if (!m_open)
+        return;
+    m_open = false;
+    error_code ignored; // fails if the peer has already closed the connection
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
 void tcp_connection::end(connection_end end)
 {
     if (!m_open)
--- a/gateway/tcp_connection.h
+++ b/gateway/tcp_connection.h
@@ -81,6 +81,10 @@
     /// Closes the connection at once and discards queued bytes.
     void close();
 
+    /// Closes the connection at once with a reset, so that the peer cannot take the bytes that it has received for a
+    /// whole response.
+    void reset();
+
     bool isOpen() const { return m_open; }
 
     /// \return whether the connection is open and sending has not failed
