Answer 502 where a target's refusal proves nothing

Cause: the gateway replaced only a 503 without "not executed" by an answer of its own; a 408 or 429 went on unchanged.

Change: a response with any of the four statuses that promise "not run", and without the target's word for it, counts as an attempt that may have run. What runs once gets 502 "may have run", what may be repeated goes to another target.

Why it works: no such status leaves the gateway unless it is its own, and its own depends on attempt_history alone.

--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -455,7 +455,7 @@
             dispatch();
         return;
     case retry_decision::Deliver:
-        if (!m_responseStarted && m_head.status != 503) {
+        if (!m_responseStarted && !promisesNotRun(m_head.status)) {
             deliverResponse();
             return;
         }
--- a/gateway/exchange_responses.cpp
+++ b/gateway/exchange_responses.cpp
@@ -142,16 +142,21 @@
         retryOrFail(attempt_outcome::Lost);
         return;
     }
+    if (promisesNotRun(m_head.status)) {
+        // Passed on, the status would be a promise to the caller that the target has not given.
+        m_parts.metrics.count("unproven_refusals");
+        m_triedTargets.push_back(m_target->name);
+        retryOrFail(attempt_outcome::Lost);
+        return;
+    }
     if (m_head.status >= 500) {
         m_parts.metrics.count("target_errors");
         m_triedTargets.push_back(m_target->name);
-        const bool promisesNotRun = m_head.status == 503;
-        if (!m_responseStarted && !promisesNotRun
-            && decideRetry(m_history, attempt_outcome::TargetError) == retry_decision::Deliver) {
+        if (!m_responseStarted && decideRetry(m_history, attempt_outcome::TargetError) == retry_decision::Deliver) {
             deliverResponse();
             return;
         }
-        retryOrFail(promisesNotRun ? attempt_outcome::Lost : attempt_outcome::TargetError);
+        retryOrFail(attempt_outcome::TargetError);
         return;
     }
     m_parts.targetTracker.recordSuccess(m_target->name);
--- a/routing/attempt_policy.cpp
+++ b/routing/attempt_policy.cpp
@@ -1,7 +1,21 @@
 #include "routing/attempt_policy.h"
 
+#include <algorithm>
+#include <array>
+
 namespace oriolepick {
 
+namespace {
+
+    constexpr std::array<int, 4> NotRunStatuses { 408, 421, 429, 503 };
+
+} // namespace
+
+bool promisesNotRun(int status)
+{
+    return std::find(NotRunStatuses.begin(), NotRunStatuses.end(), status) != NotRunStatuses.end();
+}
+
 retry_decision decideRetry(const attempt_history& history, attempt_outcome end)
 {
     const bool hasTargetsLeft = history.answered < history.maxTargets && history.lost < MaxLostTargets;
--- a/routing/attempt_policy.h
+++ b/routing/attempt_policy.h
@@ -39,6 +39,9 @@
 /// \return the decision after an attempt that ended with \p end; \p history includes that attempt
 retry_decision decideRetry(const attempt_history& history, attempt_outcome end);
 
+/// \return whether callers take a response with \p status for the promise that their request did not run and never will
+bool promisesNotRun(int status);
+
 /// \return the error for a failed request: it reports "not run" only if no target can have run the request
 error_kind finalErrorKind(const attempt_history& history);
 
