oriolepickd: take a rejection for proof only with its code

Cause: any 429 of an engine counted as proof that it did not run an attempt, and so did any 400; docs/targets.md names a code for each, and says that any other answer may come from an attempt that ran. The caller could be told "not run" of work that ran.

Change: the code of the protocol is needed, for 404 too.

Evidence: EngineRejections.AStatusWithoutItsCodeProvesNothing fails with the former table.

--- a/targets/attempt_reader.cpp
+++ b/targets/attempt_reader.cpp
@@ -16,16 +16,17 @@
 
     struct rejection_row {
         int status;
-        std::string_view code; ///< empty: any code
+        std::string_view code;
         stream_break reason;
     };
 
-    // Only rejections listed here are proven not to have run. Any other status may come from a fault after the start.
+    // Only rejections listed here are proven not to have run. Any other answer may come from a fault after the start:
+    // the status alone proves nothing.
     constexpr std::array<rejection_row, 5> Rejections { {
-        { 400, "", stream_break::Invalid },
-        { 404, "", stream_break::UnknownAttempt },
+        { 400, "bad_request", stream_break::Invalid },
+        { 404, "unknown_attempt", stream_break::UnknownAttempt },
         { 409, "not_loaded", stream_break::NotLoaded },
-        { 429, "", stream_break::QueueFull },
+        { 429, "queue_full", stream_break::QueueFull },
         { 503, "draining", stream_break::Draining },
     } };
 
@@ -145,7 +146,7 @@
 {
     const std::string code = parseCode(m_rejection);
     for (const auto& row : Rejections) {
-        if (row.status == m_status && (row.code.empty() || row.code == code)) {
+        if (row.status == m_status && row.code == code) {
             breakOff(row.reason, absl::StrCat("status ", m_status, " ", code));
             return;
         }
