Record crashing requests in the store

Cause: crashes were kept in the memory of the gateways only.

Change: one row of the store holds what is quarantined, parts of prompts too, and requests with two crashes; at most 256, within 24 KB. The node that reads the store for all reads the row when it takes over, merges it and writes it when its own crashes differ, on condition of the revision that it read: at once for a quarantine, else every 5 s. Ages count by the store's clock. After an outage or a restore of the store the row is read and written again.

Why it works: all nodes learn of verdicts, so one writer is enough, and a late write of an earlier row fails by its condition. A request that ran to its end is taken out of the row, and known clearings win over what is read.

--- a/core/crash_ledger.cpp
+++ b/core/crash_ledger.cpp
@@ -513,6 +513,23 @@
     return m_quarantined;
 }
 
+std::vector<request_fingerprint> crash_ledger::blamed(wall_time now) const
+{
+    std::vector<std::pair<wall_time, request_fingerprint>> found;
+    for (const auto& [fingerprint, each] : m_records) {
+        if (each.marks.size() < m_settings.isolateAfter)
+            continue;
+        const auto least = isPartRecord(each.marks) ? crash_verdict::Quarantined : crash_verdict::Isolated;
+        if (verdict(now, fingerprint) >= least)
+            found.emplace_back(each.lastChangeAt, fingerprint);
+    }
+    std::sort(found.rbegin(), found.rend());
+    std::vector<request_fingerprint> fingerprints;
+    for (const auto& each : found)
+        fingerprints.push_back(each.second);
+    return fingerprints;
+}
+
 void crash_ledger::evictRecords()
 {
     // Quarantined and isolated requests are evicted last: without their records they crash further targets, while a
--- a/core/crash_ledger.h
+++ b/core/crash_ledger.h
@@ -162,6 +162,12 @@
     /// \return the quarantined requests
     std::vector<request_fingerprint> quarantinedRequests(wall_time now) const;
 
+    /// \return the isolated and quarantined requests and the quarantined parts, those with the latest changes first
+    std::vector<request_fingerprint> blamed(wall_time now) const;
+
+    /// \return a number that changes whenever a record changes
+    std::uint64_t changes() const { return m_changes; }
+
     std::size_t fingerprints() const { return m_records.size(); }
     std::size_t quarantined(wall_time now) const { return quarantinedRequests(now).size(); }
     std::uint64_t evicted() const { return m_evicted; }
--- a/gateway/crash_detector.cpp
+++ b/gateway/crash_detector.cpp
@@ -74,6 +74,20 @@
         m_log.write("quarantine_changed", { { "from", from.value() }, { "requests", std::to_string(after) } });
 }
 
+void crash_detector::mergeRecord(const std::vector<crash_note>& notes)
+{
+    const auto before = m_ledger.quarantined(m_timers.now());
+    perform(m_ledger.mergeRecord(notes, m_timers.now()));
+    const auto after = m_ledger.quarantined(m_timers.now());
+    if (before != after)
+        m_log.write("quarantine_changed", { { "from", "record" }, { "requests", std::to_string(after) } });
+}
+
+crash_record_digest crash_detector::digestOf(const std::vector<crash_note>& notes) const
+{
+    return m_ledger.digestOf(notes, m_timers.now());
+}
+
 bool crash_detector::isQuarantined(request_fingerprint fingerprint) const
 {
     return m_ledger.verdict(fingerprint, m_timers.now()) == crash_verdict::Quarantined;
--- a/gateway/crash_detector.h
+++ b/gateway/crash_detector.h
@@ -60,6 +60,12 @@
     /// Asks whether \p request may be sent once although parts of it are quarantined.
     trial_answer requestTrial(const crash_suspect& request);
 
+    /// See shared_crash_ledger.
+    std::vector<crash_note> record(std::size_t maxNotes) { return m_ledger.record(maxNotes, m_timers.now()); }
+    void mergeRecord(const std::vector<crash_note>& notes);
+    crash_record_digest digestOf(const std::vector<crash_note>& notes) const;
+    std::uint64_t changes() const { return m_ledger.changes(); }
+
     /// \return whether a pending connection check may show that \p request must not be dispatched
     bool isVerdictPending(request_fingerprint request) const;
 
--- a/gateway/crash_news_codec.cpp
+++ b/gateway/crash_news_codec.cpp
@@ -10,6 +10,8 @@
 
     constexpr std::chrono::milliseconds MaxAge { std::chrono::hours(48) }; ///< twice the duration of a quarantine
     constexpr std::size_t MaxNameBytes = 256;
+    constexpr std::chrono::milliseconds MaxStoreClock { 1'000'000'000'000'000 }; ///< longer than any store runs
+    constexpr std::size_t MaxFieldPrefixBytes = 4; ///< tag and length of a note
 
     std::uint32_t clampedAgeMs(std::chrono::milliseconds age)
     {
@@ -21,6 +23,23 @@
         return std::chrono::milliseconds(milliseconds) <= MaxAge;
     }
 
+    void encodeNote(const crash_note& note, wire::crash_note& out)
+    {
+        out.set_request(note.request);
+        for (const auto& each : note.sightings) {
+            auto& sighting = *out.add_sightings();
+            sighting.set_crash(each.crash);
+            sighting.set_target(each.target.value());
+            sighting.set_age_ms(clampedAgeMs(each.age));
+            sighting.set_request(each.request);
+            sighting.set_concurrent_requests(each.concurrentRequests);
+        }
+        out.set_cleared(note.sinceCleared.has_value());
+        out.set_sound_runs(note.share.withPart);
+        out.set_all_sound_runs(note.share.all);
+        out.set_since_cleared_ms(clampedAgeMs(note.sinceCleared.value_or(std::chrono::milliseconds(0))));
+    }
+
     std::optional<crash_note> decodeNote(const wire::crash_note& in)
     {
         if (static_cast<std::size_t>(in.sightings_size()) > MaxCrashSightings || !isValidAge(in.since_cleared_ms())
@@ -45,22 +64,8 @@
 void encode(const crash_news& news, wire::crash_news& out)
 {
     out.set_purpose(static_cast<std::uint32_t>(news.messagePurpose));
-    for (const auto& note : news.notes) {
-        auto& added = *out.add_notes();
-        added.set_request(note.request);
-        for (const auto& each : note.sightings) {
-            auto& sighting = *added.add_sightings();
-            sighting.set_crash(each.crash);
-            sighting.set_target(each.target.value());
-            sighting.set_age_ms(clampedAgeMs(each.age));
-            sighting.set_request(each.request);
-            sighting.set_concurrent_requests(each.concurrentRequests);
-        }
-        added.set_cleared(note.sinceCleared.has_value());
-        added.set_sound_runs(note.share.withPart);
-        added.set_all_sound_runs(note.share.all);
-        added.set_since_cleared_ms(clampedAgeMs(note.sinceCleared.value_or(std::chrono::milliseconds(0))));
-    }
+    for (const auto& note : news.notes)
+        encodeNote(note, *out.add_notes());
     out.set_has_digest(news.digest.has_value());
     if (news.digest) {
         out.set_requests(news.digest->requests);
@@ -86,4 +91,38 @@
     return news;
 }
 
+std::string encodeCrashRecord(const crash_record& record, std::size_t maxBytes)
+{
+    wire::crash_record encoded;
+    encoded.set_written_ms(
+        static_cast<std::uint64_t>(std::clamp(record.writtenAt, std::chrono::milliseconds(0), MaxStoreClock).count()));
+    auto bytes = encoded.ByteSizeLong();
+    for (const auto& note : record.notes) {
+        wire::crash_note added;
+        encodeNote(note, added);
+        bytes += added.ByteSizeLong() + MaxFieldPrefixBytes;
+        if (bytes > maxBytes)
+            break;
+        *encoded.add_notes() = std::move(added);
+    }
+    return encoded.SerializeAsString();
+}
+
+std::optional<crash_record> decodeCrashRecord(std::string_view bytes)
+{
+    wire::crash_record encoded;
+    if (!encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
+        || encoded.written_ms() > static_cast<std::uint64_t>(MaxStoreClock.count()))
+        return std::nullopt;
+    crash_record record;
+    record.writtenAt = std::chrono::milliseconds(static_cast<std::int64_t>(encoded.written_ms()));
+    for (const auto& each : encoded.notes()) {
+        auto note = decodeNote(each);
+        if (!note)
+            return std::nullopt;
+        record.notes.push_back(std::move(*note));
+    }
+    return record;
+}
+
 } // namespace oriolepick
--- a/gateway/crash_news_codec.h
+++ b/gateway/crash_news_codec.h
@@ -4,8 +4,11 @@
 #pragma once
 
 #include "routing/crash_news.h"
+#include "routing/crash_record.h"
 
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace oriolepick {
 
@@ -19,4 +22,10 @@
 /// target name, or an age out of range
 std::optional<crash_news> decode(const wire::crash_news& in);
 
+/// \return the bytes of the record; the last notes are left out if they do not fit into \p maxBytes
+std::string encodeCrashRecord(const crash_record& record, std::size_t maxBytes);
+
+/// \return the record, or nothing if it is malformed
+std::optional<crash_record> decodeCrashRecord(std::string_view bytes);
+
 } // namespace oriolepick
--- a/gateway/test/gateway_message_codec.cpp
+++ b/gateway/test/gateway_message_codec.cpp
@@ -1,6 +1,7 @@
 // Guards against messages between nodes that change in transfer, and against malformed messages that crash the process.
 #include "gateway/gateway_message_codec.h"
 
+#include "gateway/crash_news_codec.h"
 #include "gateway/node_row.h"
 #include "routing/test/revisions.h"
 
@@ -399,6 +400,63 @@
     EXPECT_FALSE(decodeBatch(encodeBatch(batch))) << "names no target";
 }
 
+crash_record sampleCrashRecord(std::size_t notes)
+{
+    crash_record record { 123'456'789ms, {} };
+    for (std::size_t number = 1; number <= notes; ++number) {
+        crash_note note { number, {}, 70s, { 3, 50 } };
+        for (std::uint64_t crash = 1; crash <= 3; ++crash)
+            note.sightings.push_back({ crash, target_name("target-" + std::to_string(crash)), 24h, number + 1, 9 });
+        record.notes.push_back(note);
+    }
+    return record;
+}
+
+TEST(GatewayMessageCodec, CrashRecordsRoundTrip)
+{
+    const auto decoded = decodeCrashRecord(encodeCrashRecord(sampleCrashRecord(2), 1'000));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->writtenAt, 123'456'789ms);
+    ASSERT_EQ(decoded->notes.size(), 2U);
+    const auto& note = decoded->notes[1];
+    EXPECT_EQ(note.request, 2U);
+    EXPECT_EQ(note.sinceCleared, 70s);
+    EXPECT_EQ(note.share.withPart, 3U);
+    EXPECT_EQ(note.share.all, 50U);
+    ASSERT_EQ(note.sightings.size(), 3U);
+    EXPECT_EQ(note.sightings[2].crash, 3U);
+    EXPECT_EQ(note.sightings[2].target.value(), "target-3");
+    EXPECT_EQ(note.sightings[2].age, 24h);
+    EXPECT_EQ(note.sightings[2].request, 3U);
+    EXPECT_EQ(note.sightings[2].concurrentRequests, 9U);
+    EXPECT_FALSE(decodeCrashRecord("no record"));
+}
+
+// Guards against a record that the store rejects for its size, and is then not written at all.
+TEST(GatewayMessageCodec, CrashRecordsAreBounded)
+{
+    const auto record = sampleCrashRecord(256);
+    for (const std::size_t maxBytes : { 10U, 100U, 1'000U, 24'576U }) {
+        const auto bytes = encodeCrashRecord(record, maxBytes);
+        EXPECT_LE(bytes.size(), maxBytes);
+        const auto decoded = decodeCrashRecord(bytes);
+        ASSERT_TRUE(decoded);
+        for (std::size_t index = 0; index < decoded->notes.size(); ++index)
+            EXPECT_EQ(decoded->notes[index].request, record.notes[index].request) << "the first notes are kept";
+    }
+    EXPECT_GT(decodeCrashRecord(encodeCrashRecord(record, 24'576))->notes.size(), 100U);
+}
+
+RC_GTEST_PROP(GatewayMessageCodec, MutatedCrashRecordsAreDecodedOrDropped,
+    (const std::vector<std::pair<std::uint16_t, char>>& changed))
+{
+    auto bytes = encodeCrashRecord(sampleCrashRecord(3), 1'000);
+    for (const auto& [position, byte] : changed)
+        bytes[position % bytes.size()] = byte;
+    const auto record = decodeCrashRecord(bytes);
+    RC_ASSERT(!record || record->writtenAt >= 0ms);
+}
+
 RC_GTEST_PROP(GatewayMessageCodec, MutatedMessagesAreDecodedOrDropped,
     (const std::vector<std::pair<std::uint16_t, char>>& changed))
 {
--- a/routing/shared_crash_ledger.cpp
+++ b/routing/shared_crash_ledger.cpp
@@ -19,6 +19,8 @@
     constexpr std::chrono::milliseconds ClearingTolerance { 1'000 };
     /// Maximum number of reply messages to one digest; further records follow with the next digest.
     constexpr std::size_t MaxReplyMessages = 8;
+    /// Stands for the nodes that wrote the record, as the reporter of sound runs.
+    constexpr const char* RecordReporter = "record";
     constexpr const char* LocalFleet = "local"; ///< a gateway serves one fleet, but target_id contains a fleet name
 
     target_id targetIdOf(const target_name& target)
@@ -395,6 +397,51 @@
         out.push_back({ from, std::move(reply) });
 }
 
+std::vector<crash_note> shared_crash_ledger::record(std::size_t maxNotes, instant now)
+{
+    std::vector<crash_note> notes;
+    for (const auto fingerprint : m_ledger.blamed(ledgerTime(now))) {
+        if (notes.size() == maxNotes)
+            break;
+        notes.push_back(noteOf(fingerprint, now));
+    }
+    return notes;
+}
+
+// Other nodes that start learn what does not fit into one message from the digests.
+shared_crash_ledger::actions shared_crash_ledger::mergeRecord(const std::vector<crash_note>& notes, instant now)
+{
+    actions out;
+    crash_news news { crash_news::purpose::Verdict, {}, std::nullopt };
+    for (const auto& note : notes) {
+        const auto before = verdict(note.request, now);
+        actions verdicts;
+        crash_news reply;
+        receiveNote(verdicts, node_id(RecordReporter), reply, note, crash_news::purpose::Verdict, now);
+        if (verdict(note.request, now) > before && news.notes.size() < MaxCrashNotes)
+            news.notes.push_back(noteOf(note.request, now));
+    }
+    if (news.notes.empty())
+        return out;
+    for (const auto& node : m_others)
+        out.push_back({ node, news });
+    return out;
+}
+
+crash_record_digest shared_crash_ledger::digestOf(const std::vector<crash_note>& notes, instant now) const
+{
+    crash_record_digest digest;
+    for (const auto& note : notes) {
+        auto hash = stableHash({}, note.request);
+        for (const auto& sighting : note.sightings)
+            hash ^= stableHash({}, sighting.crash ^ note.request);
+        digest.all ^= hash;
+        if (verdict(note.request, now) == crash_verdict::Quarantined)
+            digest.quarantined ^= hash;
+    }
+    return digest;
+}
+
 shared_crash_ledger::actions shared_crash_ledger::tick(instant now)
 {
     actions out;
--- a/routing/shared_crash_ledger.h
+++ b/routing/shared_crash_ledger.h
@@ -7,6 +7,7 @@
 #include "core/seeded_random.h"
 #include "core/sound_runs.h"
 #include "routing/crash_news.h"
+#include "routing/crash_record.h"
 #include "routing/recent_requests.h"
 
 #include <chrono>
@@ -96,6 +97,18 @@
 
     actions receive(const node_id& from, const crash_news& news, instant now);
 
+    /// \return notes on what must outlive the processes of all nodes, see crash_ledger::blamed(); at most \p maxNotes
+    std::vector<crash_note> record(std::size_t maxNotes, instant now);
+
+    /// Merges notes that nodes recorded, which may have ended since. What is news here is sent to the other nodes.
+    actions mergeRecord(const std::vector<crash_note>& notes, instant now);
+
+    /// \return the digest of \p notes, by the verdicts of this node
+    crash_record_digest digestOf(const std::vector<crash_note>& notes, instant now) const;
+
+    /// \return a number that changes whenever a record changes
+    std::uint64_t changes() const { return m_ledger.changes(); }
+
     /// Performs all due work. Call at nextDue() or later.
     actions tick(instant now);
 
--- a/routing/test/crash_simulation.h
+++ b/routing/test/crash_simulation.h
@@ -1,10 +1,11 @@
 /// \file
-/// Simulated fleet in virtual time for tests of requests that crash targets: nodes, their network, targets and
-/// callers.
+/// Simulated fleet in virtual time for tests of requests that crash targets: nodes, their network, targets, callers
+/// and the row of the store with the record of crashes.
 #pragma once
 
 #include "core/seeded_random.h"
 #include "core/test/virtual_time.h"
+#include "routing/crash_record_keeper.h"
 #include "routing/shared_crash_ledger.h"
 
 #include <algorithm>
@@ -42,11 +43,26 @@
         node.disturbedAt = m_now;
         node.ledger = std::make_unique<shared_crash_ledger>(
             node.id, shared_crash_settings {}, seeded_random(m_random.next()), m_now);
+        node.keeper = std::make_unique<crash_record_keeper>(crash_record_settings {});
         // The failure detector discovers all nodes some round trips later.
         onNode(ms(100 + m_random.below(200)), index, [this, index] { setNodes(index); });
         poll(index);
+        keepRecord(index);
     }
 
+    /// The store does not respond for \p time. A write in progress may be performed.
+    void silenceStore(ms time) { m_storeSilentUntil = m_now + time; }
+
+    /// The store returns to the state that it had when \p copy was made with storeCopy(), and all nodes are told.
+    void restoreStore(const std::pair<std::uint64_t, crash_record>& copy)
+    {
+        m_row = copy;
+        for (auto& node : m_nodes)
+            node.keeper->storeRecovered();
+    }
+
+    const std::pair<std::uint64_t, crash_record>& storeCopy() const { return m_row; }
+
     void kill(std::size_t index)
     {
         m_nodes[index].running = false;
@@ -104,6 +120,12 @@
         });
     }
 
+    /// \p request runs to its end at a target of a node.
+    void complete(std::size_t index, request_fingerprint request)
+    {
+        perform(index, m_nodes[index].ledger->recordSuccess(request, m_now));
+    }
+
     /// Crashes a target; all nodes with requests on it detect the crash within milliseconds.
     void crash(std::size_t number, request_fingerprint cause = 0)
     {
@@ -151,6 +173,7 @@
     }
 
     std::size_t size() const { return m_nodes.size(); }
+    shared_crash_ledger& ledger(std::size_t index) { return *m_nodes[index].ledger; }
     seeded_random& random() { return m_random; }
 
     // Arrivals of crashing requests: time, and whether the node was undisturbed.
@@ -158,12 +181,15 @@
     std::map<request_fingerprint, std::vector<instant>> crashTimes;
     std::map<request_fingerprint, std::size_t> refused;
     std::size_t datagrams = 0;
+    std::size_t storeReads = 0;
+    std::size_t storeWrites = 0;
     ms undisturbedPeriod { 5'000 }; ///< a node counts as undisturbed after this time without a fault
 
 private:
     struct simulated_node {
         node_id id;
         std::unique_ptr<shared_crash_ledger> ledger;
+        std::unique_ptr<crash_record_keeper> keeper;
         std::uint64_t incarnation = 0;
         bool running = false;
         bool cut = false;
@@ -223,6 +249,84 @@
         });
     }
 
+    // The first node that runs reads the store for all.
+    bool isKeeper(std::size_t index) const
+    {
+        for (std::size_t other = 0; other < index; ++other) {
+            if (m_nodes[other].running && !m_nodes[other].cut)
+                return false;
+        }
+        return !m_nodes[index].cut;
+    }
+
+    void keepRecord(std::size_t index)
+    {
+        onNode(RecordCheckPeriod, index, [this, index] {
+            auto& node = m_nodes[index];
+            const auto own = node.ledger->record(MaxRecordNotes, m_now);
+            switch (node.keeper->next(isKeeper(index), node.ledger->digestOf(own, m_now), m_now)) {
+            case crash_record_keeper::step::Read:
+                readRecord(index);
+                break;
+            case crash_record_keeper::step::Write:
+                writeRecord(index, { m_now.time_since_epoch() / ms(1) * ms(1), own });
+                break;
+            case crash_record_keeper::step::None:
+                break;
+            }
+            keepRecord(index);
+        });
+    }
+
+    void readRecord(std::size_t index)
+    {
+        ++storeReads;
+        if (m_now < m_storeSilentUntil) {
+            onNode(StoreTimeout, index, [this, index] { m_nodes[index].keeper->readEnded({}, {}, m_now); });
+            return;
+        }
+        onNode(StoreTime, index, [this, index, row = m_row] {
+            auto& node = m_nodes[index];
+            auto notes = row.second.notes;
+            const auto since = m_now.time_since_epoch() / ms(1) * ms(1) - row.second.writtenAt;
+            for (auto& note : notes) {
+                for (auto& sighting : note.sightings)
+                    sighting.age += since;
+                if (note.sinceCleared)
+                    *note.sinceCleared += since;
+            }
+            perform(index, node.ledger->mergeRecord(notes, m_now));
+            node.keeper->readEnded(row.first, node.ledger->digestOf(notes, m_now), m_now);
+        });
+    }
+
+    void writeRecord(std::size_t index, const crash_record& record)
+    {
+        ++storeWrites;
+        const auto expected = m_nodes[index].keeper->expectedRevision();
+        if (m_now < m_storeSilentUntil) {
+            at(ms(1'000 + m_random.below(5'000)), [this, expected, record] { storeRecord(expected, record); });
+            onNode(StoreTimeout, index,
+                [this, index] { m_nodes[index].keeper->writeEnded(record_write_outcome::Unknown, 0, m_now); });
+            return;
+        }
+        at(StoreTime, [this, index, expected, record] {
+            const bool isWritten = storeRecord(expected, record);
+            onNode(StoreTime, index, [this, index, isWritten, revision = m_row.first] {
+                m_nodes[index].keeper->writeEnded(
+                    isWritten ? record_write_outcome::Written : record_write_outcome::Conflict, revision, m_now);
+            });
+        });
+    }
+
+    bool storeRecord(std::uint64_t expected, const crash_record& record)
+    {
+        if (m_row.first != expected)
+            return false;
+        m_row = { ++m_lastRevision, record };
+        return true;
+    }
+
     void perform(std::size_t from, const shared_crash_ledger::actions& actions)
     {
         for (const auto& action : actions) {
@@ -236,8 +340,16 @@
         }
     }
 
+    static constexpr ms RecordCheckPeriod { 500 };
+    static constexpr ms StoreTime { 4 };
+    static constexpr ms StoreTimeout { 1'000 };
+    static constexpr std::size_t MaxRecordNotes = 256;
+
     seeded_random m_random;
     double m_loss = 0;
+    std::pair<std::uint64_t, crash_record> m_row; // the record with its revision
+    std::uint64_t m_lastRevision = 0;
+    instant m_storeSilentUntil;
     std::vector<simulated_target> m_targets;
     std::vector<simulated_node> m_nodes;
     std::map<node_id, std::size_t> m_index;
