Deliver a target's failure when no further target responds

Cause: the failure was dropped as soon as a further attempt began.

Change: failures of up to 4 KB are kept and delivered instead of the gateway's 502.

Evidence: two of the four tests of platform_target_failures fail without the change.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -30,6 +30,9 @@
     /// Classes by objective within one priority, so that the ten classes of engines cover priorities 0 to 2.
     constexpr std::uint32_t ClassesPerPriority = 3;
 
+    /// Failures have short texts. Longer ones are not kept beside the next attempt.
+    constexpr std::size_t MaxKeptFailureBytes = 4'096;
+
     std::string_view nameOf(const route* route)
     {
         if (!route)
@@ -182,6 +185,12 @@
 {
     if (m_finished)
         return;
+    if (kind == error_kind::TargetFailed && m_targetFailure && !m_responseStarted) {
+        m_head = std::move(m_targetFailure->head);
+        m_body = std::move(m_targetFailure->body);
+        deliverResponse();
+        return;
+    }
     const auto outcome = errorResponseFor(kind).code;
     if (m_responseStarted) {
         m_parts.log.write("stream_broken_off",
@@ -209,6 +218,13 @@
     finish("answered");
 }
 
+// The answer of a target says more to the caller than that no other target could be reached.
+void exchange::keepTargetFailure()
+{
+    if (!m_responseStarted && m_body.size() <= MaxKeptFailureBytes)
+        m_targetFailure = target_failure { m_head, m_body };
+}
+
 void exchange::finish(std::string_view outcome)
 {
     if (m_finished)
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -195,6 +195,7 @@
     void onDeadline();
     void failWith(error_kind kind, std::string_view reason, std::optional<std::chrono::milliseconds> retryAfter = {});
     void deliverResponse();
+    void keepTargetFailure();
     void finish(std::string_view outcome);
 
     const gateway_parts& m_parts;
@@ -255,6 +256,11 @@
     bool m_isScheduled = false; // the admission queue lets this request look for a slot
     bool m_prefilledAlone = false; // the engine had no other prompts to prefill
     attempt_history m_history;
+    struct target_failure {
+        http_response_head head;
+        std::string body;
+    };
+    std::optional<target_failure> m_targetFailure; // delivered if no further attempt brings a response
     std::vector<target_name> m_triedTargets;
     std::optional<availability_zone> m_lostZone; // zone of the last lost target
     bool m_usesLossyPaths = false; // the engines with better paths have no place
--- a/gateway/exchange_responses.cpp
+++ b/gateway/exchange_responses.cpp
@@ -156,6 +156,7 @@
             deliverResponse();
             return;
         }
+        keepTargetFailure();
         retryOrFail(attempt_outcome::TargetError);
         return;
     }
