Keep questions about departures that are under way

A question replaced the one before after 100 ms, so that the answer of a slow node was dropped. Up to four are kept, which is longer than the time limit of a question.

--- a/gateway/store_synchronizer.cpp
+++ b/gateway/store_synchronizer.cpp
@@ -15,6 +15,8 @@
     /// A node responds within milliseconds unless its processor is overloaded; a whole table takes longer.
     constexpr std::chrono::milliseconds PullTimeout { 400 };
     constexpr std::chrono::milliseconds WholePullTimeout { 1'500 };
+    /// Questions about departures at a time. The oldest ends for a further one.
+    constexpr std::size_t MaxDeparturePulls = 4;
     constexpr std::uint64_t MaxPullBytes = 16'777'216; ///< the registrations of 12,000 targets take 4 MB
     constexpr int Success = 200;
     /// When the tables are older than the bound divided by this number, no node could read the store in two scheduled
@@ -163,8 +165,10 @@
 void store_synchronizer::pullDepartures(const node_id& from)
 {
     m_metrics.count("departure_pulls");
-    m_departurePull = std::make_shared<http_client>(m_loop, m_timers, from.value(), MaxPullBytes);
-    m_departurePull->get(
+    if (m_departurePulls.size() >= MaxDeparturePulls)
+        m_departurePulls.erase(m_departurePulls.begin());
+    m_departurePulls.push_back(std::make_shared<http_client>(m_loop, m_timers, from.value(), MaxPullBytes));
+    m_departurePulls.back()->get(
         concatenated("/news/", DeparturesPage), PullTimeout, [this, from](const http_client_response& response) {
             const auto batch = response.status == Success ? decodeBatch(response.body) : std::nullopt;
             if (batch)
--- a/gateway/store_synchronizer.h
+++ b/gateway/store_synchronizer.h
@@ -122,7 +122,7 @@
     gateway_metrics& m_metrics;
     std::chrono::milliseconds m_bound;
     store_gossip m_gossip;
-    std::shared_ptr<http_client> m_departurePull;
+    std::vector<std::shared_ptr<http_client>> m_departurePulls; // oldest first
     byte_rate_limiter m_wholeTableLimiter;
     timer_handle m_timer = 0;
     instant m_timerAt = instant::max();
