--- a/gateway/stop_schedule.h
+++ b/gateway/stop_schedule.h
@@ -6,7 +6,7 @@
 
 namespace oriolepick {
 
-/// When requests are ended that outlast the grace period of a planned stop.
+/// What a planned stop still takes, and when requests are ended that outlast its grace period.
 struct stop_schedule {
     instant listenUntil; ///< new connections are accepted
     /// Requests come on kept connections only, and their callers can reach other nodes: from here on, only what is
