soak: make the stand-in for the store take any bytes and check conditions

Its transactions decoded every value as JSON and ignored conditions. The record of crashes is no JSON, so the stand-in dropped the connection of each write, and the gateways tried again for the whole run.

--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -128,13 +128,17 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    @staticmethod
+    def _clock():
+        return int(time.monotonic() * 1000)
+
     def _answer_rows(self, table, after):
         rows = [
             {"table": table, "part": "", "key": key, "value": value, "rowVersion": revision, "tombstone": removed}
             for (own, key), (value, revision, removed) in sorted(self.rows.items())
             if own == table and revision > after and (after or not removed)
         ]
-        return rows, json.dumps({"rows": rows, "morePages": False, "rowVersion": self.revision, "nowMs": 1}).encode()
+        return rows, json.dumps({"rows": rows, "morePages": False, "rowVersion": self.revision, "nowMs": self._clock()}).encode()
 
     async def answer(self, writer, method, target, headers, body):
         if self.away:
@@ -166,13 +170,17 @@
             return self._reply(writer, 200, page)
         if path == "/v1/rows-tx":
             request = json.loads(body)
+            for row in request["expectedRev"]:
+                _, revision, removed = self.rows.get((row["table"], row["key"]), (None, 0, False))
+                if row["rowVersion"] != (0 if removed else revision):
+                    return self._reply(writer, 412, b"{}")
             for row in request["writes"]:
-                self.put(row["table"], row["key"], json.loads(base64.b64decode(row["value"])))
+                self._change((row["table"], row["key"]), row["value"], False)
             for row in request["remove"]:
                 self.remove(row["table"], row["key"])
             if self.mode == "lost":
                 return False
-            return self._reply(writer, 200, json.dumps({"rowVersion": self.revision, "nowMs": 1}).encode())
+            return self._reply(writer, 200, json.dumps({"rowVersion": self.revision, "nowMs": self._clock()}).encode())
         return self._reply(writer, 404, b"{}")
 
     def _reply(self, writer, status, body):
