Confirm the silence of a target before a run is given up

What callers saw: while a node reached no target at all, it gave up a stream that its engine still ran, 450 ms after the last event, so that another engine would have to read the prompt again.

Cause: silences of targets in several zones speak against the node's link only if they are recorded within 100 ms of each other. Streams that began further apart are probed further apart, so that the first silence was judged alone. 210 ms until the probe, 140 ms for it and 100 ms for the window are the 450 ms of the log (452 ms).

Change: a silence that no other probe explains is confirmed. The target is probed again, together with a target of the same service in another zone, and the decision waits for both. Without another zone, the window decides as before.

Why it works: the decision no longer depends on which other probes happen to be under way.

--- a/gateway/absence_detector.h
+++ b/gateway/absence_detector.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include "core/instant.h"
+#include "gateway/target_prober.h"
 #include "gateway/timer_queue.h"
 #include "routing/absence_evidence.h"
 #include "routing/target_tracker.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,8 +33,14 @@
 /// silence speaks against this node do not.
 class absence_detector {
 public:
+    /// Sends a probe, see target_prober::probe().
+    using probe_sender = std::function<void(
+        const target_entry& target, std::chrono::milliseconds timeout, target_prober::callback done)>;
+
     /// All references outlive this object.
-    absence_detector(target_tracker& targetTracker, timer_queue& timers, decision_log& log, gateway_metrics& metrics);
+    /// \param probe sends the probes that confirm a silence; called only while silences are recorded
+    absence_detector(target_tracker& targetTracker, probe_sender probe, timer_queue& timers, decision_log& log,
+        gateway_metrics& metrics);
     ~absence_detector();
 
     /// Records that \p target responded to a probe that was sent at \p sentAt.
@@ -41,7 +49,8 @@
     /// Receives whether the target is absent.
     using decision = std::function<void(bool absent)>;
 
-    /// Records a probe without a response. The decision follows at once or within a tenth of a second.
+    /// Records a probe without a response. The decision follows at once or within a tenth of a second, when a further
+    /// probe of the target and one of another zone have ended.
     /// \param done receives the decision, unless the target responds before
     void recordSilence(const silent_probe_report& silence, decision done = {});
 
@@ -51,16 +60,19 @@
         std::vector<decision> owners; // of this probe and of later ones of the target
     };
 
+    void confirm(const target_entry& silent);
     void decide();
     void apply(const undecided_silence& silence, bool absent);
     void recordFinding(const silent_probe_report& silence, bool absent);
 
     target_tracker& m_targetTracker;
+    probe_sender m_probe;
     timer_queue& m_timers;
     decision_log& m_log;
     gateway_metrics& m_metrics;
     absence_evidence m_evidence;
     std::map<target_name, undecided_silence> m_undecided;
+    std::optional<target_name> m_lastSilentWitness; // not asked again at once: it may be absent itself
     timer_handle m_timer = 0;
 };
 
--- a/routing/absence_evidence.cpp
+++ b/routing/absence_evidence.cpp
@@ -27,18 +27,45 @@
         silence.corroborated = silence.corroborated || corroborates(*m_lastResponse, silence.probe);
 }
 
+bool absence_evidence::isCorroborated(const silent_probe& probe) const
+{
+    return (m_lastResponse && corroborates(*m_lastResponse, probe))
+        || (m_lastResponseOfOther && corroborates(*m_lastResponseOfOther, probe));
+}
+
 void absence_evidence::recordSilence(const silent_probe& probe, instant now)
 {
     const auto known = std::find_if(m_silences.begin(), m_silences.end(),
         [&probe](const silence& silence) { return silence.probe.target == probe.target; });
-    if (known != m_silences.end()) {
-        if (!known->decided)
-            return;
+    if (known != m_silences.end() && !known->decided) {
+        if (known->confirmation == confirmation_state::UnderWay && probe.sentAt > known->probe.sentAt) {
+            known->probe = probe;
+            known->recordedAt = now;
+        }
+        known->corroborated = known->corroborated || isCorroborated(probe);
+        return;
+    }
+    if (known != m_silences.end())
         m_silences.erase(known);
+    m_silences.push_back({ probe, now, isCorroborated(probe) });
+}
+
+void absence_evidence::beginConfirmation(const target_name& target)
+{
+    setConfirmation(target, confirmation_state::UnderWay);
+}
+
+void absence_evidence::endConfirmation(const target_name& target, bool complete)
+{
+    setConfirmation(target, complete ? confirmation_state::Complete : confirmation_state::None);
+}
+
+void absence_evidence::setConfirmation(const target_name& target, confirmation_state state)
+{
+    for (auto& silence : m_silences) {
+        if (silence.probe.target == target && !silence.decided)
+            silence.confirmation = state;
     }
-    const bool corroborated = (m_lastResponse && corroborates(*m_lastResponse, probe))
-        || (m_lastResponseOfOther && corroborates(*m_lastResponseOfOther, probe));
-    m_silences.push_back({ probe, now, corroborated, false });
 }
 
 bool absence_evidence::isInSeveralZones(const silence& silence) const
@@ -54,7 +81,9 @@
 {
     std::vector<absence_finding> findings;
     for (auto& silence : m_silences) {
-        if (silence.decided || (!silence.corroborated && now < silence.recordedAt + m_window))
+        const bool mustWait = silence.confirmation == confirmation_state::UnderWay
+            || (silence.confirmation == confirmation_state::None && now < silence.recordedAt + m_window);
+        if (silence.decided || (mustWait && !silence.corroborated))
             continue;
         silence.decided = true;
         findings.push_back({ silence.probe.target, silence.corroborated || !isInSeveralZones(silence) });
@@ -70,7 +99,7 @@
 {
     auto due = instant::max();
     for (const auto& silence : m_silences) {
-        if (!silence.decided)
+        if (!silence.decided && silence.confirmation != confirmation_state::UnderWay)
             due = std::min(due, silence.recordedAt + m_window);
     }
     return due;
--- a/routing/absence_evidence.h
+++ b/routing/absence_evidence.h
@@ -31,6 +31,9 @@
 /// - when a window passes without such a response, unless targets in several zones are silent within it. Zones fail one
 ///   at a time, so the link of this node is the more likely cause then.
 ///
+/// A node that probes little has no other probes in the window. Its owner may therefore probe the silent target again,
+/// together with a target of another zone, and the decision waits for both.
+///
 /// Only responses to probes count: through a full link, events of streams keep arriving long after they were sent.
 /// Targets that fail in another way than by silence need no corroboration. Pure: the owner calls takeFindings() after
 /// each change and at nextDue(). Not synchronized.
@@ -44,13 +47,23 @@
     /// forgotten.
     void recordResponse(const target_name& target, instant sentAt, instant now);
 
-    /// Records that \p probe got no response. Ignored while an earlier silence of the target is undecided.
+    /// Records that \p probe got no response. A probe that confirms an undecided silence of the target takes the place of
+    /// the earlier one; otherwise, the time of the decision stays.
     void recordSilence(const silent_probe& probe, instant now);
 
+    /// Records that the undecided silence of \p target is being confirmed by further probes: it is decided before
+    /// endConfirmation() only if another target responds.
+    void beginConfirmation(const target_name& target);
+
+    /// Records that the further probes of \p target have ended.
+    /// \param complete whether both were sent; then the silence is decided without waiting for the end of the window
+    void endConfirmation(const target_name& target, bool complete);
+
     /// \return what was decided since the last call
     std::vector<absence_finding> takeFindings(instant now);
 
-    /// \return when the next decision is due without further events; instant::max() without undecided silences
+    /// \return when the next decision is due without further events; instant::max() without undecided silences,
+    /// or while all of them are being confirmed
     instant nextDue() const;
 
 private:
@@ -59,14 +72,18 @@
         instant sentAt;
         instant receivedAt;
     };
+    enum class confirmation_state { None, UnderWay, Complete };
     struct silence {
         silent_probe probe;
         instant recordedAt;
         bool corroborated = false; // another target responded
+        confirmation_state confirmation = confirmation_state::None;
         bool decided = false; // kept to be compared with others
     };
 
     static bool corroborates(const response& response, const silent_probe& probe);
+    bool isCorroborated(const silent_probe& probe) const;
+    void setConfirmation(const target_name& target, confirmation_state state);
     bool isInSeveralZones(const silence& silence) const;
 
     std::chrono::milliseconds m_window;
--- a/routing/test/absence_evidence.cpp
+++ b/routing/test/absence_evidence.cpp
@@ -106,6 +106,46 @@
     EXPECT_EQ(unproven, (names { "a", "b" }));
 }
 
+// The link is lost at a node with few streams: their probes end further apart than the window.
+TEST_F(AbsenceEvidence, ASilenceThatIsBeingConfirmedIsNotDecided)
+{
+    fails("a", "z1", 0ms, 60ms);
+    evidence.beginConfirmation(target_name("a"));
+    take(200ms);
+    EXPECT_TRUE(absent.empty() && unproven.empty());
+    EXPECT_EQ(evidence.nextDue(), instant::max());
+    fails("a", "z1", 61ms, 210ms);
+    fails("b", "z2", 61ms, 210ms);
+    evidence.endConfirmation(target_name("a"), true);
+    take(210ms);
+    EXPECT_EQ(unproven, names { "a" });
+    EXPECT_TRUE(absent.empty());
+}
+
+// A zone is lost at a node that probes nothing else.
+TEST_F(AbsenceEvidence, AConfirmedSilenceIsAbsenceWhenAnotherZoneResponds)
+{
+    fails("a", "z1", 0ms, 60ms);
+    evidence.beginConfirmation(target_name("a"));
+    responds("b", 61ms, 63ms);
+    EXPECT_TRUE(absent.empty()); // the node may have been frozen: the response to the first probe may be under way
+    fails("a", "z1", 61ms, 121ms);
+    EXPECT_EQ(absent, names { "a" });
+}
+
+// The node had no memory for the further probes.
+TEST_F(AbsenceEvidence, ASilenceThatCouldNotBeConfirmedIsDecidedAfterTheWindow)
+{
+    fails("a", "z1", 0ms, 60ms);
+    evidence.beginConfirmation(target_name("a"));
+    evidence.endConfirmation(target_name("a"), false);
+    take(159ms);
+    EXPECT_TRUE(absent.empty());
+    fails("b", "z2", 90ms, 159ms);
+    take(160ms);
+    EXPECT_EQ(unproven, names { "a" });
+}
+
 // The target was busy for a moment.
 TEST_F(AbsenceEvidence, ATargetThatRespondsMeanwhileIsNotAbsent)
 {
