Pass on a registration that follows a late write in its place

Cause: the node read the whole table while a late renewal of the earlier start stood in place of the registration. Later renewals change nothing at the nodes that know the later start, so they are not passed on, and this node did not receive them.

Change: the replica of a table remembers that the store has an outdated row in place of a held one. The next row with this key that is not outdated counts as a change, once, and reaches all nodes. Tables with versions need no such rule.

Why it works: whoever reads the whole table in between gets the outdated row only, and each of them receives the change.

TableReplica.ARowThatFollowsAnOutdatedOneInItsPlaceIsAnUpdate has the rule by itself; it fails without it by its third expectation, by reading.

--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -44,6 +44,19 @@
     return hasChanged(row) ? row_effect::Update : row_effect::Renewal;
 }
 
+// A row read from the store. One that follows an outdated row in its place is an update, so that nodes which know the
+// outdated one only receive it. Versions order rows with versions at all nodes.
+row_effect table_replica::effectOfRead(const stored_row& row, const std::optional<std::uint64_t>& version)
+{
+    const auto effect = effectOf(row, version);
+    if (effect == row_effect::Outdated && m_rows.count(row.key) && !heldVersionOf(row.key)) {
+        m_overwritten.insert(row.key);
+        return effect;
+    }
+    const bool follows = m_overwritten.erase(row.key) != 0;
+    return follows && effect == row_effect::Renewal ? row_effect::Update : effect;
+}
+
 // An update of another node is one here too, although this node may see no difference: it may know less than the nodes
 // that pull the row from here.
 row_effect table_replica::effectOfPulled(
@@ -93,7 +106,7 @@
             continue;
         present.insert(row.key);
         const auto version = versionOf(row);
-        const auto effect = pulledRevision ? effectOfPulled(row, version, restored) : effectOf(row, version);
+        const auto effect = pulledRevision ? effectOfPulled(row, version, restored) : effectOfRead(row, version);
         if (effect == row_effect::Update && (!pulledRevision || hasChanged(row))) {
             updates.push_back(kept(row));
             versions.push_back(version);
@@ -125,7 +138,7 @@
         if (!pulledRevision && isFormerRemoval(row, readRevision))
             continue;
         const auto version = row.removed ? std::nullopt : versionOf(row);
-        const auto effect = pulledRevision ? effectOfPulled(row, version, false) : effectOf(row, version);
+        const auto effect = pulledRevision ? effectOfPulled(row, version, false) : effectOfRead(row, version);
         if (effect == row_effect::Outdated)
             continue;
         const auto applied = kept(row);
@@ -173,6 +186,7 @@
         m_removals.end());
     if (row.removed) {
         m_rows.erase(row.key);
+        m_overwritten.erase(row.key);
         recordRemoval(row);
     } else {
         m_rows[row.key] = { row.value, version, keptRevision(row), seenAt };
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -129,6 +129,23 @@
     EXPECT_EQ(replica.changesAfter(std::nullopt).rows.front().value, "draining") << "also with the whole table";
 }
 
+// Guards against nodes that read the whole table while a late write stood in place of a row, and do not learn of the row
+// itself, because its renewals are not sent.
+TEST(TableReplica, ARowThatFollowsAnOutdatedOneInItsPlaceIsAnUpdate)
+{
+    table_replica replica(
+        [](const stored_row& row) { return row.value == "old" ? row_effect::Outdated : row_effect::Renewal; });
+    replica.replaceAll({ row("a", "1") }, storedAt(10));
+    EXPECT_TRUE(replica.applyChanges({ row("a", "2") }, storedAt(12)).empty());
+    EXPECT_TRUE(replica.applyChanges({ row("a", "old") }, storedAt(14)).empty());
+    EXPECT_EQ(replica.applyChanges({ row("a", "3") }, storedAt(16)).size(), 1U);
+    EXPECT_EQ(replica.changeRevision(), changedAt(16));
+    EXPECT_TRUE(replica.applyChanges({ row("a", "4") }, storedAt(18)).empty()) << "once";
+    EXPECT_EQ(replica.applyChanges({ row("a", "old"), row("a", "5") }, storedAt(20)).size(), 1U);
+    replica.replaceAll({ row("a", "old") }, storedAt(22));
+    EXPECT_EQ(replica.applyChanges({ row("a", "6") }, storedAt(24)).size(), 1U);
+}
+
 // Guards against a node that starts and takes a late write of a removed row for a new row.
 TEST(TableReplica, NodeWithoutATableGetsTheLastRemovalsToo)
 {
