Serve callers of late attempts until their deadline

Cause: a request waits for a target for half of its objective only, also when an attempt may have run. That limit is meant for requests that can be refused as not run; this one cannot. Besides, an attempt counted as late although its response had begun.

Change: a request that may have run, and for which no failure of a target is kept, is tried until its deadline. The head of a response restarts the time after which an attempt is late.

--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -120,8 +120,9 @@
 void exchange::waitForTarget()
 {
     const auto now = m_parts.timers.now();
-    const auto longest = m_responseStarted ? m_deadline : m_startedAt + m_route->objective / 2;
-    const auto latest = std::min(longest, m_deadline);
+    // What may have run cannot be refused as not run, so a caller is served better late than by a failure.
+    const bool isOpen = m_responseStarted || (m_history.mayHaveRun && !m_targetFailure);
+    const auto latest = isOpen ? m_deadline : std::min(m_startedAt + m_route->objective / 2, m_deadline);
     const auto outlook = m_parts.targetTracker.allUnavailable(m_service, now, versionCondition());
     if (now + NoTargetRetryDelay >= latest || (outlook && outlook->next + outlook->spread >= latest)) {
         const auto kind = m_history.mayHaveRun ? error_kind::TargetFailed : error_kind::NoTarget;
--- a/gateway/exchange_responses.cpp
+++ b/gateway/exchange_responses.cpp
@@ -31,6 +31,8 @@
 {
     m_head = head;
     m_reply = reply;
+    if (m_attemptWait)
+        m_attemptWait->restart(m_parts.timers.now());
     const bool misaddressed = reply.actualTarget && *reply.actualTarget != m_target->name;
     if (!misaddressed)
         m_parts.notices.apply(m_target->name, m_target->address, m_target->startedAt, reply);
