Wait for the entry of an engine at a reused address

Cause: the gateway asked the process at the address for its name and used it under the service of the crashed engine, also while the store could be read. Only the entry says of which service an engine is.

Change: the process is asked only while the store does not respond. Until then the address is not used, and the finder looks every half second whether the store has failed.

Why it works: with the store in reach, no engine is used that has no entry.

--- a/gateway/replacement_finder.cpp
+++ b/gateway/replacement_finder.cpp
@@ -8,6 +8,7 @@
 #include "routing/target_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolepick {
 
@@ -17,22 +18,31 @@
     constexpr std::uint64_t MaxResponseBytes = 65'536; ///< health pages are short
     /// A health page is queued like a request; an engine at capacity may take this long.
     constexpr std::chrono::milliseconds ResponseTimeout { 500 };
+    /// A fraction of the time until the entry of a crashed engine expires.
+    constexpr std::chrono::milliseconds RegistryCheckInterval { 500 };
 
 } // namespace
 
 replacement_finder::replacement_finder(boost::asio::io_context& loop, timer_queue& timers,
-    const request_dialect& dialect, const active_config& config, target_tracker& tracker, decision_log& log,
-    memory_budget& memory)
+    const request_dialect& dialect, const active_config& config, target_tracker& tracker,
+    std::function<bool()> isRegistryUnavailable, decision_log& log, memory_budget& memory)
     : m_loop(loop)
     , m_memory(memory)
     , m_timers(timers)
     , m_dialect(dialect)
     , m_config(config)
     , m_tracker(tracker)
+    , m_isRegistryUnavailable(std::move(isRegistryUnavailable))
     , m_log(log)
 {
 }
 
+replacement_finder::~replacement_finder()
+{
+    for (auto& [address, timer] : m_waits)
+        m_timers.cancel(timer);
+}
+
 bool replacement_finder::isOnlyEngineService(const target_entry& replaced) const
 {
     const auto& services = m_config.table()->config().services;
@@ -46,6 +56,10 @@
 {
     if (!m_config.table() || !isOnlyEngineService(replaced) || m_calls.count(replaced.address))
         return;
+    if (!m_isRegistryUnavailable()) {
+        findLater(replaced, startedAt);
+        return;
+    }
     const auto path = m_config.table()->rulesOf(replaced.service)->healthPath;
     auto& call = m_calls[replaced.address];
     call = std::make_shared<http_client>(m_loop, m_timers, replaced.address, MaxResponseBytes, &m_memory);
@@ -55,6 +69,19 @@
     });
 }
 
+void replacement_finder::findLater(const target_entry& replaced, std::uint64_t startedAt)
+{
+    const auto [wait, isFirst] = m_waits.try_emplace(replaced.address, 0);
+    if (!isFirst)
+        return;
+    wait->second = m_timers.at(m_timers.now() + RegistryCheckInterval, [this, replaced, startedAt] {
+        m_waits.erase(replaced.address);
+        const auto* known = m_tracker.find(replaced.name);
+        if (known && known->startedAt == replaced.startedAt)
+            find(replaced, startedAt);
+    });
+}
+
 void replacement_finder::onResponse(
     const target_entry& replaced, std::uint64_t startedAt, const http_client_response& response)
 {
