Apply departures of a later start to earlier registrations

Cause: a target was removed, and a late renewal of an earlier start stood in its place when the node read the table. Other nodes told it of the removal, which named the later start; the tracker recorded it and went on using the earlier registration.

Change: a departure ends the use of all registrations of its start and of earlier ones, also while the target drains.

TargetTracker.ARemovalOfALaterStartEndsTheUseOfALateRegistration is new.

Test changed: ADrainingThatAnotherNodeKnowsEndsTheUse held that the draining of a later start leaves the known one in use. A target that has started again under its name has ended before, so this was wrong. It now asks that an earlier start's draining changes nothing, and a further test that a later start's ends the use.

--- a/routing/target_tracker_registrations.cpp
+++ b/routing/target_tracker_registrations.cpp
@@ -288,9 +288,8 @@
 {
     for (const auto& departure : departures) {
         const auto found = m_targets.find(departure.target);
-        const bool isKnown = found != m_targets.end() && found->second.entry.startedAt == departure.last.incarnation;
         if (!departure.sinceRemoval) {
-            if (isKnown)
+            if (found != m_targets.end() && found->second.entry.startedAt <= departure.last.incarnation)
                 found->second.entry.draining = true;
         } else if (*departure.sinceRemoval < m_settings.removalHold) {
             mergeRemoval(departure, now - *departure.sinceRemoval);
@@ -301,8 +300,8 @@
 void target_tracker::mergeRemoval(const target_departure& departure, instant at)
 {
     const auto found = m_targets.find(departure.target);
-    const bool isKnown = found != m_targets.end() && found->second.entry.startedAt == departure.last.incarnation;
-    if (found != m_targets.end() && found->second.entry.startedAt > departure.last.incarnation)
+    const bool isKnown = found != m_targets.end();
+    if (isKnown && found->second.entry.startedAt > departure.last.incarnation)
         return; // the target has started again
     auto& removal = m_removals.try_emplace(departure.target, removal_record { {}, at, false, {} }).first->second;
     const bool isSameIncarnation = removal.last && removal.last->incarnation == departure.last.incarnation;
@@ -314,7 +313,8 @@
     removal.isReported = true;
     if (!isKnown || found->second.expiresAt)
         return;
-    removal.held = found->second.entry;
+    if (found->second.entry.startedAt == departure.last.incarnation)
+        removal.held = found->second.entry; // otherwise a late renewal of an earlier start
     if (found->second.inFlight) {
         withdrawClaim(found->second.entry.address, departure.target);
         found->second.expiresAt = at;
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -379,14 +379,42 @@
     EXPECT_EQ(tracker.find(target_name("a"))->startedAt, 2U) << "the registration that was held back is forgotten";
 }
 
+// Guards against a target that has left and is used by a node that started while a late renewal of an earlier start stood
+// in place of its registration.
+TEST_F(TargetTracker, ARemovalOfALaterStartEndsTheUseOfALateRegistration)
+{
+    tracker.replaceAll({ entry("a") }, now);
+    ASSERT_EQ(chosen(), "a");
+    tracker.mergeDepartures({ { target_name("a"), { 2, 1 }, 100ms } }, now);
+    EXPECT_EQ(chosen(), "");
+    tracker.put(entry("a"), now);
+    EXPECT_EQ(chosen(), "") << "an earlier start";
+    now += 20s;
+    EXPECT_EQ(chosen(), "") << "nothing of the later start is known that could be used";
+}
+
 // Guards against a target that drains and gets requests, because a late renewal replaced its registration.
 TEST_F(TargetTracker, ADrainingThatAnotherNodeKnowsEndsTheUse)
+{
+    auto known = entry("a");
+    known.startedAt = 2;
+    tracker.put(known, now);
+    tracker.mergeDepartures({ { target_name("a"), { 1, 9 }, std::nullopt } }, now);
+    EXPECT_EQ(chosen(), "a") << "an earlier start";
+    tracker.mergeDepartures({ { target_name("a"), { 2, 1 }, std::nullopt } }, now);
+    EXPECT_EQ(chosen(), "");
+}
+
+// The target has started again, so that the known registration is one of an earlier start.
+TEST_F(TargetTracker, ADrainingOfALaterStartEndsTheUseToo)
 {
     tracker.put(entry("a"), now);
     tracker.mergeDepartures({ { target_name("a"), { 2, 1 }, std::nullopt } }, now);
-    EXPECT_EQ(chosen(), "a") << "another start";
-    tracker.mergeDepartures({ { target_name("a"), { 1, 1 }, std::nullopt } }, now);
     EXPECT_EQ(chosen(), "");
+    auto next = entry("a");
+    next.startedAt = 3;
+    tracker.put(next, now);
+    EXPECT_EQ(chosen(), "a");
 }
 
 // Guards against targets that no node uses because one node was wrong about them: what is only missing in a table that
