Pass on a registration that follows an outdated one of another node

Cause: a node that read a restored table, or a late renewal, sent the registration of an earlier start to the others. They keep what they are sent, although they know the later start, and nodes that start take it over from them. The renewals of the later start change nothing at the nodes that read the store, so they were not passed on.

Change: an outdated row that another node has sent is remembered like one in the store, so that the next row in its place counts as a change.

--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -49,22 +49,32 @@
 row_effect table_replica::effectOfRead(const stored_row& row, const std::optional<std::uint64_t>& version)
 {
     const auto effect = effectOf(row, version);
-    if (effect == row_effect::Outdated && m_rows.count(row.key) && !heldVersionOf(row.key)) {
-        m_overwritten.insert(row.key);
+    if (effect == row_effect::Outdated) {
+        if (m_rows.count(row.key) && !heldVersionOf(row.key))
+            m_overwritten.insert(row.key);
         return effect;
     }
     const bool follows = m_overwritten.erase(row.key) != 0;
     return follows && effect == row_effect::Renewal ? row_effect::Update : effect;
 }
 
+bool table_replica::isOutdatedHere(const stored_row& row) const
+{
+    return m_loaded && m_classify && !row.removed && m_classify(row) == row_effect::Outdated;
+}
+
 // An update of another node is one here too, although this node may see no difference: it may know less than the nodes
 // that pull the row from here.
 row_effect table_replica::effectOfPulled(
-    const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated) const
+    const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated)
 {
     const bool isVersioned = heldVersionOf(row.key).has_value();
     if ((isVersioned || mayBeOutdated) && effectOf(row, version) == row_effect::Outdated)
         return row_effect::Outdated;
+    if (!isVersioned && isOutdatedHere(row))
+        m_overwritten.insert(row.key);
+    else
+        m_overwritten.erase(row.key);
     return row_effect::Update;
 }
 
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -25,8 +25,8 @@
 };
 
 /// Holds all rows of one table. Changes read from the store that are no updates, such as renewals of registrations, are
-/// not kept and not sent to other nodes, unless the store had an outdated row in place of the held one before: nodes that
-/// read the whole table then know that row only, and must learn of the next one. Updates of another node are kept and sent on as they are: this node may know
+/// not kept and not sent to other nodes, unless the store or another node had an outdated row in their place before: nodes
+/// that took over the whole table then know that row only, and must learn of the next one. Updates of another node are kept and sent on as they are: this node may know
 /// less than a node that pulls them from here.
 class table_replica {
 public:
@@ -105,8 +105,9 @@
 
     row_effect effectOf(const stored_row& row, const std::optional<std::uint64_t>& version) const;
     row_effect effectOfPulled(
-        const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated) const;
+        const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated);
     row_effect effectOfRead(const stored_row& row, const std::optional<std::uint64_t>& version);
+    bool isOutdatedHere(const stored_row& row) const;
     std::optional<std::uint64_t> versionOf(const stored_row& row) const;
     std::optional<std::uint64_t> heldVersionOf(const std::string& key) const;
     bool hasChanged(const stored_row& row) const;
@@ -133,7 +134,7 @@
     row_version m_versionOf;
     revision_condition m_keepsRevision;
     std::map<std::string, held_row> m_rows;
-    std::set<std::string> m_overwritten; // keys of held rows in whose place the store has an outdated row
+    std::set<std::string> m_overwritten; // keys of rows in whose place the store, or another node, has an outdated one
     std::deque<stored_row> m_removals; // with the last known values, oldest first
     std::deque<batch> m_history;
     std::size_t m_historyRows = 0;
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -146,6 +146,20 @@
     EXPECT_EQ(replica.applyChanges({ row("a", "6") }, storedAt(24)).size(), 1U);
 }
 
+// Guards against the same at nodes that take the outdated row over from another node, which does not know the row itself.
+TEST(TableReplica, ARowThatFollowsAnOutdatedOneOfAnotherNodeIsAnUpdate)
+{
+    table_replica replica(
+        [](const stored_row& row) { return row.value == "old" ? row_effect::Outdated : row_effect::Renewal; });
+    replica.replaceAll({ row("a", "1") }, storedAt(10));
+    replica.applyChanges({ row("a", "old") }, storedAt(12), changedAt(12));
+    EXPECT_EQ(replica.applyChanges({ row("a", "2") }, storedAt(14)).size(), 1U);
+    EXPECT_EQ(replica.changeRevision(), changedAt(14));
+    EXPECT_TRUE(replica.applyChanges({ row("a", "3") }, storedAt(16)).empty()) << "once";
+    replica.replaceAll({ row("a", "old") }, storedAt(18), changedAt(18));
+    EXPECT_EQ(replica.applyChanges({ row("a", "4") }, storedAt(20)).size(), 1U);
+}
+
 // Guards against a node that starts and takes a late write of a removed row for a new row.
 TEST(TableReplica, NodeWithoutATableGetsTheLastRemovalsToo)
 {
