Send the whole table to nodes that know more than a replaced one did

Cause: a node that was frozen for longer than the store's history reads the whole table and sends what differs from its own last state. A target that came and went in between does not differ. Nodes that knew it took these changes for all changes and did not ask for its removal.

Change: the replica remembers between which revisions it had no news. A node whose revision is in between gets the whole table.

Why it works: what such a node holds is replaced by what there is. Nodes at earlier and at later revisions are served as before.

TableReplica.ANodeThatKnowsMoreThanThatBeforeAWholeReadGetsAllRows fails without the change, by its third expectation (by reading).

--- a/gateway/table_replica.cpp
+++ b/gateway/table_replica.cpp
@@ -132,11 +132,14 @@
     for (std::size_t index = 0; index < updates.size(); ++index)
         store(updates[index], versions[index], readRevision);
     m_loaded = true;
+    const auto lastKnown = m_readRevision;
     m_readRevision = std::max(m_readRevision, readRevision);
-    if (first || restored)
+    if (first || restored) {
         startHistory(revisionOf(updates, pulledRevision));
-    else
+    } else {
         appendIfAny(updates, pulledRevision);
+        recordGap(lastKnown);
+    }
     return updates;
 }
 
@@ -241,9 +244,27 @@
     m_historyFrom = m_changeRevision;
     m_history.clear();
     m_historyRows = 0;
+    m_gap.reset();
     ++m_updates;
 }
 
+// The updates of a replaced table are what differs from the last known state. A node that knows a state in between may
+// hold a row that came and went since.
+void table_replica::recordGap(const store_version& lastKnown)
+{
+    const auto end = m_changeRevision.stored;
+    if (lastKnown >= end)
+        return;
+    const bool isOpen = m_gap && m_gap->second > m_historyFrom.stored;
+    m_gap = { isOpen ? std::min(m_gap->first, lastKnown) : lastKnown, end };
+}
+
+bool table_replica::hasUpdatesAfter(const content_revision& revision) const
+{
+    const bool isInGap = m_gap && revision.stored > m_gap->first && revision.stored < m_gap->second;
+    return revision >= m_historyFrom && !isInGap;
+}
+
 void table_replica::append(std::vector<stored_row> rows, const content_revision& revision)
 {
     m_changeRevision = std::max(m_changeRevision, revision);
@@ -290,7 +311,7 @@
     news_batch answer;
     answer.changeRevision = m_changeRevision;
     answer.readRevision = m_readRevision;
-    if (changeRevision && *changeRevision >= m_historyFrom) {
+    if (changeRevision && hasUpdatesAfter(*changeRevision)) {
         for (const auto& batch : m_history) {
             if (batch.revision > *changeRevision)
                 answer.rows.insert(answer.rows.end(), batch.rows.begin(), batch.rows.end());
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oriolepick {
@@ -73,7 +74,7 @@
 
     /// \param changeRevision revision at another node, or nothing when that node has no rows
     /// \return the updates after \p changeRevision, or all rows and the last removals when the history does not reach
-    /// back so far; the age is not set
+    /// back so far, or when this node was without news at that revision; the age is not set
     news_batch changesAfter(const std::optional<content_revision>& changeRevision) const;
 
     /// \return whether the table was read at least once
@@ -122,6 +123,8 @@
     void append(std::vector<stored_row> rows, const content_revision& revision);
     void releaseReplaced(const std::vector<stored_row>& rows);
     void startHistory(const content_revision& revision);
+    void recordGap(const store_version& lastKnown);
+    bool hasUpdatesAfter(const content_revision& revision) const;
 
     /// Minimal number of rows that the history may hold. In larger tables, the history may hold as many rows as the
     /// table: beyond, sending the whole table takes fewer bytes.
@@ -140,6 +143,8 @@
     std::size_t m_historyRows = 0;
     std::uint64_t m_updates = 0; // of the history
     content_revision m_historyFrom; // the history contains all updates after this revision
+    /// Between these revisions this node replaced its table: what was written and removed again in between is unknown.
+    std::optional<std::pair<store_version, store_version>> m_gap;
     content_revision m_changeRevision;
     store_version m_readRevision;
     bool m_loaded = false;
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -160,6 +160,24 @@
     EXPECT_EQ(replica.applyChanges({ row("a", "4") }, storedAt(20)).size(), 1U);
 }
 
+// Guards against targets that left and are used on: a node that was frozen reads the whole table, and never knew that the
+// row was there.
+TEST(TableReplica, ANodeThatKnowsMoreThanThatBeforeAWholeReadGetsAllRows)
+{
+    table_replica replica;
+    replica.replaceAll({ row("a", "1") }, storedAt(10));
+    replica.applyChanges({ row("b", "1") }, storedAt(12));
+    replica.replaceAll({ row("a", "2"), row("b", "1") }, storedAt(30));
+    EXPECT_FALSE(replica.changesAfter(changedAt(10)).whole);
+    EXPECT_FALSE(replica.changesAfter(changedAt(12)).whole);
+    EXPECT_TRUE(replica.changesAfter(changedAt(20)).whole) << "it may hold a row that was removed since";
+    EXPECT_FALSE(replica.changesAfter(changedAt(30)).whole);
+    replica.replaceAll({ row("a", "3"), row("b", "1") }, storedAt(50), changedAt(45));
+    EXPECT_TRUE(replica.changesAfter(changedAt(20)).whole);
+    EXPECT_TRUE(replica.changesAfter(changedAt(40)).whole) << "also when the table is that of another node";
+    EXPECT_FALSE(replica.changesAfter(changedAt(45)).whole);
+}
+
 // Guards against a node that starts and takes a late write of a removed row for a new row.
 TEST(TableReplica, NodeWithoutATableGetsTheLastRemovalsToo)
 {
