--- a/gateway/absence_detector.cpp
+++ b/gateway/absence_detector.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-absence_detector::absence_detector(target_tracker& targetTracker, probe_sender probe, timer_queue& timers,
-    decision_log& log, gateway_metrics& metrics)
+absence_detector::absence_detector(
+    target_tracker& targetTracker, probe_sender probe, timer_queue& timers, decision_log& log, gateway_metrics& metrics)
     : m_targetTracker(targetTracker)
     , m_probe(std::move(probe))
     , m_timers(timers)
--- a/gateway/replacement_finder.h
+++ b/gateway/replacement_finder.h
@@ -24,8 +24,8 @@
 /// Engines restart within seconds under a new name at their old address. Without the registry the new name is not
 /// reported, and a service would lose one engine after the other although all of them run.
 ///
-/// Only the registry says of which service an engine is: the address may belong to a service that no configuration names
-/// yet. So while the registry responds, the entry is waited for.
+/// Only the registry says of which service an engine is: the address may belong to a service that no configuration
+/// names yet. So while the registry responds, the entry is waited for.
 class replacement_finder {
 public:
     /// All references outlive this object.
@@ -36,9 +36,9 @@
     ~replacement_finder();
 
     /// Queries the health page at the address of \p replaced for the name of the engine that runs there now. While the
-    /// registry responds, waits until it fails or no longer contains \p replaced. Does nothing when the configuration has more than one service with engines: the address may belong to another
-    /// service.
-    /// \param startedAt start time that the new engine reported, Unix milliseconds
+    /// registry responds, waits until it fails or no longer contains \p replaced. Does nothing when the configuration
+    /// has more than one service with engines: the address may belong to another service. \param startedAt start time
+    /// that the new engine reported, Unix milliseconds
     void find(const target_entry& replaced, std::uint64_t startedAt);
 
 private:
--- a/gateway/table_replica.h
+++ b/gateway/table_replica.h
@@ -26,9 +26,9 @@
 };
 
 /// Holds all rows of one table. Changes read from the store that are no updates, such as renewals of registrations, are
-/// not kept and not sent to other nodes, unless the store or another node had an outdated row in their place before: nodes
-/// that took over the whole table then know that row only, and must learn of the next one. Updates of another node are kept and sent on as they are: this node may know
-/// less than a node that pulls them from here.
+/// not kept and not sent to other nodes, unless the store or another node had an outdated row in their place before:
+/// nodes that took over the whole table then know that row only, and must learn of the next one. Updates of another
+/// node are kept and sent on as they are: this node may know less than a node that pulls them from here.
 class table_replica {
 public:
     /// \return what a row of the store changes; called before the row is applied anywhere
@@ -105,8 +105,7 @@
     };
 
     row_effect effectOf(const stored_row& row, const std::optional<std::uint64_t>& version) const;
-    row_effect effectOfPulled(
-        const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated);
+    row_effect effectOfPulled(const stored_row& row, const std::optional<std::uint64_t>& version, bool mayBeOutdated);
     row_effect effectOfRead(const stored_row& row, const std::optional<std::uint64_t>& version);
     bool isOutdatedHere(const stored_row& row) const;
     std::optional<std::uint64_t> versionOf(const stored_row& row) const;
--- a/gateway/test/table_replica.cpp
+++ b/gateway/test/table_replica.cpp
@@ -129,8 +129,8 @@
     EXPECT_EQ(replica.changesAfter(std::nullopt).rows.front().value, "draining") << "also with the whole table";
 }
 
-// Guards against nodes that read the whole table while a late write stood in place of a row, and do not learn of the row
-// itself, because its renewals are not sent.
+// Guards against nodes that read the whole table while a late write stood in place of a row, and do not learn of the
+// row itself, because its renewals are not sent.
 TEST(TableReplica, ARowThatFollowsAnOutdatedOneInItsPlaceIsAnUpdate)
 {
     table_replica replica(
@@ -146,7 +146,8 @@
     EXPECT_EQ(replica.applyChanges({ row("a", "6") }, storedAt(24)).size(), 1U);
 }
 
-// Guards against the same at nodes that take the outdated row over from another node, which does not know the row itself.
+// Guards against the same at nodes that take the outdated row over from another node, which does not know the row
+// itself.
 TEST(TableReplica, ARowThatFollowsAnOutdatedOneOfAnotherNodeIsAnUpdate)
 {
     table_replica replica(
@@ -160,8 +161,8 @@
     EXPECT_EQ(replica.applyChanges({ row("a", "4") }, storedAt(20)).size(), 1U);
 }
 
-// Guards against targets that left and are used on: a node that was frozen reads the whole table, and never knew that the
-// row was there.
+// Guards against targets that left and are used on: a node that was frozen reads the whole table, and never knew that
+// the row was there.
 TEST(TableReplica, ANodeThatKnowsMoreThanThatBeforeAWholeReadGetsAllRows)
 {
     table_replica replica;
--- a/routing/absence_evidence.h
+++ b/routing/absence_evidence.h
@@ -47,8 +47,8 @@
     /// forgotten.
     void recordResponse(const target_name& target, instant sentAt, instant now);
 
-    /// Records that \p probe got no response. A probe that confirms an undecided silence of the target takes the place of
-    /// the earlier one; otherwise, the time of the decision stays.
+    /// Records that \p probe got no response. A probe that confirms an undecided silence of the target takes the place
+    /// of the earlier one; otherwise, the time of the decision stays.
     void recordSilence(const silent_probe& probe, instant now);
 
     /// Records that the undecided silence of \p target is being confirmed by further probes: it is decided before
--- a/routing/test/target_tracker.cpp
+++ b/routing/test/target_tracker.cpp
@@ -379,8 +379,8 @@
     EXPECT_EQ(tracker.find(target_name("a"))->startedAt, 2U) << "the registration that was held back is forgotten";
 }
 
-// Guards against a target that has left and is used by a node that started while a late renewal of an earlier start stood
-// in place of its registration.
+// Guards against a target that has left and is used by a node that started while a late renewal of an earlier start
+// stood in place of its registration.
 TEST_F(TargetTracker, ARemovalOfALaterStartEndsTheUseOfALateRegistration)
 {
     tracker.replaceAll({ entry("a") }, now);
