--- a/gateway/test/store_synchronizer.cpp
+++ b/gateway/test/store_synchronizer.cpp
@@ -3,12 +3,15 @@
 #include "gateway/store_synchronizer.h"
 
 #include "core/test/loopback_ports.h"
+#include "core/text.h"
 #include "gateway/decision_log.h"
+#include "gateway/gateway_message_codec.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/http_endpoint.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <fcntl.h>
@@ -288,4 +291,29 @@
     EXPECT_EQ(reader.learned.front(), "a");
 }
 
+// Guards against departures that are not learned from a slow node, because the next question is due before its answer.
+TEST_F(StoreSynchronizer, ALaterQuestionAboutDeparturesKeepsTheEarlierOne)
+{
+    using boost::asio::ip::tcp;
+    tcp::acceptor acceptor(loop, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    std::vector<tcp::socket> questions;
+    const std::function<void()> accept = [&] {
+        acceptor.async_accept([&](const boost::system::error_code& error, tcp::socket connection) {
+            ASSERT_FALSE(error);
+            questions.push_back(std::move(connection));
+            accept();
+        });
+    };
+    accept();
+    runScript({ done(10, { { "a", "late" } }) });
+    reader.synchronizer.setNodes({ node_id(concatenated("127.0.0.1:", acceptor.local_endpoint().port())) }, {});
+    ASSERT_TRUE(runUntil([&] { return questions.size() == 2; }));
+    news_batch known;
+    known.departures = { { target_name("a"), { 1, 5 }, 4s } };
+    const auto body = encodeBatch(known);
+    boost::asio::write(questions.front(),
+        boost::asio::buffer(concatenated("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body)));
+    EXPECT_TRUE(runUntil([&] { return !reader.learned.empty(); }));
+}
+
 } // namespace
