--- a/gateway/replacement_finder.h
+++ b/gateway/replacement_finder.h
@@ -37,8 +37,9 @@
 
     /// Queries the health page at the address of \p replaced for the name of the engine that runs there now. While the
     /// registry responds, waits until it fails or no longer contains \p replaced. Does nothing when the configuration
-    /// has more than one service with engines: the address may belong to another service. \param startedAt start time
-    /// that the new engine reported, Unix milliseconds
+    /// has more than one service with engines: the address may belong to another service.
+    ///
+    /// \param startedAt start time that the new engine reported, Unix milliseconds
     void find(const target_entry& replaced, std::uint64_t startedAt);
 
 private:
