--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -412,7 +412,8 @@
     def front(self):
         return self.ip, self.case.ports["front"]
 
-    def start(self):
+    def write_settings(self):
+        """Fills in the template of the role; returns the role and where the settings file stands."""
         case = self.case
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             (role,) = tomllib.load(file)["roles"].values()
@@ -428,6 +429,11 @@
         path = os.path.join(case.folder, f"{name}.json")
         with open(path, "w") as file:
             file.write(settings)
+        return role, path
+
+    def start(self):
+        case, name = self.case, f"frontend-{self.zone}-{self.index}"
+        role, path = self.write_settings()
         log = open(os.path.join(case.folder, f"{name}.log"), "ab")
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         self.process = subprocess.Popen(role["run"].split(), cwd=ROOT, stdout=log, stderr=log,
