--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,4 +1,4 @@
-"""Streams wait for their first event when all channels between nodes and workers fall silent. New channels work."""
+"""The settings of the machines change: graceS becomes a fraction. Then all processes are killed and started again."""
 
 import asyncio
 import os
@@ -10,99 +10,101 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common-3"))
 import world  # noqa: E402
 
-STREAMS = 6
-SILENT_AFTER_S = 0.5
-OVERLAP_S = 0.4  # of the rule
-
-
-class Observed(world.Engine):
-    """Notes when it works on a request and when it answers a report."""
-
-    at_work = {}  # (attempt, worker) -> since when
-    worked = []  # (attempt, worker, since, until)
-
-    async def _stream(self, writer, fields, attempt, run):
-        since = time.monotonic()
-        self.at_work[(attempt, self)] = since
-        try:
-            return await super()._stream(writer, fields, attempt, run)
-        finally:
-            del self.at_work[(attempt, self)]
-            self.worked.append((attempt, self, since, time.monotonic()))
-
-    def report(self):
-        self.last_report = time.monotonic()
-        return super().report()
+GRACE_S = 7.5  # instead of 8
+DOWN_S = 1.3
+RESTART_S = 0.5  # a process that exits is started again after a short delay
+BEFORE_S = 5.0
+AFTER_S = 5.0
+
+
+class Traffic:
+    """Safe requests, each at a random node; refused connections are tried again at another node, once."""
+
+    def __init__(self, case):
+        self.case, self.results, self.number = case, [], 0  # (when sent, served)
+
+    async def ask(self, nodes):
+        self.number += 1
+        sent = time.monotonic()
+        served = False
+        for node in random.sample(nodes, 2):
+            attempt = f"r{self.number}-{random.getrandbits(32):08x}"
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(*node.front), 1)
+                writer.write((f"GET /status/{self.number} HTTP/1.1\r\nHost: case.example\r\nAttempt-Id: {attempt}\r\n"
+                              "Deadline-Ms: 2500\r\nX-Api-Key: key-one\r\n\r\n").encode())
+                first, fields = await asyncio.wait_for(world.read_head(reader), 3)
+                await reader.readexactly(int(fields.get("content-length", "0")))
+                writer.close()
+                self.case.record.write("sent", attempt, "to", node.ip, "answered", first)
+                served = " 200 " in first and "server-stamp" in fields
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as problem:
+                self.case.record.write("sent", attempt, "to", node.ip, "not answered", type(problem).__name__)
+            if served:
+                break
+        self.results.append((sent, served))
 
+    async def flow(self, nodes, seconds):
+        end, asked = time.monotonic() + seconds, []
+        while time.monotonic() < end:
+            asked.append(asyncio.create_task(self.ask(nodes)))
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*asked)
 
-async def ask(case, node, index, outcomes):
-    attempt = f"s{index}-{random.getrandbits(32):08x}"
-    case.record.write("sent", attempt, "to", node.ip)
-    events = 0
-    try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(*node.front), 1)
-        writer.write((f"POST /draft/{attempt} HTTP/1.1\r\nHost: case.example\r\nAttempt-Id: {attempt}\r\nModel: m\r\n"
-                      f"Token-Counts: 8200,1300\r\nPrefix-Hash: 5c1e07a2:200,{attempt[-8:]}:8000\r\nDeadline-Ms: 25000\r\n"
-                      "X-Api-Key: key-one\r\nContent-Length: 5\r\n\r\nhello").encode())
-        first, _ = await world.read_head(reader)
-        case.record.write("answered", attempt, first)
-        while " 200 " in first:
-            size = int((await reader.readuntil(b"\r\n")), 16)
-            await reader.readexactly(size + 2)
-            if not size:
-                break
-            events += 1
-        outcomes.append(events)
-        case.record.write("ended", attempt, "after", events, "events")
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as problem:
-        case.record.write("broken off", attempt, "after", events, "events", repr(problem))
+    def share(self, since, until):
+        served = [served for sent, served in self.results if since <= sent < until]
+        return sum(served), len(served)
 
 
-async def watch(case, silent_at):
-    """Looks for requests that two workers work on at the same time, as the rule says."""
-    since = {}  # (attempt, former worker) -> since when another worker goes on
+async def keep_running(case):
+    """The platform: starts a process again that has ended by itself."""
     while True:
-        now = time.monotonic()
-        for attempt, worker in list(Observed.at_work):
-            other = [after for (name, after), begun in Observed.at_work.items()
-                     if name == attempt and begun > Observed.at_work[(attempt, worker)]]
-            if not other:
-                since.pop((attempt, worker), None)
-                continue
-            begun = since.setdefault((attempt, worker), now)
-            if now < begun + OVERLAP_S:
-                continue
-            in_touch = silent_at and begun > silent_at[0] + case.bounds["contactMs"] / 1000
-            reached = now < getattr(worker, "last_report", 0) + 2
-            if in_touch and reached:
-                case.fail(f"TWICE: {other[0].name} goes on with {attempt} while {worker.name} still works on it "
-                          f"{now - begun:.2f} s later, {begun - silent_at[0]:.1f} s after the channels fell silent")
-                since[(attempt, worker)] = float("inf")
-        await asyncio.sleep(0.05)
+        for node in case.nodes:
+            if node.process.poll() is not None and not node.down:
+                case.record.write("process ended by itself", node.ip, "code", node.process.returncode)
+                await asyncio.sleep(RESTART_S)
+                node.start()
+        await asyncio.sleep(0.1)
 
 
 async def play(case):
     zones = ("zone-a", "zone-b", "zone-c")
-    for index in range(6):
-        engine = Observed(f"{case.net}.{100 + index}", f"e{index}", "engine", zones[index % 3], case.store, case.record,
-                          prefill_s=1.0, pause_s=0.11)
-        engine.proxy = world.Proxy(engine.ip)
-        case.workers.append(engine)
-    await case.start(world.configuration([world.engine_route()]))
-    outcomes, silent_at = [], []
-    tasks = [asyncio.create_task(ask(case, case.nodes[index % len(case.nodes)], index, outcomes)) for index in range(STREAMS)]
-    watcher = asyncio.create_task(watch(case, silent_at))
-    await asyncio.sleep(SILENT_AFTER_S)
+    case.workers = [world.Plain(f"{case.net}.{100 + index}", f"w{index}", "plain", zones[index % 3], case.store, case.record)
+                    for index in range(4)]
+    await case.start(world.configuration([world.plain_route("/status/", "safe")]))
+    for node in case.nodes:
+        node.down = False
+    platform = asyncio.create_task(keep_running(case))
+    traffic = Traffic(case)
+    began = time.monotonic()
+    await traffic.flow(case.nodes, BEFORE_S)
     if case.trouble:
-        silent_at.append(time.monotonic())
-        count = sum(engine.proxy.silence() for engine in case.workers)
-        case.record.write("silent:", count, "channels between nodes and workers")
-    await asyncio.gather(*tasks)
-    watcher.cancel()
-    for attempt, worker, since, until in Observed.worked:
-        case.record.write("worked", attempt, worker.name, f"{since - case.record.began:.2f} to {until - case.record.began:.2f}")
-    if not outcomes:
-        raise RuntimeError("no stream was answered")
-
-
-world.run(play, world.Case(HERE, nodes=3))
+        case.bounds["graceS"] = GRACE_S
+        case.record.write("settings files change: graceS", GRACE_S)
+        for node in case.nodes:
+            node.write_settings()
+            node.signal(world.signal.SIGHUP)
+            await asyncio.sleep(0.2)
+    killed = time.monotonic()
+    for node in case.nodes:
+        node.down = True
+        node.kill()
+    await asyncio.sleep(DOWN_S)
+    for node in case.nodes:
+        node.start()
+        node.down = False
+    back = time.monotonic()
+    await asyncio.sleep(case.bounds["recoverS"])
+    await traffic.flow(case.nodes, AFTER_S)
+    platform.cancel()
+    before, after = traffic.share(began, killed), traffic.share(back + case.bounds["recoverS"], float("inf"))
+    starts = sum(node.starts for node in case.nodes)
+    case.record.write("served before:", *before, "served after recoverS:", *after, "starts of processes:", starts)
+    if before[0] * 4 < before[1]:
+        raise RuntimeError("too little was served before")
+    if after[0] * 4 < after[1]:
+        case.fail(f"RECOVER: {after[0]} of {after[1]} requests sent later than recoverS after the machines were back were "
+                  f"served, {before[0]} of {before[1]} before; the processes were started {starts} times")
+
+
+world.run(play, world.Case(HERE))
