--- a/config/field_reader.cpp
+++ b/config/field_reader.cpp
@@ -58,6 +58,21 @@
     return false;
 }
 
+std::optional<std::int64_t> field_reader::wholeNumber(
+    const nlohmann::json& value, const std::string& path, const field_rule& rule)
+{
+    const bool mayHaveFraction = rule.fractions != fraction_rule::Refused;
+    if (!value.is_number() || (!mayHaveFraction && std::floor(value.get<double>()) != value.get<double>())) {
+        failValue(path, value, mayHaveFraction ? "is not a number" : "is not a whole number");
+        return std::nullopt;
+    }
+    if (!inRange(value, path, rule))
+        return std::nullopt;
+    const auto number = value.get<double>();
+    return static_cast<std::int64_t>(
+        rule.fractions == fraction_rule::RoundedUp ? std::ceil(number) : std::floor(number));
+}
+
 std::optional<std::pair<fleet_name, std::string>> field_reader::reference(
     const nlohmann::json& value, const std::string& path)
 {
@@ -95,10 +110,8 @@
 
 void field_reader::read(const nlohmann::json& value, const std::string& path, int& number, const field_rule& rule)
 {
-    if (!value.is_number_integer())
-        return failValue(path, value, "is not a whole number");
-    if (inRange(value, path, rule))
-        number = value.get<int>();
+    if (const auto whole = wholeNumber(value, path, rule))
+        number = static_cast<int>(*whole);
 }
 
 void field_reader::read(const nlohmann::json& value, const std::string& path, double& number, const field_rule& rule)
@@ -112,9 +125,8 @@
 void field_reader::read(
     const nlohmann::json& value, const std::string& path, std::chrono::milliseconds& time, const field_rule& rule)
 {
-    int count = static_cast<int>(time.count());
-    read(value, path, count, rule);
-    time = std::chrono::milliseconds(count);
+    if (const auto whole = wholeNumber(value, path, rule))
+        time = std::chrono::milliseconds(*whole);
 }
 
 } // namespace oriolepick
--- a/config/field_reader.h
+++ b/config/field_reader.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cmath>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -55,6 +56,8 @@
     void fail(const std::string& path, std::string problem);
     void failValue(const std::string& path, const nlohmann::json& value, std::string_view problem);
     bool inRange(const nlohmann::json& value, const std::string& path, const field_rule& rule);
+    std::optional<std::int64_t> wholeNumber(
+        const nlohmann::json& value, const std::string& path, const field_rule& rule);
     std::optional<std::pair<fleet_name, std::string>> reference(const nlohmann::json& value, const std::string& path);
 
     void read(const nlohmann::json& value, const std::string& path, std::string& text, const field_rule& rule);
--- a/config/field_schema.h
+++ b/config/field_schema.h
@@ -41,15 +41,22 @@
     static nlohmann::json referenceSchema();
 
 private:
+    static const char* wholeNumberType(const field_rule& rule)
+    {
+        return rule.fractions == fraction_rule::Refused ? "integer" : "number";
+    }
     static nlohmann::json numberSchema(const char* type, const field_rule& rule, nlohmann::json value);
 
     static nlohmann::json schemaOf(const std::string&, const field_rule& rule) { return textSchema(rule.form); }
     static nlohmann::json schemaOf(bool, const field_rule&) { return { { "type", "boolean" } }; }
-    static nlohmann::json schemaOf(int value, const field_rule& rule) { return numberSchema("integer", rule, value); }
+    static nlohmann::json schemaOf(int value, const field_rule& rule)
+    {
+        return numberSchema(wholeNumberType(rule), rule, value);
+    }
     static nlohmann::json schemaOf(double value, const field_rule& rule) { return numberSchema("number", rule, value); }
     static nlohmann::json schemaOf(std::chrono::milliseconds value, const field_rule& rule)
     {
-        return numberSchema("integer", rule, value.count());
+        return numberSchema(wholeNumberType(rule), rule, value.count());
     }
     template <typename Tag> static nlohmann::json schemaOf(const identifier<Tag>&, const field_rule& rule)
     {
--- a/config/settings_json.cpp
+++ b/config/settings_json.cpp
@@ -1,5 +1,6 @@
 #include "config/settings_json.h"
 
+#include "config/field_reader.h"
 #include "config/nearest_name.h"
 
 #include <nlohmann/json.hpp>
@@ -7,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cmath>
 #include <functional>
 #include <set>
 
@@ -38,12 +40,16 @@
         const char* meaning;
     };
 
+    /// The side to which a fraction is rounded.
+    enum class rounding { Down, Up };
+
     struct duration_field {
         const char* path;
         std::chrono::milliseconds settings::*member;
         std::int64_t minimum;
         std::int64_t maximum;
         const char* meaning;
+        rounding side = rounding::Down;
     };
 
     bool isName(const std::string& text)
@@ -118,7 +124,7 @@
     const std::array<duration_field, 4> DurationFields { {
         { "platform.timeout_ms", &settings::platformTimeout, 10, 60000, "time limit of one platform operation, ms" },
         { "platform.ticket_poll_ms", &settings::ticketPollInterval, 50, 60000,
-            "shortest interval between polls for tickets, ms" },
+            "shortest interval between polls for tickets, ms", rounding::Up },
         { "queue.timeout_ms", &settings::queueTimeout, 100, 600000, "longest wait for a target, ms" },
         { "drain.timeout_ms", &settings::drainTimeout, 1000, 86400000,
             "longest wait of a planned stop for its streams, ms" },
@@ -151,13 +157,13 @@
             for (const auto& field : TextFields)
                 readText(field);
             for (const auto& field : NumberFields)
-                readInteger(field.path, field.minimum, field.maximum,
+                readFigure(field.path, field.minimum, field.maximum, rounding::Down,
                     [&](std::int64_t number) { m_settings.*field.member = number; });
             for (const auto& field : DurationFields) {
-                readInteger(field.path, field.minimum, field.maximum,
+                readFigure(field.path, field.minimum, field.maximum, field.side,
                     [&](std::int64_t number) { m_settings.*field.member = std::chrono::milliseconds(number); });
             }
-            readInteger("cursor.lifetime_s", 10, 604800,
+            readFigure("cursor.lifetime_s", 10, 604800, rounding::Down,
                 [&](std::int64_t number) { m_settings.cursorLifetime = std::chrono::seconds(number); });
             readPlace();
             readSeeds();
@@ -222,21 +228,21 @@
             m_settings.*field.member = std::move(text);
         }
 
-        void readInteger(const char* path, std::int64_t minimum, std::int64_t maximum,
+        void readFigure(const char* path, std::int64_t minimum, std::int64_t maximum, rounding side,
             const std::function<void(std::int64_t)>& store)
         {
             const auto* value = find(m_document, path);
             if (!value)
                 return;
-            if (!value->is_number_integer())
-                return fail(path, "must be an integer, is " + value->dump());
-            const auto number = value->get<std::int64_t>();
-            if (number < minimum || number > maximum) {
+            if (!value->is_number())
+                return fail(path, "must be a number, is " + shownValue(*value));
+            const auto number = value->get<double>();
+            // Not a number fails both comparisons.
+            if (!(number >= static_cast<double>(minimum) && number <= static_cast<double>(maximum))) {
                 return fail(path,
-                    std::to_string(number) + " is outside " + std::to_string(minimum) + " to "
-                        + std::to_string(maximum));
+                    shownValue(*value) + " is outside " + std::to_string(minimum) + " to " + std::to_string(maximum));
             }
-            store(number);
+            store(static_cast<std::int64_t>(side == rounding::Up ? std::ceil(number) : std::floor(number)));
         }
 
         std::string readName(const char* path)
--- a/config/test/settings.cpp
+++ b/config/test/settings.cpp
@@ -3,6 +3,7 @@
 #include "config/settings_json.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -64,6 +65,31 @@
     EXPECT_TRUE(names(outcome, "cursor.keys[0].secret_hex", "32 bytes"));
 }
 
+// Guards against a process that does not start because a figure is a fraction or a whole number written as one.
+TEST(settings, figures_may_be_fractions)
+{
+    const auto with = [](const std::string& path, const std::string& value) {
+        const auto dot = path.find('.');
+        auto document = nlohmann::json::parse(Valid);
+        document[path.substr(0, dot)][path.substr(dot + 1)] = nlohmann::json::parse(value);
+        return parseSettings(document.dump());
+    };
+    for (const std::string path : { "callers.threads", "callers.max_body_bytes", "targets.response_memory_bytes",
+             "queue.capacity", "platform.timeout_ms", "platform.ticket_poll_ms", "queue.timeout_ms", "drain.timeout_ms",
+             "cursor.lifetime_s" }) {
+        for (const std::string value : { "2000000", "2000000.0", "2000000.5", "2e6", "1500.25", "64" }) {
+            const auto outcome = with(path, value);
+            EXPECT_TRUE(outcome.value || names(outcome, path, "is outside")) << path << " " << value;
+        }
+        for (const std::string value : { "-1", "-0.5", "true", "\"1500\"", "null" })
+            EXPECT_TRUE(names(with(path, value), path, value)) << path << " " << value;
+    }
+    EXPECT_EQ(with("drain.timeout_ms", "1500.9").value->drainTimeout, std::chrono::milliseconds(1500));
+    EXPECT_EQ(with("platform.ticket_poll_ms", "99.1").value->ticketPollInterval, std::chrono::milliseconds(100));
+    EXPECT_EQ(with("cursor.lifetime_s", "10.5").value->cursorLifetime, std::chrono::seconds(10));
+    EXPECT_EQ(with("callers.threads", "4.5").value->callersThreads, 4);
+}
+
 TEST(settings, mutated_files_give_settings_or_errors)
 {
     EXPECT_TRUE(rc::check("every mutation ends in settings or errors", [] {
--- a/config/test/ticket_parser.cpp
+++ b/config/test/ticket_parser.cpp
@@ -56,6 +56,24 @@
     EXPECT_EQ(deployment.targets[1], target_id(fleet_name("two"), "w"));
 }
 
+// Guards against tickets that are refused because a time is a fraction or a count is written as one.
+TEST(ticket_parser, times_may_be_fractions)
+{
+    auto text = fullTicket();
+    const auto replace
+        = [&text](const std::string& from, const std::string& to) { text.replace(text.find(from), from.size(), to); };
+    replace(R"("time_limit_ms":100)", R"("time_limit_ms":100.9)");
+    replace(R"("deviations":3)", R"("deviations":3,"shortest_gap_ms":50.1)");
+    replace(R"("highest_priority":7)", R"("highest_priority":7.0)");
+    const auto parsed = parseTicket(text);
+    ASSERT_TRUE(parsed.value) << toString(parsed.errors);
+    const auto& objects = parsed.value->objects;
+    EXPECT_EQ(std::get<service_settings>(*objects[6].state).methods[0].timeLimit, std::chrono::milliseconds(100));
+    EXPECT_EQ(std::get<policy_settings>(*objects[3].state).minStallThreshold, std::chrono::milliseconds(51));
+    replace(R"("highest_priority":7.0)", R"("highest_priority":7.5)");
+    EXPECT_TRUE(has(parseTicket(text).errors, "objects[1].state.highest_priority", "7.5 is not a whole number"));
+}
+
 TEST(ticket_parser, reports_all_errors_with_path_and_value)
 {
     const auto parsed = parseTicket(R"({"ticket":0,"opertor":"x","objects":[
--- a/config/ticket_fields.h
+++ b/config/ticket_fields.h
@@ -42,9 +42,9 @@
 constexpr field_rule Flag {};
 constexpr double MaxTimeMs = 86'400'000; ///< one day
 
-constexpr field_rule numberRule(double least, double most)
+constexpr field_rule numberRule(double least, double most, fraction_rule fractions = fraction_rule::Refused)
 {
-    return { presence::Optional, text_form::Any, least, most };
+    return { presence::Optional, text_form::Any, least, most, 0, fractions };
 }
 
 constexpr field_rule listRule(std::size_t fewest, text_form form = text_form::Any)
@@ -96,7 +96,8 @@
 {
     visit("method", method.method, field_rule { presence::Required, text_form::Method });
     visit("repeatable", method.idempotent, field_rule { presence::Required });
-    visit("time_limit_ms", method.timeLimit, { presence::Required, text_form::Any, 1, MaxTimeMs });
+    visit("time_limit_ms", method.timeLimit,
+        { presence::Required, text_form::Any, 1, MaxTimeMs, 0, fraction_rule::RoundedDown });
 }
 
 template <typename Visitor> void describe(Visitor& visit, service_settings& service)
@@ -125,8 +126,9 @@
 template <typename Visitor> void describe(Visitor& visit, policy_settings& policy)
 {
     visit("strategy", policy.strategy, field_rule { presence::Required });
-    visit("shortest_gap_ms", policy.minStallThreshold, numberRule(1, MaxTimeMs));
-    visit("longest_gap_ms", policy.maxStallThreshold, numberRule(1, MaxTimeMs));
+    // A longer gap does not take a target that only pauses for a stalled one.
+    visit("shortest_gap_ms", policy.minStallThreshold, numberRule(1, MaxTimeMs, fraction_rule::RoundedUp));
+    visit("longest_gap_ms", policy.maxStallThreshold, numberRule(1, MaxTimeMs, fraction_rule::RoundedUp));
     visit("deviations", policy.stallDeviations, numberRule(0, 100));
     visit("retry_share", policy.retryBudgetRatio, numberRule(0, 1));
 }
