Tell peers that read slowly from peers that are gone

Cause: TCP_USER_TIMEOUT, 2 s on all connections, counts from when the peer's window closes, though the peer's kernel answers each probe (a native trial: ETIMEDOUT 2.5 s after the window had closed). Related: the wait for a response ran while the target still took the request, so a repeatable upload went to a second target; oriolepickd gave up peers whose socket did not become writable in time, which takes until a third of the buffer is free.

Change: peer_watch decides from what the kernel tells (TCP_INFO, every 250 ms while bytes are unacknowledged): a peer that acknowledges nothing for two seconds is gone, as before; one that answers probes is not. The kernel's time-out holds for the handshake, and where the times of acknowledgements are not kept. A caller that takes nothing of a complete response for the idle time-out is closed, so that what is held stays bounded. Ends are logged as "unresponsive" or "unread", with the bytes not taken. A target that takes more restarts the wait for its response; a request that is given up is dropped with a reset. oriolepickd restarts its limits while the peer takes bytes.

--- a/gateway/caller_connection_state.h
+++ b/gateway/caller_connection_state.h
@@ -70,6 +70,9 @@
     /// the connection closes
     std::optional<instant> waitingSince() const;
 
+    /// \return when the last input arrived, or the last response was handed over or sent
+    instant quietSince() const { return m_since; }
+
     /// \return until when the connection lingers, valid in that phase
     instant lingersUntil() const;
 
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -173,11 +173,20 @@
     }
 }
 
-// The configuration limits how long a connection may be idle and how long the header of a request may take to arrive.
 std::optional<instant> caller_session::inputDue() const
+{
+    const auto due = phaseDue();
+    return due ? std::max(*due, m_readsUntil) : due;
+}
+
+// The configuration limits how long a connection may be idle and how long the header of a request may take to arrive. A
+// caller that does not read its response is idle, too.
+std::optional<instant> caller_session::phaseDue() const
 {
     if (m_state.phase() == caller_phase::Lingering)
         return m_state.lingersUntil();
+    if (isResponseQueued())
+        return m_state.quietSince() + m_limits.idleTimeout;
     const auto since = m_state.waitingSince();
     if (!since || m_reader->headerDone())
         return {};
@@ -209,15 +218,39 @@
         startInputTimer();
         return;
     }
+    if (isReading()) {
+        m_readsUntil = m_parts.timers.now() + m_limits.idleTimeout;
+        startInputTimer();
+        return;
+    }
+    const bool isUnread = m_channel->hasUntakenBytes();
     if (m_state.phase() == caller_phase::Lingering) {
-        close(m_endReason);
+        close(isUnread ? "unread" : m_endReason);
+        return;
+    }
+    if (isResponseQueued()) {
+        close("unread");
         return;
     }
     if (m_channel->hasPendingInput())
         return; // it is read next, which starts the timer again
     if (m_reader->started())
         m_parts.metrics.count("header_timeouts");
-    close(m_reader->started() ? "header_timeout" : "idle");
+    close(m_reader->started() ? "header_timeout" : isUnread ? "unread" : "idle");
+}
+
+// Whether bytes of a complete response are queued.
+bool caller_session::isResponseQueued() const
+{
+    const auto phase = m_state.phase();
+    return m_channel->queuedBytes() > 0 && phase != caller_phase::Serving && phase != caller_phase::Closed;
+}
+
+// The bytes of a response stay in the queue and in the kernel while a caller reads slowly.
+bool caller_session::isReading()
+{
+    const auto before = std::exchange(m_takenBytes, m_channel->takenBytes());
+    return m_takenBytes > before && m_channel->hasUntakenBytes();
 }
 
 void caller_session::startExchange()
@@ -376,14 +409,16 @@
 // A caller that shuts down its sending direction counts as gone: it cannot be told from one that has closed.
 void caller_session::onEnd(connection_end end)
 {
-    endExchange(end == connection_end::Closed ? "closed_by_caller" : "reset");
+    endExchange(end == connection_end::Closed     ? "closed_by_caller"
+            : end == connection_end::Unresponsive ? "unresponsive"
+                                                  : "reset");
 }
 
 void caller_session::endExchange(std::string_view reason)
 {
     const auto phase = m_state.phase();
     const bool inProgress = m_exchange && !m_exchange->isFinished();
-    if (inProgress || m_channel->queuedBytes() > 0)
+    if (inProgress || m_channel->hasUntakenBytes())
         logEnd(reason);
     if (inProgress)
         m_exchange->cancel();
@@ -397,7 +432,8 @@
         { { "reason", std::string(reason) }, { "attempt", m_exchange ? m_exchange->attempt() : "" },
             { "in_progress", m_exchange && !m_exchange->isFinished() ? "true" : "false" },
             { "stopping", m_closing ? "true" : "false" }, { "unread_bytes", std::to_string(m_input.size()) },
-            { "unsent_bytes", std::to_string(m_channel->queuedBytes()) } });
+            { "unsent_bytes", std::to_string(m_channel->queuedBytes()) },
+            { "untaken_bytes", std::to_string(m_channel->sentBytes() - m_channel->takenBytes()) } });
 }
 
 void caller_session::notifyClosed(std::string_view reason)
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -85,8 +85,11 @@
     bool closesAfterResponse() const;
     void proceed(connection_action action);
     std::optional<instant> inputDue() const;
+    std::optional<instant> phaseDue() const;
     void startInputTimer();
     void onInputTimer();
+    bool isResponseQueued() const;
+    bool isReading();
     void close(std::string_view reason);
     void endExchange(std::string_view reason);
     void logEnd(std::string_view reason);
@@ -110,6 +113,8 @@
     std::string_view m_endReason; // of a connection that closes after its last response
     instant m_requestReceivedAt; // the last request; zero before the first one
     timer_handle m_inputTimer = 0;
+    std::uint64_t m_takenBytes = 0; // by the caller, when it was last checked whether it reads
+    instant m_readsUntil; // the connection is kept that long for a caller that was found to read
     bool m_keepAlive = true;
     bool m_chunked = true; ///< the caller supports chunked transfer encoding
     bool m_closing = false;
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -158,6 +158,7 @@
     void onAttemptTimeout();
     void onLatePermit(const target_entry& next);
     void abandonLateAttempt();
+    bool hasTakenMore();
     void retryOrFail(attempt_outcome attemptOutcome);
     void conclude(retry_decision decision, attempt_outcome attemptOutcome, std::string_view reason);
     double retryReserve() const;
@@ -232,6 +233,8 @@
     instant m_attemptAt;
     instant m_sentAt; // when the request was passed to the connection, or the attempt began
     std::optional<response_wait> m_attemptWait; // for the response of a repeatable request
+    std::uint64_t m_takenBytes = 0; // by the target on its connection, when the wait for a response was last checked
+    bool m_isUploading = false; // the target had not taken the whole request at that check
     bool m_suspected = false; // the target is silent, and no other can continue
     bool m_probing = false;
     std::uint32_t m_probesSinceLastEvent = 0;
--- a/gateway/exchange_attempts.cpp
+++ b/gateway/exchange_attempts.cpp
@@ -291,6 +291,8 @@
     m_parts.targetTracker.attemptStarted(target.name, now);
     recordVersionStart(target);
     m_link = m_parts.targetConnections.take(target.address, m_caller.attempt, now);
+    m_takenBytes = m_link->sentBytes();
+    m_isUploading = false;
     if (m_route->kind == route_kind::Stream)
         startStallDetection();
     else if (m_route->kind == route_kind::Repeatable)
@@ -355,6 +357,11 @@
         armAttemptTimeout();
         return;
     }
+    if (hasTakenMore()) {
+        m_attemptWait->restart(m_parts.timers.now());
+        armAttemptTimeout();
+        return;
+    }
     auto tried = m_triedTargets;
     tried.push_back(m_target->name);
     const auto next = m_parts.targetTracker.choose(
@@ -378,6 +385,14 @@
     dispatch();
 }
 
+// A target that still takes the request, however slowly, cannot respond yet.
+bool exchange::hasTakenMore()
+{
+    const auto before = std::exchange(m_takenBytes, m_link->takenBytes());
+    const bool wasUploading = std::exchange(m_isUploading, m_takenBytes < m_link->sentBytes());
+    return m_takenBytes > before && (m_isUploading || wasUploading);
+}
+
 void exchange::onLatePermit(const target_entry& next)
 {
     if (!m_parts.retryBudget.take(m_service, m_parts.timers.now(), retryReserve()))
--- a/gateway/exchange_responses.cpp
+++ b/gateway/exchange_responses.cpp
@@ -180,10 +180,11 @@
     const bool sent = failure != transport_failure::NotSent;
     const bool malformed = failure == transport_failure::Malformed;
     recordTargetFault(malformed ? target_fault::InvalidResponse : target_fault::Unreachable,
-        !sent                                     ? "not_connected"
-            : malformed                           ? "malformed_response"
-            : failure == transport_failure::Reset ? "reset"
-                                                  : "closed");
+        !sent                                            ? "not_connected"
+            : malformed                                  ? "malformed_response"
+            : failure == transport_failure::Reset        ? "reset"
+            : failure == transport_failure::Unresponsive ? "unresponsive"
+                                                         : "closed");
     if (malformed)
         recordVersionAnswer(true);
     if (sent) {
--- a/gateway/exchange_stream.cpp
+++ b/gateway/exchange_stream.cpp
@@ -244,6 +244,11 @@
         scheduleStallCheck(now + PendingInputDelay);
         return;
     }
+    if (!m_eventReceived && m_link->isConnected() && hasTakenMore()) {
+        m_stall.reattached(now);
+        scheduleStallCheck(now + interval);
+        return;
+    }
     if (now >= m_stall.suspectAt(std::nullopt) && !shouldKeepWaiting(now) && abandonSuspect("silent"))
         return;
     if (!m_probing) {
--- a/gateway/http_client.cpp
+++ b/gateway/http_client.cpp
@@ -162,6 +162,7 @@
         return;
     case connection_end::Closed:
     case connection_end::Reset:
+    case connection_end::Unresponsive:
         fail(response_failure::ConnectionLost, "the connection was lost");
         return;
     }
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -62,7 +62,11 @@
 {
     m_awaitingResponse = false;
     m_listener.reset();
-    m_connection->close();
+    // Closed in order, the kernel would go on to send a request that nobody waits for.
+    if (m_connected && m_connection->hasUntakenBytes())
+        m_connection->reset();
+    else
+        m_connection->close();
 }
 
 void target_connection::pauseReading(bool paused)
@@ -206,7 +210,9 @@
         finish();
         return;
     }
-    fail(end == connection_end::Closed ? transport_failure::Closed : transport_failure::Reset);
+    fail(end == connection_end::Closed            ? transport_failure::Closed
+            : end == connection_end::Unresponsive ? transport_failure::Unresponsive
+                                                  : transport_failure::Reset);
 }
 
 } // namespace oriolepick
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -20,7 +20,8 @@
 enum class transport_failure {
     NotSent, ///< no connection was established; the target has not received the request
     Closed, ///< the target closed the connection before the response was complete
-    Reset, ///< the connection was reset or timed out
+    Reset, ///< the connection was reset
+    Unresponsive, ///< the target acknowledged nothing any more
     Malformed, ///< the received bytes are not a valid response, or exceed a limit
 };
 
@@ -68,7 +69,7 @@
     /// \param listener receives the events of this attempt only
     void send(std::string request, std::string attempt, std::weak_ptr<response_listener> listener);
 
-    /// Closes the connection without notifying the listener.
+    /// Closes the connection without notifying the listener. What the target has not taken of the request is dropped.
     void abandon();
 
     /// Pauses or resumes reading; used while the caller is slower than the target.
@@ -78,6 +79,12 @@
     /// it yet. Costs a system call.
     bool hasPendingInput() { return m_connection->hasPendingInput(); }
 
+    /// \return how many bytes of its requests were sent to the target
+    std::uint64_t sentBytes() const { return m_connection->sentBytes(); }
+
+    /// \return how many of these bytes the target has taken. Costs a system call.
+    std::uint64_t takenBytes() const { return m_connection->takenBytes(); }
+
     bool canSend() const { return m_connection->canSend(); }
     bool isConnected() const { return m_connected; }
     const std::string& address() const { return m_address; }
--- a/gateway/tcp_connection.h
+++ b/gateway/tcp_connection.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "core/instant.h"
+#include "gateway/peer_watch.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <memory>
@@ -16,7 +18,8 @@
 /// Why a connection ended.
 enum class connection_end {
     Closed, ///< closed in an orderly way by the peer
-    Reset, ///< reset by the peer, or broken by a network error or timeout
+    Reset, ///< reset by the peer, or broken by a network error
+    Unresponsive, ///< the peer acknowledges nothing any more
     Refused, ///< no process listens at the address
     Unreachable, ///< could not be established because of the network
     NotConnected, ///< could not be attempted, for example for lack of descriptors
@@ -40,13 +43,12 @@
     virtual void onEnd(connection_end end) = 0;
 };
 
-/// TCP options that detect a peer that is unreachable or gone.
+/// Times that detect a peer that is unreachable or gone.
 struct tcp_connection_settings {
     std::chrono::seconds keepAliveIdle { 1 }; ///< the smallest value that the kernel accepts
     std::chrono::seconds keepAliveInterval { 1 };
-    int keepAliveProbes = 2;
-    /// The connection breaks when sent bytes stay unacknowledged for longer. The time allows three retransmissions,
-    /// since networks lose a few percent of the packets at times.
+    /// The connection breaks when the peer acknowledges nothing of what was sent for longer. The time allows three
+    /// retransmissions, since networks lose a few percent of the packets at times.
     std::chrono::milliseconds userTimeout { 2'000 };
 };
 
@@ -54,6 +56,9 @@
 class tcp_connection : public std::enable_shared_from_this<tcp_connection> {
 public:
     tcp_connection(boost::asio::ip::tcp::socket socket, const tcp_connection_settings& settings);
+    ~tcp_connection();
+    tcp_connection(const tcp_connection&) = delete;
+    tcp_connection& operator=(const tcp_connection&) = delete;
 
     /// Sets the receiver of events. Events are dropped once the listener has expired.
     void setListener(std::weak_ptr<connection_listener> listener) { m_listener = std::move(listener); }
@@ -96,17 +101,39 @@
 
     std::size_t queuedBytes() const { return m_output.size() + m_writing.size(); }
 
+    /// \return whether bytes are queued or not acknowledged by the peer. Costs a system call.
+    bool hasUntakenBytes() { return untakenBytes() > 0; }
+
+    /// \return how many of the bytes sent the peer has acknowledged. A peer that reads slowly acknowledges more as it
+    /// reads. Costs a system call.
+    std::uint64_t takenBytes();
+
+    /// \return how many bytes were passed to send()
+    std::uint64_t sentBytes() const { return m_sentBytes; }
+
 private:
     void configure();
+    void liftKernelTimeout();
+    std::size_t untakenBytes();
+    void watchPeer();
+    void checkPeer();
+    void probeWindowOften(bool often);
     void read();
     void write();
-    void onWriteFailed();
+    void onWriteFailed(const boost::system::error_code& error);
     void end(connection_end end);
 
     static constexpr std::size_t ReadBytes = 8'192; ///< common requests would need two reads with a page less
 
+    /// Interval of the checks while bytes are unacknowledged.
+    static constexpr std::chrono::milliseconds PeerCheckInterval { 250 };
+
     boost::asio::ip::tcp::socket m_socket;
     tcp_connection_settings m_settings;
+    boost::asio::steady_timer m_peerTimer;
+    peer_watch m_peerWatch;
+    std::uint64_t m_sentBytes = 0; // passed to send()
+    std::size_t m_untakenAtEnd = 0; // when the connection was closed
     std::weak_ptr<connection_listener> m_listener;
     std::array<char, ReadBytes> m_input;
     std::string m_output;
@@ -119,6 +146,9 @@
     bool m_writeFailed = false; // nothing more is sent, and reading reports the end
     bool m_isOutgoing = false; // established by connect()
     bool m_closing = false;
+    bool m_watching = false; // the peer is checked regularly
+    bool m_timeoutLifted = false; // this object decides whether the peer is gone
+    bool m_probesOften = false;
 };
 
 } // namespace oriolepick
--- a/node/caller_stream.cpp
+++ b/node/caller_stream.cpp
@@ -1,7 +1,9 @@
 #include "node/caller_stream.h"
 
 #include "node/byte_channel.h"
+#include "node/node_log.h"
 #include "node/socket_wait.h"
+#include "targets/output_watch.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -126,17 +128,28 @@
         const auto outcome = m_channel.write(source, size);
         if (outcome.count > 0 || size == 0)
             return std::max<ssize_t>(outcome.count, 0);
-        if (!outcome.wanted || !waitForOutput(outcome.wanted))
+        if (!outcome.wanted) {
+            logInfo("caller_ended", { { "reason", "connection_failed" } });
+            return -1;
+        }
+        if (!waitForOutput(outcome.wanted))
             return -1;
     }
 }
 
 bool caller_stream::waitForOutput(short events) const
 {
-    const auto limit = std::chrono::steady_clock::now() + m_writeLimit;
+    output_watch output(socket());
+    auto limit = std::chrono::steady_clock::now() + m_writeLimit;
     while (!waitForSocket(socket(), events, CutCheckPeriod)) {
-        if (m_cut || std::chrono::steady_clock::now() >= limit)
+        if (output.hasProgressed())
+            limit = std::chrono::steady_clock::now() + m_writeLimit;
+        if (m_cut || std::chrono::steady_clock::now() >= limit) {
+            logInfo("caller_ended",
+                { { "reason", m_cut ? "node_stops" : "unread" },
+                    { "untaken_bytes", std::to_string(output.unacknowledgedBytes()) } });
             return false;
+        }
     }
     return true;
 }
--- a/node/caller_stream.h
+++ b/node/caller_stream.h
@@ -22,7 +22,8 @@
 class caller_stream final : public httplib::Stream {
 public:
     /// \param channel outlives the stream
-    /// \param readLimit, writeLimit of each wait for the caller
+    /// \param readLimit of each wait for the caller's input
+    /// \param writeLimit longest time in which the caller takes nothing of the output
     /// \param cut while it is true, output that the caller does not take fails at once; outlives the stream
     caller_stream(byte_channel& channel, std::chrono::milliseconds readLimit, std::chrono::milliseconds writeLimit,
         const std::atomic<bool>& cut);
--- a/targets/target_socket.cpp
+++ b/targets/target_socket.cpp
@@ -1,6 +1,7 @@
 #include "targets/target_socket.h"
 
 #include "targets/call_abort.h"
+#include "targets/output_watch.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -115,6 +116,7 @@
         if (m_dropsOutput)
             return static_cast<ssize_t>(size);
         m_end = socket_end::TimedOut;
+        m_outputFault = isLate() ? "the request was not sent in time" : "the target takes nothing of the request";
         return -1;
     }
     ssize_t written = 0;
@@ -137,7 +139,15 @@
 {
     if (!m_unread.empty())
         return true;
-    return (!isLate() && wait(POLLIN, m_idle)) || (isLate() && hasArrived());
+    output_watch output(m_socket);
+    while (!isLate()) {
+        if (wait(POLLIN, m_idle))
+            return true;
+        // A target that still takes the request, however slowly, cannot answer yet.
+        if (!output.hasProgressed())
+            break;
+    }
+    return isLate() && hasArrived();
 }
 
 bool target_socket::waitWritable() const
@@ -147,12 +157,15 @@
 
 bool target_socket::waitForOutput() const
 {
-    const auto limit = std::chrono::steady_clock::now() + m_idle;
+    output_watch output(m_socket);
+    auto limit = std::chrono::steady_clock::now() + m_idle;
     while (!isLate() && std::chrono::steady_clock::now() < limit) {
         if (wait(POLLOUT, RefusalCheckPeriod))
             return true;
         if (hasRefusal())
             return false;
+        if (output.hasProgressed())
+            limit = std::chrono::steady_clock::now() + m_idle;
     }
     return false;
 }
--- a/targets/target_socket.h
+++ b/targets/target_socket.h
@@ -50,7 +50,8 @@
     void noteProgress() { m_guard.noteProgress(); }
 
     socket_end end() const { return m_end; }
-    const std::string& fault() const { return m_guard.fault(); } ///< see response_guard
+    /// \return what was wrong with the response, see response_guard, or why the request was not sent; empty for nothing
+    const std::string& fault() const { return m_outputFault.empty() ? m_guard.fault() : m_outputFault; }
     bool wasRefused() const { return m_refused; } ///< connect() found that nobody listens
     bool hasSent() const { return m_sent; } ///< whether any byte left this process
     int descriptor() const { return m_socket; }
@@ -74,6 +75,7 @@
     bool m_dropsOutput = false; ///< the target answered before it took the whole request
     bool m_outputFailed = false;
     bool m_refused = false;
+    std::string m_outputFault;
     socket_end m_end = socket_end::Open;
     response_guard m_guard;
     std::array<char, 8192> m_buffer;
