--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -123,7 +123,9 @@
     m_stopping = true;
     const auto now = m_parts.timers.now();
     m_stopSchedule = makeStopSchedule(now, m_parts.settings.stopGrace);
-    m_parts.log.write("stopping", { { "connections", std::to_string(m_sessions.size()) } });
+    m_parts.log.write("stopping",
+        { { "connections", std::to_string(m_sessions.size()) },
+            { "grace_ms", std::to_string(m_parts.settings.stopGrace.count()) } });
     for (const auto& session : m_sessions)
         session->closeAfterNextResponse();
     m_parts.timers.at(m_stopSchedule.listenUntil, [this] { closeListener(); });
