Count a node's messages to itself as pending input of its place client

Cause: place_client puts a verdict off while input waits to be read, but the queue of the node's own messages did not count as input. Pauses above the limit of late checks are forgiven once, so only a band of pauses is hit.

--- a/gateway/place_allocation.cpp
+++ b/gateway/place_allocation.cpp
@@ -171,10 +171,16 @@
     m_services = std::move(services);
     scheduleRefresh();
     const auto now = m_timers.now();
-    perform(m_client.tick(now, m_isInputPending()));
+    perform(m_client.tick(now, isInputPending()));
     perform(m_allocator.tick(now));
 }
 
+// Messages of this node to itself wait to be handled, too.
+bool place_allocation::isInputPending() const
+{
+    return !m_ownMessages.empty() || m_isInputPending();
+}
+
 void place_allocation::scheduleRefresh()
 {
     m_timers.cancel(m_refreshTimer);
@@ -322,7 +328,7 @@
     m_tickTimer = m_timers.at(due, [this] {
         m_tickTimer = 0;
         const auto now = m_timers.now();
-        perform(m_client.tick(now, m_isInputPending()));
+        perform(m_client.tick(now, isInputPending()));
         perform(m_allocator.tick(now));
     });
 }
--- a/gateway/place_allocation.h
+++ b/gateway/place_allocation.h
@@ -91,6 +91,7 @@
     void recordTokens(std::uint64_t number, std::uint64_t heldTokens) { m_client.recordTokens(number, heldTokens); }
     std::map<service_name, place_service> readServices() const;
     bool shouldAllocate(const place_service& service) const;
+    bool isInputPending() const;
     void scheduleRefresh();
     void perform(const place_client::actions& actions);
     void perform(const place_allocator::actions& actions);
