--- a/gateway/connection_check.cpp
+++ b/gateway/connection_check.cpp
@@ -13,9 +13,14 @@
 {
 }
 
+connection_check::~connection_check()
+{
+    m_timers.cancel(m_timer);
+    m_connection->close();
+}
+
 void connection_check::start(const std::string& address, std::chrono::milliseconds timeout)
 {
-    m_self = shared_from_this();
     m_wait.emplace(timeout, m_timers.now());
     startTimer();
     m_connection->setListener(weak_from_this());
@@ -47,9 +52,9 @@
 
 void connection_check::finish(outcome found)
 {
-    const auto self = std::exchange(m_self, nullptr);
-    if (!self)
+    if (std::exchange(m_finished, true))
         return;
+    const auto self = shared_from_this(); // the owner releases this object in the callback
     m_timers.cancel(m_timer);
     m_connection->close();
     m_done(found);
--- a/gateway/connection_check.h
+++ b/gateway/connection_check.h
@@ -13,7 +13,7 @@
 
 namespace oriolepick {
 
-/// A single check. Keeps itself alive until the callback has been called.
+/// A single check. Its end without a callback, when the owner releases it early, closes the connection.
 class connection_check : public connection_listener, public std::enable_shared_from_this<connection_check> {
 public:
     enum class outcome {
@@ -26,6 +26,9 @@
     /// \param timers outlives this object
     /// \param done called once, after start() has returned
     connection_check(boost::asio::io_context& loop, timer_queue& timers, callback done);
+    ~connection_check() override;
+    connection_check(const connection_check&) = delete;
+    connection_check& operator=(const connection_check&) = delete;
 
     /// Starts the check of \p address ("IP:PORT").
     /// \param timeout time after which the outcome is Unknown
@@ -44,7 +47,7 @@
     callback m_done;
     std::optional<response_wait> m_wait;
     timer_handle m_timer = 0;
-    std::shared_ptr<connection_check> m_self; // keeps this object alive until the check has finished
+    bool m_finished = false;
 };
 
 } // namespace oriolepick
--- a/gateway/crash_detector.cpp
+++ b/gateway/crash_detector.cpp
@@ -174,9 +174,14 @@
 void crash_detector::check(const target_entry& target, std::uint32_t checkNumber)
 {
     m_metrics.count("crash_checks");
-    std::make_shared<connection_check>(m_loop, m_timers, [this, target, checkNumber](connection_check::outcome found) {
-        onChecked(target, checkNumber, found);
-    })->start(target.address, CheckTimeout);
+    const auto key = ++m_lastCheck;
+    auto& started = m_checks[key];
+    started = std::make_shared<connection_check>(
+        m_loop, m_timers, [this, key, target, checkNumber](connection_check::outcome found) {
+            m_checks.erase(key);
+            onChecked(target, checkNumber, found);
+        });
+    started->start(target.address, CheckTimeout);
 }
 
 void crash_detector::scheduleCheck(const target_entry& target, std::uint32_t checkNumber)
--- a/gateway/crash_detector.h
+++ b/gateway/crash_detector.h
@@ -112,6 +112,8 @@
     gateway_metrics& m_metrics;
     shared_crash_ledger m_ledger;
     std::map<target_name, target_end> m_ends;
+    std::map<std::uint64_t, std::shared_ptr<connection_check>> m_checks; // under way
+    std::uint64_t m_lastCheck = 0;
     timer_handle m_tickTimer = 0;
     instant m_tickDue;
 };
