--- a/gateway/gateway_settings_json.cpp
+++ b/gateway/gateway_settings_json.cpp
@@ -24,7 +24,7 @@
     constexpr double LargestLinkMbps = 1'000'000;
     constexpr int LargestMemoryMb = 1'048'576;
 
-    /// A figure that limits this node: a smaller one is kept within it.
+    /// A figure that limits what this node does: rounded down, the limit is kept.
     constexpr field_rule limitRule(double least)
     {
         return numberRule(least, LargestFigure, fraction_rule::RoundedDown);
